--- /dev/null
+++ b/src/configuration/Account.ts
@@ -0,0 +1,8 @@
+/** A client account; its rate and burst hold over the whole fleet. */
+export interface Account {
+    readonly name: string;
+    /** Requests per second. */
+    readonly rate: number;
+    /** Requests that may come at once. */
+    readonly burst: number;
+}
--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,12 @@
+export type { Account } from "./Account.js";
+export type { AccountKey } from "./AccountKey.js";
+export type { Configuration } from "./Configuration.js";
+export type { ConfigurationDocument } from "./ConfigurationDocument.js";
+export type { DetectionSettings } from "./DetectionSettings.js";
+export { KeylessOrders } from "./KeylessOrders.js";
+export type { Route } from "./Route.js";
+export { RouteAccess } from "./RouteAccess.js";
+export { RouteKind } from "./RouteKind.js";
+export type { Section } from "./Section.js";
+export type { Service } from "./Service.js";
+export type { Upstream } from "./Upstream.js";
--- /dev/null
+++ b/src/fakes/FakeHost.ts
@@ -0,0 +1,10 @@
+import type { AccountRunner } from "../accounts/index.js";
+import type { PeerHandlers } from "../peers/index.js";
+import type { ServiceRunner } from "../services/index.js";
+
+/** What an entry host puts on the fake network. */
+export interface FakeHost {
+    readonly handlers: PeerHandlers;
+    readonly serviceRunner?: ServiceRunner;
+    readonly accountRunner?: AccountRunner;
+}
--- /dev/null
+++ b/src/fakes/FakeNetwork.ts
@@ -0,0 +1,149 @@
+import type { CallerRequest } from "../accounts/index.js";
+import { PeerUnavailableError } from "../errors/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import type { PeerForwarder, PeerMethod, PeerMethods, PeerTransport } from "../peers/index.js";
+import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
+import type { Clock } from "../time/index.js";
+import type { FakeHost } from "./FakeHost.js";
+
+const DATA_TIMEOUT_MS = 30_000;
+
+/** A network between entry hosts in memory, whose directions can be cut one by one. */
+export class FakeNetwork {
+    /** One-way delay between two hosts, in milliseconds. */
+    delayMs = 1;
+    readonly #clock: Clock;
+    readonly #hosts = new Map<string, FakeHost>();
+    readonly #cuts = new Set<string>();
+    readonly #frozen = new Set<string>();
+
+    /** @param clock - The source of time. */
+    constructor(clock: Clock) {
+        this.#clock = clock;
+    }
+
+    /**
+     * Adds a host, or replaces the host at that address.
+     * @param address - Its peer address.
+     * @param host - What it answers with.
+     */
+    addHost(address: string, host: FakeHost): void {
+        this.#hosts.set(address, host);
+    }
+
+    /**
+     * Removes a host, as a crash does: connections to it are refused from now on.
+     * @param address - Its peer address.
+     */
+    removeHost(address: string): void {
+        this.#hosts.delete(address);
+    }
+
+    /**
+     * Cuts one direction: messages from one address no longer reach the other.
+     * @param from - The sender's address.
+     * @param to - The receiver's address.
+     */
+    closeDirection(from: string, to: string): void {
+        this.#cuts.add(`${from}>${to}`);
+    }
+
+    /**
+     * Restores one direction.
+     * @param from - The sender's address.
+     * @param to - The receiver's address.
+     */
+    openDirection(from: string, to: string): void {
+        this.#cuts.delete(`${from}>${to}`);
+    }
+
+    /**
+     * Stops a host's answers without closing its connections, as a frozen process does.
+     * @param address - Its peer address.
+     */
+    stopAnswers(address: string): void {
+        this.#frozen.add(address);
+    }
+
+    /**
+     * Lets a host answer again.
+     * @param address - Its peer address.
+     */
+    startAnswers(address: string): void {
+        this.#frozen.delete(address);
+    }
+
+    /**
+     * Creates the transport of one host for calls.
+     * @param from - The host's own address.
+     */
+    createTransport(from: string): PeerTransport {
+        return {
+            send: async <M extends PeerMethod>(
+                to: string,
+                method: M,
+                params: PeerMethods[M]["params"],
+                timeoutMs: number,
+            ) => {
+                const run = (host: FakeHost): Promise<PeerMethods[M]["result"]> =>
+                    host.handlers.run(method, JSON.parse(JSON.stringify(params)));
+                const result = await this.#send(from, to, timeoutMs, run);
+                return JSON.parse(JSON.stringify(result ?? null));
+            },
+        };
+    }
+
+    /**
+     * Creates the forwarder of one host for requests.
+     * @param from - The host's own address.
+     */
+    createForwarder(from: string): PeerForwarder {
+        return {
+            runService: (to: string, request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> =>
+                this.#send(from, to, DATA_TIMEOUT_MS, async host => await host.serviceRunner!.run(request, signal)),
+            runAccount: (to: string, request: CallerRequest, signal: AbortSignal): Promise<Outcome> =>
+                this.#send(from, to, DATA_TIMEOUT_MS, async host => await host.accountRunner!.run(request, signal)),
+        };
+    }
+
+    async #send<R>(from: string, to: string, timeoutMs: number, run: (host: FakeHost) => Promise<R>): Promise<R> {
+        const deadline = this.#clock.getTime() + timeoutMs;
+        await this.#clock.wait(this.delayMs);
+        if (this.#isCut(from, to)) {
+            return await this.#refuseAfter(deadline, to);
+        }
+        const host = this.#hosts.get(to);
+        if (host === undefined) {
+            throw new PeerUnavailableError(`${to} refused the connection.`, true);
+        }
+        const result = await this.#runUntil(deadline, to, run(host));
+        await this.#clock.wait(this.delayMs);
+        if (this.#isCut(to, from) || this.#hosts.get(to) !== host) {
+            return await this.#refuseAfter(deadline, to);
+        }
+        return result;
+    }
+
+    async #runUntil<R>(deadline: number, to: string, work: Promise<R>): Promise<R> {
+        const controller = new AbortController();
+        const timeout = this.#clock.wait(Math.max(0, deadline - this.#clock.getTime()), controller.signal).then(() => {
+            throw new PeerUnavailableError(`${to} did not answer.`, false);
+        });
+        timeout.catch(() => {});
+        try {
+            return await Promise.race([work, timeout]);
+        }
+        finally {
+            controller.abort();
+        }
+    }
+
+    #isCut(from: string, to: string): boolean {
+        return this.#cuts.has(`${from}>${to}`) || this.#frozen.has(from) || this.#frozen.has(to);
+    }
+
+    async #refuseAfter(deadline: number, to: string): Promise<never> {
+        await this.#clock.wait(Math.max(0, deadline - this.#clock.getTime()));
+        throw new PeerUnavailableError(`${to} did not answer.`, false);
+    }
+}
--- /dev/null
+++ b/src/fakes/FakeStoreFaults.ts
@@ -0,0 +1,9 @@
+/** Faults of a fake store. */
+export interface FakeStoreFaults {
+    /** Whether no call gets an answer or takes effect. */
+    isAway: boolean;
+    /** Whether writes take effect but get no answer. */
+    losesWriteAnswers: boolean;
+    /** Delay before each call takes effect, in milliseconds. */
+    delayMs: number;
+}
--- /dev/null
+++ b/src/head/Head.ts
@@ -0,0 +1,16 @@
+import type { MembershipView } from "../membership/index.js";
+import type { HeadChange } from "./HeadChange.js";
+import type { SectionReference } from "./SectionReference.js";
+
+/** The one record that orders all changes: of the configuration and of the membership view. */
+export interface Head {
+    /** Rises by 1 with every change. */
+    readonly version: number;
+    readonly sections: Readonly<Record<string, SectionReference>>;
+    /** The view in force. */
+    readonly view: MembershipView;
+    /** The proposed view, until a majority of the view in force has installed the head that proposes it. */
+    readonly nextView?: MembershipView;
+    /** The newest changes, oldest first. */
+    readonly changes: readonly HeadChange[];
+}
--- /dev/null
+++ b/src/hostlist/index.ts
@@ -0,0 +1,2 @@
+export type { HostList } from "./HostList.js";
+export type { ListedHost } from "./ListedHost.js";
--- /dev/null
+++ b/src/logging/Decision.ts
@@ -0,0 +1,20 @@
+/** The kinds of decision that can be explained afterwards. */
+export enum Decision {
+    Admitted = "admitted",
+    Refused = "refused",
+    Dispatched = "dispatched",
+    Retried = "retried",
+    Answered = "answered",
+    OutcomeUnknown = "outcome-unknown",
+    Ejected = "ejected",
+    Restored = "restored",
+    Drained = "drained",
+    HandedOver = "handed-over",
+    ViewChanged = "view-changed",
+    ConfigurationApplied = "configuration-applied",
+    Quarantined = "quarantined",
+    Started = "started",
+    Stopped = "stopped",
+    BecameCurrent = "became-current",
+    BecameStale = "became-stale",
+}
--- /dev/null
+++ b/src/membership/Membership.ts
@@ -0,0 +1,33 @@
+import type { Member } from "./Member.js";
+import type { MembershipView } from "./MembershipView.js";
+
+/** What the other parts of an entry host ask of the membership. */
+export interface Membership {
+    /** Gets this entry host's own entry. */
+    getSelf(): Member;
+    /** Gets the view in force. */
+    getView(): MembershipView;
+    /** Whether this host may serve: its head version was confirmed within the freshness bound. */
+    isCurrent(): boolean;
+    /**
+     * Whether a member has answered lately, directly or through another member.
+     * @param memberId - The member's id.
+     */
+    isReachable(memberId: string): boolean;
+    /**
+     * Gets the account hosts of a client account, first choice first.
+     * @param account - The account's name.
+     */
+    getAccountHosts(account: string): readonly Member[];
+    /**
+     * Gets the service hosts of a service in a zone, first choice first.
+     * @param service - The service's name.
+     * @param zone - The availability zone of the upstreams.
+     */
+    getServiceHosts(service: string, zone: string): readonly Member[];
+    /**
+     * Adds a listener that runs after each change of the view in force.
+     * @param listener - Receives the new and the previous view.
+     */
+    addViewListener(listener: (view: MembershipView, previous: MembershipView) => void): void;
+}
--- /dev/null
+++ b/src/outcomes/RefusalReason.ts
@@ -0,0 +1,23 @@
+/** Why a request was not run. */
+export enum RefusalReason {
+    UnknownKey = "unknown-key",
+    WithdrawnKey = "withdrawn-key",
+    UnknownRoute = "unknown-route",
+    MethodNotAllowed = "method-not-allowed",
+    RouteNotAllowed = "route-not-allowed",
+    MalformedRequest = "malformed-request",
+    BodyTooLarge = "body-too-large",
+    IdempotencyKeyRequired = "idempotency-key-required",
+    IdempotencyKeyExpired = "idempotency-key-expired",
+    IdempotencyKeyReused = "idempotency-key-reused",
+    RateExceeded = "rate-exceeded",
+    Overloaded = "overloaded",
+    NoUpstream = "no-upstream",
+    HostNotCurrent = "host-not-current",
+    HostStopping = "host-stopping",
+    HostUnreachable = "host-unreachable",
+    StoreUnavailable = "store-unavailable",
+    DeadlineExceeded = "deadline-exceeded",
+    RequestQuarantined = "request-quarantined",
+    RetryBudgetSpent = "retry-budget-spent",
+}
--- /dev/null
+++ b/src/outcomes/index.ts
@@ -0,0 +1,10 @@
+export { createNotRun } from "./createNotRun.js";
+export { createUnknown } from "./createUnknown.js";
+export type { DoneOutcome } from "./DoneOutcome.js";
+export type { HeaderFields } from "./HeaderFields.js";
+export type { NotRunOutcome } from "./NotRunOutcome.js";
+export type { Outcome } from "./Outcome.js";
+export { OutcomeKind } from "./OutcomeKind.js";
+export { RefusalReason } from "./RefusalReason.js";
+export type { UnknownOutcome } from "./UnknownOutcome.js";
+export { UnknownReason } from "./UnknownReason.js";
--- /dev/null
+++ b/src/peers/PeerMethod.ts
@@ -0,0 +1,4 @@
+/** The calls between entry hosts. */
+export enum PeerMethod {
+    PullGossip = "gossip.pull",
+}
--- /dev/null
+++ b/src/random/index.ts
@@ -0,0 +1,3 @@
+export type { RandomSource } from "./RandomSource.js";
+export { SeededRandom } from "./SeededRandom.js";
+export { SystemRandom } from "./SystemRandom.js";
--- /dev/null
+++ b/src/rates/RateLimiter.ts
@@ -0,0 +1,16 @@
+import type { Account } from "../configuration/index.js";
+import type { RateDecision } from "./RateDecision.js";
+
+/** Keeps client accounts within their rate and burst over the whole fleet. */
+export interface RateLimiter {
+    /**
+     * Spends a token of the account, asking other account hosts for one if this host's bucket is empty.
+     * @param account - The account.
+     */
+    admit(account: Account): Promise<RateDecision>;
+    /**
+     * Gives back the token of a request that is known not to have run.
+     * @param account - The account.
+     */
+    restore(account: Account): void;
+}
--- /dev/null
+++ b/src/rates/index.ts
@@ -0,0 +1,2 @@
+export type { RateDecision } from "./RateDecision.js";
+export type { RateLimiter } from "./RateLimiter.js";
--- /dev/null
+++ b/src/services/ServiceRequest.ts
@@ -0,0 +1,21 @@
+import type { HeaderFields } from "../outcomes/index.js";
+
+/** A request on its way from an account host to a service host. */
+export interface ServiceRequest {
+    readonly requestId: string;
+    readonly account: string;
+    readonly service: string;
+    /** The availability zone whose upstreams shall run it. */
+    readonly zone: string;
+    readonly method: string;
+    /** Path with query. */
+    readonly path: string;
+    /** Without the caller's key and without connection-level fields. */
+    readonly headers: HeaderFields;
+    readonly body: Buffer;
+    readonly isIdempotent: boolean;
+    /** Time left until the first byte of the answer, in milliseconds. */
+    readonly timeoutMs: number;
+    /** Upstreams that have failed this request already. */
+    readonly excludedUpstreams: readonly string[];
+}
--- /dev/null
+++ b/src/services/UpstreamAnswer.ts
@@ -0,0 +1,17 @@
+import type { Readable } from "node:stream";
+import type { HeaderFields } from "../outcomes/index.js";
+import type { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+
+/** What came of an attempt at an upstream. */
+export type UpstreamAnswer =
+    | {
+        readonly kind: UpstreamAnswerKind.Answered;
+        readonly status: number;
+        readonly headers: HeaderFields;
+        readonly body: Readable;
+    }
+    | { readonly kind: UpstreamAnswerKind.ConnectFailed; readonly detail: string; }
+    | { readonly kind: UpstreamAnswerKind.Shed; readonly retryAfterMs: number | undefined; }
+    | { readonly kind: UpstreamAnswerKind.TimedOut; }
+    | { readonly kind: UpstreamAnswerKind.ConnectionLost; readonly detail: string; }
+    | { readonly kind: UpstreamAnswerKind.Aborted; };
--- /dev/null
+++ b/src/store/WriteResultKind.ts
@@ -0,0 +1,5 @@
+/** How a compare-and-swap ended. */
+export enum WriteResultKind {
+    Written = "written",
+    Conflict = "conflict",
+}
--- /dev/null
+++ b/src/time/SystemClock.ts
@@ -0,0 +1,35 @@
+import { setTimeout as waitForTimeout } from "node:timers/promises";
+import type { Clock } from "./Clock.js";
+import type { ScheduledCall } from "./ScheduledCall.js";
+
+/** The clock of the machine. */
+export class SystemClock implements Clock {
+    /** Gets the monotonic time in milliseconds. */
+    getTime(): number {
+        return performance.now();
+    }
+
+    /** Gets the wall-clock time in milliseconds since the Unix epoch. */
+    getWallTime(): number {
+        return Date.now();
+    }
+
+    /**
+     * Schedules a callback to run once.
+     * @param delayMs - Delay in milliseconds.
+     * @param callback - What to run.
+     */
+    schedule(delayMs: number, callback: () => void): ScheduledCall {
+        const timer = setTimeout(callback, delayMs);
+        return { cancel: () => clearTimeout(timer) };
+    }
+
+    /**
+     * Waits for a delay.
+     * @param delayMs - Delay in milliseconds.
+     * @param signal - Ends the wait early.
+     */
+    async wait(delayMs: number, signal?: AbortSignal): Promise<void> {
+        await waitForTimeout(delayMs, undefined, { signal });
+    }
+}
--- /dev/null
+++ b/src/time/index.ts
@@ -0,0 +1,3 @@
+export type { Clock } from "./Clock.js";
+export type { ScheduledCall } from "./ScheduledCall.js";
+export { SystemClock } from "./SystemClock.js";
