Carry calls and forwarded requests between entry hosts over HTTP

Cause: account hosts and service hosts are on different entry hosts. Calls go as JSON-RPC, forwarded requests as a head in a header field and the raw body, so that answers stream with back-pressure and a cut is passed on as a cut. Ruled out: one connection with frames of its own, since undici pools give keep-alive, back-pressure and cancellation. Configuration.getRoute is added for the receiving side.

--- a/src/configuration/Configuration.ts
+++ b/src/configuration/Configuration.ts
@@ -22,6 +22,11 @@
      * @param path - The request's path without its query.
      */
     findRoute(path: string): Route | undefined;
+    /**
+     * Gets a route.
+     * @param name - The route's name.
+     */
+    getRoute(name: string): Route | undefined;
     /**
      * Gets a service.
      * @param name - The service's name.
--- /dev/null
+++ b/src/outcomes/createOutcome.ts
@@ -0,0 +1,17 @@
+import type { Readable } from "node:stream";
+import type { Outcome } from "./Outcome.js";
+import type { OutcomeHead } from "./OutcomeHead.js";
+import { OutcomeKind } from "./OutcomeKind.js";
+
+/**
+ * Creates an outcome from its head and its body; the body of an outcome without an answer is dropped.
+ * @param head - The outcome without its body.
+ * @param body - The body.
+ */
+export function createOutcome(head: OutcomeHead, body: Readable): Outcome {
+    if (head.kind === OutcomeKind.Done) {
+        return { ...head, body };
+    }
+    body.resume();
+    return head;
+}
--- a/src/outcomes/index.ts
+++ b/src/outcomes/index.ts
@@ -1,9 +1,12 @@
 export { createNotRun } from "./createNotRun.js";
+export { createOutcome } from "./createOutcome.js";
 export { createUnknown } from "./createUnknown.js";
 export type { DoneOutcome } from "./DoneOutcome.js";
+export { getOutcomeHead } from "./getOutcomeHead.js";
 export type { HeaderFields } from "./HeaderFields.js";
 export type { NotRunOutcome } from "./NotRunOutcome.js";
 export type { Outcome } from "./Outcome.js";
+export type { OutcomeHead } from "./OutcomeHead.js";
 export { OutcomeKind } from "./OutcomeKind.js";
 export { RefusalReason } from "./RefusalReason.js";
 export type { UnknownOutcome } from "./UnknownOutcome.js";
--- /dev/null
+++ b/src/peers/HttpPeerForwarder.ts
@@ -0,0 +1,98 @@
+import type { Dispatcher } from "undici";
+import type { CallerRequest } from "../accounts/index.js";
+import { PeerUnavailableError } from "../errors/index.js";
+import { createOutcome } from "../outcomes/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
+import { decodeJson, encodeJson } from "../utils/index.js";
+import { createPeerError } from "./createPeerError.js";
+import type { HttpPeerOptions } from "./HttpPeerOptions.js";
+import type { PeerAnswerHead } from "./PeerAnswerHead.js";
+import type { PeerConnections } from "./PeerConnections.js";
+import type { PeerForwarder } from "./PeerForwarder.js";
+import { peerProtocol } from "./peerProtocol.js";
+import type { PeerRequestHead } from "./PeerRequestHead.js";
+import { PeerRequestKind } from "./PeerRequestKind.js";
+
+const OK_STATUS = 200;
+
+/** Forwards requests to other entry hosts over kept HTTP connections and streams the answers. */
+export class HttpPeerForwarder implements PeerForwarder {
+    readonly #connections: PeerConnections;
+    readonly #secret: string;
+
+    /** @param options - Connections and the secret that entry hosts share. */
+    constructor(options: HttpPeerOptions) {
+        this.#connections = options.connections;
+        this.#secret = options.secret;
+    }
+
+    /**
+     * Runs an attempt on another entry host in its role as service host.
+     * @param address - The peer's address.
+     * @param request - The request.
+     * @param signal - Aborts the attempt.
+     */
+    async runService(address: string, request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
+        const { body, ...head } = request;
+        const answer = await this.#forward(address, { kind: PeerRequestKind.Service, request: head }, body, signal);
+        const answerHead = this.#getAnswerHead(address, answer);
+        return {
+            outcome: createOutcome(answerHead.outcome, answer.body),
+            upstream: answerHead.upstream,
+            isCrashSuspected: answerHead.isCrashSuspected ?? false,
+            freeSlots: answerHead.freeSlots ?? 0,
+            queued: answerHead.queued ?? 0,
+        };
+    }
+
+    /**
+     * Runs a caller's request on another entry host in its role as account host.
+     * @param address - The peer's address.
+     * @param request - The request.
+     * @param signal - Aborts the request.
+     */
+    async runAccount(address: string, request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+        const { body, account, route, ...rest } = request;
+        const head: PeerRequestHead = {
+            kind: PeerRequestKind.Account,
+            request: rest,
+            account: account?.name,
+            route: route.name,
+        };
+        const answer = await this.#forward(address, head, body, signal);
+        return createOutcome(this.#getAnswerHead(address, answer).outcome, answer.body);
+    }
+
+    async #forward(
+        address: string,
+        head: PeerRequestHead,
+        body: Buffer,
+        signal: AbortSignal,
+    ): Promise<Dispatcher.ResponseData> {
+        try {
+            return await this.#connections.get(address).request({
+                method: "POST",
+                path: peerProtocol.forwardPath,
+                headers: {
+                    [peerProtocol.secretHeader]: this.#secret,
+                    [peerProtocol.requestHeader]: encodeJson(head),
+                },
+                body,
+                signal,
+            });
+        }
+        catch (error) {
+            throw createPeerError(address, error);
+        }
+    }
+
+    #getAnswerHead(address: string, answer: Dispatcher.ResponseData): PeerAnswerHead {
+        const field = answer.headers[peerProtocol.answerHeader];
+        if (answer.statusCode !== OK_STATUS || typeof field !== "string") {
+            answer.body.resume();
+            throw new PeerUnavailableError(`${address}: status ${answer.statusCode} without an answer.`, false);
+        }
+        return decodeJson(field) as PeerAnswerHead;
+    }
+}
--- /dev/null
+++ b/src/peers/HttpPeerTransport.ts
@@ -0,0 +1,70 @@
+import { JSONRPCClient } from "json-rpc-2.0";
+import type { Clock } from "../time/index.js";
+import { createPeerError } from "./createPeerError.js";
+import type { HttpPeerOptions } from "./HttpPeerOptions.js";
+import type { PeerConnections } from "./PeerConnections.js";
+import type { PeerMethod } from "./PeerMethod.js";
+import type { PeerMethods } from "./PeerMethods.js";
+import { peerProtocol } from "./peerProtocol.js";
+import type { PeerTransport } from "./PeerTransport.js";
+
+interface CallTarget {
+    readonly address: string;
+    readonly signal: AbortSignal;
+}
+
+/** Sends JSON-RPC calls to other entry hosts over kept HTTP connections. */
+export class HttpPeerTransport implements PeerTransport {
+    readonly #connections: PeerConnections;
+    readonly #clock: Clock;
+    readonly #secret: string;
+    readonly #client: JSONRPCClient<CallTarget>;
+
+    /** @param options - Connections, time and the secret that entry hosts share. */
+    constructor(options: HttpPeerOptions) {
+        this.#connections = options.connections;
+        this.#clock = options.clock;
+        this.#secret = options.secret;
+        this.#client = new JSONRPCClient<CallTarget>((payload, target) => this.#post(payload, target));
+    }
+
+    /**
+     * Sends a call and waits for its result.
+     * @param address - The peer's address.
+     * @param method - The call.
+     * @param params - Its parameters.
+     * @param timeoutMs - How long to wait for the result, in milliseconds.
+     */
+    async send<M extends PeerMethod>(
+        address: string,
+        method: M,
+        params: PeerMethods[M]["params"],
+        timeoutMs: number,
+    ): Promise<PeerMethods[M]["result"]> {
+        const controller = new AbortController();
+        const timer = this.#clock.schedule(timeoutMs, () => controller.abort(new Error("The call timed out.")));
+        try {
+            return await this.#client.request(method, params, { address, signal: controller.signal });
+        }
+        catch (error) {
+            if (controller.signal.aborted) {
+                this.#connections.remove(address);
+            }
+            throw createPeerError(address, error);
+        }
+        finally {
+            timer.cancel();
+        }
+    }
+
+    async #post(payload: unknown, target: CallTarget): Promise<void> {
+        const response = await this.#connections.get(target.address).request({
+            method: "POST",
+            path: peerProtocol.callPath,
+            headers: { "content-type": "application/json", [peerProtocol.secretHeader]: this.#secret },
+            body: JSON.stringify(payload),
+            signal: target.signal,
+        });
+        this.#client.receive(await response.body.json() as never);
+    }
+}
--- /dev/null
+++ b/src/peers/PeerAnswerHead.ts
@@ -0,0 +1,10 @@
+import type { OutcomeHead } from "../outcomes/index.js";
+
+/** The answer to a forwarded request without its body. */
+export interface PeerAnswerHead {
+    readonly outcome: OutcomeHead;
+    readonly upstream?: string;
+    readonly isCrashSuspected?: boolean;
+    readonly freeSlots?: number;
+    readonly queued?: number;
+}
--- /dev/null
+++ b/src/peers/PeerListener.ts
@@ -0,0 +1,145 @@
+import { JSONRPCServer } from "json-rpc-2.0";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import { pipeline } from "node:stream/promises";
+import polka from "polka";
+import { UnexpectedVariantError } from "../errors/index.js";
+import { createNotRun, getOutcomeHead, OutcomeKind, RefusalReason } from "../outcomes/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { decodeJson, encodeJson, isSameText, parseAddress, readBody } from "../utils/index.js";
+import type { PeerAnswerHead } from "./PeerAnswerHead.js";
+import type { PeerListenerOptions } from "./PeerListenerOptions.js";
+import type { PeerMethod } from "./PeerMethod.js";
+import { peerProtocol } from "./peerProtocol.js";
+import type { PeerRequestHead } from "./PeerRequestHead.js";
+import { PeerRequestKind } from "./PeerRequestKind.js";
+
+const KEEP_ALIVE_MS = 60_000;
+const RETRY_AFTER_MS = 1000;
+
+/** Answers calls and forwarded requests of other entry hosts. */
+export class PeerListener {
+    readonly #options: PeerListenerOptions;
+    readonly #rpc = new JSONRPCServer({ errorListener: () => {} });
+    readonly #server: Server;
+
+    /** @param options - What to answer with. */
+    constructor(options: PeerListenerOptions) {
+        this.#options = options;
+        this.#server = createServer({ maxHeaderSize: peerProtocol.maxHeaderBytes, keepAliveTimeout: KEEP_ALIVE_MS });
+        this.#addMethods();
+        this.#addRoutes();
+    }
+
+    /**
+     * Starts to listen.
+     * @param address - "ip:port"
+     */
+    async start(address: string): Promise<void> {
+        const { host, port } = parseAddress(address);
+        await new Promise<void>((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen(port, host, resolve);
+        });
+    }
+
+    /** Stops listening and closes all connections. */
+    async stop(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
+        this.#server.closeAllConnections();
+        await closed;
+    }
+
+    #addMethods(): void {
+        for (const method of this.#options.handlers.getMethods()) {
+            this.#rpc.addMethod(method, params => this.#options.handlers.run(method as PeerMethod, params));
+        }
+    }
+
+    #addRoutes(): void {
+        const app = polka({ server: this.#server });
+        app.use((request, response, next) => this.#checkSecret(request, response, next));
+        app.post(peerProtocol.callPath, (request, response) => void this.#runCall(request, response));
+        app.post(peerProtocol.forwardPath, (request, response) => void this.#runForwarded(request, response));
+        this.#server.on("request", (request, response) => app.handler(request as polka.Request, response));
+    }
+
+    #checkSecret(request: IncomingMessage, response: ServerResponse, next: () => void): void {
+        const secret = request.headers[peerProtocol.secretHeader];
+        if (typeof secret === "string" && isSameText(secret, this.#options.secret)) {
+            next();
+            return;
+        }
+        response.writeHead(403, { connection: "close" }).end();
+    }
+
+    async #runCall(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const body = await readBody(request, peerProtocol.maxCallBytes).catch(() => undefined);
+        if (body === undefined) {
+            response.writeHead(413, { connection: "close" }).end();
+            return;
+        }
+        const answer = await this.#rpc.receiveJSON(body.toString());
+        response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(answer));
+    }
+
+    async #runForwarded(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const controller = new AbortController();
+        response.once("close", () => controller.abort(new Error("The peer has closed the request.")));
+        try {
+            const head = decodeJson(request.headers[peerProtocol.requestHeader] as string) as PeerRequestHead;
+            const body = await readBody(request, peerProtocol.maxBodyBytes);
+            if (body === undefined) {
+                response.writeHead(413, { connection: "close" }).end();
+                return;
+            }
+            await this.#answer(head, body, response, controller.signal);
+        }
+        catch {
+            response.destroy();
+        }
+    }
+
+    async #answer(head: PeerRequestHead, body: Buffer, response: ServerResponse, signal: AbortSignal): Promise<void> {
+        switch (head.kind) {
+            case PeerRequestKind.Service: {
+                const { outcome, ...rest } = await this.#options.serviceRunner.run({ ...head.request, body }, signal);
+                await this.#sendAnswer(response, outcome, { outcome: getOutcomeHead(outcome), ...rest });
+                return;
+            }
+            case PeerRequestKind.Account: {
+                const outcome = await this.#runAccount(head, body, signal);
+                await this.#sendAnswer(response, outcome, { outcome: getOutcomeHead(outcome) });
+                return;
+            }
+            default:
+                throw new UnexpectedVariantError(head);
+        }
+    }
+
+    async #runAccount(
+        head: PeerRequestHead & { kind: PeerRequestKind.Account; },
+        body: Buffer,
+        signal: AbortSignal,
+    ): Promise<Outcome> {
+        const configuration = this.#options.getConfiguration();
+        const account = head.account === undefined ? undefined : configuration.getAccount(head.account);
+        const route = configuration.getRoute(head.route);
+        if (route === undefined || (head.account !== undefined && account === undefined)) {
+            const detail = "This entry host does not know the route or the client account yet.";
+            return createNotRun(RefusalReason.HostNotCurrent, detail, RETRY_AFTER_MS);
+        }
+        return await this.#options.accountRunner.run({ ...head.request, account, route, body }, signal);
+    }
+
+    async #sendAnswer(response: ServerResponse, outcome: Outcome, head: PeerAnswerHead): Promise<void> {
+        response.writeHead(200, { [peerProtocol.answerHeader]: encodeJson(head) });
+        if (outcome.kind !== OutcomeKind.Done) {
+            response.end();
+            return;
+        }
+        response.flushHeaders();
+        await pipeline(outcome.body, response);
+    }
+}
--- /dev/null
+++ b/src/peers/PeerListenerOptions.ts
@@ -0,0 +1,15 @@
+import type { AccountRunner } from "../accounts/index.js";
+import type { Configuration } from "../configuration/index.js";
+import type { ServiceRunner } from "../services/index.js";
+import type { PeerHandlers } from "./PeerHandlers.js";
+
+/** What an entry host answers other entry hosts with. */
+export interface PeerListenerOptions {
+    readonly handlers: PeerHandlers;
+    readonly accountRunner: AccountRunner;
+    readonly serviceRunner: ServiceRunner;
+    /** Gets the configuration in force. */
+    readonly getConfiguration: () => Configuration;
+    /** The secret that all entry hosts share. */
+    readonly secret: string;
+}
--- /dev/null
+++ b/src/peers/PeerRequestHead.ts
@@ -0,0 +1,13 @@
+import type { CallerRequest } from "../accounts/index.js";
+import type { ServiceRequest } from "../services/index.js";
+import type { PeerRequestKind } from "./PeerRequestKind.js";
+
+/** A forwarded request without its body, as it goes from one entry host to another. */
+export type PeerRequestHead =
+    | { readonly kind: PeerRequestKind.Service; readonly request: Omit<ServiceRequest, "body">; }
+    | {
+        readonly kind: PeerRequestKind.Account;
+        readonly request: Omit<CallerRequest, "body" | "account" | "route">;
+        readonly account: string | undefined;
+        readonly route: string;
+    };
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -1,6 +1,18 @@
+export { createPeerError } from "./createPeerError.js";
+export { HttpPeerForwarder } from "./HttpPeerForwarder.js";
+export type { HttpPeerOptions } from "./HttpPeerOptions.js";
+export { HttpPeerTransport } from "./HttpPeerTransport.js";
+export type { PeerAnswerHead } from "./PeerAnswerHead.js";
+export { PeerConnections } from "./PeerConnections.js";
+export type { PeerConnectionsOptions } from "./PeerConnectionsOptions.js";
 export type { PeerForwarder } from "./PeerForwarder.js";
 export type { PeerHandler } from "./PeerHandler.js";
 export { PeerHandlers } from "./PeerHandlers.js";
+export { PeerListener } from "./PeerListener.js";
+export type { PeerListenerOptions } from "./PeerListenerOptions.js";
 export { PeerMethod } from "./PeerMethod.js";
 export type { PeerMethods } from "./PeerMethods.js";
+export { peerProtocol } from "./peerProtocol.js";
+export type { PeerRequestHead } from "./PeerRequestHead.js";
+export { PeerRequestKind } from "./PeerRequestKind.js";
 export type { PeerTransport } from "./PeerTransport.js";
--- /dev/null
+++ b/src/peers/peerProtocol.ts
@@ -0,0 +1,14 @@
+/** Names and limits of the protocol between entry hosts. */
+export const peerProtocol = {
+    callPath: "/rpc",
+    forwardPath: "/forward",
+    secretHeader: "x-peer-secret",
+    requestHeader: "x-peer-request",
+    answerHeader: "x-peer-answer",
+    /** Largest size of all header fields of a message, in bytes. */
+    maxHeaderBytes: 64 * 1024,
+    /** Largest size of a call's parameters or result, in bytes. */
+    maxCallBytes: 8 * 1024 * 1024,
+    /** Largest size of a forwarded request's body, in bytes. */
+    maxBodyBytes: 16 * 1024 * 1024,
+} as const;
--- /dev/null
+++ b/src/utils/SocketAddress.ts
@@ -0,0 +1,5 @@
+/** An IP number and a port. */
+export interface SocketAddress {
+    readonly host: string;
+    readonly port: number;
+}
--- /dev/null
+++ b/src/utils/encodeJson.ts
@@ -0,0 +1,7 @@
+/**
+ * Encodes a JSON value as base64url, so that it fits into a header field.
+ * @param value - The value.
+ */
+export function encodeJson(value: unknown): string {
+    return Buffer.from(JSON.stringify(value)).toString("base64url");
+}
--- /dev/null
+++ b/src/utils/index.ts
@@ -0,0 +1,6 @@
+export { decodeJson } from "./decodeJson.js";
+export { encodeJson } from "./encodeJson.js";
+export { isSameText } from "./isSameText.js";
+export { parseAddress } from "./parseAddress.js";
+export { readBody } from "./readBody.js";
+export type { SocketAddress } from "./SocketAddress.js";
