Add checked settings and the supervisor tree

Cause: the entry host needs settings that are checked whole and parts that start and stop in order. Ruled out: a process manager library, since processes start no others.

--- a/src/peers/HttpPeerForwarder.ts
+++ b/src/peers/HttpPeerForwarder.ts
@@ -35,7 +35,7 @@
      */
     async runService(address: string, request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
         const { body, ...head } = request;
-        const answer = await this.#forward(address, { kind: PeerRequestKind.Service, request: head }, body, signal);
+        const answer = await this.#send(address, { kind: PeerRequestKind.Service, request: head }, body, signal);
         const answerHead = this.#getAnswerHead(address, answer);
         return {
             outcome: createOutcome(answerHead.outcome, answer.body),
@@ -60,11 +60,11 @@
             account: account?.name,
             route: route.name,
         };
-        const answer = await this.#forward(address, head, body, signal);
+        const answer = await this.#send(address, head, body, signal);
         return createOutcome(this.#getAnswerHead(address, answer).outcome, answer.body);
     }
 
-    async #forward(
+    async #send(
         address: string,
         head: PeerRequestHead,
         body: Buffer,
--- a/src/peers/HttpPeerTransport.ts
+++ b/src/peers/HttpPeerTransport.ts
@@ -25,7 +25,7 @@
         this.#connections = options.connections;
         this.#clock = options.clock;
         this.#secret = options.secret;
-        this.#client = new JSONRPCClient<CallTarget>((payload, target) => this.#post(payload, target));
+        this.#client = new JSONRPCClient<CallTarget>((payload, target) => this.#sendPayload(payload, target));
     }
 
     /**
@@ -57,7 +57,7 @@
         }
     }
 
-    async #post(payload: unknown, target: CallTarget): Promise<void> {
+    async #sendPayload(payload: unknown, target: CallTarget): Promise<void> {
         const response = await this.#connections.get(target.address).request({
             method: "POST",
             path: peerProtocol.callPath,
--- a/src/peers/PeerListener.ts
+++ b/src/peers/PeerListener.ts
@@ -94,14 +94,14 @@
                 response.writeHead(413, { connection: "close" }).end();
                 return;
             }
-            await this.#answer(head, body, response, controller.signal);
+            await this.#runHead(head, body, response, controller.signal);
         }
         catch {
             response.destroy();
         }
     }
 
-    async #answer(head: PeerRequestHead, body: Buffer, response: ServerResponse, signal: AbortSignal): Promise<void> {
+    async #runHead(head: PeerRequestHead, body: Buffer, response: ServerResponse, signal: AbortSignal): Promise<void> {
         switch (head.kind) {
             case PeerRequestKind.Service: {
                 const { outcome, ...rest } = await this.#options.serviceRunner.run({ ...head.request, body }, signal);
--- /dev/null
+++ b/src/settings/isAddress.ts
@@ -0,0 +1,15 @@
+import { parseAddress } from "../utils/index.js";
+
+/**
+ * Whether a text is an IP number and a port.
+ * @param text - The text.
+ */
+export function isAddress(text: string): boolean {
+    try {
+        parseAddress(text);
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
--- /dev/null
+++ b/src/settings/parseEntrySettings.ts
@@ -0,0 +1,29 @@
+import { FindingsError } from "../errors/index.js";
+import type { Finding } from "../errors/index.js";
+import type { EntrySettings } from "./EntrySettings.js";
+import { entrySettingsSchema } from "./entrySettingsSchema.js";
+
+/**
+ * Parses an entry host's settings; throws a FindingsError with everything that is wrong.
+ * @param text - The settings file's text.
+ */
+export function parseEntrySettings(text: string): EntrySettings {
+    const result = entrySettingsSchema.safeParse(parseJson(text));
+    if (result.success) {
+        return result.data;
+    }
+    throw new FindingsError(result.error.issues.map(issue => ({
+        place: issue.path.length === 0 ? "settings" : issue.path.join("."),
+        message: issue.message,
+    })));
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch (error) {
+        const finding: Finding = { place: "settings", message: (error as Error).message };
+        throw new FindingsError([finding]);
+    }
+}
--- /dev/null
+++ b/src/supervision/Supervisor.ts
@@ -0,0 +1,42 @@
+import type { Child } from "./Child.js";
+
+/** Starts its children in order and stops them in reverse order; may itself be a child. */
+export class Supervisor implements Child {
+    readonly name: string;
+    readonly #children: readonly Child[];
+    readonly #started: Child[] = [];
+
+    /**
+     * @param name - The supervisor's name.
+     * @param children - Its children, in the order of their start.
+     */
+    constructor(name: string, children: readonly Child[]) {
+        this.name = name;
+        this.#children = children;
+    }
+
+    /** Starts the children; if one fails, stops those that have started and rejects. */
+    async start(): Promise<void> {
+        for (const child of this.#children) {
+            try {
+                await child.start();
+            }
+            catch (error) {
+                await this.stop();
+                throw error;
+            }
+            this.#started.push(child);
+        }
+    }
+
+    /** Stops the children that have started, the newest first; one that fails does not keep the others running. */
+    async stop(): Promise<void> {
+        const errors: unknown[] = [];
+        for (let child = this.#started.pop(); child !== undefined; child = this.#started.pop()) {
+            await child.stop().catch(error => errors.push(error));
+        }
+        if (errors.length > 0) {
+            throw new AggregateError(errors, `Some children of ${this.name} did not stop.`);
+        }
+    }
+}
