--- a/src/fakes/FakeStore.ts
+++ b/src/fakes/FakeStore.ts
@@ -1,7 +1,8 @@
-import { StoreUnavailableError } from "../errors/index.js";
+import { StoreLimitError, StoreUnavailableError, StoreValueError } from "../errors/index.js";
 import type { Store, StoreRecord, WriteResult } from "../store/index.js";
-import { WriteResultKind } from "../store/index.js";
+import { STORE_VALUE_LIMIT_BYTES, WriteResultKind } from "../store/index.js";
 import type { Clock, ScheduledCall } from "../time/index.js";
+import { CallLimiter } from "./CallLimiter.js";
 import type { FakeStoreFaults } from "./FakeStoreFaults.js";
 
 interface Lease {
@@ -15,8 +16,10 @@
     /** The faults in force; change them at any time. */
     readonly faults: FakeStoreFaults = { isAway: false, losesWriteAnswers: false, delayMs: 0 };
     /** Calls by kind, a waiting watch counted as one. */
-    readonly calls = { reads: 0, writes: 0, watches: 0 };
+    readonly calls = { reads: 0, writes: 0, watches: 0, limited: 0 };
     readonly #clock: Clock;
+    readonly #readLimiter: CallLimiter;
+    readonly #writeLimiter: CallLimiter;
     readonly #records = new Map<string, StoreRecord>();
     readonly #watchers = new Map<string, Set<() => void>>();
     readonly #leases = new Map<string, Lease>();
@@ -26,6 +29,8 @@
     /** @param clock - The source of time. */
     constructor(clock: Clock) {
         this.#clock = clock;
+        this.#readLimiter = new CallLimiter(clock);
+        this.#writeLimiter = new CallLimiter(clock);
     }
 
     /**
@@ -34,6 +39,7 @@
      */
     async get(key: string): Promise<StoreRecord | undefined> {
         this.calls.reads++;
+        this.#checkReadLimit();
         await this.#waitForAnswer();
         return this.#records.get(key);
     }
@@ -46,10 +52,13 @@
      * @param leaseId - The lease that the record ends with.
      */
     async compareAndSwap(key: string, value: string, expectedRevision: number, leaseId?: string): Promise<WriteResult> {
-        this.calls.writes++;
-        await this.#waitForAnswer();
+        await this.#waitForWrite();
+        if (Buffer.byteLength(value) > STORE_VALUE_LIMIT_BYTES) {
+            throw new StoreValueError(`The value of ${key} is larger than ${STORE_VALUE_LIMIT_BYTES} bytes.`);
+        }
         const current = this.#records.get(key);
-        if ((current?.revision ?? 0) !== expectedRevision) {
+        const isLapsed = leaseId !== undefined && !this.#leases.has(leaseId);
+        if (isLapsed || (current?.revision ?? 0) !== expectedRevision) {
             return { kind: WriteResultKind.Conflict, current };
         }
         const revision = this.#write(key, value, leaseId);
@@ -63,8 +72,7 @@
      * @param expectedRevision - The revision that the record must have.
      */
     async remove(key: string, expectedRevision: number): Promise<boolean> {
-        this.calls.writes++;
-        await this.#waitForAnswer();
+        await this.#waitForWrite();
         if (this.#records.get(key)?.revision !== expectedRevision) {
             return false;
         }
@@ -81,6 +89,7 @@
      */
     async watch(key: string, knownRevision: number, waitMs: number): Promise<StoreRecord | undefined> {
         this.calls.watches++;
+        this.#checkReadLimit();
         await this.#waitForAnswer();
         if ((this.#records.get(key)?.revision ?? 0) === knownRevision) {
             await this.#waitForChange(key, waitMs);
@@ -94,8 +103,7 @@
      * @param durationMs - The lease's duration in milliseconds.
      */
     async createLease(durationMs: number): Promise<string> {
-        this.calls.writes++;
-        await this.#waitForAnswer();
+        await this.#waitForWrite();
         const id = `lease-${this.#nextLease++}`;
         this.#leases.set(id, { durationMs, keys: new Set(), expiry: this.#scheduleExpiry(id, durationMs) });
         this.#checkAnswerIsSent();
@@ -107,8 +115,7 @@
      * @param leaseId - The lease's id.
      */
     async renewLease(leaseId: string): Promise<boolean> {
-        this.calls.writes++;
-        await this.#waitForAnswer();
+        await this.#waitForWrite();
         const lease = this.#leases.get(leaseId);
         if (lease === undefined) {
             return false;
@@ -124,14 +131,14 @@
      * @param leaseId - The lease's id.
      */
     async releaseLease(leaseId: string): Promise<void> {
-        this.calls.writes++;
-        await this.#waitForAnswer();
+        await this.#waitForWrite();
         this.#removeLease(leaseId);
         this.#checkAnswerIsSent();
     }
 
     #write(key: string, value: string, leaseId: string | undefined): number {
         const revision = this.#nextRevision++;
+        this.#releaseRecord(key);
         this.#records.set(key, { value, revision });
         if (leaseId !== undefined) {
             this.#leases.get(leaseId)?.keys.add(key);
@@ -141,10 +148,17 @@
     }
 
     #removeRecord(key: string): void {
+        this.#releaseRecord(key);
         this.#records.delete(key);
         this.#publishChange(key);
     }
 
+    #releaseRecord(key: string): void {
+        for (const lease of this.#leases.values()) {
+            lease.keys.delete(key);
+        }
+    }
+
     #removeLease(leaseId: string): void {
         const lease = this.#leases.get(leaseId);
         lease?.expiry.cancel();
@@ -178,6 +192,23 @@
         }
     }
 
+    async #waitForWrite(): Promise<void> {
+        this.calls.writes++;
+        this.#checkLimit(this.#writeLimiter, this.faults.writesPerSecond);
+        await this.#waitForAnswer();
+    }
+
+    #checkReadLimit(): void {
+        this.#checkLimit(this.#readLimiter, this.faults.readsPerSecond);
+    }
+
+    #checkLimit(limiter: CallLimiter, limit: number | undefined): void {
+        if (!limiter.admit(limit)) {
+            this.calls.limited++;
+            throw new StoreLimitError("The store takes no more calls this second.");
+        }
+    }
+
     async #waitForAnswer(): Promise<void> {
         if (this.faults.delayMs > 0) {
             await this.#clock.wait(this.faults.delayMs);
--- a/src/store/Store.ts
+++ b/src/store/Store.ts
@@ -12,9 +12,10 @@
      */
     get(key: string): Promise<StoreRecord | undefined>;
     /**
-     * Writes a value if the record still has the expected revision.
+     * Writes a value if the record still has the expected revision and the lease still stands. Rejects with a
+     * StoreValueError if the value is too large.
      * @param key - The record's key.
-     * @param value - The new value, at most 1 MB.
+     * @param value - The new value, at most STORE_VALUE_LIMIT_BYTES in UTF-8.
      * @param expectedRevision - The revision that the record must have; 0 if it must not exist.
      * @param leaseId - The lease that the record ends with.
      */
