--- /dev/null
+++ b/src/configuration/checks/DocumentReader.ts
@@ -0,0 +1,98 @@
+import type { z } from "zod";
+import type { Finding } from "../../errors/index.js";
+import type { Account } from "../Account.js";
+import type { AccountKey } from "../AccountKey.js";
+import type { ConfigurationDocument } from "../ConfigurationDocument.js";
+import type { Route } from "../Route.js";
+import {
+    accountKeySchema,
+    accountSchema,
+    checkSchema,
+    documentFrameSchema,
+    formatPlace,
+    nameSchema,
+    routeSchema,
+    sectionFrameSchema,
+    serviceSchema,
+} from "../schema/index.js";
+import type { Section } from "../Section.js";
+import type { Service } from "../Service.js";
+import type { DocumentItems } from "./DocumentItems.js";
+import type { PlacedItem } from "./PlacedItem.js";
+
+/** Reads a document item by item, so that one malformed item hides no other finding. */
+export class DocumentReader implements DocumentItems {
+    readonly owners = new Map<string, readonly string[]>();
+    readonly accounts: PlacedItem<Account>[] = [];
+    readonly keys: PlacedItem<AccountKey>[] = [];
+    readonly routes: PlacedItem<Route>[] = [];
+    readonly services: PlacedItem<Service>[] = [];
+    readonly malformedNames = new Set<string>();
+    readonly findings: Finding[] = [];
+    readonly #sections: Record<string, Section> = {};
+
+    /**
+     * Reads the document.
+     * @param value - The document as it came.
+     */
+    read(value: unknown): ConfigurationDocument {
+        const document = checkSchema(documentFrameSchema, value, "", this.findings);
+        for (const [name, section] of Object.entries(document?.sections ?? {})) {
+            this.#readSection(name, section);
+        }
+        return { sections: this.#sections };
+    }
+
+    #readSection(name: string, value: unknown): void {
+        const place = formatPlace("sections", [name]);
+        checkSchema(nameSchema, name, place, this.findings);
+        checkSchema(sectionFrameSchema, value, place, this.findings);
+        const frame = getFields(value);
+        const owners = getList(frame.owners) as readonly string[] | undefined ?? [];
+        this.owners.set(name, owners);
+        this.#sections[name] = {
+            owners,
+            ...this.#readItems(name, "accounts", getList(frame.accounts), accountSchema, this.accounts),
+            ...this.#readItems(name, "keys", getList(frame.keys), accountKeySchema, this.keys),
+            ...this.#readItems(name, "routes", getList(frame.routes), routeSchema, this.routes),
+            ...this.#readItems(name, "services", getList(frame.services), serviceSchema, this.services),
+        };
+    }
+
+    #readItems<T>(
+        section: string,
+        kind: keyof Section,
+        values: readonly unknown[] | undefined,
+        schema: z.ZodType<T>,
+        items: PlacedItem<T>[],
+    ): { [field: string]: T[]; } {
+        if (values === undefined) {
+            return {};
+        }
+        const start = items.length;
+        for (const [index, value] of values.entries()) {
+            this.#readItem(section, formatPlace("sections", [section, kind, index]), value, schema, items);
+        }
+        return { [kind]: items.slice(start).map(item => item.value) };
+    }
+
+    #readItem<T>(section: string, place: string, value: unknown, schema: z.ZodType<T>, items: PlacedItem<T>[]): void {
+        const item = checkSchema(schema, value, place, this.findings);
+        if (item !== undefined) {
+            items.push({ place, section, value: item });
+            return;
+        }
+        const { name } = getFields(value);
+        if (typeof name === "string") {
+            this.malformedNames.add(name);
+        }
+    }
+}
+
+function getFields(value: unknown): Readonly<Record<string, unknown>> {
+    return typeof value === "object" && value !== null ? value as Record<string, unknown> : {};
+}
+
+function getList(value: unknown): readonly unknown[] | undefined {
+    return Array.isArray(value) ? value : undefined;
+}
--- /dev/null
+++ b/src/configuration/checks/PlacedItem.ts
@@ -0,0 +1,6 @@
+/** An item of the document with its place. */
+export interface PlacedItem<T> {
+    readonly place: string;
+    readonly section: string;
+    readonly value: T;
+}
--- /dev/null
+++ b/src/configuration/checks/checkZones.ts
@@ -0,0 +1,20 @@
+import type { Finding } from "../../errors/index.js";
+import type { DocumentItems } from "./DocumentItems.js";
+
+/**
+ * Finds upstreams in availability zones that are not known.
+ * @param items - The document's items.
+ * @param zones - The zones that are known.
+ */
+export function checkZones(items: DocumentItems, zones: readonly string[]): Finding[] {
+    const findings: Finding[] = [];
+    for (const { place, value: service } of items.services) {
+        for (const [index, upstream] of service.upstreams.entries()) {
+            if (!zones.includes(upstream.zone)) {
+                const message = `"${upstream.zone}" is none of the zones ${zones.join(", ")}`;
+                findings.push({ place: `${place}.upstreams[${index}].zone`, message });
+            }
+        }
+    }
+    return findings;
+}
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,9 +1,16 @@
 export type { Account } from "./Account.js";
 export type { AccountKey } from "./AccountKey.js";
+export { checkDocument, type DocumentCheck, type DocumentCheckOptions } from "./checks/index.js";
 export type { Configuration } from "./Configuration.js";
 export type { ConfigurationDocument } from "./ConfigurationDocument.js";
+export type { CreatedKey } from "./CreatedKey.js";
+export { createKey } from "./createKey.js";
 export type { DetectionSettings } from "./DetectionSettings.js";
+export { IndexedConfiguration } from "./IndexedConfiguration.js";
+export { isKeyValid } from "./isKeyValid.js";
 export { KeylessOrders } from "./KeylessOrders.js";
+export { parseDocument } from "./parseDocument.js";
+export { parseJson } from "./parseJson.js";
 export type { Route } from "./Route.js";
 export { RouteAccess } from "./RouteAccess.js";
 export { RouteKind } from "./RouteKind.js";
--- /dev/null
+++ b/src/configuration/schema/index.ts
@@ -0,0 +1,9 @@
+export { accountKeySchema } from "./accountKeySchema.js";
+export { accountSchema } from "./accountSchema.js";
+export { checkSchema } from "./checkSchema.js";
+export { documentFrameSchema } from "./documentFrameSchema.js";
+export { formatPlace } from "./formatPlace.js";
+export { nameSchema } from "./nameSchema.js";
+export { routeSchema } from "./routeSchema.js";
+export { sectionFrameSchema } from "./sectionFrameSchema.js";
+export { serviceSchema } from "./serviceSchema.js";
