Put configuration changes in force: chunks, head store, loader, change service, audit trail

Cause: the document must be changed by several teams at once while answers of the store get lost. A change writes chunks, then its audit record, then the head by compare-and-swap. Lost answers are settled by the change id in the head; once 200 newer changes have pushed it out, by the audit trail, whose records name one another by digest. Ruled out: an audit key by version alone (two racing hosts would write one key), a head that remembers all ids (grows without bound), a base version older than the change list without a look into the trail (a change could be taken in twice). Interface changes: Head has lastAuditKey and removedSections, HeadChange has digest, HeadStore.apply takes asynchronous changes too. Tests: races of operators; a fault (answer lost, store away, crash, another change in between, both) at each store call of a change.

--- /dev/null
+++ b/src/configuration/ConfigurationLoader.ts
@@ -0,0 +1,133 @@
+import type { Head, HeadInstaller } from "../head/index.js";
+import { createEmptyHead } from "../head/index.js";
+import { Decision, type DecisionLog } from "../logging/index.js";
+import { type PeerHandlers, PeerMethod } from "../peers/index.js";
+import { ChunkCache, ChunkFetcher, decodeSection } from "./chunks/index.js";
+import type { Configuration } from "./Configuration.js";
+import type { ConfigurationDocument } from "./ConfigurationDocument.js";
+import type { ConfigurationListener } from "./ConfigurationListener.js";
+import type { ConfigurationLoaderOptions } from "./ConfigurationLoaderOptions.js";
+import { createSortedSection } from "./createSortedSection.js";
+import { IndexedConfiguration } from "./IndexedConfiguration.js";
+import type { Section } from "./Section.js";
+
+/** Puts the configuration of newer heads in force; never goes back to an older version. */
+export class ConfigurationLoader implements HeadInstaller {
+    readonly #cache = new ChunkCache();
+    readonly #fetcher: ChunkFetcher;
+    readonly #decisions: DecisionLog;
+    readonly #listeners: ConfigurationListener[] = [];
+    /** Heads whose chunks are being fetched or read and must stay. */
+    readonly #pinnedHeads = new Set<Head>();
+    #head: Head = createEmptyHead();
+    #configuration: Configuration = new IndexedConfiguration(0, { sections: {} });
+
+    /** @param options - What it works with. */
+    constructor(options: ConfigurationLoaderOptions) {
+        const { store, transport, findPeers } = options;
+        this.#fetcher = new ChunkFetcher({ cache: this.#cache, store, transport, findPeers });
+        this.#decisions = options.decisions;
+    }
+
+    /**
+     * Adds the handler by which other entry hosts fetch chunks from here.
+     * @param handlers - The handlers of this entry host.
+     */
+    addHandlers(handlers: PeerHandlers): void {
+        handlers.add(PeerMethod.GetChunks, params => this.#cache.getTexts(params));
+    }
+
+    /**
+     * Adds a listener that runs after each version has come into force.
+     * @param listener - Receives the new and the previous configuration.
+     */
+    addListener(listener: ConfigurationListener): void {
+        this.#listeners.push(listener);
+    }
+
+    /** Gets the configuration in force; version 0 before the first. */
+    getConfiguration(): Configuration {
+        return this.#configuration;
+    }
+
+    /** Gets the head whose configuration is in force. */
+    getHead(): Head {
+        return this.#head;
+    }
+
+    /** Gets the document in force, with the items of each section sorted by name. */
+    getDocument(): ConfigurationDocument {
+        const sections = this.#decodeSections(this.#head);
+        const sorted = Object.entries(sections).map(([name, section]) => [name, createSortedSection(section)]);
+        return { sections: Object.fromEntries(sorted) };
+    }
+
+    /**
+     * Fetches the chunks that the head refers to and that are not here yet, and puts its configuration in force.
+     * Does nothing if this or a newer version is in force already. Rejects if a chunk can't be had.
+     * @param head - The head to put in force.
+     */
+    async apply(head: Head): Promise<void> {
+        if (head.version <= this.#head.version) {
+            return;
+        }
+        await this.#runPinned(head, () => {
+            if (head.version > this.#head.version) {
+                this.#install(head);
+            }
+        });
+    }
+
+    /**
+     * Reads the sections of any head without putting it in force.
+     * @param head - The head.
+     */
+    async readSections(head: Head): Promise<Record<string, Section>> {
+        return await this.#runPinned(head, () => this.#decodeSections(head));
+    }
+
+    /**
+     * Adds a chunk that was made here, so that it need not be fetched.
+     * @param text - The chunk's text.
+     */
+    addChunk(text: string): void {
+        this.#cache.add(text);
+    }
+
+    async #runPinned<T>(head: Head, work: () => T): Promise<T> {
+        this.#pinnedHeads.add(head);
+        try {
+            await this.#fetcher.run(head.version, findDigests(head));
+            return work();
+        }
+        finally {
+            this.#pinnedHeads.delete(head);
+        }
+    }
+
+    #install(head: Head): void {
+        const previous = this.#configuration;
+        const kept = new Set([this.#head, head, ...this.#pinnedHeads].flatMap(known => [...findDigests(known)]));
+        this.#configuration = new IndexedConfiguration(head.version, { sections: this.#decodeSections(head) });
+        this.#head = head;
+        this.#cache.removeOthers(kept);
+        this.#decisions.record({
+            decision: Decision.ConfigurationApplied,
+            reason: `follows version ${previous.version}`,
+            version: head.version,
+        });
+        this.#listeners.forEach(listener => listener(this.#configuration, previous));
+    }
+
+    #decodeSections(head: Head): Record<string, Section> {
+        const sections = Object.entries(head.sections).map(([name, { owners, chunks }]) => {
+            const contents = chunks.map(digest => this.#cache.getContent(digest)!);
+            return [name, decodeSection(owners, contents)];
+        });
+        return Object.fromEntries(sections) as Record<string, Section>;
+    }
+}
+
+function findDigests(head: Head): Set<string> {
+    return new Set(Object.values(head.sections).flatMap(section => section.chunks));
+}
--- /dev/null
+++ b/src/configuration/changes/AuditEntry.ts
@@ -0,0 +1,7 @@
+import type { AuditRecord } from "./AuditRecord.js";
+
+/** A record of the audit trail with its store key. */
+export interface AuditEntry {
+    readonly key: string;
+    readonly record: AuditRecord;
+}
--- /dev/null
+++ b/src/configuration/changes/ChangeKind.ts
@@ -0,0 +1,10 @@
+/** What an operation of a change does. */
+export enum ChangeKind {
+    PutSection = "put-section",
+    RemoveSection = "remove-section",
+    PutAccount = "put-account",
+    RemoveAccount = "remove-account",
+    PutKey = "put-key",
+    WithdrawKey = "withdraw-key",
+    DrainUpstream = "drain-upstream",
+}
--- /dev/null
+++ b/src/configuration/changes/index.ts
@@ -0,0 +1,11 @@
+export type { AuditEntry } from "./AuditEntry.js";
+export type { AuditRecord } from "./AuditRecord.js";
+export { AuditTrail } from "./AuditTrail.js";
+export type { Change } from "./Change.js";
+export type { ChangeAnswer } from "./ChangeAnswer.js";
+export { ChangeAnswerKind } from "./ChangeAnswerKind.js";
+export { ChangeKind } from "./ChangeKind.js";
+export type { ChangeOperation } from "./ChangeOperation.js";
+export { changeRequestSchema } from "./changeRequestSchema.js";
+export { ChangeService } from "./ChangeService.js";
+export type { ChangeServiceOptions } from "./ChangeServiceOptions.js";
--- /dev/null
+++ b/src/configuration/changes/writeImmutable.ts
@@ -0,0 +1,27 @@
+import { FuchsiapathError, StoreUnavailableError } from "../../errors/index.js";
+import { type Store, WriteResultKind } from "../../store/index.js";
+
+const MAX_ATTEMPTS = 3;
+
+/**
+ * Writes a record that never changes; does nothing if it is there already. A lost answer is settled by writing again.
+ * @param store - The platform's store.
+ * @param key - The record's key, which holds a digest of the value.
+ * @param value - The value.
+ */
+export async function writeImmutable(store: Store, key: string, value: string): Promise<void> {
+    for (let attempt = 1;; attempt++) {
+        try {
+            const result = await store.compareAndSwap(key, value, 0);
+            if (result.kind === WriteResultKind.Conflict && result.current?.value !== value) {
+                throw new FuchsiapathError(`The record ${key} stands with another value.`);
+            }
+            return;
+        }
+        catch (error) {
+            if (!(error instanceof StoreUnavailableError) || attempt === MAX_ATTEMPTS) {
+                throw error;
+            }
+        }
+    }
+}
--- a/src/configuration/checks/DocumentReader.ts
+++ b/src/configuration/checks/DocumentReader.ts
@@ -30,6 +30,12 @@
     readonly malformedNames = new Set<string>();
     readonly findings: Finding[] = [];
     readonly #sections: Record<string, Section> = {};
+    readonly #checkedSections: ReadonlySet<string>;
+
+    /** @param checkedSections - Sections whose items need no check by themselves. */
+    constructor(checkedSections: ReadonlySet<string>) {
+        this.#checkedSections = checkedSections;
+    }
 
     /**
      * Reads the document.
@@ -38,7 +44,12 @@
     read(value: unknown): ConfigurationDocument {
         const document = checkSchema(documentFrameSchema, value, "", this.findings);
         for (const [name, section] of Object.entries(document?.sections ?? {})) {
-            this.#readSection(name, section);
+            if (this.#checkedSections.has(name)) {
+                this.#addCheckedSection(name, section as Section);
+            }
+            else {
+                this.#readSection(name, section);
+            }
         }
         return { sections: this.#sections };
     }
@@ -59,6 +70,15 @@
         };
     }
 
+    #addCheckedSection(name: string, section: Section): void {
+        this.owners.set(name, section.owners);
+        this.#sections[name] = section;
+        addItems(name, "accounts", section.accounts, this.accounts);
+        addItems(name, "keys", section.keys, this.keys);
+        addItems(name, "routes", section.routes, this.routes);
+        addItems(name, "services", section.services, this.services);
+    }
+
     #readItems<T>(
         section: string,
         kind: keyof Section,
@@ -89,6 +109,17 @@
     }
 }
 
+function addItems<T>(
+    section: string,
+    kind: keyof Section,
+    values: readonly T[] | undefined,
+    items: PlacedItem<T>[],
+): void {
+    values?.forEach((value, index) => {
+        items.push({ place: formatPlace("sections", [section, kind, index]), section, value });
+    });
+}
+
 function getFields(value: unknown): Readonly<Record<string, unknown>> {
     return typeof value === "object" && value !== null ? value as Record<string, unknown> : {};
 }
--- a/src/configuration/checks/checkDocument.ts
+++ b/src/configuration/checks/checkDocument.ts
@@ -12,7 +12,7 @@
  * @param options - What it is checked against besides itself.
  */
 export function checkDocument(value: unknown, options: DocumentCheckOptions = {}): DocumentCheck {
-    const reader = new DocumentReader();
+    const reader = new DocumentReader(options.checkedSections ?? new Set());
     const document = reader.read(value);
     const zoneFindings = options.zones === undefined ? [] : checkZones(reader, options.zones);
     const findings = [
--- /dev/null
+++ b/src/configuration/chunks/ChunkCache.ts
@@ -0,0 +1,76 @@
+import type { ChunkContent } from "./ChunkContent.js";
+import type { ChunkGetParams } from "./ChunkGetParams.js";
+import type { ChunkGetResult } from "./ChunkGetResult.js";
+import { createDigest } from "./createDigest.js";
+
+const MAX_ANSWER_BYTES = 512 * 1024;
+
+interface CachedChunk {
+    readonly text: string;
+    readonly content: ChunkContent;
+}
+
+/** The chunks that this entry host has, checked against their digests. */
+export class ChunkCache {
+    readonly #chunks = new Map<string, CachedChunk>();
+
+    /**
+     * Adds a chunk and returns its digest; the text decides it, not its sender.
+     * @param text - The chunk's text.
+     */
+    add(text: string): string {
+        const digest = createDigest(text);
+        if (!this.#chunks.has(digest)) {
+            this.#chunks.set(digest, { text, content: JSON.parse(text) as ChunkContent });
+        }
+        return digest;
+    }
+
+    /**
+     * Whether a chunk is there.
+     * @param digest - The chunk's digest.
+     */
+    has(digest: string): boolean {
+        return this.#chunks.has(digest);
+    }
+
+    /**
+     * Gets the items of a chunk.
+     * @param digest - The chunk's digest.
+     */
+    getContent(digest: string): ChunkContent | undefined {
+        return this.#chunks.get(digest)?.content;
+    }
+
+    /**
+     * Answers a peer that asks for chunks.
+     * @param params - Which chunks.
+     */
+    getTexts(params: ChunkGetParams): ChunkGetResult {
+        const texts: string[] = [];
+        let size = 0;
+        for (const digest of params.digests) {
+            const text = this.#chunks.get(digest)?.text;
+            size += text?.length ?? 0;
+            if (size > MAX_ANSWER_BYTES) {
+                break;
+            }
+            if (text !== undefined) {
+                texts.push(text);
+            }
+        }
+        return { texts };
+    }
+
+    /**
+     * Removes all chunks but those named.
+     * @param digests - The digests of the chunks to keep.
+     */
+    removeOthers(digests: ReadonlySet<string>): void {
+        for (const digest of this.#chunks.keys()) {
+            if (!digests.has(digest)) {
+                this.#chunks.delete(digest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/configuration/chunks/ChunkFetcher.ts
@@ -0,0 +1,92 @@
+import { ChunksMissingError } from "../../errors/index.js";
+import { PeerMethod, type PeerTransport } from "../../peers/index.js";
+import type { Store } from "../../store/index.js";
+import type { ChunkCache } from "./ChunkCache.js";
+import type { ChunkFetcherOptions } from "./ChunkFetcherOptions.js";
+import { createChunkKey } from "./createChunkKey.js";
+import { createDigest } from "./createDigest.js";
+
+const MAX_PEERS = 3;
+const PEER_TIMEOUT_MS = 500;
+const DIGESTS_PER_CALL = 16;
+const CONCURRENT_READS = 8;
+
+/** Fetches the chunks that are missing here, from peers first and then from the platform's store. */
+export class ChunkFetcher {
+    readonly #cache: ChunkCache;
+    readonly #store: Store;
+    readonly #transport: PeerTransport;
+    readonly #findPeers: (version: number) => readonly string[];
+
+    /** @param options - What it works with. */
+    constructor(options: ChunkFetcherOptions) {
+        this.#cache = options.cache;
+        this.#store = options.store;
+        this.#transport = options.transport;
+        this.#findPeers = options.findPeers;
+    }
+
+    /**
+     * Fetches chunks into the cache; rejects with a ChunksMissingError if some can't be had.
+     * @param version - The head version that refers to them.
+     * @param digests - The chunks that it refers to.
+     */
+    async run(version: number, digests: ReadonlySet<string>): Promise<void> {
+        if (this.#findMissing(digests).length === 0) {
+            return;
+        }
+        for (const peer of this.#findPeers(version).slice(0, MAX_PEERS)) {
+            await this.#fetchFromPeer(peer, digests);
+        }
+        await this.#fetchFromStore(digests);
+        const missing = this.#findMissing(digests);
+        if (missing.length > 0) {
+            throw new ChunksMissingError(version, missing.length);
+        }
+    }
+
+    #findMissing(digests: ReadonlySet<string>): string[] {
+        return [...digests].filter(digest => !this.#cache.has(digest));
+    }
+
+    async #fetchFromPeer(peer: string, digests: ReadonlySet<string>): Promise<void> {
+        for (let missing = this.#findMissing(digests); missing.length > 0;) {
+            const asked = missing.slice(0, DIGESTS_PER_CALL);
+            await this.#sendGet(peer, asked);
+            const before = missing.length;
+            missing = this.#findMissing(digests);
+            if (missing.length === before) {
+                return;
+            }
+        }
+    }
+
+    async #sendGet(peer: string, digests: readonly string[]): Promise<void> {
+        try {
+            const result = await this.#transport.send(peer, PeerMethod.GetChunks, { digests }, PEER_TIMEOUT_MS);
+            this.#addExpected(result.texts, digests);
+        }
+        catch {
+            // Another peer or the store is asked next.
+        }
+    }
+
+    #addExpected(texts: readonly string[], digests: readonly string[]): void {
+        for (const text of texts) {
+            if (digests.includes(createDigest(text))) {
+                this.#cache.add(text);
+            }
+        }
+    }
+
+    async #fetchFromStore(digests: ReadonlySet<string>): Promise<void> {
+        const remaining = this.#findMissing(digests);
+        const readNext = async (): Promise<void> => {
+            for (let digest = remaining.shift(); digest !== undefined; digest = remaining.shift()) {
+                const record = await this.#store.get(createChunkKey(digest));
+                this.#addExpected(record === undefined ? [] : [record.value], [digest]);
+            }
+        };
+        await Promise.all(Array.from({ length: CONCURRENT_READS }, readNext));
+    }
+}
--- /dev/null
+++ b/src/configuration/chunks/ChunkGetParams.ts
@@ -0,0 +1,4 @@
+/** Asks a peer for chunks. */
+export interface ChunkGetParams {
+    readonly digests: readonly string[];
+}
--- /dev/null
+++ b/src/configuration/chunks/createChunkKey.ts
@@ -0,0 +1,7 @@
+/**
+ * Creates the store key of a chunk.
+ * @param digest - The chunk's digest.
+ */
+export function createChunkKey(digest: string): string {
+    return `chunk/${digest}`;
+}
--- /dev/null
+++ b/src/configuration/chunks/index.ts
@@ -0,0 +1,11 @@
+export type { Chunk } from "./Chunk.js";
+export { ChunkCache } from "./ChunkCache.js";
+export type { ChunkContent } from "./ChunkContent.js";
+export { ChunkFetcher } from "./ChunkFetcher.js";
+export type { ChunkFetcherOptions } from "./ChunkFetcherOptions.js";
+export type { ChunkGetParams } from "./ChunkGetParams.js";
+export type { ChunkGetResult } from "./ChunkGetResult.js";
+export { createChunkKey } from "./createChunkKey.js";
+export { createDigest } from "./createDigest.js";
+export { decodeSection } from "./decodeSection.js";
+export { encodeSection } from "./encodeSection.js";
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,8 +1,25 @@
 export type { Account } from "./Account.js";
 export type { AccountKey } from "./AccountKey.js";
+export {
+    type AuditEntry,
+    type AuditRecord,
+    AuditTrail,
+    type Change,
+    type ChangeAnswer,
+    ChangeAnswerKind,
+    ChangeKind,
+    type ChangeOperation,
+    changeRequestSchema,
+    ChangeService,
+    type ChangeServiceOptions,
+} from "./changes/index.js";
 export { checkDocument, type DocumentCheck, type DocumentCheckOptions } from "./checks/index.js";
+export { ChunkCache, type ChunkGetParams, type ChunkGetResult, encodeSection } from "./chunks/index.js";
 export type { Configuration } from "./Configuration.js";
 export type { ConfigurationDocument } from "./ConfigurationDocument.js";
+export type { ConfigurationListener } from "./ConfigurationListener.js";
+export { ConfigurationLoader } from "./ConfigurationLoader.js";
+export type { ConfigurationLoaderOptions } from "./ConfigurationLoaderOptions.js";
 export type { CreatedKey } from "./CreatedKey.js";
 export { createKey } from "./createKey.js";
 export type { DetectionSettings } from "./DetectionSettings.js";
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -1,3 +1,5 @@
+export { AuditTrailBrokenError } from "./AuditTrailBrokenError.js";
+export { ChunksMissingError } from "./ChunksMissingError.js";
 export type { Finding } from "./Finding.js";
 export { FindingsError } from "./FindingsError.js";
 export { FuchsiapathError } from "./FuchsiapathError.js";
@@ -5,4 +7,6 @@
 export { StoreLimitError } from "./StoreLimitError.js";
 export { StoreUnavailableError } from "./StoreUnavailableError.js";
 export { StoreValueError } from "./StoreValueError.js";
+export { TooManyConflictsError } from "./TooManyConflictsError.js";
 export { UnexpectedVariantError } from "./UnexpectedVariantError.js";
+export { UnsettledChangeError } from "./UnsettledChangeError.js";
--- a/src/head/Head.ts
+++ b/src/head/Head.ts
@@ -11,6 +11,10 @@
     readonly view: MembershipView;
     /** The proposed view, until a majority of the view in force has installed the head that proposes it. */
     readonly nextView?: MembershipView;
-    /** The newest changes, oldest first. */
+    /** The newest changes without a gap, oldest first. */
     readonly changes: readonly HeadChange[];
+    /** The store key of the newest audit record, which names the one before it. */
+    readonly lastAuditKey?: string;
+    /** The versions that removed sections, kept as long as the change list reaches back to them. */
+    readonly removedSections?: Readonly<Record<string, number>>;
 }
--- a/src/head/HeadChange.ts
+++ b/src/head/HeadChange.ts
@@ -6,4 +6,6 @@
     readonly version: number;
     /** The store key of its audit record; undefined for a change of view. */
     readonly auditKey?: string;
+    /** Digest of what the change does, so that an id used twice is noticed; undefined for a change of view. */
+    readonly digest?: string;
 }
--- a/src/head/HeadStore.ts
+++ b/src/head/HeadStore.ts
@@ -1,4 +1,5 @@
 import type { Head } from "./Head.js";
+import type { HeadContent } from "./HeadContent.js";
 import type { HeadRecord } from "./HeadRecord.js";
 
 /** The head in the platform's store. Every call rejects with a StoreUnavailableError when no answer came. */
@@ -16,10 +17,11 @@
      * change id in the head.
      * @param changeId - Unique id of the change.
      * @param change - Makes the new content from the head that stands; undefined to leave it. Version and change list
-     * are filled in by the head store. May throw to give up.
+     * are filled in by the head store. May throw to give up. Runs again after each conflict.
      * @returns The head that has the change, or the head that was left.
      */
-    apply(changeId: string, change: (head: Head) => HeadContent | undefined): Promise<Head>;
+    apply(
+        changeId: string,
+        change: (head: Head) => HeadContent | undefined | Promise<HeadContent | undefined>,
+    ): Promise<Head>;
 }
-
-type HeadContent = Omit<Head, "version" | "changes"> & { readonly auditKey?: string; };
--- /dev/null
+++ b/src/head/StoredHeadStoreOptions.ts
@@ -0,0 +1,10 @@
+import type { RandomSource } from "../random/index.js";
+import type { Store } from "../store/index.js";
+import type { Clock } from "../time/index.js";
+
+/** What a StoredHeadStore works with. */
+export interface StoredHeadStoreOptions {
+    readonly store: Store;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+}
--- a/src/head/index.ts
+++ b/src/head/index.ts
@@ -1,6 +1,10 @@
+export { createEmptyHead } from "./createEmptyHead.js";
 export type { Head } from "./Head.js";
 export type { HeadChange } from "./HeadChange.js";
+export type { HeadContent } from "./HeadContent.js";
 export type { HeadInstaller } from "./HeadInstaller.js";
 export type { HeadRecord } from "./HeadRecord.js";
 export type { HeadStore } from "./HeadStore.js";
 export type { SectionReference } from "./SectionReference.js";
+export { StoredHeadStore } from "./StoredHeadStore.js";
+export type { StoredHeadStoreOptions } from "./StoredHeadStoreOptions.js";
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -1,4 +1,5 @@
 /** The calls between entry hosts. */
 export enum PeerMethod {
+    GetChunks = "chunk.get",
     PullGossip = "gossip.pull",
 }
--- /dev/null
+++ b/tests/configuration/ChangeService.test.ts
@@ -0,0 +1,203 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    AuditTrail,
+    type Change,
+    type ChangeAnswer,
+    ChangeAnswerKind,
+    ChangeKind,
+    type ChangeOperation,
+    encodeSection,
+} from "../../src/configuration/index.js";
+import { FakeClock, FakeNetwork, FakeStore } from "../../src/fakes/index.js";
+import type { ChangeHost } from "../support/ChangeHost.js";
+import { checkSnapshot } from "../support/checkSnapshot.js";
+import { createChangeHost } from "../support/createChangeHost.js";
+import { createTestDocument } from "../support/createTestDocument.js";
+import { runClockUntil } from "../support/runClockUntil.js";
+import type { StepFault } from "../support/StepFault.js";
+import { StepStore } from "../support/StepStore.js";
+
+const document = createTestDocument();
+const { accounts, catalogue, orders } = document.sections;
+const FAULTS: readonly StepFault[] = ["answer-lost", "away", "crash", "rival", "late-answer"];
+const MAX_STEPS = 40;
+
+test("operators that race on different sections are both accepted, on the same section one is refused", async () => {
+    const { hosts, run } = await createWorld();
+    const put = (id: string, operator: string, section: string, content = document.sections[section]!): Change =>
+        createChange(id, operator, { kind: ChangeKind.PutSection, section, content });
+    const different = await run(Promise.all([
+        hosts[0]!.service.apply(put("a", "lookups", "catalogue")),
+        hosts[1]!.service.apply(put("b", "sales", "orders")),
+    ]));
+    assert.equal(different?.map(answer => answer.kind), [ChangeAnswerKind.Accepted, ChangeAnswerKind.Accepted]);
+    const same = await run(Promise.all([
+        hosts[0]!.service.apply({ ...put("c", "office", "orders"), baseVersion: 3 }),
+        hosts[1]!.service.apply({ ...put("d", "sales", "orders"), baseVersion: 3 }),
+    ]));
+    assert.equal(same?.map(answer => answer.kind).sort(), [ChangeAnswerKind.Accepted, ChangeAnswerKind.Refused]);
+    const refused = same?.find(answer => answer.kind === ChangeAnswerKind.Refused);
+    assert.equal(refused?.findings, [
+        { place: "sections.orders", message: "was changed in version 4, after base version 3" },
+    ]);
+});
+
+test("a section that was removed after the base is not put back", async () => {
+    const { hosts, run } = await createWorld();
+    const remove = createChange("a", "sales", { kind: ChangeKind.RemoveSection, section: "orders" });
+    const put = createChange("b", "office", { kind: ChangeKind.PutSection, section: "orders", content: orders! });
+    assert.is((await run(hosts[0]!.service.apply(remove)))?.kind, ChangeAnswerKind.Accepted);
+    assert.is((await run(hosts[1]!.service.apply(put)))?.kind, ChangeAnswerKind.Refused);
+});
+
+test("operations on items rebase on the newest section", async () => {
+    const { hosts, run } = await createWorld();
+    const account = { name: "shop-3", rate: 1, burst: 1 };
+    const answers = await run(Promise.all([
+        hosts[0]!.service.apply(
+            createChange("a", "office", { kind: ChangeKind.PutAccount, section: "accounts", account }),
+        ),
+        hosts[1]!.service.apply(createChange("b", "office", { kind: ChangeKind.WithdrawKey, keyId: "k1" })),
+    ]));
+    assert.equal(answers?.map(answer => answer.kind), [ChangeAnswerKind.Accepted, ChangeAnswerKind.Accepted]);
+    const head = (await hosts[0]!.headStore.read())!.head;
+    await run(hosts[0]!.loader.apply(head));
+    const configuration = hosts[0]!.loader.getConfiguration();
+    assert.equal(configuration.getAccount("shop-3"), account);
+    assert.is(configuration.getKey("k1")?.withdrawn, true);
+});
+
+test("refusals name the places of all that speaks against a change", async () => {
+    const { hosts, run } = await createWorld();
+    const answers: (ChangeAnswer | undefined)[] = [];
+    for (const [index, operations] of createRefusedOperations().entries()) {
+        const change = { id: `r${index}`, operator: "lookups", baseVersion: 1, operations };
+        answers.push(await run(hosts[0]!.service.apply(change)));
+    }
+    const ahead = { ...createChange("r9", "lookups", { kind: ChangeKind.WithdrawKey, keyId: "k1" }), baseVersion: 7 };
+    answers.push(await run(hosts[0]!.service.apply(ahead)));
+    checkSnapshot("configuration/refusals", answers);
+    assert.is((await hosts[0]!.headStore.read())?.head.version, 1);
+});
+
+test("a change is answered as accepted only after a majority has it, and asking again does not apply it twice", async () => {
+    const { hosts, run } = await createWorld();
+    const change = createChange("a", "office", { kind: ChangeKind.WithdrawKey, keyId: "k1" });
+    hosts[0]!.isMajorityReached = false;
+    assert.equal(await run(hosts[0]!.service.apply(change)), { kind: ChangeAnswerKind.Unconfirmed, version: 2 });
+    assert.equal(await run(hosts[1]!.service.apply(change)), { kind: ChangeAnswerKind.Accepted, version: 2 });
+    const other = { ...change, operations: [{ kind: ChangeKind.RemoveAccount, account: "shop-2" } as const] };
+    assert.is((await run(hosts[1]!.service.apply(other)))?.kind, ChangeAnswerKind.Refused);
+    assert.is((await hosts[1]!.headStore.read())?.head.version, 2);
+});
+
+test("asking again after more changes than the head remembers is settled by the audit trail", async () => {
+    const { hosts, run } = await createWorld();
+    const first = createChange("early", "office", createPutAccount(1));
+    await run(hosts[0]!.service.apply(first));
+    for (let count = 0; count < 205; count++) {
+        await run(hosts[0]!.headStore.apply(`view-${count}`, head => ({ ...head })));
+    }
+    await run(hosts[0]!.service.apply({ ...createChange("second", "office", createPutAccount(2)), baseVersion: 207 }));
+    assert.equal(await run(hosts[1]!.service.apply(first)), { kind: ChangeAnswerKind.Accepted, version: 2 });
+    const unseen = createChange("unseen", "office", createPutAccount(3));
+    assert.is((await run(hosts[1]!.service.apply(unseen)))?.kind, ChangeAnswerKind.Refused);
+});
+
+for (const fault of FAULTS) {
+    test(`each change takes effect once, whole or not at all: ${fault} at every step`, async () => {
+        for (let step = 1; step <= MAX_STEPS; step++) {
+            const { clock, store, network, hosts, run } = await createWorld();
+            const faulty = new StepStore(store, step, fault);
+            const host = createChangeHost(clock, network, faulty, "127.0.0.1:9");
+            const change = createChange("a", "office", createPutAccount(7), createPutAccount(8, "shop-8"));
+            const rival = createChange("b", "sales", {
+                kind: ChangeKind.PutSection,
+                section: "orders",
+                content: orders!,
+            });
+            if (fault === "rival" || fault === "late-answer") {
+                faulty.onFault = async () => void await hosts[0]!.service.apply(rival);
+            }
+            const answer = await run(host.service.apply(change), 10_000);
+            assert.is.not(answer?.kind, ChangeAnswerKind.Refused, `step ${step}`);
+            await checkHeadIsWhole(hosts[1]!, run);
+            assert.is((await run(hosts[0]!.service.apply(rival)))?.kind, ChangeAnswerKind.Accepted, `step ${step}`);
+            assert.is((await run(hosts[1]!.service.apply(change)))?.kind, ChangeAnswerKind.Accepted, `step ${step}`);
+            await checkHeadIsWhole(hosts[1]!, run);
+            const head = (await hosts[1]!.headStore.read())!.head;
+            assert.is(head.version, 3, `step ${step}`);
+            assert.is(hosts[1]!.loader.getConfiguration().getAccount("shop-8")?.rate, 8, `step ${step}`);
+            const trail = await new AuditTrail(store).read(head, 10);
+            assert.equal(trail.map(entry => entry.record.version), [3, 2, 1], `step ${step}`);
+            if (step > faulty.steps) {
+                return;
+            }
+        }
+        assert.unreachable("the change took more steps than were tried");
+    });
+}
+
+test.run();
+
+function createPutAccount(rate: number, name = "shop-7"): ChangeOperation {
+    return { kind: ChangeKind.PutAccount, section: "accounts", account: { name, rate, burst: 1 } };
+}
+
+function createChange(id: string, operator: string, ...operations: ChangeOperation[]): Change {
+    return { id, operator, baseVersion: 1, operations };
+}
+
+function createRefusedOperations(): ChangeOperation[][] {
+    const account = { name: "shop-1", rate: 1, burst: 1 };
+    return [
+        [{ kind: ChangeKind.PutSection, section: "orders", content: orders! }],
+        [{ kind: ChangeKind.RemoveSection, section: "nothing" }, { kind: ChangeKind.WithdrawKey, keyId: "nothing" }],
+        [{ kind: ChangeKind.PutAccount, section: "catalogue", account }],
+        [{ kind: ChangeKind.PutKey, section: "catalogue", key: accounts!.keys![0]! }],
+        [{ kind: ChangeKind.DrainUpstream, upstream: "orders-1", draining: true }],
+        [{
+            kind: ChangeKind.PutSection,
+            section: "catalogue",
+            content: { owners: [], services: catalogue!.services! },
+        }],
+        [{ kind: ChangeKind.PutSection, section: "new", content: { ...catalogue!, owners: ["sales"] } }],
+    ];
+}
+
+interface World {
+    readonly clock: FakeClock;
+    readonly store: FakeStore;
+    readonly network: FakeNetwork;
+    readonly hosts: readonly ChangeHost[];
+    readonly run: <T>(promise: Promise<T>, limitMs?: number) => Promise<T | undefined>;
+}
+
+/** Creates two hosts and a store whose head has version 1. */
+async function createWorld(): Promise<World> {
+    const clock = new FakeClock();
+    const store = new FakeStore(clock);
+    const network = new FakeNetwork(clock);
+    const run = <T>(promise: Promise<T>, limitMs?: number): Promise<T | undefined> =>
+        runClockUntil(clock, promise, limitMs);
+    const hosts = ["127.0.0.1:1", "127.0.0.1:2"].map(address => createChangeHost(clock, network, store, address));
+    const operations = Object.entries(document.sections).map(([section, content]) => (
+        { kind: ChangeKind.PutSection, section, content: { ...content, owners: [...content.owners, "root"] } } as const
+    ));
+    const answer = await run(hosts[0]!.service.apply({ id: "first", operator: "root", baseVersion: 0, operations }));
+    assert.equal(answer, { kind: ChangeAnswerKind.Accepted, version: 1 });
+    return { clock, store, network, hosts, run };
+}
+
+/** Checks that the head in the store refers only to chunks that a new host can read. */
+async function checkHeadIsWhole(host: ChangeHost, run: World["run"]): Promise<void> {
+    const { head } = (await host.headStore.read())!;
+    await run(host.loader.apply(head));
+    assert.is(host.loader.getConfiguration().version, head.version);
+    const sections = host.loader.getDocument().sections;
+    for (const [name, section] of Object.entries(sections)) {
+        const digests = encodeSection(section).map(chunk => chunk.digest);
+        assert.equal(head.sections[name]?.chunks, digests);
+    }
+}
--- /dev/null
+++ b/tests/configuration/ConfigurationLoader.test.ts
@@ -0,0 +1,131 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ChangeKind, type ChangeOperation, encodeSection } from "../../src/configuration/index.js";
+import { ChunksMissingError, StoreUnavailableError } from "../../src/errors/index.js";
+import { FakeClock, FakeNetwork, FakeStore } from "../../src/fakes/index.js";
+import type { Head } from "../../src/head/index.js";
+import { PeerHandlers, PeerMethod } from "../../src/peers/index.js";
+import type { ChangeHost } from "../support/ChangeHost.js";
+import { createChangeHost } from "../support/createChangeHost.js";
+import { createTestDocument } from "../support/createTestDocument.js";
+import { runClockUntil } from "../support/runClockUntil.js";
+
+const FIRST = "127.0.0.1:1";
+const SECOND = "127.0.0.1:2";
+const LYING = "127.0.0.1:3";
+const KEY_COUNT = 46_000;
+
+test("a host that starts while the store is away gets head and chunks from a peer", async () => {
+    const { store, createHost, run, heads } = await createWorld();
+    store.faults.isAway = true;
+    const { loader } = createHost(SECOND, [FIRST]);
+    await run(loader.apply(heads[1]!));
+    assert.is(loader.getConfiguration().getKey("k1")?.withdrawn, true);
+});
+
+test("with neither peers nor store nothing changes, and the next try succeeds", async () => {
+    const { store, createHost, run, heads } = await createWorld();
+    store.faults.isAway = true;
+    const { loader } = createHost(SECOND, [LYING]);
+    const failure = await run(loader.apply(heads[0]!).catch((error: unknown) => error));
+    assert.instance(failure, StoreUnavailableError);
+    assert.is(loader.getConfiguration().version, 0);
+    store.faults.isAway = false;
+    await run(loader.apply(heads[0]!));
+    assert.is(loader.getConfiguration().version, 1);
+});
+
+test("a chunk with a wrong digest is never taken, whoever sends it", async () => {
+    const { network, createHost, run, heads } = await createWorld();
+    const handlers = new PeerHandlers();
+    handlers.add(PeerMethod.GetChunks, () => ({ texts: ["{\"accounts\":[{\"name\":\"intruder\"}]}"] }));
+    network.addHost(LYING, { handlers });
+    const { loader } = createHost(SECOND, [LYING, FIRST]);
+    await run(loader.apply(heads[0]!));
+    assert.is(loader.getConfiguration().getAccount("intruder"), undefined);
+    assert.is(loader.getConfiguration().version, 1);
+    const missing = { ...heads[1]!, version: 9, sections: { a: { owners: ["a"], version: 9, chunks: ["none"] } } };
+    const failure = await run(loader.apply(missing).catch((error: unknown) => error));
+    assert.instance(failure, ChunksMissingError);
+});
+
+test("versions never go back, in whatever order heads come and however long their chunks take", async () => {
+    const { clock, createHost, run, heads } = await createWorld();
+    const { loader } = createHost(SECOND, [FIRST]);
+    const seen: number[] = [];
+    loader.addListener((configuration, previous) => {
+        assert.ok(configuration.version > previous.version);
+        seen.push(configuration.version);
+    });
+    const old = loader.apply(heads[0]!);
+    const newest = loader.apply(heads[2]!);
+    await clock.run(1);
+    const middle = loader.apply(heads[1]!);
+    await run(Promise.all([old, newest, middle]));
+    await run(loader.apply(heads[0]!));
+    assert.is(seen.at(-1), 3);
+    assert.is(loader.getConfiguration().version, 3);
+    assert.is(loader.getConfiguration().getKey("k1")?.withdrawn, true);
+});
+
+test("only the chunks that changed are fetched, and only one of 46,000 keys' chunks changes", async () => {
+    const { store, createHost, run } = await createWorld();
+    const { service, loader, headStore } = createHost(SECOND, []);
+    const keys = Array.from({ length: KEY_COUNT }, (_, index) => (
+        { id: `big-${index}`, account: "shop-1", salt: "A".repeat(22), hash: "B".repeat(43) }
+    ));
+    const content = { owners: ["root"], keys };
+    const chunks = encodeSection(content);
+    assert.ok(chunks.every(chunk => chunk.text.length < 64 * 1024));
+    const changed = { owners: ["root"], keys: keys.map(key => key.id === "big-7" ? { ...key, withdrawn: true } : key) };
+    const known = new Set(chunks.map(chunk => chunk.digest));
+    assert.is(encodeSection(changed).filter(chunk => !known.has(chunk.digest)).length, 1);
+    const put: ChangeOperation = { kind: ChangeKind.PutSection, section: "big", content };
+    await run(service.apply({ id: "big", operator: "root", baseVersion: 3, operations: [put] }));
+    const other = createHost(LYING, []);
+    await run(other.loader.apply((await headStore.read())!.head));
+    const withdraw: ChangeOperation = { kind: ChangeKind.WithdrawKey, keyId: "big-7" };
+    await run(service.apply({ id: "small", operator: "root", baseVersion: 4, operations: [withdraw] }));
+    const head = (await headStore.read())!.head;
+    const before = { ...store.calls };
+    await run(other.loader.apply(head));
+    assert.is(store.calls.reads - before.reads, 1);
+    assert.is(other.loader.getConfiguration().getKey("big-7")?.withdrawn, true);
+    assert.is(loader.getConfiguration().version, 5);
+});
+
+test.run();
+
+interface World {
+    readonly clock: FakeClock;
+    readonly store: FakeStore;
+    readonly network: FakeNetwork;
+    readonly heads: readonly Head[];
+    readonly createHost: (address: string, peers: readonly string[]) => ChangeHost;
+    readonly run: <T>(promise: Promise<T>) => Promise<T | undefined>;
+}
+
+/** Creates a host with versions 1 (whole document), 2 (a key withdrawn) and 3 (a section removed) behind it. */
+async function createWorld(): Promise<World> {
+    const clock = new FakeClock();
+    const store = new FakeStore(clock);
+    const network = new FakeNetwork(clock);
+    const createHost = (address: string, peers: readonly string[]): ChangeHost =>
+        createChangeHost(clock, network, store, address, peers);
+    const run = <T>(promise: Promise<T>): Promise<T | undefined> => runClockUntil(clock, promise);
+    const { service, loader } = createHost(FIRST, []);
+    const sections = Object.entries(createTestDocument().sections);
+    const changes: ChangeOperation[][] = [
+        sections.map(([section, content]) => (
+            { kind: ChangeKind.PutSection, section, content: { ...content, owners: ["root"] } }
+        )),
+        [{ kind: ChangeKind.WithdrawKey, keyId: "k1" }],
+        [{ kind: ChangeKind.RemoveSection, section: "orders" }],
+    ];
+    const heads: Head[] = [];
+    for (const [baseVersion, operations] of changes.entries()) {
+        await run(service.apply({ id: `c${baseVersion}`, operator: "root", baseVersion, operations }));
+        heads.push(loader.getHead());
+    }
+    return { clock, store, network, heads, createHost, run };
+}
