--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -1,3 +1,4 @@
+export { AnswerCutError } from "./AnswerCutError.js";
 export type { Finding } from "./Finding.js";
 export { FindingsError } from "./FindingsError.js";
 export { FuchsiapathError } from "./FuchsiapathError.js";
--- /dev/null
+++ b/src/fakes/FakeUpstream.ts
@@ -0,0 +1,79 @@
+import type { Clock } from "../time/index.js";
+import type { FakeConnection } from "./FakeConnection.js";
+import type { FakeUpstreamFaults } from "./FakeUpstreamFaults.js";
+
+const PROVEN_SPAN_MS = 1_000;
+
+/** The state of one fake upstream with the connections to it. */
+export class FakeUpstream {
+    faults: FakeUpstreamFaults = {};
+    running = 0;
+    readonly #clock: Clock;
+    #idle: FakeConnection[] = [];
+    #downUntil = Number.NEGATIVE_INFINITY;
+    #crash = new AbortController();
+
+    /** @param clock - The source of time. */
+    constructor(clock: Clock) {
+        this.#clock = clock;
+    }
+
+    /** Whether it refuses connections now. */
+    isDown(): boolean {
+        return this.faults.isDown === true || this.#clock.getTime() < this.#downUntil;
+    }
+
+    /**
+     * Whether it came up within a span of time.
+     * @param spanMs - The span in milliseconds.
+     */
+    isCold(spanMs: number): boolean {
+        return this.#clock.getTime() < this.#downUntil + spanMs;
+    }
+
+    /** Gets the signal that is aborted when it crashes. */
+    getCrashSignal(): AbortSignal {
+        return this.#crash.signal;
+    }
+
+    /**
+     * Makes it lose all that it runs and refuse connections for a while.
+     * @param restartMs - For how long, in milliseconds.
+     */
+    stop(restartMs: number): void {
+        this.#downUntil = this.#clock.getTime() + restartMs;
+        this.#idle = [];
+        this.#crash.abort();
+        this.#crash = new AbortController();
+    }
+
+    /**
+     * Takes an idle connection; undefined if a new one is needed.
+     * @param isFresh - Whether it must have been proven lately.
+     */
+    claim(isFresh: boolean): FakeConnection | undefined {
+        const newest = this.#idle.at(-1);
+        const isUsable = newest !== undefined &&
+            (!isFresh || this.#clock.getTime() - newest.provenTime <= PROVEN_SPAN_MS);
+        return isUsable ? this.#idle.pop() : undefined;
+    }
+
+    /**
+     * Gives a connection back after a whole answer.
+     * @param connection - The connection.
+     */
+    release(connection: FakeConnection): void {
+        connection.provenTime = this.#clock.getTime();
+        this.#idle.push(connection);
+    }
+
+    /** Closes the idle connections. */
+    closeIdle(): void {
+        this.#idle = [];
+    }
+
+    /** Makes the idle connections silent for good. */
+    stopIdle(): void {
+        this.#idle.forEach(connection => connection.isSilent = true);
+    }
+}
--- /dev/null
+++ b/src/fakes/FakeUpstreamFaults.ts
@@ -0,0 +1,17 @@
+/** What is wrong with a fake upstream; every field that is left out is as in health. */
+export interface FakeUpstreamFaults {
+    /** Share of the requests that run and are answered with status 500, from 0 to 1. */
+    readonly errorRate?: number;
+    /** Share of the requests whose answer is cut after its head, from 0 to 1. */
+    readonly cutRate?: number;
+    /** Share of the requests that run and whose connection is lost before the answer, from 0 to 1. */
+    readonly lossRate?: number;
+    /** Share of the requests that are never answered, from 0 to 1. */
+    readonly hangRate?: number;
+    /** How many times the usual service time is taken. */
+    readonly slowFactor?: number;
+    /** Whether connections are refused. */
+    readonly isDown?: boolean;
+    /** Whether every request is shed. */
+    readonly isShedding?: boolean;
+}
--- /dev/null
+++ b/src/fakes/FakeUpstreams.ts
@@ -0,0 +1,250 @@
+import { Readable } from "node:stream";
+import type { Upstream } from "../configuration/index.js";
+import { AnswerCutError } from "../errors/index.js";
+import type { ServiceRequest, UpstreamAnswer, UpstreamSendOptions, UpstreamTransport } from "../services/index.js";
+import { createUpstreamHeaders, UpstreamAnswerKind } from "../services/index.js";
+import type { FakeConnection } from "./FakeConnection.js";
+import { FakeUpstream } from "./FakeUpstream.js";
+import type { FakeUpstreamFaults } from "./FakeUpstreamFaults.js";
+import type { FakeUpstreamRecord } from "./FakeUpstreamRecord.js";
+import type { FakeUpstreamsOptions } from "./FakeUpstreamsOptions.js";
+
+const CONNECT_MS = 1;
+const DEFAULT_ANSWER_BYTES = 32;
+const DEFAULT_RESTART_MS = 5_000;
+const OK = 200;
+const INTERNAL_ERROR = 500;
+
+/** Upstreams in memory with slots, service times and gray failures, which record what they ran. */
+export class FakeUpstreams implements UpstreamTransport {
+    /** What reached the upstreams, oldest first. */
+    readonly records: FakeUpstreamRecord[] = [];
+    /** Whether to keep records; long experiments turn it off. */
+    isRecording = true;
+    readonly #options: FakeUpstreamsOptions;
+    readonly #upstreams = new Map<string, FakeUpstream>();
+
+    /** @param options - What they are made of. */
+    constructor(options: FakeUpstreamsOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Applies faults to an upstream in place of those before.
+     * @param name - The upstream's name.
+     * @param faults - What is wrong with it.
+     */
+    applyFaults(name: string, faults: FakeUpstreamFaults): void {
+        this.#getUpstream(name).faults = faults;
+    }
+
+    /**
+     * Makes the open idle connections to an upstream silent for good, while new ones work.
+     * @param name - The upstream's name.
+     */
+    stopIdleConnections(name: string): void {
+        this.#getUpstream(name).stopIdle();
+    }
+
+    /**
+     * Crashes an upstream: it loses what it runs and refuses connections until it has come up again.
+     * @param name - The upstream's name.
+     */
+    stopUpstream(name: string): void {
+        this.#getUpstream(name).stop(this.#options.restartMs ?? DEFAULT_RESTART_MS);
+    }
+
+    /**
+     * Gets the number of requests that an upstream runs now.
+     * @param name - The upstream's name.
+     */
+    getRunning(name: string): number {
+        return this.#getUpstream(name).running;
+    }
+
+    /**
+     * Sends one request; never rejects.
+     * @param upstream - Where to.
+     * @param request - What to send.
+     * @param options - Limits of this attempt.
+     */
+    async send(upstream: Upstream, request: ServiceRequest, options: UpstreamSendOptions): Promise<UpstreamAnswer> {
+        const { clock } = this.#options;
+        const state = this.#getUpstream(upstream.name);
+        const deadline = clock.getTime() + options.firstByteTimeoutMs;
+        if (options.signal.aborted) {
+            return createConnectFailure("The request was cancelled before it was sent.");
+        }
+        const connection = state.claim(options.freshConnection) ?? await this.#open(state);
+        if (connection === undefined) {
+            return createConnectFailure("Connection refused.");
+        }
+        if (connection.isSilent) {
+            return await this.#waitForNothing(deadline, options.signal);
+        }
+        const isShed = state.faults.isShedding === true || state.running >= upstream.slots;
+        this.#record(upstream, request, options, !isShed, state.running);
+        if (isShed) {
+            state.release(connection);
+            return { kind: UpstreamAnswerKind.Shed, retryAfterMs: undefined };
+        }
+        return await this.#runRequest(state, connection, request, deadline, options.signal);
+    }
+
+    /**
+     * Closes idle connections to an upstream.
+     * @param upstream - The upstream.
+     */
+    closeIdle(upstream: Upstream): void {
+        this.#getUpstream(upstream.name).closeIdle();
+    }
+
+    async #runRequest(
+        state: FakeUpstream,
+        connection: FakeConnection,
+        request: ServiceRequest,
+        deadline: number,
+        signal: AbortSignal,
+    ): Promise<UpstreamAnswer> {
+        const { clock, random, crashMark } = this.#options;
+        state.running++;
+        const crash = state.getCrashSignal();
+        if (crashMark !== undefined && request.path.includes(crashMark)) {
+            clock.schedule(0, () => state.stop(this.#options.restartMs ?? DEFAULT_RESTART_MS));
+        }
+        const isHanging = random.getNext() < (state.faults.hangRate ?? 0);
+        const serviceTime = isHanging ? Number.MAX_SAFE_INTEGER : this.#getServiceTime(state);
+        const limit = deadline - clock.getTime();
+        const ended = await waitFor(clock.wait.bind(clock), Math.min(serviceTime, limit), [signal, crash]);
+        if (ended !== undefined || serviceTime > limit) {
+            state.running--;
+            return this.#createInterruption(ended, signal);
+        }
+        return this.#createAnswer(state, connection);
+    }
+
+    #createInterruption(ended: AbortSignal | undefined, signal: AbortSignal): UpstreamAnswer {
+        if (ended === undefined) {
+            return { kind: UpstreamAnswerKind.TimedOut };
+        }
+        return ended === signal
+            ? { kind: UpstreamAnswerKind.Aborted }
+            : { kind: UpstreamAnswerKind.ConnectionLost, detail: "The upstream closed the connection." };
+    }
+
+    #createAnswer(state: FakeUpstream, connection: FakeConnection): UpstreamAnswer {
+        const { random, healthyErrorRate } = this.#options;
+        const { cutRate, lossRate, errorRate } = state.faults;
+        if (random.getNext() < (lossRate ?? 0)) {
+            state.running--;
+            return { kind: UpstreamAnswerKind.ConnectionLost, detail: "The upstream closed the connection." };
+        }
+        const isFailing = random.getNext() < (errorRate ?? healthyErrorRate ?? 0);
+        const bytes = this.#options.answerBytes ?? DEFAULT_ANSWER_BYTES;
+        return {
+            kind: UpstreamAnswerKind.Answered,
+            status: isFailing ? INTERNAL_ERROR : OK,
+            headers: { "content-length": String(bytes) },
+            body: this.#createBody(state, connection, bytes, random.getNext() < (cutRate ?? 0)),
+        };
+    }
+
+    #createBody(state: FakeUpstream, connection: FakeConnection, bytes: number, isCut: boolean): Readable {
+        const { clock, answerTimeMs } = this.#options;
+        let isStarted = false;
+        let isWhole = false;
+        const sendRest = (): void => {
+            if (isCut) {
+                body.destroy(new AnswerCutError("The upstream's answer was cut."));
+                return;
+            }
+            isWhole = true;
+            body.push(Buffer.alloc(bytes - Math.floor(bytes / 2)));
+            body.push(null);
+        };
+        const body = new Readable({
+            read: () => {
+                if (!isStarted) {
+                    isStarted = true;
+                    body.push(Buffer.alloc(Math.floor(bytes / 2)));
+                    clock.schedule(answerTimeMs ?? 0, sendRest);
+                }
+            },
+            destroy: (error, callback) => {
+                state.running--;
+                if (isWhole) {
+                    state.release(connection);
+                }
+                callback(error);
+            },
+        });
+        return body;
+    }
+
+    #getServiceTime(state: FakeUpstream): number {
+        const { random, serviceTimeMs, coldStartMs, coldFactor } = this.#options;
+        const cold = state.isCold(coldStartMs ?? 0) ? coldFactor ?? 1 : 1;
+        return serviceTimeMs * (0.5 + random.getNext()) * (state.faults.slowFactor ?? 1) * cold;
+    }
+
+    async #open(state: FakeUpstream): Promise<FakeConnection | undefined> {
+        await this.#options.clock.wait(CONNECT_MS);
+        return state.isDown() ? undefined : { isSilent: false, provenTime: this.#options.clock.getTime() };
+    }
+
+    async #waitForNothing(deadline: number, signal: AbortSignal): Promise<UpstreamAnswer> {
+        const { clock } = this.#options;
+        const ended = await waitFor(clock.wait.bind(clock), deadline - clock.getTime(), [signal]);
+        return this.#createInterruption(ended, signal);
+    }
+
+    #record(
+        upstream: Upstream,
+        request: ServiceRequest,
+        options: UpstreamSendOptions,
+        isRun: boolean,
+        running: number,
+    ): void {
+        if (!this.isRecording) {
+            return;
+        }
+        this.records.push({
+            requestId: request.requestId,
+            account: request.account,
+            upstream: upstream.name,
+            path: request.path,
+            isIdempotent: request.isIdempotent,
+            time: this.#options.clock.getTime(),
+            isRun,
+            running,
+            headers: createUpstreamHeaders(request, options.firstByteTimeoutMs),
+        });
+    }
+
+    #getUpstream(name: string): FakeUpstream {
+        let state = this.#upstreams.get(name);
+        if (state === undefined) {
+            state = new FakeUpstream(this.#options.clock);
+            this.#upstreams.set(name, state);
+        }
+        return state;
+    }
+}
+
+function createConnectFailure(detail: string): UpstreamAnswer {
+    return { kind: UpstreamAnswerKind.ConnectFailed, detail };
+}
+
+type Wait = (delayMs: number, signal?: AbortSignal) => Promise<void>;
+
+async function waitFor(wait: Wait, delayMs: number, signals: readonly AbortSignal[]): Promise<AbortSignal | undefined> {
+    const controller = new AbortController();
+    const cancel = (): void => controller.abort();
+    signals.forEach(signal => signal.addEventListener("abort", cancel, { once: true }));
+    if (signals.some(signal => signal.aborted)) {
+        controller.abort();
+    }
+    await wait(delayMs, controller.signal).catch(() => {});
+    signals.forEach(signal => signal.removeEventListener("abort", cancel));
+    return signals.find(signal => signal.aborted);
+}
--- a/src/fakes/index.ts
+++ b/src/fakes/index.ts
@@ -3,4 +3,8 @@
 export { FakeNetwork } from "./FakeNetwork.js";
 export { FakeStore } from "./FakeStore.js";
 export type { FakeStoreFaults } from "./FakeStoreFaults.js";
+export type { FakeUpstreamFaults } from "./FakeUpstreamFaults.js";
+export type { FakeUpstreamRecord } from "./FakeUpstreamRecord.js";
+export { FakeUpstreams } from "./FakeUpstreams.js";
+export type { FakeUpstreamsOptions } from "./FakeUpstreamsOptions.js";
 export { waitForTasks } from "./waitForTasks.js";
--- a/src/logging/Decision.ts
+++ b/src/logging/Decision.ts
@@ -7,6 +7,7 @@
     Answered = "answered",
     OutcomeUnknown = "outcome-unknown",
     Ejected = "ejected",
+    EjectionWithheld = "ejection-withheld",
     Restored = "restored",
     Drained = "drained",
     HandedOver = "handed-over",
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -1,4 +1,7 @@
 /** The calls between entry hosts. */
 export enum PeerMethod {
     PullGossip = "gossip.pull",
+    ShareBaseline = "service.shareBaseline",
+    FindOutcome = "service.findOutcome",
+    RemoveCrash = "service.removeCrash",
 }
--- /dev/null
+++ b/src/services/AttemptRunner.ts
@@ -0,0 +1,91 @@
+import type { Upstream } from "../configuration/index.js";
+import { Decision } from "../logging/index.js";
+import type { DecisionLog } from "../logging/index.js";
+import type { Clock } from "../time/index.js";
+import type { FirstByteLimit } from "./FirstByteLimit.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+import type { UpstreamAttempt } from "./UpstreamAttempt.js";
+import type { UpstreamTransport } from "./UpstreamTransport.js";
+
+/** Runs attempts at upstreams with a learned first-byte limit, and again on a new connection when one is silent. */
+export class AttemptRunner {
+    readonly #clock: Clock;
+    readonly #transport: UpstreamTransport;
+    readonly #decisions: DecisionLog;
+
+    /**
+     * @param clock - The source of time.
+     * @param transport - Sends to upstreams.
+     * @param decisions - Receives the retries.
+     */
+    constructor(clock: Clock, transport: UpstreamTransport, decisions: DecisionLog) {
+        this.#clock = clock;
+        this.#transport = transport;
+        this.#decisions = decisions;
+    }
+
+    /**
+     * Runs one attempt.
+     * @param upstream - Where.
+     * @param request - The request.
+     * @param deadline - When the first byte is due, in milliseconds of the clock.
+     * @param limit - The service's learned limit.
+     * @param signal - Aborts an idempotent request; a request that is not idempotent runs on.
+     */
+    async run(
+        upstream: Upstream,
+        request: ServiceRequest,
+        deadline: number,
+        limit: FirstByteLimit,
+        signal: AbortSignal,
+    ): Promise<UpstreamAttempt> {
+        if (!request.isIdempotent) {
+            return await this.#send(upstream, request, deadline, true, new AbortController().signal);
+        }
+        const isLimited = this.#clock.getTime() + limit.getLimit() < deadline;
+        const limitTime = isLimited ? this.#clock.getTime() + limit.getLimit() : deadline;
+        const attempt = await this.#send(upstream, request, limitTime, false, signal);
+        if (attempt.answer.kind !== UpstreamAnswerKind.TimedOut || !isLimited) {
+            return attempt;
+        }
+        limit.record(attempt.latencyMs);
+        return await this.#retry(
+            upstream,
+            request,
+            Math.min(deadline, this.#clock.getTime() + limit.getLimit()),
+            signal,
+        );
+    }
+
+    async #retry(
+        upstream: Upstream,
+        request: ServiceRequest,
+        deadline: number,
+        signal: AbortSignal,
+    ): Promise<UpstreamAttempt> {
+        this.#transport.closeIdle(upstream);
+        this.#decisions.record({
+            decision: Decision.Retried,
+            reason: "silent-connection",
+            requestId: request.requestId,
+            account: request.account,
+            service: request.service,
+            upstream: upstream.name,
+        });
+        return await this.#send(upstream, request, deadline, true, signal);
+    }
+
+    async #send(
+        upstream: Upstream,
+        request: ServiceRequest,
+        deadline: number,
+        freshConnection: boolean,
+        signal: AbortSignal,
+    ): Promise<UpstreamAttempt> {
+        const start = this.#clock.getTime();
+        const firstByteTimeoutMs = Math.max(0, deadline - start);
+        const answer = await this.#transport.send(upstream, request, { firstByteTimeoutMs, freshConnection, signal });
+        return { answer, latencyMs: this.#clock.getTime() - start };
+    }
+}
--- /dev/null
+++ b/src/services/BackOff.ts
@@ -0,0 +1,62 @@
+import type { RandomSource } from "../random/index.js";
+import type { Clock, ScheduledCall } from "../time/index.js";
+import type { PooledUpstream } from "./PooledUpstream.js";
+
+/** An ejection this soon after a return makes the time out of work longer. */
+const FLAP_WINDOW_MS = 600_000;
+const MAX_DOUBLINGS = 6;
+const JITTER = 0.1;
+
+/** Times how long ejected upstreams stay out of work; the time doubles for those that flap. */
+export class BackOff {
+    readonly #clock: Clock;
+    readonly #random: RandomSource;
+    readonly #ends = new WeakMap<PooledUpstream, number>();
+    readonly #calls = new Map<PooledUpstream, ScheduledCall>();
+
+    /**
+     * @param clock - The source of time.
+     * @param random - Spreads the returns.
+     */
+    constructor(clock: Clock, random: RandomSource) {
+        this.#clock = clock;
+        this.#random = random;
+    }
+
+    /**
+     * Starts the time out of work of an upstream; returns it in milliseconds.
+     * @param upstream - The upstream.
+     * @param firstMs - The first time out of work, in milliseconds.
+     * @param onEnd - Runs at its end.
+     */
+    start(upstream: PooledUpstream, firstMs: number, onEnd: () => void): number {
+        const now = this.#clock.getTime();
+        const lastReturn = Math.max(upstream.restoredTime, this.#ends.get(upstream) ?? Number.NEGATIVE_INFINITY);
+        upstream.ejections = now - lastReturn > FLAP_WINDOW_MS ? 1 : upstream.ejections + 1;
+        const doublings = Math.min(upstream.ejections - 1, MAX_DOUBLINGS);
+        const durationMs = firstMs * 2 ** doublings * (1 + JITTER * this.#random.getNext());
+        this.cancel(upstream);
+        this.#ends.set(upstream, now + durationMs);
+        const call = this.#clock.schedule(durationMs, () => {
+            this.#calls.delete(upstream);
+            onEnd();
+        });
+        this.#calls.set(upstream, call);
+        return durationMs;
+    }
+
+    /**
+     * Cancels the timer of an upstream.
+     * @param upstream - The upstream.
+     */
+    cancel(upstream: PooledUpstream): void {
+        this.#calls.get(upstream)?.cancel();
+        this.#calls.delete(upstream);
+    }
+
+    /** Cancels all timers. */
+    stop(): void {
+        this.#calls.forEach(call => call.cancel());
+        this.#calls.clear();
+    }
+}
--- /dev/null
+++ b/src/services/FairQueue.ts
@@ -0,0 +1,158 @@
+import type { FairQueueItem } from "./FairQueueItem.js";
+
+/** Items of one account that one call may look at, so that a long queue costs no more than a short one. */
+const MAX_LOOKAHEAD = 8;
+
+interface AccountQueue<T> {
+    readonly items: T[];
+    weight: number;
+    /** Virtual time at which the first item may start. */
+    startTag: number;
+}
+
+/** A queue that shares slot time among accounts by their weights (start-time fair queueing). */
+export class FairQueue<T extends FairQueueItem> {
+    readonly #accounts = new Map<string, AccountQueue<T>>();
+    #virtualTime = 0;
+    #size = 0;
+
+    /** Gets the number of items. */
+    getSize(): number {
+        return this.#size;
+    }
+
+    /**
+     * Adds an item behind its account's others.
+     * @param item - The item.
+     */
+    add(item: T): void {
+        const queue = this.#getAccount(item);
+        if (queue.items.length === 0) {
+            queue.startTag = Math.max(queue.startTag, this.#virtualTime);
+        }
+        queue.weight = item.weight;
+        queue.items.push(item);
+        this.#size++;
+    }
+
+    /**
+     * Removes an item; returns whether it was there.
+     * @param item - The item.
+     */
+    remove(item: T): boolean {
+        const queue = this.#accounts.get(item.account);
+        const index = queue?.items.indexOf(item) ?? -1;
+        if (queue === undefined || index < 0) {
+            return false;
+        }
+        queue.items.splice(index, 1);
+        this.#size--;
+        this.#removeIdle();
+        return true;
+    }
+
+    /**
+     * Takes out the next item that may start now: of the account that is most behind its share.
+     * @param isEligible - Whether an item may start now.
+     */
+    select(isEligible: (item: T) => boolean): T | undefined {
+        const waiting = [...this.#accounts.values()].filter(queue => queue.items.length > 0);
+        waiting.sort((left, right) => left.startTag - right.startTag);
+        for (const queue of waiting) {
+            const index = queue.items.slice(0, MAX_LOOKAHEAD).findIndex(isEligible);
+            if (index >= 0) {
+                return this.#removeItem(queue, index);
+            }
+        }
+        return undefined;
+    }
+
+    /**
+     * Records that an item used more or less slot time than expected.
+     * @param account - The account.
+     * @param differenceMs - Used less expected time, in milliseconds.
+     */
+    recordCost(account: string, differenceMs: number): void {
+        const queue = this.#accounts.get(account);
+        if (queue !== undefined) {
+            queue.startTag += differenceMs / queue.weight;
+        }
+    }
+
+    /**
+     * Measures how many items would start before a new item of an account.
+     * @param account - The account.
+     * @param weight - Its weight.
+     */
+    measureAhead(account: string, weight: number): number {
+        const own = this.#accounts.get(account)?.items.length ?? 0;
+        const rounds = (own + 1) / weight;
+        let ahead = own;
+        for (const [name, queue] of this.#accounts) {
+            if (name !== account) {
+                ahead += Math.min(queue.items.length, queue.weight * rounds);
+            }
+        }
+        return ahead;
+    }
+
+    /** Finds the newest item of the account whose queue is longest for its weight. */
+    findNewestOfLongest(): T | undefined {
+        let longest: AccountQueue<T> | undefined;
+        for (const queue of this.#accounts.values()) {
+            if (longest === undefined || getRelativeLength(queue) > getRelativeLength(longest)) {
+                longest = queue;
+            }
+        }
+        return longest?.items.at(-1);
+    }
+
+    /**
+     * Measures how long an account's queue is for its weight.
+     * @param account - The account.
+     */
+    measureRelativeLength(account: string): number {
+        const queue = this.#accounts.get(account);
+        return queue === undefined ? 0 : getRelativeLength(queue);
+    }
+
+    /** Gets all items. */
+    getItems(): readonly T[] {
+        return [...this.#accounts.values()].flatMap(queue => queue.items);
+    }
+
+    #removeItem(queue: AccountQueue<T>, index: number): T {
+        const item = queue.items.splice(index, 1)[0]!;
+        this.#size--;
+        this.#virtualTime = Math.max(this.#virtualTime, queue.startTag);
+        queue.startTag += item.cost / item.weight;
+        this.#removeIdle();
+        return item;
+    }
+
+    #getAccount(item: T): AccountQueue<T> {
+        let queue = this.#accounts.get(item.account);
+        if (queue === undefined) {
+            queue = { items: [], weight: item.weight, startTag: this.#virtualTime };
+            this.#accounts.set(item.account, queue);
+        }
+        return queue;
+    }
+
+    #removeIdle(): void {
+        if (this.#size === 0) {
+            this.#accounts.clear();
+            this.#virtualTime = 0;
+            return;
+        }
+        for (const [name, queue] of this.#accounts) {
+            if (queue.items.length === 0 && queue.startTag <= this.#virtualTime) {
+                this.#accounts.delete(name);
+            }
+        }
+    }
+}
+
+function getRelativeLength<T>(queue: AccountQueue<T>): number {
+    return queue.items.length / queue.weight;
+}
--- /dev/null
+++ b/src/services/HttpUpstreamTransport.ts
@@ -0,0 +1,79 @@
+import type { Upstream } from "../configuration/index.js";
+import type { Clock } from "../time/index.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+import type { UpstreamAnswer } from "./UpstreamAnswer.js";
+import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+import { UpstreamConnections } from "./UpstreamConnections.js";
+import { UpstreamExchange } from "./UpstreamExchange.js";
+import type { UpstreamSendOptions } from "./UpstreamSendOptions.js";
+import type { UpstreamTransport } from "./UpstreamTransport.js";
+
+/** Sends requests to upstreams by HTTP/1.1, one request at a time on each connection. */
+export class HttpUpstreamTransport implements UpstreamTransport {
+    readonly #clock: Clock;
+    readonly #connections = new Map<string, UpstreamConnections>();
+
+    /** @param clock - The source of time. */
+    constructor(clock: Clock) {
+        this.#clock = clock;
+    }
+
+    /**
+     * Sends one request; never rejects.
+     * @param upstream - Where to.
+     * @param request - What to send.
+     * @param options - Limits of this attempt.
+     */
+    async send(
+        upstream: Upstream,
+        request: ServiceRequest,
+        options: UpstreamSendOptions,
+    ): Promise<UpstreamAnswer> {
+        if (options.signal.aborted) {
+            return { kind: UpstreamAnswerKind.ConnectFailed, detail: "The request was cancelled before it was sent." };
+        }
+        const connections = this.#getConnections(upstream);
+        const connection = connections.claim(upstream, options.freshConnection);
+        if (connection === undefined) {
+            return { kind: UpstreamAnswerKind.ConnectFailed, detail: "All connections to the upstream are in use." };
+        }
+        const exchange = new UpstreamExchange(connection, request, {
+            clock: this.#clock,
+            firstByteTimeoutMs: options.firstByteTimeoutMs,
+            signal: options.signal,
+            onEnd: isWhole => isWhole ? connections.release(connection) : connections.remove(connection),
+        });
+        return await exchange.run();
+    }
+
+    /**
+     * Closes idle connections to an upstream, for example after one of them has gone silent.
+     * @param upstream - The upstream.
+     */
+    closeIdle(upstream: Upstream): void {
+        this.#connections.get(upstream.address)?.closeIdle();
+    }
+
+    /** Closes all connections, cutting what runs on them. */
+    close(): void {
+        this.#connections.forEach(connections => connections.close());
+        this.#connections.clear();
+    }
+
+    /**
+     * Gets the number of connections to an upstream, idle and busy.
+     * @param upstream - The upstream.
+     */
+    getConnectionCount(upstream: Upstream): number {
+        return this.#connections.get(upstream.address)?.getCount() ?? 0;
+    }
+
+    #getConnections(upstream: Upstream): UpstreamConnections {
+        let connections = this.#connections.get(upstream.address);
+        if (connections === undefined) {
+            connections = new UpstreamConnections(upstream.address, this.#clock);
+            this.#connections.set(upstream.address, connections);
+        }
+        return connections;
+    }
+}
--- /dev/null
+++ b/src/services/KeptOutcome.ts
@@ -0,0 +1,18 @@
+import type { HeaderFields, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+
+/** An outcome as JSON values, kept for a while. */
+export type KeptOutcome =
+    | {
+        readonly kind: OutcomeKind.Done;
+        readonly status: number;
+        readonly headers: HeaderFields;
+        /** The body in base64; undefined if it was too large to keep. */
+        readonly body?: string;
+    }
+    | {
+        readonly kind: OutcomeKind.NotRun;
+        readonly reason: RefusalReason;
+        readonly detail: string;
+        readonly retryAfterMs?: number;
+    }
+    | { readonly kind: OutcomeKind.Unknown; readonly reason: UnknownReason; readonly detail: string; };
--- /dev/null
+++ b/src/services/PooledUpstream.ts
@@ -0,0 +1,176 @@
+import { interpret } from "robot3";
+import type { Service as MachineService } from "robot3";
+import type { Upstream } from "../configuration/index.js";
+import type { Clock } from "../time/index.js";
+import { createUpstreamMachine } from "./createUpstreamMachine.js";
+import { ProbationTest } from "./ProbationTest.js";
+import type { UpstreamDetector } from "./UpstreamDetector.js";
+import type { UpstreamEvent } from "./UpstreamEvent.js";
+import { UpstreamState } from "./UpstreamState.js";
+import { UpstreamStatistics } from "./UpstreamStatistics.js";
+
+type Machine = ReturnType<typeof createUpstreamMachine>;
+
+/** An upstream of a pool: its lifecycle, its used slots and what is known of its health. */
+export class PooledUpstream {
+    readonly statistics = new UpstreamStatistics();
+    readonly detector: UpstreamDetector;
+    probation = new ProbationTest();
+    /** Ejections of late that followed each other closely. */
+    ejections = 0;
+    /** When it came back last, in milliseconds. */
+    restoredTime = Number.NEGATIVE_INFINITY;
+    /** Whether its last attempt could not open a connection. */
+    isConnectFailing = false;
+    /** Why it is in its state. */
+    reason = "";
+    readonly #clock: Clock;
+    readonly #machine: MachineService<Machine>;
+    #upstream: Upstream;
+    #running = 0;
+    #since: number;
+    #rampSlots = 1;
+    #rampAnswers = 0;
+    #shedUntil = Number.NEGATIVE_INFINITY;
+
+    /**
+     * @param upstream - The upstream as configured.
+     * @param initial - The state that it begins in.
+     * @param detector - Judges it.
+     * @param clock - The source of time.
+     */
+    constructor(upstream: Upstream, initial: UpstreamState, detector: UpstreamDetector, clock: Clock) {
+        this.#upstream = upstream;
+        this.detector = detector;
+        this.#clock = clock;
+        this.#since = clock.getTime();
+        this.#machine = interpret(createUpstreamMachine(initial), () => {});
+    }
+
+    /** Gets the upstream as configured. */
+    getUpstream(): Upstream {
+        return this.#upstream;
+    }
+
+    /**
+     * Applies a change of the configuration.
+     * @param upstream - The upstream as configured now.
+     */
+    apply(upstream: Upstream): void {
+        this.#upstream = upstream;
+    }
+
+    /** Gets where it stands in its life. */
+    getState(): UpstreamState {
+        return this.#machine.machine.current as UpstreamState;
+    }
+
+    /** Gets the wall-clock time at which its state began, in milliseconds since the Unix epoch. */
+    getSince(): number {
+        return this.#clock.getWallTime() - (this.#clock.getTime() - this.#since);
+    }
+
+    /**
+     * Sends an event to the lifecycle; returns whether the state changed.
+     * @param event - The event.
+     * @param reason - Why.
+     */
+    send(event: UpstreamEvent, reason: string): boolean {
+        const before = this.getState();
+        this.#machine.send({ type: event } as never);
+        const after = this.getState();
+        if (before === after) {
+            return false;
+        }
+        this.reason = reason;
+        this.#since = this.#clock.getTime();
+        this.#startState(after);
+        return true;
+    }
+
+    /** Gets the number of slots in use. */
+    getRunning(): number {
+        return this.#running;
+    }
+
+    /** Gets the number of slots that may be used now. */
+    getLimit(): number {
+        switch (this.getState()) {
+            case UpstreamState.Healthy:
+            case UpstreamState.Suspected:
+            case UpstreamState.Held:
+                return this.#upstream.slots;
+            case UpstreamState.Ramping:
+                return Math.min(this.#rampSlots, this.#upstream.slots);
+            case UpstreamState.Probation:
+                return 1;
+            case UpstreamState.Ejected:
+            case UpstreamState.Draining:
+                return 0;
+        }
+    }
+
+    /** Whether one more request may be sent to it now. */
+    hasFreeSlot(): boolean {
+        return this.#running < this.getLimit() && this.#clock.getTime() >= this.#shedUntil;
+    }
+
+    /** Whether it counts as healthy capacity. */
+    isWorking(): boolean {
+        const state = this.getState();
+        return state !== UpstreamState.Ejected && state !== UpstreamState.Draining &&
+            state !== UpstreamState.Probation;
+    }
+
+    /** Uses a slot. */
+    claim(): void {
+        this.#running++;
+    }
+
+    /** Gives a slot back. */
+    release(): void {
+        this.#running--;
+    }
+
+    /**
+     * Records that it shed load; it gets no work for a while.
+     * @param pauseMs - For how long, in milliseconds.
+     */
+    recordShed(pauseMs: number): void {
+        this.#shedUntil = this.#clock.getTime() + pauseMs;
+    }
+
+    /** Records an answer that came in time; returns whether the ramp has reached all slots. */
+    recordRampAnswer(): boolean {
+        this.#rampAnswers++;
+        if (this.#rampAnswers >= this.#rampSlots) {
+            this.#rampAnswers = 0;
+            this.#rampSlots++;
+        }
+        return this.#rampSlots > this.#upstream.slots;
+    }
+
+    /** Gets how long it has been in its state, in milliseconds. */
+    getStateAge(): number {
+        return this.#clock.getTime() - this.#since;
+    }
+
+    #startState(state: UpstreamState): void {
+        switch (state) {
+            case UpstreamState.Probation:
+                this.probation = new ProbationTest();
+                break;
+            case UpstreamState.Ramping:
+                this.#rampSlots = 1;
+                this.#rampAnswers = 0;
+                this.detector.restore();
+                break;
+            case UpstreamState.Healthy:
+            case UpstreamState.Suspected:
+            case UpstreamState.Held:
+            case UpstreamState.Ejected:
+            case UpstreamState.Draining:
+                break;
+        }
+    }
+}
--- /dev/null
+++ b/src/services/ProbationTest.ts
@@ -0,0 +1,27 @@
+import { ProbationVerdict } from "./ProbationVerdict.js";
+
+const TRIALS_TO_PASS = 8;
+const MAX_SLOW_TRIALS = 4;
+
+/** Judges an upstream by a few trial lookups. */
+export class ProbationTest {
+    #passed = 0;
+    #slow = 0;
+
+    /**
+     * Records a trial and returns the verdict so far.
+     * @param isFailure - Whether it failed.
+     * @param isSlow - Whether it was slow against the siblings.
+     */
+    record(isFailure: boolean, isSlow: boolean): ProbationVerdict {
+        if (isFailure) {
+            return ProbationVerdict.Failed;
+        }
+        if (isSlow) {
+            this.#slow++;
+            return this.#slow >= MAX_SLOW_TRIALS ? ProbationVerdict.Failed : ProbationVerdict.Open;
+        }
+        this.#passed++;
+        return this.#passed >= TRIALS_TO_PASS ? ProbationVerdict.Passed : ProbationVerdict.Open;
+    }
+}
--- /dev/null
+++ b/src/services/ProbationVerdict.ts
@@ -0,0 +1,6 @@
+/** What the trial lookups have shown. */
+export enum ProbationVerdict {
+    Open = "open",
+    Passed = "passed",
+    Failed = "failed",
+}
--- /dev/null
+++ b/src/services/RemoveCrashResult.ts
@@ -0,0 +1,4 @@
+/** Acknowledges that crashes were removed. */
+export interface RemoveCrashResult {
+    readonly requestId: string;
+}
--- /dev/null
+++ b/src/services/ServiceHost.ts
@@ -0,0 +1,202 @@
+import type { Configuration, Service, Upstream } from "../configuration/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { PeerMethod } from "../peers/index.js";
+import { BaselineSharer } from "./BaselineSharer.js";
+import { EjectionPolicy } from "./EjectionPolicy.js";
+import { FoundState } from "./FoundState.js";
+import { OutcomeMemory } from "./OutcomeMemory.js";
+import { restoreOutcome } from "./restoreOutcome.js";
+import type { ServiceAnswer } from "./ServiceAnswer.js";
+import type { ServiceHostOptions } from "./ServiceHostOptions.js";
+import { ServicePool } from "./ServicePool.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+import type { ServiceRunner } from "./ServiceRunner.js";
+import type { ShareBaselineParams } from "./ShareBaselineParams.js";
+import type { UpstreamStatus } from "./UpstreamStatus.js";
+
+const SHARE_INTERVAL_MS = 5_000;
+const DEFAULT_WEIGHT = 1;
+const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
+
+interface HostedPool {
+    readonly service: string;
+    readonly zone: string;
+    readonly pool: ServicePool;
+}
+
+/** An entry host in its role as service host: queues requests, selects upstreams and judges them. */
+export class ServiceHost implements ServiceRunner {
+    readonly #options: ServiceHostOptions;
+    readonly #outcomes: OutcomeMemory;
+    readonly #sharer: BaselineSharer;
+    readonly #pools = new Map<string, HostedPool>();
+    #configuration: Configuration | undefined;
+    #isStopping = false;
+    #task = new AbortController();
+
+    /** @param options - What the service host is made of. */
+    constructor(options: ServiceHostOptions) {
+        this.#options = options;
+        this.#outcomes = new OutcomeMemory(options.clock);
+        this.#sharer = new BaselineSharer(options.membership, options.peers);
+        options.handlers.add(PeerMethod.ShareBaseline, params => this.#recordBaseline(params));
+        options.handlers.add(PeerMethod.FindOutcome, params => this.#outcomes.claim(params));
+        options.handlers.add(PeerMethod.RemoveCrash, ({ requestId }) => {
+            this.removeCrash(requestId);
+            return { requestId };
+        });
+    }
+
+    /** Starts sharing baselines with the other service hosts. */
+    start(): void {
+        this.#task = new AbortController();
+        void this.#runSharing(this.#task.signal);
+    }
+
+    /**
+     * Applies a version of the configuration.
+     * @param configuration - The version.
+     */
+    apply(configuration: Configuration): void {
+        this.#configuration = configuration;
+        for (const [key, { service, zone, pool }] of this.#pools) {
+            const configured = configuration.getService(service);
+            pool.apply(configured ?? pool.getService(), findUpstreams(configured, zone));
+            if (configured === undefined) {
+                pool.stop();
+                this.#pools.delete(key);
+            }
+        }
+    }
+
+    /**
+     * Runs one attempt; never rejects.
+     * @param request - The request.
+     * @param signal - Aborted when the caller has left or given up.
+     */
+    async run(request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
+        const known = request.isIdempotent ? undefined : this.#findKnown(request.requestId);
+        if (known !== undefined) {
+            return known;
+        }
+        if (this.#isStopping) {
+            return createAnswer(createNotRun(RefusalReason.HostStopping, "The service host is stopping.", 0));
+        }
+        const pool = this.#getPool(request);
+        if (pool === undefined) {
+            const detail = "The service has no upstream in this zone.";
+            return createAnswer(createNotRun(RefusalReason.NoUpstream, detail, NO_UPSTREAM_RETRY_AFTER_MS));
+        }
+        if (!request.isIdempotent) {
+            this.#outcomes.recordStart(request.requestId);
+        }
+        return await pool.run(request, signal);
+    }
+
+    /**
+     * Removes the evidence of a crash that a quarantined request has caused.
+     * @param requestId - The request.
+     */
+    removeCrash(requestId: string): void {
+        this.#pools.forEach(({ pool }) => pool.removeCrash(requestId));
+    }
+
+    /** Takes no more requests and waits until those it has are finished. */
+    async drain(): Promise<void> {
+        this.#isStopping = true;
+        await Promise.all([...this.#pools.values()].map(({ pool }) => pool.drain()));
+    }
+
+    /** Stops at once; what waits is refused as not run. */
+    stop(): void {
+        this.#isStopping = true;
+        this.#task.abort();
+        this.#pools.forEach(({ pool }) => pool.stop());
+    }
+
+    /** Gets what operators see of the upstreams that this host serves. */
+    getStatus(): readonly UpstreamStatus[] {
+        return [...this.#pools.values()].flatMap(({ pool }) => pool.getStatus());
+    }
+
+    async #runSharing(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.#options.clock.wait(SHARE_INTERVAL_MS, signal).catch(() => {});
+            const configuration = this.#configuration;
+            if (!signal.aborted && configuration !== undefined) {
+                const pools = [...this.#pools.values()];
+                await Promise.all(
+                    pools.map(({ pool, service, zone }) => this.#sharer.send(pool, service, zone, configuration)),
+                );
+            }
+        }
+    }
+
+    #recordBaseline(params: ShareBaselineParams): { isUsed: boolean; } {
+        let isUsed = false;
+        for (const { service, pool } of this.#pools.values()) {
+            if (service === params.service) {
+                pool.baseline.recordRemote(params.zone, params.upstreams);
+                isUsed = true;
+            }
+        }
+        return { isUsed };
+    }
+
+    #findKnown(requestId: string): ServiceAnswer | undefined {
+        const found = this.#outcomes.find(requestId);
+        switch (found?.state) {
+            case undefined:
+                return undefined;
+            case FoundState.Running:
+                return createAnswer(createUnknown(UnknownReason.StillRunning, "The request is running already."));
+            case FoundState.Finished:
+                return found.outcome.kind === OutcomeKind.NotRun
+                    ? undefined
+                    : createAnswer(restoreOutcome(found.outcome));
+            case FoundState.NeverSeen:
+                return createAnswer(
+                    createNotRun(RefusalReason.HostUnreachable, "The request was given up before it came.", 0),
+                );
+            case FoundState.Forgotten:
+                return undefined;
+        }
+    }
+
+    #getPool(request: ServiceRequest): ServicePool | undefined {
+        const key = `${request.zone}/${request.service}`;
+        const hosted = this.#pools.get(key);
+        if (hosted !== undefined) {
+            return hosted.pool;
+        }
+        const service = this.#configuration?.getService(request.service);
+        if (service === undefined || findUpstreams(service, request.zone).length === 0) {
+            return undefined;
+        }
+        const pool = this.#createPool(service, request.zone);
+        this.#pools.set(key, { service: service.name, zone: request.zone, pool });
+        return pool;
+    }
+
+    #createPool(service: Service, zone: string): ServicePool {
+        const { clock, random, transport, decisions, policy } = this.#options;
+        return new ServicePool(service, zone, {
+            clock,
+            random,
+            transport,
+            decisions,
+            policy: policy ?? EjectionPolicy.Sequential,
+            outcomes: this.#outcomes,
+            getWeight: account => this.#configuration?.getAccount(account)?.rate ?? DEFAULT_WEIGHT,
+        });
+    }
+}
+
+function findUpstreams(service: Service | undefined, zone: string): readonly Upstream[] {
+    return service?.upstreams.filter(upstream => upstream.zone === zone) ?? [];
+}
+
+function createAnswer(outcome: Outcome): ServiceAnswer {
+    return { outcome, upstream: undefined, isCrashSuspected: false, freeSlots: 0, queued: 0 };
+}
--- /dev/null
+++ b/src/services/ServiceHostOptions.ts
@@ -0,0 +1,20 @@
+import type { DecisionLog } from "../logging/index.js";
+import type { Membership } from "../membership/index.js";
+import type { PeerHandlers, PeerTransport } from "../peers/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { Clock } from "../time/index.js";
+import type { EjectionPolicy } from "./EjectionPolicy.js";
+import type { UpstreamTransport } from "./UpstreamTransport.js";
+
+/** What a service host is made of. */
+export interface ServiceHostOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly transport: UpstreamTransport;
+    readonly handlers: PeerHandlers;
+    readonly peers: PeerTransport;
+    readonly membership: Membership;
+    readonly decisions: DecisionLog;
+    /** How upstreams are chosen and judged; sequential unless it is given. */
+    readonly policy?: EjectionPolicy;
+}
--- /dev/null
+++ b/src/services/ServicePool.ts
@@ -0,0 +1,277 @@
+import { finished } from "node:stream";
+import type { Service, Upstream } from "../configuration/index.js";
+import { AnswerCutError } from "../errors/index.js";
+import { Decision } from "../logging/index.js";
+import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
+import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { AttemptRunner } from "./AttemptRunner.js";
+import { createKeptBody } from "./createKeptBody.js";
+import { createKeptOutcome } from "./createKeptOutcome.js";
+import { createObservation } from "./createObservation.js";
+import { createOutcome } from "./createOutcome.js";
+import { createStatus } from "./createStatus.js";
+import { FirstByteLimit } from "./FirstByteLimit.js";
+import { ObservationKind } from "./ObservationKind.js";
+import { PooledUpstream } from "./PooledUpstream.js";
+import type { ServiceAnswer } from "./ServiceAnswer.js";
+import { ServiceBaseline } from "./ServiceBaseline.js";
+import type { ServicePoolOptions } from "./ServicePoolOptions.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+import { SlotQueue } from "./SlotQueue.js";
+import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+import type { UpstreamAttempt } from "./UpstreamAttempt.js";
+import { UpstreamJudge } from "./UpstreamJudge.js";
+import { UpstreamSelector } from "./UpstreamSelector.js";
+import { UpstreamSet } from "./UpstreamSet.js";
+import type { UpstreamStatus } from "./UpstreamStatus.js";
+
+const MAX_KEPT_BODY_BYTES = 64 * 1024;
+const SHED_PAUSE_MS = 100;
+const MAX_SHED_PAUSE_MS = 5_000;
+const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
+
+/** The upstreams of a service in one zone with their queue. */
+export class ServicePool {
+    /** How the upstreams fare, here and elsewhere. */
+    readonly baseline: ServiceBaseline;
+    readonly #options: ServicePoolOptions;
+    readonly #selector: UpstreamSelector;
+    readonly #limit = new FirstByteLimit();
+    readonly #queue: SlotQueue;
+    readonly #judge: UpstreamJudge;
+    readonly #runner: AttemptRunner;
+    readonly #upstreams: UpstreamSet;
+    #service: Service;
+    #working = 0;
+    #onIdle: (() => void)[] = [];
+
+    /**
+     * @param service - The service as configured.
+     * @param zone - The availability zone of the upstreams.
+     * @param options - What the pool is made of.
+     */
+    constructor(service: Service, zone: string, options: ServicePoolOptions) {
+        const { clock, random, decisions, policy, transport } = options;
+        this.#service = service;
+        this.#options = options;
+        this.baseline = new ServiceBaseline(clock);
+        this.#selector = new UpstreamSelector(policy, random);
+        this.#queue = new SlotQueue({
+            clock,
+            selector: this.#selector,
+            limit: this.#limit,
+            getSlots: () => this.#upstreams.getSlots(),
+            getCapacity: () => this.#upstreams.getSlots() * this.#service.queuePerSlot,
+        });
+        const judgeOptions = { clock, random, decisions, policy, baseline: this.baseline };
+        this.#judge = new UpstreamJudge(service, { ...judgeOptions, onCapacity: () => this.#queue.run() });
+        this.#runner = new AttemptRunner(clock, transport, decisions);
+        this.#upstreams = new UpstreamSet({ clock, decisions, transport, policy });
+        this.apply(service, service.upstreams.filter(upstream => upstream.zone === zone));
+    }
+
+    /**
+     * Applies a change of the configuration.
+     * @param service - The service as configured now.
+     * @param upstreams - Its upstreams in this zone.
+     */
+    apply(service: Service, upstreams: readonly Upstream[]): void {
+        this.#service = service;
+        this.#upstreams.apply(service, upstreams);
+        const pooled = this.#upstreams.getAll();
+        this.#selector.apply(pooled);
+        this.baseline.apply(pooled);
+        this.#judge.apply(service, pooled);
+        this.#queue.run();
+    }
+
+    /**
+     * Runs one attempt; never rejects.
+     * @param request - The request.
+     * @param signal - Aborted when the caller has left.
+     */
+    async run(request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
+        this.#working++;
+        const start = this.#options.clock.getTime();
+        const slot = signal.aborted
+            ? createNotRun(RefusalReason.DeadlineExceeded, "The caller left before the request was sent.")
+            : await this.#claimSlot(request, signal);
+        if (!(slot instanceof PooledUpstream)) {
+            this.#recordFinish();
+            return this.#createAnswer(this.#refuse(request, slot), undefined, false);
+        }
+        const outcome = await this.#runOn(slot, request, start + request.timeoutMs, signal);
+        const isLost = outcome.kind === OutcomeKind.Unknown && outcome.reason === UnknownReason.ConnectionLost;
+        return this.#createAnswer(outcome, slot, isLost);
+    }
+
+    /**
+     * Removes the evidence of a crash that a quarantined request has caused.
+     * @param requestId - The request.
+     */
+    removeCrash(requestId: string): void {
+        this.#judge.removeCrash(requestId);
+        this.#queue.run();
+    }
+
+    /** Gets the service as configured. */
+    getService(): Service {
+        return this.#service;
+    }
+
+    /** Waits until nothing waits or runs. */
+    async drain(): Promise<void> {
+        if (this.#working > 0) {
+            await new Promise<void>(resolve => this.#onIdle.push(resolve));
+        }
+    }
+
+    /** Stops the timers and refuses what waits. */
+    stop(): void {
+        this.#judge.stop();
+        this.#queue.refuse(() => true, createNotRun(RefusalReason.HostStopping, "The host is stopping.", 0));
+    }
+
+    /** Gets what operators see. */
+    getStatus(): readonly UpstreamStatus[] {
+        return this.#upstreams.getAll().map(pooled => createStatus(pooled, this.#service.name));
+    }
+
+    async #claimSlot(request: ServiceRequest, signal: AbortSignal): Promise<PooledUpstream | NotRunOutcome> {
+        if (!this.#selector.hasCandidate(request)) {
+            return createNotRun(RefusalReason.NoUpstream, "No upstream can run it now.", NO_UPSTREAM_RETRY_AFTER_MS);
+        }
+        return await this.#queue.wait(request, this.#options.getWeight(request.account), signal);
+    }
+
+    async #runOn(
+        pooled: PooledUpstream,
+        request: ServiceRequest,
+        deadline: number,
+        signal: AbortSignal,
+    ): Promise<Outcome> {
+        const start = this.#options.clock.getTime();
+        const expectedMs = this.#queue.getSlotTime();
+        const attempt = await this.#runner.run(pooled.getUpstream(), request, deadline, this.#limit, signal);
+        const release = (): void => {
+            this.#queue.recordSlotTime(request.account, expectedMs, this.#options.clock.getTime() - start);
+            this.#release(pooled);
+        };
+        this.#recordHead(pooled, request, attempt);
+        if (attempt.answer.kind !== UpstreamAnswerKind.Answered) {
+            const outcome = createOutcome(attempt.answer);
+            this.#recordEnd(request, pooled, outcome, undefined);
+            release();
+            return outcome;
+        }
+        return this.#createDone(pooled, request, attempt, signal, release);
+    }
+
+    #createDone(
+        pooled: PooledUpstream,
+        request: ServiceRequest,
+        attempt: UpstreamAttempt,
+        signal: AbortSignal,
+        release: () => void,
+    ): Outcome {
+        const outcome = createOutcome(attempt.answer);
+        if (outcome.kind !== OutcomeKind.Done) {
+            return outcome;
+        }
+        finished(outcome.body, error => {
+            this.#recordBodyEnd(pooled, request, attempt, error ?? undefined);
+            release();
+        });
+        if (request.isIdempotent) {
+            return outcome;
+        }
+        const recordEnd = (body: Buffer | undefined, error: Error | undefined): void => {
+            const end = error === undefined
+                ? outcome
+                : createUnknown(UnknownReason.ConnectionLost, "The upstream's answer was cut.");
+            this.#recordEnd(request, pooled, end, body);
+        };
+        return {
+            ...outcome,
+            body: createKeptBody(outcome.body, { maxBytes: MAX_KEPT_BODY_BYTES, signal, onEnd: recordEnd }),
+        };
+    }
+
+    #recordHead(pooled: PooledUpstream, request: ServiceRequest, attempt: UpstreamAttempt): void {
+        if (attempt.answer.kind === UpstreamAnswerKind.Shed) {
+            const pauseMs = Math.min(attempt.answer.retryAfterMs ?? SHED_PAUSE_MS, MAX_SHED_PAUSE_MS);
+            pooled.recordShed(pauseMs);
+            this.#options.clock.schedule(pauseMs, () => this.#queue.run());
+        }
+        if (
+            attempt.answer.kind === UpstreamAnswerKind.Answered || attempt.answer.kind === UpstreamAnswerKind.TimedOut
+        ) {
+            this.#limit.record(attempt.latencyMs);
+        }
+        const slowMs = this.#service.detection.slowFactor * (this.baseline.getRates(pooled).medianMs ?? 0);
+        const observation = createObservation(attempt, request.requestId, slowMs);
+        if (observation !== undefined) {
+            this.#judge.record(pooled, observation);
+        }
+    }
+
+    #recordBodyEnd(
+        pooled: PooledUpstream,
+        request: ServiceRequest,
+        attempt: UpstreamAttempt,
+        error: Error | undefined,
+    ): void {
+        const isFailed = createObservation(attempt, request.requestId, 0) !== undefined;
+        const isLeft = error !== undefined && !(error instanceof AnswerCutError);
+        if (isFailed || isLeft) {
+            return;
+        }
+        const { requestId } = request;
+        const { latencyMs } = attempt;
+        const observation = error === undefined
+            ? { kind: ObservationKind.Success, requestId, latencyMs, detail: "answered" }
+            : { kind: ObservationKind.Failure, requestId, latencyMs, detail: "cut answer" };
+        this.#judge.record(pooled, observation);
+    }
+
+    #recordEnd(request: ServiceRequest, pooled: PooledUpstream, outcome: Outcome, body: Buffer | undefined): void {
+        if (!request.isIdempotent) {
+            const { name } = pooled.getUpstream();
+            this.#options.outcomes.recordEnd(request.requestId, createKeptOutcome(outcome, body), name);
+        }
+    }
+
+    #refuse(request: ServiceRequest, outcome: NotRunOutcome): NotRunOutcome {
+        if (!request.isIdempotent) {
+            this.#options.outcomes.recordEnd(request.requestId, createKeptOutcome(outcome, undefined), undefined);
+        }
+        const { requestId, account, service } = request;
+        this.#options.decisions.record({
+            decision: Decision.Refused,
+            reason: outcome.reason,
+            requestId,
+            account,
+            service,
+        });
+        return outcome;
+    }
+
+    #release(pooled: PooledUpstream): void {
+        this.#upstreams.release(pooled);
+        this.#queue.run();
+        this.#recordFinish();
+    }
+
+    #recordFinish(): void {
+        this.#working--;
+        if (this.#working === 0) {
+            this.#onIdle.splice(0).forEach(resolve => resolve());
+        }
+    }
+
+    #createAnswer(outcome: Outcome, pooled: PooledUpstream | undefined, isCrashSuspected: boolean): ServiceAnswer {
+        const freeSlots = this.#upstreams.getFreeSlots();
+        const upstream = pooled?.getUpstream().name;
+        return { outcome, upstream, isCrashSuspected, freeSlots, queued: this.#queue.getSize() };
+    }
+}
--- /dev/null
+++ b/src/services/ServicePoolOptions.ts
@@ -0,0 +1,18 @@
+import type { DecisionLog } from "../logging/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { Clock } from "../time/index.js";
+import type { EjectionPolicy } from "./EjectionPolicy.js";
+import type { OutcomeMemory } from "./OutcomeMemory.js";
+import type { UpstreamTransport } from "./UpstreamTransport.js";
+
+/** What a pool of upstreams is made of. */
+export interface ServicePoolOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly transport: UpstreamTransport;
+    readonly decisions: DecisionLog;
+    readonly policy: EjectionPolicy;
+    readonly outcomes: OutcomeMemory;
+    /** Gets an account's share of the slots relative to others, above 0. */
+    readonly getWeight: (account: string) => number;
+}
--- /dev/null
+++ b/src/services/ShareBaselineResult.ts
@@ -0,0 +1,5 @@
+/** Acknowledges a summary. */
+export interface ShareBaselineResult {
+    /** Whether the receiver serves that service too. */
+    readonly isUsed: boolean;
+}
--- /dev/null
+++ b/src/services/SlotQueue.ts
@@ -0,0 +1,160 @@
+import type { NotRunOutcome } from "../outcomes/index.js";
+import { createNotRun, RefusalReason } from "../outcomes/index.js";
+import { FairQueue } from "./FairQueue.js";
+import type { PooledUpstream } from "./PooledUpstream.js";
+import type { QueuedRequest } from "./QueuedRequest.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+import type { SlotQueueOptions } from "./SlotQueueOptions.js";
+
+/** Weight of a new sample in the mean slot time. */
+const SMOOTHING = 1 / 32;
+const DEFAULT_SLOT_TIME_MS = 10;
+const MIN_RETRY_AFTER_MS = 100;
+
+/** Lets requests wait for slots, fairly among accounts and no longer than is of use. */
+export class SlotQueue {
+    readonly #options: SlotQueueOptions;
+    readonly #queue = new FairQueue<QueuedRequest>();
+    #slotTimeMs = DEFAULT_SLOT_TIME_MS;
+    #hasSlotTime = false;
+
+    /** @param options - What the queue is made of. */
+    constructor(options: SlotQueueOptions) {
+        this.#options = options;
+    }
+
+    /** Gets the number of requests that wait. */
+    getSize(): number {
+        return this.#queue.getSize();
+    }
+
+    /**
+     * Waits for a slot; returns the upstream whose slot was claimed, or a refusal.
+     * @param request - The request.
+     * @param weight - The account's share relative to others.
+     * @param signal - Ends the wait at once.
+     */
+    async wait(
+        request: ServiceRequest,
+        weight: number,
+        signal: AbortSignal,
+    ): Promise<PooledUpstream | NotRunOutcome> {
+        const refusal = this.#checkTime(request, weight) ?? this.#checkRoom(request, weight);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        return await new Promise(resolve => this.#add(request, weight, signal, resolve));
+    }
+
+    /** Starts as many waiting requests as there are free slots for. */
+    run(): void {
+        while (this.#queue.getSize() > 0 && this.#options.selector.hasFreeSlot()) {
+            let upstream: PooledUpstream | undefined;
+            const item = this.#queue.select(candidate => {
+                upstream = this.#options.selector.select(candidate.request);
+                return upstream !== undefined;
+            });
+            if (item === undefined || upstream === undefined) {
+                return;
+            }
+            upstream.claim();
+            item.resolve(upstream);
+        }
+    }
+
+    /**
+     * Records how long a request used its slot.
+     * @param account - The account.
+     * @param expectedMs - The time that was expected, in milliseconds.
+     * @param usedMs - The time that it used, in milliseconds.
+     */
+    recordSlotTime(account: string, expectedMs: number, usedMs: number): void {
+        this.#slotTimeMs = this.#hasSlotTime ? this.#slotTimeMs + SMOOTHING * (usedMs - this.#slotTimeMs) : usedMs;
+        this.#hasSlotTime = true;
+        this.#queue.recordCost(account, usedMs - expectedMs);
+    }
+
+    /** Gets the mean slot time of a request in milliseconds. */
+    getSlotTime(): number {
+        return this.#slotTimeMs;
+    }
+
+    /**
+     * Refuses the requests that wait and match.
+     * @param isRefused - Which to refuse.
+     * @param refusal - What they get.
+     */
+    refuse(isRefused: (request: ServiceRequest) => boolean, refusal: NotRunOutcome): void {
+        this.#queue.getItems().filter(item => isRefused(item.request)).forEach(item => item.resolve(refusal));
+    }
+
+    #add(
+        request: ServiceRequest,
+        weight: number,
+        signal: AbortSignal,
+        resolve: (result: PooledUpstream | NotRunOutcome) => void,
+    ): void {
+        const { clock, limit } = this.#options;
+        const cancel = (): void =>
+            item.resolve(createNotRun(RefusalReason.DeadlineExceeded, "The caller left while the request waited."));
+        const timer = clock.schedule(
+            Math.max(0, request.timeoutMs - limit.getFastest()),
+            () => item.resolve(this.#createLate(this.#slotTimeMs)),
+        );
+        const item: QueuedRequest = {
+            account: request.account,
+            weight,
+            cost: this.#slotTimeMs,
+            request,
+            resolve: result => {
+                this.#queue.remove(item);
+                timer.cancel();
+                signal.removeEventListener("abort", cancel);
+                resolve(result);
+            },
+        };
+        signal.addEventListener("abort", cancel, { once: true });
+        this.#queue.add(item);
+        this.run();
+    }
+
+    #checkTime(request: ServiceRequest, weight: number): NotRunOutcome | undefined {
+        const fastestMs = this.#options.limit.getFastest();
+        if (request.timeoutMs < fastestMs) {
+            return this.#createLate(this.#slotTimeMs);
+        }
+        const canWait = !this.#options.selector.hasFreeSlot() || this.#queue.getSize() > 0;
+        const waitMs = canWait && this.#hasSlotTime ? this.#measureWait(request.account, weight) : 0;
+        return waitMs + fastestMs > request.timeoutMs ? this.#createLate(waitMs) : undefined;
+    }
+
+    #checkRoom(request: ServiceRequest, weight: number): NotRunOutcome | undefined {
+        const size = this.#queue.getSize();
+        if (size < this.#options.getCapacity() || (size === 0 && this.#options.selector.hasFreeSlot())) {
+            return undefined;
+        }
+        const newest = this.#queue.findNewestOfLongest();
+        const own = this.#queue.measureRelativeLength(request.account) + 1 / weight;
+        const longest = newest === undefined ? 0 : this.#queue.measureRelativeLength(newest.account);
+        if (newest === undefined || own >= longest) {
+            return this.#createFull(request.account, weight);
+        }
+        newest.resolve(this.#createFull(newest.account, newest.weight));
+        return undefined;
+    }
+
+    #measureWait(account: string, weight: number): number {
+        const slots = Math.max(1, this.#options.getSlots());
+        return this.#queue.measureAhead(account, weight) * this.#slotTimeMs / slots;
+    }
+
+    #createLate(waitMs: number): NotRunOutcome {
+        const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
+        return createNotRun(RefusalReason.Overloaded, "No slot would be free before the deadline.", retryAfterMs);
+    }
+
+    #createFull(account: string, weight: number): NotRunOutcome {
+        const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(this.#measureWait(account, weight)));
+        return createNotRun(RefusalReason.Overloaded, "The account's share of the queue is full.", retryAfterMs);
+    }
+}
--- /dev/null
+++ b/src/services/UpstreamExchange.ts
@@ -0,0 +1,175 @@
+import { Readable } from "node:stream";
+import type { Dispatcher } from "undici";
+import type { IncomingHttpHeaders } from "undici/types/header.js";
+import { AnswerCutError } from "../errors/index.js";
+import type { HeaderFields } from "../outcomes/index.js";
+import type { ScheduledCall } from "../time/index.js";
+import { createUpstreamHeaders } from "./createUpstreamHeaders.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+import type { UpstreamAnswer } from "./UpstreamAnswer.js";
+import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+import type { UpstreamConnection } from "./UpstreamConnection.js";
+import type { UpstreamExchangeOptions } from "./UpstreamExchangeOptions.js";
+
+const NOT_RUN_HEADER = "x-request-not-run";
+const SHED_STATUSES = new Set([429, 503]);
+const BODILESS_STATUSES = new Set([204, 304]);
+const HOP_BY_HOP_FIELDS = new Set(["connection", "keep-alive", "proxy-connection", "trailer", "transfer-encoding"]);
+const MS_PER_SECOND = 1_000;
+
+/** One request and its answer on one connection. */
+export class UpstreamExchange {
+    readonly #connection: UpstreamConnection;
+    readonly #request: ServiceRequest;
+    readonly #options: UpstreamExchangeOptions;
+    #controller: Dispatcher.DispatchController | undefined;
+    #body: Readable | undefined;
+    #isEnded = false;
+    #isEndMarked = true;
+    #timer: ScheduledCall | undefined;
+    #resolve: (answer: UpstreamAnswer) => void = () => {};
+
+    /**
+     * @param connection - A connection that no other exchange uses.
+     * @param request - What to send.
+     * @param options - Limits and what to call at the end.
+     */
+    constructor(connection: UpstreamConnection, request: ServiceRequest, options: UpstreamExchangeOptions) {
+        this.#connection = connection;
+        this.#request = request;
+        this.#options = options;
+    }
+
+    /** Sends the request and waits for the head of the answer; never rejects. */
+    run(): Promise<UpstreamAnswer> {
+        return new Promise(resolve => {
+            this.#resolve = resolve;
+            const { clock, firstByteTimeoutMs, signal } = this.#options;
+            this.#timer = clock.schedule(firstByteTimeoutMs, () => this.#stop(this.#createTimeout()));
+            signal.addEventListener("abort", this.#onAbort, { once: true });
+            this.#send();
+        });
+    }
+
+    #send(): void {
+        const body = this.#request.body.length > 0 ? this.#request.body : null;
+        try {
+            this.#connection.client.dispatch({
+                method: this.#request.method as Dispatcher.HttpMethod,
+                path: this.#request.path,
+                headers: createUpstreamHeaders(this.#request, this.#options.firstByteTimeoutMs),
+                body,
+            }, this.#createHandler());
+        }
+        catch (error) {
+            this.#stop({ kind: UpstreamAnswerKind.ConnectFailed, detail: (error as Error).message });
+        }
+    }
+
+    #createHandler(): Dispatcher.DispatchHandler {
+        return {
+            onRequestStart: controller => {
+                this.#controller = controller;
+                if (this.#isEnded) {
+                    controller.abort(new AnswerCutError("The exchange has ended."));
+                }
+            },
+            onResponseStart: (controller, status, headers) => {
+                if (status >= 200) {
+                    this.#receiveHead(controller, status, headers);
+                }
+            },
+            onResponseData: (controller, chunk) => {
+                if (this.#body !== undefined && !this.#body.push(chunk)) {
+                    controller.pause();
+                }
+            },
+            onResponseEnd: () => this.#receiveEnd(),
+            onResponseError: (_, error) => this.#receiveError(error),
+        };
+    }
+
+    #receiveHead(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+        this.#timer?.cancel();
+        const isShed = SHED_STATUSES.has(status) && headers[NOT_RUN_HEADER] === "1";
+        this.#isEndMarked = this.#hasMarkedEnd(status, headers);
+        const body = new Readable({
+            read: () => controller.resume(),
+            destroy: (error, callback) => {
+                this.#close(false);
+                callback(error);
+            },
+        });
+        this.#body = body;
+        if (isShed) {
+            body.on("error", () => {}).resume();
+            this.#resolve({ kind: UpstreamAnswerKind.Shed, retryAfterMs: parseRetryAfter(headers["retry-after"]) });
+            return;
+        }
+        this.#resolve({ kind: UpstreamAnswerKind.Answered, status, headers: createAnswerHeaders(headers), body });
+    }
+
+    #hasMarkedEnd(status: number, headers: IncomingHttpHeaders): boolean {
+        return this.#request.method === "HEAD" || BODILESS_STATUSES.has(status) ||
+            headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+    }
+
+    #receiveEnd(): void {
+        if (!this.#isEndMarked) {
+            this.#body?.destroy(new AnswerCutError("The end of the answer can't be told from a lost connection."));
+            return;
+        }
+        this.#close(true);
+        this.#body?.push(null);
+    }
+
+    #receiveError(error: Error): void {
+        if (this.#body !== undefined) {
+            this.#body.destroy(new AnswerCutError("The upstream's answer was cut.", { cause: error }));
+            return;
+        }
+        const detail = error.message;
+        const isSent = this.#controller !== undefined;
+        const kind = isSent ? UpstreamAnswerKind.ConnectionLost : UpstreamAnswerKind.ConnectFailed;
+        this.#stop({ kind, detail });
+    }
+
+    #createTimeout(): UpstreamAnswer {
+        return this.#controller === undefined
+            ? { kind: UpstreamAnswerKind.ConnectFailed, detail: "The connection was not open in time." }
+            : { kind: UpstreamAnswerKind.TimedOut };
+    }
+
+    readonly #onAbort = (): void => {
+        if (this.#body === undefined) {
+            this.#stop({ kind: UpstreamAnswerKind.Aborted });
+        }
+    };
+
+    #stop(answer: UpstreamAnswer): void {
+        this.#resolve(answer);
+        this.#close(false);
+    }
+
+    #close(isWhole: boolean): void {
+        if (this.#isEnded) {
+            return;
+        }
+        this.#isEnded = true;
+        this.#timer?.cancel();
+        this.#options.signal.removeEventListener("abort", this.#onAbort);
+        this.#options.onEnd(isWhole);
+    }
+}
+
+function createAnswerHeaders(headers: IncomingHttpHeaders): HeaderFields {
+    const entries = Object.entries(headers).filter(([name, value]) =>
+        value !== undefined && !HOP_BY_HOP_FIELDS.has(name)
+    );
+    return Object.fromEntries(entries) as HeaderFields;
+}
+
+function parseRetryAfter(value: string | string[] | undefined): number | undefined {
+    const seconds = Number(value);
+    return value !== undefined && Number.isFinite(seconds) ? seconds * MS_PER_SECOND : undefined;
+}
--- /dev/null
+++ b/src/services/UpstreamExchangeOptions.ts
@@ -0,0 +1,11 @@
+import type { Clock } from "../time/index.js";
+
+/** Limits of an exchange and what to call at its end. */
+export interface UpstreamExchangeOptions {
+    readonly clock: Clock;
+    /** Time until the first byte of the answer, in milliseconds. */
+    readonly firstByteTimeoutMs: number;
+    readonly signal: AbortSignal;
+    /** Receives whether the whole answer came; the connection may be used again only then. */
+    readonly onEnd: (isWhole: boolean) => void;
+}
--- /dev/null
+++ b/src/services/UpstreamJudgeOptions.ts
@@ -0,0 +1,16 @@
+import type { DecisionLog } from "../logging/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { Clock } from "../time/index.js";
+import type { EjectionPolicy } from "./EjectionPolicy.js";
+import type { ServiceBaseline } from "./ServiceBaseline.js";
+
+/** What a judge of upstreams is made of. */
+export interface UpstreamJudgeOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly decisions: DecisionLog;
+    readonly policy: EjectionPolicy;
+    readonly baseline: ServiceBaseline;
+    /** Runs after an upstream may take more work. */
+    readonly onCapacity: () => void;
+}
--- /dev/null
+++ b/src/services/UpstreamObservation.ts
@@ -0,0 +1,10 @@
+import type { ObservationKind } from "./ObservationKind.js";
+
+/** What an attempt has shown of an upstream. */
+export interface UpstreamObservation {
+    readonly kind: ObservationKind;
+    readonly requestId: string;
+    /** Time to the first byte, or time waited for it, in milliseconds; undefined if nothing was waited for. */
+    readonly latencyMs: number | undefined;
+    readonly detail: string;
+}
--- /dev/null
+++ b/src/services/UpstreamSelector.ts
@@ -0,0 +1,104 @@
+import type { RandomSource } from "../random/index.js";
+import { EjectionPolicy } from "./EjectionPolicy.js";
+import type { PooledUpstream } from "./PooledUpstream.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+import { UpstreamState } from "./UpstreamState.js";
+
+/** Load that is added to a convicted upstream's, so that it gets work last. */
+const HELD_LOAD = 1;
+
+/** Selects the upstream for a request among those with a free slot. */
+export class UpstreamSelector {
+    readonly #policy: EjectionPolicy;
+    readonly #random: RandomSource;
+    #upstreams: readonly PooledUpstream[] = [];
+    #next = 0;
+
+    /**
+     * @param policy - How to choose.
+     * @param random - Decides between equals.
+     */
+    constructor(policy: EjectionPolicy, random: RandomSource) {
+        this.#policy = policy;
+        this.#random = random;
+    }
+
+    /**
+     * Applies a new set of upstreams.
+     * @param upstreams - The upstreams of this part.
+     */
+    apply(upstreams: readonly PooledUpstream[]): void {
+        this.#upstreams = upstreams;
+    }
+
+    /** Whether any upstream has a free slot. */
+    hasFreeSlot(): boolean {
+        return this.#upstreams.some(upstream => upstream.hasFreeSlot());
+    }
+
+    /**
+     * Whether any upstream may run a request, now or once a slot is free.
+     * @param request - The request.
+     */
+    hasCandidate(request: ServiceRequest): boolean {
+        return this.#upstreams.some(upstream => upstream.isWorking() && !isExcluded(upstream, request));
+    }
+
+    /**
+     * Selects an upstream with a free slot; undefined if none has one for this request.
+     * @param request - The request.
+     */
+    select(request: ServiceRequest): PooledUpstream | undefined {
+        const free = this.#upstreams.filter(upstream => upstream.hasFreeSlot() && !isExcluded(upstream, request));
+        switch (this.#policy) {
+            case EjectionPolicy.Sequential:
+                return this.#selectLeastLoaded(free, request);
+            case EjectionPolicy.Baseline:
+                return this.#selectNext(free);
+        }
+    }
+
+    #selectLeastLoaded(free: readonly PooledUpstream[], request: ServiceRequest): PooledUpstream | undefined {
+        const trial = free.find(upstream => upstream.getState() === UpstreamState.Probation);
+        if (trial !== undefined && request.isIdempotent && request.excludedUpstreams.length === 0) {
+            return trial;
+        }
+        let best: PooledUpstream | undefined;
+        let bestLoad = Number.POSITIVE_INFINITY;
+        let equals = 0;
+        for (const upstream of free) {
+            if (upstream.getState() === UpstreamState.Probation) {
+                continue;
+            }
+            const load = getLoad(upstream);
+            equals = load === bestLoad ? equals + 1 : 1;
+            if (load < bestLoad || (load === bestLoad && this.#random.getNext() * equals < 1)) {
+                best = upstream;
+                bestLoad = load;
+            }
+        }
+        return best;
+    }
+
+    #selectNext(free: readonly PooledUpstream[]): PooledUpstream | undefined {
+        if (free.length === 0) {
+            return undefined;
+        }
+        for (let step = 0; step < this.#upstreams.length; step++) {
+            const upstream = this.#upstreams[this.#next++ % this.#upstreams.length]!;
+            if (free.includes(upstream)) {
+                return upstream;
+            }
+        }
+        return undefined;
+    }
+}
+
+function isExcluded(upstream: PooledUpstream, request: ServiceRequest): boolean {
+    return request.excludedUpstreams.includes(upstream.getUpstream().name);
+}
+
+function getLoad(upstream: PooledUpstream): number {
+    const load = upstream.getRunning() / upstream.getLimit();
+    return upstream.getState() === UpstreamState.Held ? load + HELD_LOAD : load;
+}
--- /dev/null
+++ b/src/services/UpstreamSet.ts
@@ -0,0 +1,111 @@
+import type { Service, Upstream } from "../configuration/index.js";
+import { Decision } from "../logging/index.js";
+import { ConsecutiveDetector } from "./ConsecutiveDetector.js";
+import { EjectionPolicy } from "./EjectionPolicy.js";
+import { PooledUpstream } from "./PooledUpstream.js";
+import { SequentialDetector } from "./SequentialDetector.js";
+import type { UpstreamDetector } from "./UpstreamDetector.js";
+import { UpstreamEvent } from "./UpstreamEvent.js";
+import type { UpstreamSetOptions } from "./UpstreamSetOptions.js";
+import { UpstreamState } from "./UpstreamState.js";
+
+/** The upstreams of a pool as the configuration names them; those that leave are drained. */
+export class UpstreamSet {
+    readonly #options: UpstreamSetOptions;
+    #service: Service | undefined;
+    #upstreams: readonly PooledUpstream[] = [];
+
+    /** @param options - What the set is made of. */
+    constructor(options: UpstreamSetOptions) {
+        this.#options = options;
+    }
+
+    /** Gets the upstreams that are configured, draining ones too. */
+    getAll(): readonly PooledUpstream[] {
+        return this.#upstreams;
+    }
+
+    /** Gets the slots that may be used now, free or not. */
+    getSlots(): number {
+        return this.#upstreams.reduce((sum, upstream) => sum + upstream.getLimit(), 0);
+    }
+
+    /** Gets the slots that are free. */
+    getFreeSlots(): number {
+        return this.#upstreams.reduce(
+            (sum, upstream) => sum + Math.max(0, upstream.getLimit() - upstream.getRunning()),
+            0,
+        );
+    }
+
+    /**
+     * Applies a change of the configuration.
+     * @param service - The service as configured now.
+     * @param upstreams - Its upstreams of this part.
+     */
+    apply(service: Service, upstreams: readonly Upstream[]): void {
+        const isFirst = this.#service === undefined;
+        const before = new Map(this.#upstreams.map(pooled => [pooled.getUpstream().address, pooled]));
+        this.#service = service;
+        this.#upstreams = upstreams.map(upstream => {
+            const pooled = before.get(upstream.address) ?? this.#create(upstream, isFirst);
+            before.delete(upstream.address);
+            this.#applyUpstream(pooled, upstream);
+            return pooled;
+        });
+        before.forEach(pooled => this.#drain(pooled, "it was removed from the configuration"));
+    }
+
+    /**
+     * Gives a slot back and closes the idle connections of an upstream that has drained.
+     * @param pooled - The upstream.
+     */
+    release(pooled: PooledUpstream): void {
+        pooled.release();
+        this.#closeDrained(pooled);
+    }
+
+    #create(upstream: Upstream, isFirst: boolean): PooledUpstream {
+        const isWarm = isFirst || this.#options.policy === EjectionPolicy.Baseline;
+        const initial = isWarm ? UpstreamState.Healthy : UpstreamState.Ramping;
+        return new PooledUpstream(upstream, initial, this.#createDetector(), this.#options.clock);
+    }
+
+    #createDetector(): UpstreamDetector {
+        switch (this.#options.policy) {
+            case EjectionPolicy.Sequential:
+                return new SequentialDetector(() => this.#service!.detection);
+            case EjectionPolicy.Baseline:
+                return new ConsecutiveDetector();
+        }
+    }
+
+    #applyUpstream(pooled: PooledUpstream, upstream: Upstream): void {
+        pooled.apply(upstream);
+        if (upstream.draining === true) {
+            this.#drain(pooled, "the configuration says that it is leaving");
+        }
+        else {
+            pooled.send(UpstreamEvent.Return, "the configuration says that it stays");
+        }
+    }
+
+    #drain(pooled: PooledUpstream, reason: string): void {
+        if (!pooled.send(UpstreamEvent.Drain, reason)) {
+            return;
+        }
+        this.#options.decisions.record({
+            decision: Decision.Drained,
+            reason,
+            service: this.#service?.name,
+            upstream: pooled.getUpstream().name,
+        });
+        this.#closeDrained(pooled);
+    }
+
+    #closeDrained(pooled: PooledUpstream): void {
+        if (pooled.getState() === UpstreamState.Draining && pooled.getRunning() === 0) {
+            this.#options.transport.closeIdle(pooled.getUpstream());
+        }
+    }
+}
--- /dev/null
+++ b/src/services/UpstreamSetOptions.ts
@@ -0,0 +1,12 @@
+import type { DecisionLog } from "../logging/index.js";
+import type { Clock } from "../time/index.js";
+import type { EjectionPolicy } from "./EjectionPolicy.js";
+import type { UpstreamTransport } from "./UpstreamTransport.js";
+
+/** What a set of upstreams is made of. */
+export interface UpstreamSetOptions {
+    readonly clock: Clock;
+    readonly decisions: DecisionLog;
+    readonly transport: UpstreamTransport;
+    readonly policy: EjectionPolicy;
+}
--- /dev/null
+++ b/src/services/createKeptBody.ts
@@ -0,0 +1,50 @@
+import { Readable } from "node:stream";
+import type { KeptBodyOptions } from "./KeptBodyOptions.js";
+
+/**
+ * Creates a copy of an answer's body that keeps the whole, also after its reader has left.
+ * @param source - The body from the upstream.
+ * @param options - Bounds and what to call at the end.
+ */
+export function createKeptBody(source: Readable, options: KeptBodyOptions): Readable {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    let hasReader = true;
+    const body = new Readable({
+        read: () => {
+            source.resume();
+        },
+        destroy: (error, callback) => {
+            drain();
+            callback(error);
+        },
+    });
+    const drain = (): void => {
+        hasReader = false;
+        source.resume();
+    };
+    const reportEnd = (error: Error | undefined): void => {
+        options.signal.removeEventListener("abort", drain);
+        options.onEnd(bytes > options.maxBytes ? undefined : Buffer.concat(chunks), error);
+    };
+    source.on("data", (chunk: Buffer) => {
+        bytes += chunk.length;
+        if (bytes <= options.maxBytes) {
+            chunks.push(chunk);
+        }
+        if (!body.destroyed && !body.push(chunk) && hasReader) {
+            source.pause();
+        }
+    });
+    source.on("end", () => {
+        reportEnd(undefined);
+        body.push(null);
+    });
+    source.on("error", error => {
+        reportEnd(error);
+        body.destroy(error);
+    });
+    options.signal.addEventListener("abort", drain, { once: true });
+    source.pause();
+    return body;
+}
--- /dev/null
+++ b/src/services/createKeptOutcome.ts
@@ -0,0 +1,25 @@
+import type { HeaderFields, Outcome } from "../outcomes/index.js";
+import { OutcomeKind } from "../outcomes/index.js";
+import type { KeptOutcome } from "./KeptOutcome.js";
+
+/**
+ * Creates the form of an outcome that is kept.
+ * @param outcome - The outcome.
+ * @param body - The whole body of an answer; undefined if it was too large to keep.
+ */
+export function createKeptOutcome(outcome: Outcome, body: Buffer | undefined): KeptOutcome {
+    switch (outcome.kind) {
+        case OutcomeKind.Done:
+            return createKeptAnswer(outcome.status, outcome.headers, body);
+        case OutcomeKind.NotRun: {
+            const { kind, reason, detail, retryAfterMs } = outcome;
+            return { kind, reason, detail, retryAfterMs };
+        }
+        case OutcomeKind.Unknown:
+            return { kind: outcome.kind, reason: outcome.reason, detail: outcome.detail };
+    }
+}
+
+function createKeptAnswer(status: number, headers: HeaderFields, body: Buffer | undefined): KeptOutcome {
+    return { kind: OutcomeKind.Done, status, headers, body: body?.toString("base64") };
+}
--- /dev/null
+++ b/src/services/createObservation.ts
@@ -0,0 +1,47 @@
+import { UnexpectedVariantError } from "../errors/index.js";
+import { ObservationKind } from "./ObservationKind.js";
+import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+import type { UpstreamAttempt } from "./UpstreamAttempt.js";
+import type { UpstreamObservation } from "./UpstreamObservation.js";
+
+const FIRST_FAILURE_STATUS = 500;
+
+/**
+ * Creates what an attempt shows of its upstream; undefined if that is known only at the end of the answer.
+ * @param attempt - The attempt.
+ * @param requestId - Its request.
+ * @param patienceMs - A shorter wait than this in vain says nothing of the upstream, in milliseconds.
+ */
+export function createObservation(
+    attempt: UpstreamAttempt,
+    requestId: string,
+    patienceMs: number,
+): UpstreamObservation | undefined {
+    const { answer, latencyMs } = attempt;
+    const create = (kind: ObservationKind, detail: string): UpstreamObservation => ({
+        kind,
+        requestId,
+        latencyMs,
+        detail,
+    });
+    switch (answer.kind) {
+        case UpstreamAnswerKind.Answered:
+            return answer.status >= FIRST_FAILURE_STATUS
+                ? create(ObservationKind.Failure, `status ${answer.status}`)
+                : undefined;
+        case UpstreamAnswerKind.ConnectFailed:
+            return create(ObservationKind.ConnectFailed, answer.detail);
+        case UpstreamAnswerKind.Shed:
+            return create(ObservationKind.Shed, "load shed");
+        case UpstreamAnswerKind.TimedOut:
+            return latencyMs >= patienceMs
+                ? create(ObservationKind.Failure, `no first byte within ${Math.round(latencyMs)} ms`)
+                : create(ObservationKind.Cancelled, "a short deadline passed");
+        case UpstreamAnswerKind.ConnectionLost:
+            return create(ObservationKind.Lost, answer.detail);
+        case UpstreamAnswerKind.Aborted:
+            return create(ObservationKind.Cancelled, "the caller left");
+        default:
+            throw new UnexpectedVariantError(answer);
+    }
+}
--- /dev/null
+++ b/src/services/createOutcome.ts
@@ -0,0 +1,34 @@
+import { UnexpectedVariantError } from "../errors/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import type { UpstreamAnswer } from "./UpstreamAnswer.js";
+import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+
+const DEFAULT_RETRY_AFTER_MS = 200;
+
+/**
+ * Creates the outcome that an upstream's answer stands for.
+ * @param answer - The answer.
+ */
+export function createOutcome(answer: UpstreamAnswer): Outcome {
+    switch (answer.kind) {
+        case UpstreamAnswerKind.Answered:
+            return { kind: OutcomeKind.Done, status: answer.status, headers: answer.headers, body: answer.body };
+        case UpstreamAnswerKind.ConnectFailed:
+            return createNotRun(RefusalReason.NoUpstream, `No connection: ${answer.detail}`, DEFAULT_RETRY_AFTER_MS);
+        case UpstreamAnswerKind.Shed:
+            return createNotRun(
+                RefusalReason.Overloaded,
+                "The upstream shed the request.",
+                answer.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
+            );
+        case UpstreamAnswerKind.TimedOut:
+            return createUnknown(UnknownReason.DeadlineExceeded, "The upstream did not answer in time.");
+        case UpstreamAnswerKind.ConnectionLost:
+            return createUnknown(UnknownReason.ConnectionLost, "The connection to the upstream was lost.");
+        case UpstreamAnswerKind.Aborted:
+            return createUnknown(UnknownReason.StillRunning, "The request was given up while it ran.");
+        default:
+            throw new UnexpectedVariantError(answer);
+    }
+}
--- /dev/null
+++ b/src/services/createUpstreamHeaders.ts
@@ -0,0 +1,40 @@
+import type { HeaderFields } from "../outcomes/index.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+
+const REMOVED_FIELDS = new Set([
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-account",
+    "x-api-key",
+    "x-deadline-ms",
+    "x-request-id",
+]);
+
+/**
+ * Creates the header fields that go to an upstream: never a caller's key, never connection-level fields.
+ * @param request - The request.
+ * @param timeoutMs - Time until the first byte of the answer is due, in milliseconds.
+ */
+export function createUpstreamHeaders(request: ServiceRequest, timeoutMs: number): Record<string, string | string[]> {
+    const headers: Record<string, string | string[]> = {};
+    for (const [name, value] of Object.entries(request.headers as HeaderFields)) {
+        if (!REMOVED_FIELDS.has(name.toLowerCase())) {
+            headers[name] = typeof value === "string" ? value : [...value];
+        }
+    }
+    headers["x-request-id"] = request.requestId;
+    headers["x-account"] = request.account;
+    headers["x-deadline-ms"] = String(Math.max(0, Math.floor(timeoutMs)));
+    return headers;
+}
--- /dev/null
+++ b/src/services/createUpstreamMachine.ts
@@ -0,0 +1,30 @@
+import { createMachine, state, transition } from "robot3";
+import type { Machine } from "robot3";
+import { UpstreamEvent as Event } from "./UpstreamEvent.js";
+import { UpstreamState as State } from "./UpstreamState.js";
+
+/**
+ * Creates the lifecycle of an upstream.
+ * @param initial - The state that it begins in.
+ */
+export function createUpstreamMachine(initial: State): Machine {
+    const drain = transition(Event.Drain, State.Draining);
+    const eject = transition(Event.Eject, State.Ejected);
+    const hold = transition(Event.Hold, State.Held);
+    const clear = transition(Event.Clear, State.Healthy);
+    const restart = transition(Event.Restart, State.Ramping);
+    return createMachine(initial, {
+        [State.Healthy]: state(transition(Event.Suspect, State.Suspected), hold, eject, restart, drain),
+        [State.Suspected]: state(clear, hold, eject, restart, drain),
+        [State.Held]: state(clear, eject, drain),
+        [State.Ejected]: state(
+            transition(Event.Try, State.Probation),
+            transition(Event.Restore, State.Ramping),
+            clear,
+            drain,
+        ),
+        [State.Probation]: state(eject, transition(Event.Restore, State.Ramping), drain),
+        [State.Ramping]: state(transition(Event.Warm, State.Healthy), hold, eject, drain),
+        [State.Draining]: state(transition(Event.Return, State.Ramping)),
+    }) as unknown as Machine;
+}
--- /dev/null
+++ b/tests/services/ServiceHost.test.ts
@@ -0,0 +1,26 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { OutcomeKind } from "../../src/outcomes/index.js";
+import { ServiceBench } from "../support/ServiceBench.js";
+
+test("each request of a healthy service is answered and no slot is used twice", async () => {
+    const bench = new ServiceBench();
+    const answers = await bench.runLoad(300, 5_000);
+    assert.ok(answers.length > 1_000);
+    assert.ok(answers.every(answer => answer.outcome.kind === OutcomeKind.Done));
+    assert.ok(bench.upstreams.records.every(record => record.running < 6 && record.isRun));
+    assert.is(new Set(bench.upstreams.records.map(record => record.requestId)).size, answers.length);
+});
+
+test("an upstream failing half of its work is ejected and comes back once it is mended", async () => {
+    const bench = new ServiceBench();
+    await bench.runLoad(200, 5_000);
+    bench.upstreams.applyFaults("u2", { errorRate: 0.5 });
+    await bench.runLoad(200, 3_000);
+    assert.is(bench.getStates()[2], "ejected");
+    bench.upstreams.applyFaults("u2", {});
+    await bench.runLoad(200, 20_000);
+    assert.equal(new Set(bench.getStates()), new Set(["healthy"]));
+});
+
+test.run();
