Find routes by name in the indexed configuration

Cause: a forwarded request names its route. Ruled out: sending the whole route along, since the receiver's configuration decides.

--- a/src/configuration/IndexedConfiguration.ts
+++ b/src/configuration/IndexedConfiguration.ts
@@ -11,7 +11,8 @@
     readonly version: number;
     readonly #accounts = new Map<string, Account>();
     readonly #keys = new Map<string, AccountKey>();
-    readonly #routes = new Map<string, Route>();
+    readonly #routesByPath = new Map<string, Route>();
+    readonly #routesByName = new Map<string, Route>();
     readonly #services = new Map<string, Service>();
 
     /**
@@ -41,6 +42,14 @@
         return this.#keys.get(id);
     }
 
+    /**
+     * Gets a route.
+     * @param name - The route's name.
+     */
+    getRoute(name: string): Route | undefined {
+        return this.#routesByName.get(name);
+    }
+
     /**
      * Finds the route with the longest path prefix that matches.
      * @param path - The request's path without its query.
@@ -48,13 +57,13 @@
     findRoute(path: string): Route | undefined {
         let prefix = path;
         while (prefix.length > 1) {
-            const route = this.#routes.get(prefix);
+            const route = this.#routesByPath.get(prefix);
             if (route !== undefined) {
                 return route;
             }
             prefix = prefix.slice(0, Math.max(0, prefix.lastIndexOf("/")));
         }
-        return path.startsWith("/") ? this.#routes.get("/") : undefined;
+        return path.startsWith("/") ? this.#routesByPath.get("/") : undefined;
     }
 
     /**
@@ -78,7 +87,8 @@
     #addSection(section: Section): void {
         section.accounts?.forEach(account => this.#accounts.set(account.name, account));
         section.keys?.forEach(key => this.#keys.set(key.id, key));
-        section.routes?.forEach(route => this.#routes.set(route.path, route));
+        section.routes?.forEach(route => this.#routesByPath.set(route.path, route));
+        section.routes?.forEach(route => this.#routesByName.set(route.name, route));
         section.services?.forEach(service => this.#services.set(service.name, service));
     }
 }
