Add the membership view with gossip, freshness and joint view changes

Cause: no host could say who is a member and whether its head is the newest one. Hosts join by compare-and-swap on the head, several in one write; a proposed view is promoted once a majority of the view in force has installed it. A host is current while the store or a majority is known to have had no newer head within 3 s. A vouch counts for equal and older versions alike: what matters is that the member had nothing newer, and otherwise each change would interrupt serving while it spreads. New peer calls: head.get, head.installed, membership.probe, membership.edit; gossip.pull got its answer.

--- /dev/null
+++ b/src/fakes/FakeFleet.ts
@@ -0,0 +1,202 @@
+import type { Head } from "../head/index.js";
+import type { ListedHost } from "../hostlist/index.js";
+import { DecisionHistory } from "../logging/index.js";
+import { type Member, MembershipService } from "../membership/index.js";
+import { PeerHandlers } from "../peers/index.js";
+import { SeededRandom } from "../random/index.js";
+import { FakeClock } from "./FakeClock.js";
+import type { FakeFleetHost } from "./FakeFleetHost.js";
+import { FakeHeadStore } from "./FakeHeadStore.js";
+import { FakeHostClock } from "./FakeHostClock.js";
+import { FakeHostStore } from "./FakeHostStore.js";
+import { FakeNetwork } from "./FakeNetwork.js";
+import { FakeStore } from "./FakeStore.js";
+
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+const BASE_PORT = 10_000;
+const SEED_STEP = 7_919;
+const SEED_HOSTS = 3;
+
+/** The memberships of many hosts in one process, with faults. */
+export class FakeFleet {
+    readonly clock = new FakeClock();
+    readonly store = new FakeStore(this.clock);
+    readonly network = new FakeNetwork(this.clock);
+    /** How long the platform's list names a host that has stopped, in milliseconds. */
+    listLagMs = 5_000;
+    readonly #seed: number;
+    readonly #hosts = new Map<number, FakeFleetHost>();
+    readonly #listed = new Map<string, ListedHost>();
+    #starts = 0;
+
+    /** @param seed - Seed of all random numbers. */
+    constructor(seed: number) {
+        this.#seed = seed;
+    }
+
+    /**
+     * Starts hosts that don't run.
+     * @param indexes - Their numbers; each stands for an address.
+     */
+    start(...indexes: number[]): void {
+        for (const index of indexes) {
+            this.#startHost(index);
+        }
+    }
+
+    /**
+     * Stops a host as a crash does.
+     * @param index - Its number.
+     */
+    stop(index: number): void {
+        const host = this.get(index);
+        const { peerAddress } = host.member;
+        this.network.removeHost(peerAddress);
+        host.clock.stop();
+        host.store.isCut = true;
+        void host.membership.stop();
+        this.#hosts.delete(index);
+        this.clock.schedule(this.listLagMs, () => {
+            if (!this.#hosts.has(index)) {
+                this.#listed.delete(peerAddress);
+            }
+        });
+    }
+
+    /**
+     * Pauses a host's process.
+     * @param index - Its number.
+     */
+    stopProcess(index: number): void {
+        const host = this.get(index);
+        host.clock.stop();
+        host.store.isCut = true;
+        this.network.stopAnswers(host.member.peerAddress);
+    }
+
+    /**
+     * Lets a paused host go on.
+     * @param index - Its number.
+     */
+    startProcess(index: number): void {
+        const host = this.get(index);
+        host.store.isCut = false;
+        this.network.startAnswers(host.member.peerAddress);
+        host.clock.start();
+    }
+
+    /**
+     * Cuts or restores the direction from some hosts to others.
+     * @param from - Numbers of the senders.
+     * @param to - Numbers of the receivers.
+     * @param isOpen - Whether messages arrive.
+     */
+    route(from: readonly number[], to: readonly number[], isOpen: boolean): void {
+        for (const [sender, receiver] of from.flatMap(one => to.map(other => [one, other] as const))) {
+            const addresses = [getAddress(sender), getAddress(receiver)] as const;
+            if (isOpen) {
+                this.network.openDirection(...addresses);
+            }
+            else if (sender !== receiver) {
+                this.network.closeDirection(...addresses);
+            }
+        }
+    }
+
+    /**
+     * Gets a running host.
+     * @param index - Its number.
+     */
+    get(index: number): FakeFleetHost {
+        return this.#hosts.get(index)!;
+    }
+
+    /** Gets the running hosts. */
+    getAll(): readonly FakeFleetHost[] {
+        return [...this.#hosts.values()];
+    }
+
+    /** Gets the numbers of the running hosts. */
+    getIndexes(): readonly number[] {
+        return [...this.#hosts.keys()];
+    }
+
+    /** Gets the numbers of the hosts that are current. */
+    getCurrent(): readonly number[] {
+        return this.getIndexes().filter(index => this.get(index).membership.isCurrent());
+    }
+
+    /**
+     * Changes the head as an operator's change does, from a host; returns the new version.
+     * @param index - The host's number.
+     */
+    async write(index: number): Promise<number> {
+        const host = this.get(index);
+        const change = (head: Head): Head => head;
+        const head = await new FakeHeadStore(host.store).apply(`change-${this.#seed}-${this.#starts++}`, change);
+        await host.membership.applyHead(head);
+        return head.version;
+    }
+
+    /**
+     * Lets time pass until a condition holds; returns whether it did.
+     * @param isMet - The condition.
+     * @param timeoutMs - How long to wait, in milliseconds.
+     * @param stepMs - How often to check, in milliseconds.
+     */
+    async wait(isMet: () => boolean, timeoutMs: number, stepMs = 50): Promise<boolean> {
+        const deadline = this.clock.getTime() + timeoutMs;
+        while (!isMet() && this.clock.getTime() < deadline) {
+            await this.clock.run(stepMs);
+        }
+        return isMet();
+    }
+
+    /** Whether every running host is a current member of the same view, with no other view proposed. */
+    isSettled(): boolean {
+        const heads = this.getAll().map(host => host.membership.getHead());
+        return this.getCurrent().length === this.#hosts.size &&
+            heads.every(head =>
+                head !== undefined && head.nextView === undefined && head.version === heads[0]!.version &&
+                head.view.members.length === this.#hosts.size
+            );
+    }
+
+    #startHost(index: number): void {
+        const clock = new FakeHostClock(this.clock);
+        const store = new FakeHostStore(this.store);
+        const handlers = new PeerHandlers();
+        const member = createMember(index, `${this.#seed}-${this.#starts}`);
+        const membership = new MembershipService({
+            clock,
+            random: new SeededRandom(this.#seed * SEED_STEP + this.#starts++),
+            transport: this.network.createTransport(member.peerAddress),
+            handlers,
+            headStore: new FakeHeadStore(store),
+            hostList: { getHosts: async () => [...this.#listed.values()] },
+            installer: { apply: async () => {} },
+            log: new DecisionHistory(this.clock, undefined, 1),
+            self: member,
+            seedAddresses: Array.from({ length: SEED_HOSTS }, (_, seed) => getAddress(seed)),
+        });
+        this.#hosts.set(index, { member, membership, clock, store });
+        this.network.addHost(member.peerAddress, { handlers });
+        this.#listed.set(member.peerAddress, { address: member.peerAddress, leaving: false });
+        membership.start();
+    }
+}
+
+function getAddress(index: number): string {
+    return `127.0.0.1:${BASE_PORT + index}`;
+}
+
+function createMember(index: number, incarnation: string): Member {
+    return {
+        id: `host-${index}`,
+        region: "region-1",
+        zone: ZONES[index % ZONES.length]!,
+        peerAddress: getAddress(index),
+        callerAddress: getAddress(index).replace(":1", ":2"),
+        incarnation,
+    };
+}
--- /dev/null
+++ b/src/fakes/FakeFleetHost.ts
@@ -0,0 +1,11 @@
+import type { Member, MembershipService } from "../membership/index.js";
+import type { FakeHostClock } from "./FakeHostClock.js";
+import type { FakeHostStore } from "./FakeHostStore.js";
+
+/** One host of a fake fleet. */
+export interface FakeFleetHost {
+    readonly member: Member;
+    readonly membership: MembershipService;
+    readonly clock: FakeHostClock;
+    readonly store: FakeHostStore;
+}
--- a/src/fakes/index.ts
+++ b/src/fakes/index.ts
@@ -1,5 +1,10 @@
 export { FakeClock } from "./FakeClock.js";
+export { FakeFleet } from "./FakeFleet.js";
+export type { FakeFleetHost } from "./FakeFleetHost.js";
+export { FakeHeadStore } from "./FakeHeadStore.js";
 export type { FakeHost } from "./FakeHost.js";
+export { FakeHostClock } from "./FakeHostClock.js";
+export { FakeHostStore } from "./FakeHostStore.js";
 export { FakeNetwork } from "./FakeNetwork.js";
 export { FakeStore } from "./FakeStore.js";
 export type { FakeStoreFaults } from "./FakeStoreFaults.js";
--- /dev/null
+++ b/src/membership/MembershipOptions.ts
@@ -0,0 +1,30 @@
+import type { HeadInstaller, HeadStore } from "../head/index.js";
+import type { HostList } from "../hostlist/index.js";
+import type { DecisionLog } from "../logging/index.js";
+import type { PeerHandlers, PeerTransport } from "../peers/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { Clock } from "../time/index.js";
+import type { Member } from "./Member.js";
+
+/** What the membership of an entry host works with. */
+export interface MembershipOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly transport: PeerTransport;
+    /** Receives the handlers of the membership's calls. */
+    readonly handlers: PeerHandlers;
+    readonly headStore: HeadStore;
+    readonly hostList: HostList;
+    readonly installer: HeadInstaller;
+    readonly log: DecisionLog;
+    /** This host's own entry, with a new incarnation. */
+    readonly self: Member;
+    /** Peer addresses to ask while no view is known. */
+    readonly seedAddresses: readonly string[];
+    /** Account hosts of each client account; 3 if left out. */
+    readonly accountHostCount?: number;
+    /** Time between two pulls, in milliseconds; 250 if left out. */
+    readonly pullIntervalMs?: number;
+    /** Hands this host's duties to their next holders before it leaves the view. */
+    readonly handOver?: () => Promise<void>;
+}
--- /dev/null
+++ b/src/membership/ProbeAnswer.ts
@@ -0,0 +1,4 @@
+/** Whether a third host answered. */
+export interface ProbeAnswer {
+    readonly isAnswering: boolean;
+}
--- /dev/null
+++ b/src/membership/RendezvousTable.ts
@@ -0,0 +1,116 @@
+import type { Member } from "./Member.js";
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const MAX_CACHED_KEYS = 20_000;
+
+/** Selects members for keys by rendezvous hashing, so that a change of view moves few keys. */
+export class RendezvousTable {
+    readonly #members: readonly Member[];
+    readonly #hashes: Uint32Array;
+    readonly #cache = new Map<string, readonly Member[]>();
+
+    /** @param members - The members to select from. */
+    constructor(members: readonly Member[]) {
+        this.#members = members;
+        this.#hashes = Uint32Array.from(members, member => getTextHash(member.id));
+    }
+
+    /**
+     * Selects members for a key, first choice first; one of each availability zone before a second of any.
+     * @param key - The key.
+     * @param count - How many to select.
+     */
+    selectAcrossZones(key: string, count: number): readonly Member[] {
+        return this.#getCached(`${count} across ${key}`, () => this.#select(key, count, true, () => true));
+    }
+
+    /**
+     * Selects members of one availability zone for a key, first choice first; of any zone if it has none.
+     * @param key - The key.
+     * @param zone - The availability zone.
+     * @param count - How many to select.
+     */
+    selectInZone(key: string, zone: string, count: number): readonly Member[] {
+        return this.#getCached(`${count} in ${zone} ${key}`, () => {
+            const isInZone = (member: Member): boolean => member.zone === zone;
+            const hasZone = this.#members.some(isInZone);
+            return this.#select(key, count, false, hasZone ? isInZone : () => true);
+        });
+    }
+
+    /**
+     * Gets all members in the order of a key.
+     * @param key - The key.
+     */
+    getOrder(key: string): readonly Member[] {
+        return this.#getCached(`all ${key}`, () => {
+            const scores = this.#getScores(key);
+            const order = this.#members.map((_, index) => index);
+            order.sort((left, right) => scores[right]! - scores[left]! || left - right);
+            return order.map(index => this.#members[index]!);
+        });
+    }
+
+    #select(key: string, count: number, spreads: boolean, isAllowed: (member: Member) => boolean): readonly Member[] {
+        const scores = this.#getScores(key);
+        const selected = new Set<Member>();
+        const zones = new Set<string>();
+        while (selected.size < count) {
+            const next = this.#findBest(scores, member =>
+                isAllowed(member) && !selected.has(member) &&
+                !(spreads && zones.has(member.zone))) ??
+                this.#findBest(scores, member => isAllowed(member) && !selected.has(member));
+            if (next === undefined) {
+                break;
+            }
+            selected.add(next);
+            zones.add(next.zone);
+        }
+        return [...selected];
+    }
+
+    #findBest(scores: Uint32Array, isAllowed: (member: Member) => boolean): Member | undefined {
+        let best: Member | undefined;
+        let bestScore = -1;
+        for (let index = 0; index < scores.length; index++) {
+            if (scores[index]! > bestScore && isAllowed(this.#members[index]!)) {
+                best = this.#members[index]!;
+                bestScore = scores[index]!;
+            }
+        }
+        return best;
+    }
+
+    #getScores(key: string): Uint32Array {
+        const keyHash = getTextHash(key);
+        return this.#hashes.map(hash => getMixedHash(hash ^ keyHash));
+    }
+
+    #getCached(cacheKey: string, create: () => readonly Member[]): readonly Member[] {
+        let members = this.#cache.get(cacheKey);
+        if (members === undefined) {
+            members = create();
+            if (this.#cache.size >= MAX_CACHED_KEYS) {
+                this.#cache.clear();
+            }
+            this.#cache.set(cacheKey, members);
+        }
+        return members;
+    }
+}
+
+function getTextHash(text: string): number {
+    let hash = FNV_OFFSET;
+    for (let index = 0; index < text.length; index++) {
+        hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+    }
+    return getMixedHash(hash);
+}
+
+function getMixedHash(value: number): number {
+    let mixed = value >>> 0;
+    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+    return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/src/membership/getHeadMembers.ts
@@ -0,0 +1,14 @@
+import type { Head } from "../head/index.js";
+import type { Member } from "./Member.js";
+
+/**
+ * Gets the members of the view in force, then those that only the proposed view has.
+ * @param head - The head.
+ */
+export function getHeadMembers(head: Head): readonly Member[] {
+    if (head.nextView === undefined) {
+        return head.view.members;
+    }
+    const known = new Set(head.view.members.map(member => member.id));
+    return [...head.view.members, ...head.nextView.members.filter(member => !known.has(member.id))];
+}
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,3 +1,17 @@
+export { FRESHNESS_BOUND_MS } from "./FRESHNESS_BOUND_MS.js";
+export type { GossipAnswer } from "./GossipAnswer.js";
+export type { GossipRequest } from "./GossipRequest.js";
+export type { HeadAnswer } from "./HeadAnswer.js";
+export type { HeadRequest } from "./HeadRequest.js";
+export type { InstalledAnswer } from "./InstalledAnswer.js";
 export type { Member } from "./Member.js";
 export type { Membership } from "./Membership.js";
+export type { MembershipOptions } from "./MembershipOptions.js";
+export { MembershipService } from "./MembershipService.js";
 export type { MembershipView } from "./MembershipView.js";
+export type { ProbeAnswer } from "./ProbeAnswer.js";
+export type { ProbeRequest } from "./ProbeRequest.js";
+export { RendezvousTable } from "./RendezvousTable.js";
+export type { ViewEdit } from "./ViewEdit.js";
+export type { ViewEditAnswer } from "./ViewEditAnswer.js";
+export { ViewEditKind } from "./ViewEditKind.js";
--- /dev/null
+++ b/src/membership/mergeViewEdits.ts
@@ -0,0 +1,30 @@
+import { UnexpectedVariantError } from "../errors/index.js";
+import type { Member } from "./Member.js";
+import type { ViewEdit } from "./ViewEdit.js";
+import { ViewEditKind } from "./ViewEditKind.js";
+
+/**
+ * Merges wanted changes into the members of a view; returns undefined if they change nothing.
+ * @param members - The members.
+ * @param edits - The wanted changes.
+ */
+export function mergeViewEdits(members: readonly Member[], edits: readonly ViewEdit[]): readonly Member[] | undefined {
+    const merged = new Map(members.map(member => [member.id, member]));
+    let isChanged = false;
+    for (const edit of edits) {
+        const incarnation = merged.get(edit.member.id)?.incarnation;
+        const isPresent = incarnation === edit.member.incarnation;
+        switch (edit.kind) {
+            case ViewEditKind.Join:
+                merged.set(edit.member.id, edit.member);
+                isChanged ||= !isPresent;
+                break;
+            case ViewEditKind.Leave:
+                isChanged = isPresent && merged.delete(edit.member.id) || isChanged;
+                break;
+            default:
+                throw new UnexpectedVariantError(edit);
+        }
+    }
+    return isChanged ? [...merged.values()] : undefined;
+}
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -1,4 +1,8 @@
 /** The calls between entry hosts. */
 export enum PeerMethod {
     PullGossip = "gossip.pull",
+    GetHead = "head.get",
+    GetInstalled = "head.installed",
+    Probe = "membership.probe",
+    EditView = "membership.edit",
 }
--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -1,6 +1,21 @@
+import type {
+    GossipAnswer,
+    GossipRequest,
+    HeadAnswer,
+    HeadRequest,
+    InstalledAnswer,
+    ProbeAnswer,
+    ProbeRequest,
+    ViewEdit,
+    ViewEditAnswer,
+} from "../membership/index.js";
 import type { PeerMethod } from "./PeerMethod.js";
 
 /** The parameters and the result of each call between entry hosts; all are JSON values. */
 export interface PeerMethods {
-    [PeerMethod.PullGossip]: { params: { from: string; }; result: { from: string; }; };
+    [PeerMethod.PullGossip]: { params: GossipRequest; result: GossipAnswer; };
+    [PeerMethod.GetHead]: { params: HeadRequest; result: HeadAnswer; };
+    [PeerMethod.GetInstalled]: { params: HeadRequest; result: InstalledAnswer; };
+    [PeerMethod.Probe]: { params: ProbeRequest; result: ProbeAnswer; };
+    [PeerMethod.EditView]: { params: ViewEdit; result: ViewEditAnswer; };
 }
