--- a/src/fakes/FakeFleet.ts
+++ b/src/fakes/FakeFleet.ts
@@ -1,4 +1,3 @@
-import type { Head } from "../head/index.js";
 import type { ListedHost } from "../hostlist/index.js";
 import { DecisionHistory } from "../logging/index.js";
 import { type Member, MembershipService } from "../membership/index.js";
@@ -132,8 +131,10 @@
      */
     async write(index: number): Promise<number> {
         const host = this.get(index);
-        const change = (head: Head): Head => head;
-        const head = await new FakeHeadStore(host.store).apply(`change-${this.#seed}-${this.#starts++}`, change);
+        const head = await new FakeHeadStore(host.store).apply(
+            `change-${this.#seed}-${this.#starts++}`,
+            content => content,
+        );
         await host.membership.applyHead(head);
         return head.version;
     }
--- a/src/membership/Gossip.ts
+++ b/src/membership/Gossip.ts
@@ -58,14 +58,14 @@
         while (!signal.aborted) {
             const address = targets.findNext();
             if (address !== undefined) {
-                void this.#pull(address, signal);
+                void this.#runPull(address, signal);
             }
             const spread = 1 + INTERVAL_SPREAD * (random.getNext() - 1 / 2);
             await clock.wait(pullIntervalMs * spread, signal);
         }
     }
 
-    async #pull(address: string, signal: AbortSignal): Promise<void> {
+    async #runPull(address: string, signal: AbortSignal): Promise<void> {
         const { clock, transport, self } = this.#options;
         const sentAt = clock.getTime();
         try {
@@ -74,7 +74,7 @@
             await this.#receive(address, answer, sentAt, signal);
         }
         catch {
-            await this.#probe(address, sentAt);
+            await this.#runProbe(address, sentAt);
         }
     }
 
@@ -82,14 +82,14 @@
         const { tracker, evidence } = this.#options;
         evidence.recordHeard(answer.from, sentAt);
         if (answer.headVersion > tracker.getVersion()) {
-            await this.#fetchHead(address);
+            await this.#readHead(address);
         }
         if (!signal.aborted && answer.headVersion > 0) {
             this.#merge(answer, sentAt);
         }
     }
 
-    async #fetchHead(address: string): Promise<void> {
+    async #readHead(address: string): Promise<void> {
         const { transport, self, tracker } = this.#options;
         const params = { from: self.peerAddress };
         const answer = await transport.send(address, PeerMethod.GetHead, params, HEAD_TIMEOUT_MS);
@@ -143,7 +143,7 @@
     }
 
     /** Asks others whether a host that gave no answer answers them; what they say only concerns reachability. */
-    async #probe(address: string, sentAt: number): Promise<void> {
+    async #runProbe(address: string, sentAt: number): Promise<void> {
         const { transport, targets, evidence } = this.#options;
         const memberId = targets.findMemberId(address);
         if (memberId === undefined || evidence.getHeardTime(memberId) >= sentAt) {
--- a/src/membership/ViewWriter.ts
+++ b/src/membership/ViewWriter.ts
@@ -97,7 +97,7 @@
             await this.#sendOwnEdit(head);
         }
         if (head.nextView !== undefined) {
-            await this.#promote(head.nextView, signal);
+            await this.#applyProposed(head.nextView, signal);
         }
         else if (this.#pending.size > 0 || this.#isRemovalDue(head)) {
             await this.#writeEdits();
@@ -186,7 +186,7 @@
      * Puts the proposed view in force once a majority of the view in force has installed a head that proposes it: from
      * then on no majority of the view in force can vouch for an older head.
      */
-    async #promote(nextView: MembershipView, signal: AbortSignal): Promise<void> {
+    async #applyProposed(nextView: MembershipView, signal: AbortSignal): Promise<void> {
         const { tracker, poll } = this.#options;
         const head = tracker.getHead()!;
         if (!this.#isTurn(head, `promotion of ${nextView.version}`)) {
