--- a/src/standins/StoreServer.ts
+++ b/src/standins/StoreServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import polka from "polka";
+import type { z } from "zod";
 import { StoreLimitError, StoreUnavailableError, StoreValueError, UnexpectedVariantError } from "../errors/index.js";
 import { FakeStore } from "../fakes/index.js";
 import { StoreMethod } from "../store/index.js";
@@ -32,7 +33,7 @@
         const app = polka({ server: this.#server });
         app.post("/store/:method", (request, response) => this.#runCall(request, response, request.params["method"]));
         app.get("/control", (_, response) => this.#sendState(response));
-        app.post("/control", (request, response) => this.#applyFaults(request, response));
+        app.post("/control", (request, response) => this.#receiveFaults(request, response));
         this.#server.on("request", (request, response) => app.handler(request as polka.Request, response));
     }
 
@@ -49,6 +50,17 @@
         return stopListening(this.#server);
     }
 
+    /**
+     * Applies faults.
+     * @param change - The faults to change; what is left out stays as it was.
+     */
+    applyFaults(change: z.output<typeof storeServerFaults>): void {
+        const { isSilent, ...faults } = change;
+        this.#isSilent = isSilent ?? this.#isSilent;
+        const entries = Object.entries(faults).map(([name, value]) => [name, value ?? undefined]);
+        Object.assign(this.store.faults, Object.fromEntries(entries));
+    }
+
     async #runCall(request: IncomingMessage, response: ServerResponse, method: unknown): Promise<void> {
         try {
             const params = await readJsonBody(request);
@@ -112,20 +124,9 @@
         sendJson(response, STATUS_OK, { faults, calls: this.store.calls });
     }
 
-    async #applyFaults(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    async #receiveFaults(request: IncomingMessage, response: ServerResponse): Promise<void> {
         try {
-            const { isSilent, readsPerSecond, writesPerSecond, ...faults } = parseValue(
-                storeServerFaults,
-                await readJsonBody(request),
-            );
-            Object.assign(this.store.faults, faults);
-            this.#isSilent = isSilent ?? this.#isSilent;
-            if (readsPerSecond !== undefined) {
-                this.store.faults.readsPerSecond = readsPerSecond ?? undefined;
-            }
-            if (writesPerSecond !== undefined) {
-                this.store.faults.writesPerSecond = writesPerSecond ?? undefined;
-            }
+            this.applyFaults(parseValue(storeServerFaults, await readJsonBody(request)));
             this.#sendState(response);
         }
         catch (error) {
--- /dev/null
+++ b/src/standins/readSettingsFile.ts
@@ -0,0 +1,38 @@
+import { readFile } from "node:fs/promises";
+import type { z } from "zod";
+import { FindingsError } from "../errors/index.js";
+import { parseValue } from "./parseValue.js";
+
+/**
+ * Reads a JSON file and checks it against a schema; throws all findings with their places.
+ * @param file - The file's path.
+ * @param schema - The schema.
+ */
+export async function readSettingsFile<Schema extends z.ZodType>(
+    file: string,
+    schema: Schema,
+): Promise<z.output<Schema>> {
+    return parseValue(schema, parseJson(file, await readText(file)));
+}
+
+async function readText(file: string): Promise<string> {
+    try {
+        return await readFile(file, "utf8");
+    }
+    catch (error) {
+        throw createFinding(file, error);
+    }
+}
+
+function parseJson(file: string, text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch (error) {
+        throw createFinding(file, error);
+    }
+}
+
+function createFinding(place: string, error: unknown): FindingsError {
+    return new FindingsError([{ place, message: error instanceof Error ? error.message : String(error) }]);
+}
