--- a/src/standins/SlotQueue.ts
+++ b/src/standins/SlotQueue.ts
@@ -62,15 +62,15 @@
 
     #waitForSlot(waitMs: number, signal: AbortSignal): Promise<boolean> {
         return new Promise(resolve => {
-            const end = (isGranted: boolean): void => {
+            const stopWaiting = (isGranted: boolean): void => {
                 timer.cancel();
                 signal.removeEventListener("abort", cancel);
                 resolve(isGranted);
             };
-            const waiter = { end };
+            const waiter = { end: stopWaiting };
             const cancel = (): void => {
                 this.#waiters.splice(this.#waiters.indexOf(waiter), 1);
-                end(false);
+                stopWaiting(false);
             };
             const timer = this.#clock.schedule(waitMs, cancel);
             signal.addEventListener("abort", cancel, { once: true });
--- a/src/standins/UpstreamStandIn.ts
+++ b/src/standins/UpstreamStandIn.ts
@@ -190,7 +190,7 @@
         }
         if (work.serviceTimeMs > timeLeft) {
             this.#records.recordEnd(record, RecordEnd.Expired, STATUS_DEADLINE);
-            return sendJson(response, STATUS_DEADLINE, { detail: "The deadline passed during the work." });
+            return sendJson(response, STATUS_DEADLINE, { requestId: record.requestId, path: record.path });
         }
         if (work.isError) {
             this.#records.recordEnd(record, RecordEnd.Answered, STATUS_ERROR);
