--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -1,6 +1,10 @@
 /** The calls between entry hosts. */
 export enum PeerMethod {
     PullGossip = "gossip.pull",
+    GetHead = "head.get",
+    GetInstalled = "head.installed",
+    Probe = "membership.probe",
+    EditView = "membership.edit",
     ShareBaseline = "service.shareBaseline",
     FindOutcome = "service.findOutcome",
     RemoveCrash = "service.removeCrash",
