--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -5,4 +5,7 @@
     GetInstalled = "head.installed",
     Probe = "membership.probe",
     EditView = "membership.edit",
+    ShareBaseline = "service.shareBaseline",
+    FindOutcome = "service.findOutcome",
+    RemoveCrash = "service.removeCrash",
 }
--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -9,6 +9,14 @@
     ViewEdit,
     ViewEditAnswer,
 } from "../membership/index.js";
+import type {
+    FindOutcomeParams,
+    FindOutcomeResult,
+    RemoveCrashParams,
+    RemoveCrashResult,
+    ShareBaselineParams,
+    ShareBaselineResult,
+} from "../services/index.js";
 import type { PeerMethod } from "./PeerMethod.js";
 
 /** The parameters and the result of each call between entry hosts; all are JSON values. */
@@ -18,4 +26,7 @@
     [PeerMethod.GetInstalled]: { params: HeadRequest; result: InstalledAnswer; };
     [PeerMethod.Probe]: { params: ProbeRequest; result: ProbeAnswer; };
     [PeerMethod.EditView]: { params: ViewEdit; result: ViewEditAnswer; };
+    [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
+    [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
+    [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
 }
