--- a/src/configuration/ConfigurationLoader.ts
+++ b/src/configuration/ConfigurationLoader.ts
@@ -73,7 +73,7 @@
         }
         await this.#runPinned(head, () => {
             if (head.version > this.#head.version) {
-                this.#install(head);
+                this.#applyHead(head);
             }
         });
     }
@@ -105,7 +105,7 @@
         }
     }
 
-    #install(head: Head): void {
+    #applyHead(head: Head): void {
         const previous = this.#configuration;
         const kept = new Set([this.#head, head, ...this.#pinnedHeads].flatMap(known => [...findDigests(known)]));
         this.#configuration = new IndexedConfiguration(head.version, { sections: this.#decodeSections(head) });
--- a/src/configuration/changes/ChangeMerger.ts
+++ b/src/configuration/changes/ChangeMerger.ts
@@ -46,15 +46,15 @@
     #applyOperation(operation: ChangeOperation, place: string): void {
         switch (operation.kind) {
             case ChangeKind.PutSection:
-                return this.#putSection(operation.section, operation.content);
+                return this.#addSection(operation.section, operation.content);
             case ChangeKind.RemoveSection:
                 return this.#removeSection(operation.section);
             case ChangeKind.PutAccount:
-                return this.#putAccount(operation.section, operation.account, place);
+                return this.#addAccount(operation.section, operation.account, place);
             case ChangeKind.RemoveAccount:
                 return this.#removeAccount(operation.account, place);
             case ChangeKind.PutKey:
-                return this.#putKey(operation.section, operation.key, place);
+                return this.#addKey(operation.section, operation.key, place);
             case ChangeKind.WithdrawKey:
                 return this.#withdrawKey(operation.keyId, place);
             case ChangeKind.DrainUpstream:
@@ -64,7 +64,7 @@
         }
     }
 
-    #putSection(name: string, content: Section): void {
+    #addSection(name: string, content: Section): void {
         const owners = this.#sections[name]?.owners ?? content.owners;
         if (this.#checkHasNotMoved(name) && this.#checkOwner(name, owners)) {
             this.#sections[name] = content;
@@ -83,13 +83,13 @@
         }
     }
 
-    #putAccount(name: string, account: Account, place: string): void {
+    #addAccount(name: string, account: Account, place: string): void {
         const holder = this.#findHolder(section => section.accounts?.some(known => known.name === account.name));
         if (holder !== undefined && holder !== name) {
             this.#report(`${place}.section`, `account "${account.name}" stands in section "${holder}"`);
             return;
         }
-        this.#changeSection(name, `${place}.section`, section => ({
+        this.#applyToSection(name, `${place}.section`, section => ({
             ...section,
             accounts: [...(section.accounts ?? []).filter(known => known.name !== account.name), account],
         }));
@@ -105,7 +105,7 @@
             section === holder || this.#sections[section]?.keys?.some(key => key.account === name)
         );
         for (const section of holders) {
-            this.#changeSection(section, `${place}.account`, known => ({
+            this.#applyToSection(section, `${place}.account`, known => ({
                 ...known,
                 ...(known.accounts && { accounts: known.accounts.filter(account => account.name !== name) }),
                 ...(known.keys && { keys: known.keys.filter(key => key.account !== name) }),
@@ -113,12 +113,12 @@
         }
     }
 
-    #putKey(name: string, key: AccountKey, place: string): void {
+    #addKey(name: string, key: AccountKey, place: string): void {
         if (this.#findHolder(section => section.keys?.some(known => known.id === key.id)) !== undefined) {
             this.#report(`${place}.key.id`, `there is a key "${key.id}" already`);
             return;
         }
-        this.#changeSection(name, `${place}.section`, section => ({
+        this.#applyToSection(name, `${place}.section`, section => ({
             ...section,
             keys: [...section.keys ?? [], key],
         }));
@@ -130,7 +130,7 @@
             this.#report(`${place}.keyId`, `there is no key "${id}"`);
             return;
         }
-        this.#changeSection(holder, `${place}.keyId`, section => ({
+        this.#applyToSection(holder, `${place}.keyId`, section => ({
             ...section,
             keys: section.keys!.map(key => key.id === id ? { ...key, withdrawn: true } : key),
         }));
@@ -144,7 +144,7 @@
             this.#report(`${place}.upstream`, `there is no upstream "${name}"`);
             return;
         }
-        this.#changeSection(holder, `${place}.upstream`, section => ({
+        this.#applyToSection(holder, `${place}.upstream`, section => ({
             ...section,
             services: section.services!.map(service => ({
                 ...service,
@@ -153,7 +153,7 @@
         }));
     }
 
-    #changeSection(name: string, place: string, change: (section: Section) => Section): void {
+    #applyToSection(name: string, place: string, change: (section: Section) => Section): void {
         const section = this.#sections[name];
         if (section === undefined) {
             this.#report(place, `there is no section "${name}"`);
--- a/src/configuration/chunks/ChunkFetcher.ts
+++ b/src/configuration/chunks/ChunkFetcher.ts
@@ -36,9 +36,9 @@
             return;
         }
         for (const peer of this.#findPeers(version).slice(0, MAX_PEERS)) {
-            await this.#fetchFromPeer(peer, digests);
+            await this.#readFromPeer(peer, digests);
         }
-        await this.#fetchFromStore(digests);
+        await this.#readFromStore(digests);
         const missing = this.#findMissing(digests);
         if (missing.length > 0) {
             throw new ChunksMissingError(version, missing.length);
@@ -49,7 +49,7 @@
         return [...digests].filter(digest => !this.#cache.has(digest));
     }
 
-    async #fetchFromPeer(peer: string, digests: ReadonlySet<string>): Promise<void> {
+    async #readFromPeer(peer: string, digests: ReadonlySet<string>): Promise<void> {
         for (let missing = this.#findMissing(digests); missing.length > 0;) {
             const asked = missing.slice(0, DIGESTS_PER_CALL);
             await this.#sendGet(peer, asked);
@@ -79,7 +79,7 @@
         }
     }
 
-    async #fetchFromStore(digests: ReadonlySet<string>): Promise<void> {
+    async #readFromStore(digests: ReadonlySet<string>): Promise<void> {
         const remaining = this.#findMissing(digests);
         const readNext = async (): Promise<void> => {
             for (let digest = remaining.shift(); digest !== undefined; digest = remaining.shift()) {
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -1,3 +1,4 @@
+export { AnswerCutError } from "./AnswerCutError.js";
 export { AuditTrailBrokenError } from "./AuditTrailBrokenError.js";
 export { ChunksMissingError } from "./ChunksMissingError.js";
 export type { Finding } from "./Finding.js";
--- a/src/head/StoredHeadStore.ts
+++ b/src/head/StoredHeadStore.ts
@@ -146,11 +146,11 @@
         ...(auditKey && { auditKey }),
         ...(changeDigest && { digest: changeDigest }),
     };
-    const lastAuditKey = auditKey ?? head.lastAuditKey;
     return {
+        removedSections: head.removedSections,
         ...rest,
+        lastAuditKey: auditKey ?? head.lastAuditKey,
         version,
         changes: [...head.changes, added].slice(-KEPT_CHANGES),
-        ...(lastAuditKey === undefined ? {} : { lastAuditKey }),
     };
 }
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -2,4 +2,11 @@
 export enum PeerMethod {
     GetChunks = "chunk.get",
     PullGossip = "gossip.pull",
+    GetHead = "head.get",
+    GetInstalled = "head.installed",
+    Probe = "membership.probe",
+    EditView = "membership.edit",
+    ShareBaseline = "service.shareBaseline",
+    FindOutcome = "service.findOutcome",
+    RemoveCrash = "service.removeCrash",
 }
--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -1,8 +1,34 @@
 import type { ChunkGetParams, ChunkGetResult } from "../configuration/index.js";
+import type {
+    GossipAnswer,
+    GossipRequest,
+    HeadAnswer,
+    HeadRequest,
+    InstalledAnswer,
+    ProbeAnswer,
+    ProbeRequest,
+    ViewEdit,
+    ViewEditAnswer,
+} from "../membership/index.js";
+import type {
+    FindOutcomeParams,
+    FindOutcomeResult,
+    RemoveCrashParams,
+    RemoveCrashResult,
+    ShareBaselineParams,
+    ShareBaselineResult,
+} from "../services/index.js";
 import type { PeerMethod } from "./PeerMethod.js";
 
 /** The parameters and the result of each call between entry hosts; all are JSON values. */
 export interface PeerMethods {
     [PeerMethod.GetChunks]: { params: ChunkGetParams; result: ChunkGetResult; };
-    [PeerMethod.PullGossip]: { params: { from: string; }; result: { from: string; }; };
+    [PeerMethod.PullGossip]: { params: GossipRequest; result: GossipAnswer; };
+    [PeerMethod.GetHead]: { params: HeadRequest; result: HeadAnswer; };
+    [PeerMethod.GetInstalled]: { params: HeadRequest; result: InstalledAnswer; };
+    [PeerMethod.Probe]: { params: ProbeRequest; result: ProbeAnswer; };
+    [PeerMethod.EditView]: { params: ViewEdit; result: ViewEditAnswer; };
+    [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
+    [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
+    [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
 }
--- a/tests/configuration/ChangeService.test.ts
+++ b/tests/configuration/ChangeService.test.ts
@@ -25,16 +25,16 @@
 
 test("operators that race on different sections are both accepted, on the same section one is refused", async () => {
     const { hosts, run } = await createWorld();
-    const put = (id: string, operator: string, section: string, content = document.sections[section]!): Change =>
+    const createPut = (id: string, operator: string, section: string, content = document.sections[section]!): Change =>
         createChange(id, operator, { kind: ChangeKind.PutSection, section, content });
     const different = await run(Promise.all([
-        hosts[0]!.service.apply(put("a", "lookups", "catalogue")),
-        hosts[1]!.service.apply(put("b", "sales", "orders")),
+        hosts[0]!.service.apply(createPut("a", "lookups", "catalogue")),
+        hosts[1]!.service.apply(createPut("b", "sales", "orders")),
     ]));
     assert.equal(different?.map(answer => answer.kind), [ChangeAnswerKind.Accepted, ChangeAnswerKind.Accepted]);
     const same = await run(Promise.all([
-        hosts[0]!.service.apply({ ...put("c", "office", "orders"), baseVersion: 3 }),
-        hosts[1]!.service.apply({ ...put("d", "sales", "orders"), baseVersion: 3 }),
+        hosts[0]!.service.apply({ ...createPut("c", "office", "orders"), baseVersion: 3 }),
+        hosts[1]!.service.apply({ ...createPut("d", "sales", "orders"), baseVersion: 3 }),
     ]));
     assert.equal(same?.map(answer => answer.kind).sort(), [ChangeAnswerKind.Accepted, ChangeAnswerKind.Refused]);
     const refused = same?.find(answer => answer.kind === ChangeAnswerKind.Refused);
