Add the operators' endpoints and the program fuchsiapath

Cause: operators change the document from several teams and must learn what became of each change, also when an answer is lost. A change id is safe to send to several hosts, so the program goes on to the next address when one is away or can't reach the store; keys are created in the program, so that the secret never crosses the network. "outcome" asks for a change by its id alone, since a created key can't be made a second time. Ruled out: creating keys at the host, where a lost answer would lose the secret. publishHead of ChangeService is asynchronous and required now (wire it to MembershipService.applyHead).

--- a/src/configuration/changes/ChangeService.ts
+++ b/src/configuration/changes/ChangeService.ts
@@ -48,6 +48,26 @@
         }
     }
 
+    /**
+     * Finds the outcome of a change by its id alone; undefined if no version has it so far.
+     * @param changeId - The change's id.
+     */
+    async findOutcome(changeId: string): Promise<ChangeAnswer | undefined> {
+        const version = findVersion(this.#options.loader.getHead(), changeId) ??
+            await this.#findStoredVersion(changeId);
+        return version === undefined ? undefined : await this.#waitForConfirmation(version);
+    }
+
+    async #findStoredVersion(changeId: string): Promise<number | undefined> {
+        const head = (await this.#options.headStore.read())?.head;
+        if (head === undefined) {
+            return undefined;
+        }
+        await this.#publish(head);
+        const entry = await this.#auditTrail.findChange(head, changeId, 0);
+        return findVersion(head, changeId) ?? entry?.record.version;
+    }
+
     async #write(change: Change, attempt: { isWritten: boolean; }): Promise<HeadChange> {
         let oldEntry: HeadChange | undefined;
         const head = await this.#options.headStore.apply(change.id, async current => {
@@ -59,10 +79,20 @@
             attempt.isWritten = true;
             return content;
         });
-        this.#options.publishHead?.(head);
+        await this.#publish(head);
         return oldEntry ?? findEntry(head, change)!;
     }
 
+    /** A head that can't be installed here yet spreads by way of other hosts. */
+    async #publish(head: Head): Promise<void> {
+        try {
+            await this.#options.publishHead(head);
+        }
+        catch {
+            return;
+        }
+    }
+
     /** Looks a change up in the audit trail when the head's change list no longer reaches back to its base version. */
     async #findOldEntry(head: Head, change: Change): Promise<HeadChange | undefined> {
         if (isCovered(head, change.baseVersion)) {
@@ -118,6 +148,10 @@
     return Object.fromEntries([...known, ...removed.map(name => [name, head.version + 1] as const)]);
 }
 
+function findVersion(head: Head, changeId: string): number | undefined {
+    return head.changes.find(known => known.id === changeId)?.version;
+}
+
 function findEntry(head: Head, change: Change): HeadChange | undefined {
     return head.changes.find(known => known.id === change.id);
 }
--- a/src/configuration/changes/ChangeServiceOptions.ts
+++ b/src/configuration/changes/ChangeServiceOptions.ts
@@ -16,8 +16,8 @@
      */
     readonly waitForMajority: (version: number, timeoutMs: number) => Promise<boolean>;
     /**
-     * Publishes a head that was stored here, so that it spreads at once.
+     * Installs a head that was stored here and publishes it, so that it spreads at once.
      * @param head - The new head.
      */
-    readonly publishHead?: (head: Head) => void;
+    readonly publishHead: (head: Head) => Promise<unknown>;
 }
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -31,6 +31,7 @@
 export type { Route } from "./Route.js";
 export { RouteAccess } from "./RouteAccess.js";
 export { RouteKind } from "./RouteKind.js";
+export { checkSchema } from "./schema/index.js";
 export type { Section } from "./Section.js";
 export type { Service } from "./Service.js";
 export type { Upstream } from "./Upstream.js";
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -4,6 +4,7 @@
 export type { Finding } from "./Finding.js";
 export { FindingsError } from "./FindingsError.js";
 export { FuchsiapathError } from "./FuchsiapathError.js";
+export { OperatorUnreachableError } from "./OperatorUnreachableError.js";
 export { PeerUnavailableError } from "./PeerUnavailableError.js";
 export { StoreLimitError } from "./StoreLimitError.js";
 export { StoreUnavailableError } from "./StoreUnavailableError.js";
--- /dev/null
+++ b/src/operators/commands/GlobalOptions.ts
@@ -0,0 +1,6 @@
+/** The options that all commands have. */
+export interface GlobalOptions {
+    readonly address: readonly string[];
+    readonly token: string | undefined;
+    readonly json: boolean;
+}
--- /dev/null
+++ b/src/operators/commands/compareDocuments.ts
@@ -0,0 +1,60 @@
+import { isDeepStrictEqual } from "node:util";
+import type { ConfigurationDocument, Section } from "../../configuration/index.js";
+import type { DocumentDifference } from "./DocumentDifference.js";
+
+/**
+ * Compares two documents item by item.
+ * @param before - The document in force.
+ * @param after - The document that shall be.
+ */
+export function compareDocuments(before: ConfigurationDocument, after: ConfigurationDocument): DocumentDifference[] {
+    return compareItems("sections", createMap(before.sections), createMap(after.sections), compareSections);
+}
+
+function compareSections(place: string, before: Section, after: Section): DocumentDifference[] {
+    const isSameOwners = isDeepStrictEqual([...before.owners].sort(), [...after.owners].sort());
+    const lists = (["accounts", "keys", "routes", "services"] as const).flatMap(kind =>
+        compareItems(`${place}.${kind}`, createIndex(before[kind]), createIndex(after[kind]))
+    );
+    return isSameOwners ? lists : [{ place: `${place}.owners`, kind: "changed" }, ...lists];
+}
+
+function compareItems<T>(
+    place: string,
+    before: ReadonlyMap<string, T>,
+    after: ReadonlyMap<string, T>,
+    compareInside?: (place: string, before: T, after: T) => DocumentDifference[],
+): DocumentDifference[] {
+    const differences: DocumentDifference[] = [];
+    for (const name of [...new Set([...before.keys(), ...after.keys()])].sort()) {
+        const itemPlace = `${place}.${name}`;
+        const [old, current] = [before.get(name), after.get(name)];
+        if (old === undefined || current === undefined) {
+            differences.push({ place: itemPlace, kind: old === undefined ? "added" : "removed" });
+        }
+        else if (compareInside !== undefined) {
+            differences.push(...compareInside(itemPlace, old, current));
+        }
+        else if (!isDeepStrictEqual(old, current)) {
+            differences.push({ place: itemPlace, kind: "changed" });
+        }
+    }
+    return differences;
+}
+
+function createMap<T>(record: Readonly<Record<string, T>>): ReadonlyMap<string, T> {
+    return new Map(Object.entries(record));
+}
+
+function createIndex(items: readonly object[] = []): ReadonlyMap<string, object> {
+    return new Map(items.map(item => {
+        const { id, name } = item as { id?: string; name?: string; };
+        return [id ?? name ?? "", createComparable(item)];
+    }));
+}
+
+/** The order of a service's upstreams has no meaning. */
+function createComparable(item: object): object {
+    const { upstreams } = item as { upstreams?: readonly { name: string; }[]; };
+    return upstreams === undefined ? item : { ...item, upstreams: Object.fromEntries(createIndex(upstreams)) };
+}
--- /dev/null
+++ b/src/operators/commands/index.ts
@@ -0,0 +1,1 @@
+export { runCommandLine } from "./runCommandLine.js";
--- /dev/null
+++ b/src/operators/findOperator.ts
@@ -0,0 +1,22 @@
+import { createHash } from "node:crypto";
+import type { OperatorSettings } from "../settings/index.js";
+import { isSameText } from "../utils/index.js";
+
+const BEARER_PATTERN = /^Bearer +([^ ]+)$/i;
+
+/**
+ * Finds the operator whose bearer token came with a request; compares with each in constant time.
+ * @param operators - All operators.
+ * @param authorization - The request's Authorization field.
+ */
+export function findOperator(
+    operators: readonly OperatorSettings[],
+    authorization: string | undefined,
+): OperatorSettings | undefined {
+    const token = BEARER_PATTERN.exec(authorization ?? "")?.[1];
+    if (token === undefined) {
+        return undefined;
+    }
+    const hash = createHash("sha256").update(token).digest("base64url");
+    return operators.filter(operator => isSameText(operator.tokenHash, hash)).at(0);
+}
--- a/tests/support/createChangeHost.ts
+++ b/tests/support/createChangeHost.ts
@@ -34,7 +34,7 @@
         loader,
         clock,
         waitForMajority: async () => host.isMajorityReached,
-        publishHead: head => void loader.apply(head),
+        publishHead: head => loader.apply(head),
     });
     loader.addHandlers(handlers);
     network.addHost(address, { handlers });
