--- a/src/bin/fuchsiapath-standin.ts
+++ b/src/bin/fuchsiapath-standin.ts
@@ -3,13 +3,13 @@
 import type { z } from "zod";
 import { FindingsError } from "../errors/index.js";
 import {
-    readSettingsFile,
     type StandIn,
     standInSettings,
     startHostListStandIn,
     startStoreStandIn,
     startUpstreamStandIns,
 } from "../standins/index.js";
+import { readJsonFile } from "../utils/index.js";
 
 /* Runs a stand-in for a part of the platform or for upstreams, until SIGTERM or SIGINT. */
 const EXIT_FINDINGS = 2;
@@ -38,9 +38,7 @@
         "one or more upstreams",
         builder => builder.option("settings", { ...settingsOption, demandOption: true }),
         args =>
-            run(async () =>
-                await startUpstreamStandIns(await readSettingsFile(args.settings, standInSettings.upstream))
-            ),
+            run(async () => await startUpstreamStandIns(await readJsonFile(args.settings, standInSettings.upstream))),
     )
     .demandCommand(1, "Name a stand-in.")
     .strict()
@@ -53,7 +51,7 @@
 ): Promise<z.output<Schema>> {
     return args.settings === undefined
         ? schema.parse({ port: args.port })
-        : await readSettingsFile(args.settings, schema);
+        : await readJsonFile(args.settings, schema);
 }
 
 async function run(start: () => Promise<StandIn>): Promise<void> {
--- /dev/null
+++ b/src/load/HttpCallerTransport.ts
@@ -0,0 +1,60 @@
+import { Agent, request } from "undici";
+import type { HeaderFields } from "../outcomes/index.js";
+import type { Attempt } from "./Attempt.js";
+import { AttemptKind } from "./AttemptKind.js";
+import type { CallerTransport } from "./CallerTransport.js";
+import type { OutgoingRequest } from "./OutgoingRequest.js";
+
+const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
+
+interface SystemFailure {
+    readonly code?: string;
+    readonly syscall?: string;
+    readonly message: string;
+}
+
+/** Sends a caller's requests over HTTP. */
+export class HttpCallerTransport implements CallerTransport {
+    readonly #agent: Agent;
+
+    /**
+     * @param connectTimeoutMs - Time to open a connection, in milliseconds.
+     * @param answerTimeoutMs - Time between two parts of an answer, in milliseconds.
+     */
+    constructor(connectTimeoutMs: number, answerTimeoutMs: number) {
+        this.#agent = new Agent({ connect: { timeout: connectTimeoutMs }, bodyTimeout: answerTimeoutMs });
+    }
+
+    /**
+     * Sends one request; never rejects.
+     * @param outgoing - The request.
+     */
+    async send(outgoing: OutgoingRequest): Promise<Attempt> {
+        try {
+            const answer = await request(outgoing.url + outgoing.path, {
+                dispatcher: this.#agent,
+                method: outgoing.method as "GET",
+                headers: outgoing.headers,
+                body: outgoing.body ?? null,
+                headersTimeout: outgoing.timeoutMs,
+            });
+            const headers = answer.headers as HeaderFields;
+            return { kind: AttemptKind.Answered, status: answer.statusCode, headers, body: answer.body };
+        }
+        catch (error) {
+            return createFailure(error as SystemFailure);
+        }
+    }
+
+    /** Closes all connections. */
+    async close(): Promise<void> {
+        await this.#agent.destroy();
+    }
+}
+
+function createFailure(error: SystemFailure): Attempt {
+    const isNotOpened = error.syscall === "connect" || error.code === CONNECT_TIMEOUT_CODE;
+    return isNotOpened
+        ? { kind: AttemptKind.NotOpened }
+        : { kind: AttemptKind.Lost, detail: error.code ?? error.message };
+}
--- /dev/null
+++ b/src/load/index.ts
@@ -0,0 +1,13 @@
+export type { AccountReport } from "./AccountReport.js";
+export type { AuditReport } from "./AuditReport.js";
+export { createHttpRun } from "./createHttpRun.js";
+export type { Experiment } from "./Experiment.js";
+export type { ExperimentPlace } from "./ExperimentPlace.js";
+export { formatReport } from "./formatReport.js";
+export type { LoadReport } from "./LoadReport.js";
+export { LoadRun } from "./LoadRun.js";
+export { parseExperiment } from "./parseExperiment.js";
+export { readRecords } from "./readRecords.js";
+export { RequestKind } from "./RequestKind.js";
+export type { RequestResult } from "./RequestResult.js";
+export { ResultKind } from "./ResultKind.js";
--- a/src/standins/HostListServer.ts
+++ b/src/standins/HostListServer.ts
@@ -2,9 +2,9 @@
 import polka from "polka";
 import type { ListedHost } from "../hostlist/index.js";
 import type { Clock } from "../time/index.js";
+import { parseValue } from "../utils/index.js";
 import { hostListChange } from "./hostListChange.js";
 import { LaggingHostList } from "./LaggingHostList.js";
-import { parseValue } from "./parseValue.js";
 import { readJsonBody } from "./readJsonBody.js";
 import { sendFindings } from "./sendFindings.js";
 import { sendJson } from "./sendJson.js";
--- a/src/standins/StoreServer.ts
+++ b/src/standins/StoreServer.ts
@@ -5,7 +5,7 @@
 import { FakeStore } from "../fakes/index.js";
 import { StoreMethod } from "../store/index.js";
 import type { Clock } from "../time/index.js";
-import { parseValue } from "./parseValue.js";
+import { parseValue } from "../utils/index.js";
 import { readJsonBody } from "./readJsonBody.js";
 import { sendFindings } from "./sendFindings.js";
 import { sendJson } from "./sendJson.js";
--- a/src/standins/UpstreamControl.ts
+++ b/src/standins/UpstreamControl.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import polka from "polka";
 import { FindingsError } from "../errors/index.js";
-import { parseValue } from "./parseValue.js";
+import { parseValue } from "../utils/index.js";
 import { readJsonBody } from "./readJsonBody.js";
 import { sendFindings } from "./sendFindings.js";
 import { sendJson } from "./sendJson.js";
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,7 +1,5 @@
 export { HostListServer } from "./HostListServer.js";
 export { LaggingHostList } from "./LaggingHostList.js";
-export { parseValue } from "./parseValue.js";
-export { readSettingsFile } from "./readSettingsFile.js";
 export { RecordEnd } from "./RecordEnd.js";
 export { ReportMode } from "./ReportMode.js";
 export { ServiceTimeKind } from "./ServiceTimeKind.js";
--- a/src/standins/readSettingsFile.ts
+++ b/src/utils/readJsonFile.ts
@@ -8,7 +8,7 @@
  * @param file - The file's path.
  * @param schema - The schema.
  */
-export async function readSettingsFile<Schema extends z.ZodType>(
+export async function readJsonFile<Schema extends z.ZodType>(
     file: string,
     schema: Schema,
 ): Promise<z.output<Schema>> {
