--- /dev/null
+++ b/src/accounts/AccountHost.ts
@@ -0,0 +1,198 @@
+import type { Service } from "../configuration/index.js";
+import { RouteKind } from "../configuration/index.js";
+import { Decision } from "../logging/index.js";
+import { OrderRunner } from "../orders/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { EvenRateLimiter, RatePolicy, SharedRateLimiter } from "../rates/index.js";
+import type { RateLimiter } from "../rates/index.js";
+import type { AccountHostOptions } from "./AccountHostOptions.js";
+import type { AccountRunner } from "./AccountRunner.js";
+import type { CallerRequest } from "./CallerRequest.js";
+import type { DispatchCall } from "./DispatchCall.js";
+import { Dispatcher } from "./Dispatcher.js";
+import { getFingerprint } from "./getFingerprint.js";
+import { Quarantine } from "./Quarantine.js";
+import { RequestAdmission } from "./RequestAdmission.js";
+
+/** The account that stands for all callers without a key. */
+const ANONYMOUS_ACCOUNT = "anonymous";
+const RETRY_AFTER_MS = 1_000;
+const CLEAN_UP_INTERVAL_MS = 30_000;
+const DRAIN_CHECK_INTERVAL_MS = 50;
+
+/** Runs callers' requests: rate, quarantine, deduplication of orders, dispatch with retries, and the outcome. */
+export class AccountHost implements AccountRunner {
+    readonly #options: AccountHostOptions;
+    readonly #limiter: RateLimiter;
+    readonly #quarantine: Quarantine;
+    readonly #dispatcher: Dispatcher;
+    readonly #orders: OrderRunner;
+    #running = 0;
+    #controller: AbortController | undefined;
+
+    /** @param options - What the account host works with. */
+    constructor(options: AccountHostOptions) {
+        this.#options = options;
+        this.#limiter = createLimiter(options);
+        this.#quarantine = new Quarantine(options);
+        this.#dispatcher = new Dispatcher(options, this.#quarantine);
+        this.#orders = new OrderRunner(options);
+    }
+
+    /** Starts the task that removes what has outlived its time. */
+    start(): void {
+        this.#controller = new AbortController();
+        void this.#runCleanUp(this.#controller.signal);
+    }
+
+    /** Hands shares and order records over and waits until the requests that run have ended. */
+    async drain(): Promise<void> {
+        const handOvers = [this.#orders.drain()];
+        if (this.#limiter instanceof SharedRateLimiter) {
+            handOvers.push(this.#limiter.drain());
+        }
+        await Promise.all(handOvers);
+        while (this.#running > 0) {
+            await this.#options.clock.wait(DRAIN_CHECK_INTERVAL_MS);
+        }
+    }
+
+    /** Stops the tasks. */
+    stop(): void {
+        this.#controller?.abort();
+        this.#controller = undefined;
+    }
+
+    /** Creates a key prefix that names this process, for the lookup's answer. */
+    createKeyPrefix(): string {
+        return this.#orders.createKeyPrefix();
+    }
+
+    /**
+     * Finds the outcome of an order by its key; never rejects.
+     * @param account - The account's name; undefined for a caller without a key.
+     * @param key - The order's key.
+     */
+    async findOutcome(account: string | undefined, key: string): Promise<Outcome> {
+        return await this.#orders.findOutcome(account ?? ANONYMOUS_ACCOUNT, key);
+    }
+
+    /**
+     * Runs the request; never rejects.
+     * @param request - The request.
+     * @param signal - Aborted when the caller has left.
+     */
+    async run(request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+        this.#running++;
+        try {
+            const outcome = await this.#run(request, signal);
+            this.#recordOutcome(request, outcome);
+            return outcome;
+        }
+        catch (error) {
+            return this.#getFailure(request, error);
+        }
+        finally {
+            this.#running--;
+        }
+    }
+
+    async #run(request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+        const account = request.account?.name ?? ANONYMOUS_ACCOUNT;
+        const isIdempotent = request.route.kind !== RouteKind.Order;
+        const fingerprint = getFingerprint(account, request);
+        const deadline = this.#options.clock.getTime() + request.timeoutMs;
+        const admission = this.#createAdmission(request, fingerprint);
+        const call = { request, account, isIdempotent, deadline, fingerprint };
+        if (isIdempotent) {
+            return await admission.admit() ?? await this.#runAdmitted(call, admission, signal);
+        }
+        const work = {
+            admit: () => admission.admit(),
+            run: () => this.#runAdmitted(call, admission, new AbortController().signal),
+            cancel: () => admission.cancel(),
+        };
+        return await this.#orders.run(call, work, signal);
+    }
+
+    async #runAdmitted(
+        call: Omit<DispatchCall, "service">,
+        admission: RequestAdmission,
+        signal: AbortSignal,
+    ): Promise<Outcome> {
+        const service = this.#findService(call.request);
+        if (service === undefined) {
+            admission.cancel();
+            return createNotRun(RefusalReason.NoUpstream, "This route's service has no upstreams.", RETRY_AFTER_MS);
+        }
+        this.#running++;
+        try {
+            const outcome = await this.#dispatcher.run({ ...call, service }, signal);
+            if (outcome.kind === OutcomeKind.NotRun) {
+                admission.cancel();
+            }
+            return outcome;
+        }
+        finally {
+            this.#running--;
+        }
+    }
+
+    #createAdmission(request: CallerRequest, fingerprint: string): RequestAdmission {
+        return new RequestAdmission({
+            membership: this.#options.membership,
+            limiter: this.#limiter,
+            quarantine: this.#quarantine,
+            account: request.account,
+            fingerprint,
+        });
+    }
+
+    #findService(request: CallerRequest): Service | undefined {
+        return this.#options.getConfiguration().getService(request.route.service);
+    }
+
+    #recordOutcome(request: CallerRequest, outcome: Outcome): void {
+        const { requestId, account, route } = request;
+        const base = { requestId, account: account?.name ?? ANONYMOUS_ACCOUNT, service: route.service };
+        switch (outcome.kind) {
+            case OutcomeKind.Done:
+                return;
+            case OutcomeKind.NotRun:
+                this.#options.decisionLog.record({ decision: Decision.Refused, reason: outcome.reason, ...base });
+                return;
+            case OutcomeKind.Unknown:
+                this.#options.decisionLog.record({
+                    decision: Decision.OutcomeUnknown,
+                    reason: outcome.reason,
+                    ...base,
+                });
+                return;
+        }
+    }
+
+    #getFailure(request: CallerRequest, error: unknown): Outcome {
+        const reason = error instanceof Error ? error.message : String(error);
+        const { requestId } = request;
+        this.#options.decisionLog.record({ decision: Decision.OutcomeUnknown, reason, requestId });
+        return createUnknown(UnknownReason.ConnectionLost, "The request failed inside the entry host.");
+    }
+
+    async #runCleanUp(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            this.#orders.removeExpired();
+            await this.#options.clock.wait(CLEAN_UP_INTERVAL_MS, signal).catch(() => undefined);
+        }
+    }
+}
+
+function createLimiter(options: AccountHostOptions): RateLimiter {
+    const policy = options.ratePolicy ?? RatePolicy.Shared;
+    switch (policy) {
+        case RatePolicy.Shared:
+            return new SharedRateLimiter(options);
+        case RatePolicy.Baseline:
+            return new EvenRateLimiter(options);
+    }
+}
--- /dev/null
+++ b/src/accounts/AccountHostOptions.ts
@@ -0,0 +1,27 @@
+import type { Configuration } from "../configuration/index.js";
+import type { DecisionLog } from "../logging/index.js";
+import type { Membership } from "../membership/index.js";
+import type { PeerForwarder, PeerHandlers, PeerTransport } from "../peers/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { RatePolicy } from "../rates/index.js";
+import type { ServiceRunner } from "../services/index.js";
+import type { Store } from "../store/index.js";
+import type { Clock } from "../time/index.js";
+
+/** What an account host works with. */
+export interface AccountHostOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly membership: Membership;
+    readonly transport: PeerTransport;
+    readonly handlers: PeerHandlers;
+    readonly forwarder: PeerForwarder;
+    readonly store: Store;
+    /** The service host of this process. */
+    readonly serviceRunner: ServiceRunner;
+    readonly decisionLog: DecisionLog;
+    /** Gets the configuration in force. */
+    readonly getConfiguration: () => Configuration;
+    /** How rates are kept; shared if undefined. */
+    readonly ratePolicy?: RatePolicy;
+}
--- /dev/null
+++ b/src/accounts/Dispatcher.ts
@@ -0,0 +1,167 @@
+import { Decision } from "../logging/index.js";
+import type { NotRunOutcome, Outcome, UnknownOutcome } from "../outcomes/index.js";
+import { closeBody, createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
+import type { DispatchCall } from "./DispatchCall.js";
+import type { DispatcherOptions } from "./DispatcherOptions.js";
+import type { HostAnswer } from "./HostAnswer.js";
+import { isRetriable } from "./isRetriable.js";
+import type { Quarantine } from "./Quarantine.js";
+import { RetryBudget } from "./RetryBudget.js";
+import { ServiceSender } from "./ServiceSender.js";
+import { ZoneSelector } from "./ZoneSelector.js";
+
+const MAX_ATTEMPTS = 4;
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+interface DispatchState {
+    readonly excludedZones: Set<string>;
+    readonly excludedUpstreams: string[];
+    /** An answer or a doubt of an earlier attempt; "not run" can't be said any more. */
+    earlier: Exclude<Outcome, NotRunOutcome> | undefined;
+}
+
+/** Sends an admitted request to service hosts until one attempt is final, within the deadline and the retry budget. */
+export class Dispatcher {
+    readonly #options: DispatcherOptions;
+    readonly #quarantine: Quarantine;
+    readonly #sender: ServiceSender;
+    readonly #zones: ZoneSelector;
+    readonly #budgets = new Map<string, RetryBudget>();
+
+    /**
+     * @param options - What the dispatcher works with.
+     * @param quarantine - Knows the requests that crash upstreams.
+     */
+    constructor(options: DispatcherOptions, quarantine: Quarantine) {
+        this.#options = options;
+        this.#quarantine = quarantine;
+        this.#sender = new ServiceSender(options);
+        const { clock, random } = options;
+        this.#zones = new ZoneSelector({ clock, random, ownZone: options.membership.getSelf().zone });
+    }
+
+    /**
+     * Runs the request to its outcome; never rejects.
+     * @param call - The request.
+     * @param signal - Aborted when nobody waits for the answer any more.
+     */
+    async run(call: DispatchCall, signal: AbortSignal): Promise<Outcome> {
+        const state: DispatchState = { excludedZones: new Set(), excludedUpstreams: [], earlier: undefined };
+        this.#getBudget(call.service.name).grant(call.service.retryBudget);
+        let outcome = this.#getNoZone();
+        for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+            const next = await this.#runAttempt(call, state, attempt, signal);
+            if (next === undefined) {
+                break;
+            }
+            outcome = next;
+            if (!this.#isRetryAllowed(call, outcome, signal)) {
+                break;
+            }
+            this.#recordRetry(call, outcome, attempt);
+        }
+        return mergeOutcomes(outcome, state.earlier);
+    }
+
+    async #runAttempt(
+        call: DispatchCall,
+        state: DispatchState,
+        attempt: number,
+        signal: AbortSignal,
+    ): Promise<Outcome | undefined> {
+        if (this.#quarantine.isRefused(call.fingerprint)) {
+            return createNotRun(
+                RefusalReason.RequestQuarantined,
+                "This request has crashed upstreams; don't repeat it.",
+            );
+        }
+        if (this.#options.clock.getTime() >= call.deadline) {
+            return createNotRun(RefusalReason.DeadlineExceeded, "The deadline has passed.", DEFAULT_RETRY_AFTER_MS);
+        }
+        const zone = this.#zones.select(call.service, state.excludedZones);
+        if (zone === undefined) {
+            return undefined;
+        }
+        this.#zones.recordSent(call.service.name, zone);
+        const answer = await this.#sender.send(call, zone, attempt, state.excludedUpstreams, signal);
+        await this.#recordAnswer(call, zone, answer, state);
+        return answer.outcome;
+    }
+
+    async #recordAnswer(call: DispatchCall, zone: string, answer: HostAnswer, state: DispatchState): Promise<void> {
+        const { outcome, upstream } = answer;
+        if (upstream !== undefined) {
+            state.excludedUpstreams.push(upstream);
+        }
+        if (outcome.kind === OutcomeKind.NotRun) {
+            state.excludedZones.add(zone);
+        }
+        else {
+            closeEarlier(state.earlier);
+            state.earlier = outcome;
+        }
+        if (upstream !== undefined || outcome.kind === OutcomeKind.Done) {
+            this.#zones.recordLoad(call.service.name, zone, answer.freeSlots, answer.queued);
+        }
+        if (answer.isCrashSuspected && answer.host !== undefined) {
+            const event = { attemptId: answer.attemptId ?? "", hostAddress: answer.host.peerAddress };
+            await this.#quarantine.record(call.account, call.fingerprint, event);
+        }
+        else if (outcome.kind === OutcomeKind.Done) {
+            this.#quarantine.recordSuccess(call.fingerprint);
+        }
+    }
+
+    #isRetryAllowed(call: DispatchCall, outcome: Outcome, signal: AbortSignal): boolean {
+        if (signal.aborted || !isRetriable(outcome, call.isIdempotent)) {
+            return false;
+        }
+        const isFree = outcome.kind === OutcomeKind.NotRun && outcome.reason === RefusalReason.HostUnreachable;
+        return isFree || this.#getBudget(call.service.name).spend();
+    }
+
+    #getBudget(service: string): RetryBudget {
+        const budget = this.#budgets.get(service) ?? new RetryBudget();
+        this.#budgets.set(service, budget);
+        return budget;
+    }
+
+    #getNoZone(): Outcome {
+        return createNotRun(
+            RefusalReason.NoUpstream,
+            "No upstream takes work for this service.",
+            DEFAULT_RETRY_AFTER_MS,
+        );
+    }
+
+    #recordRetry(call: DispatchCall, outcome: Outcome, attempt: number): void {
+        this.#options.decisionLog.record({
+            decision: Decision.Retried,
+            reason: outcome.kind === OutcomeKind.Done ? `status-${outcome.status}` : outcome.reason,
+            requestId: call.request.requestId,
+            account: call.account,
+            service: call.service.name,
+            figures: { attempt },
+        });
+    }
+}
+
+/** Chooses between the last attempt's outcome and an earlier one that may have run. */
+function mergeOutcomes(last: Outcome, earlier: Exclude<Outcome, NotRunOutcome> | undefined): Outcome {
+    if (last.kind === OutcomeKind.NotRun) {
+        return earlier ?? addRetryAfter(last);
+    }
+    return last;
+}
+
+function addRetryAfter(outcome: NotRunOutcome): NotRunOutcome {
+    const isFinal = outcome.reason === RefusalReason.RequestQuarantined;
+    const retryAfterMs = isFinal ? undefined : outcome.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
+    return { ...outcome, retryAfterMs };
+}
+
+function closeEarlier(earlier: Outcome | UnknownOutcome | undefined): void {
+    if (earlier !== undefined) {
+        closeBody(earlier);
+    }
+}
--- /dev/null
+++ b/src/accounts/Quarantine.ts
@@ -0,0 +1,151 @@
+import { Decision } from "../logging/index.js";
+import type { Member } from "../membership/index.js";
+import { PeerMethod } from "../peers/index.js";
+import type { CrashEvent } from "./CrashEvent.js";
+import type { QuarantineOptions } from "./QuarantineOptions.js";
+import type { RecordCrashParams } from "./RecordCrashParams.js";
+import type { RecordCrashResult } from "./RecordCrashResult.js";
+
+const CRASHES_TO_REFUSE = 2;
+const CRASH_LIFETIME_MS = 3_600_000;
+const MAX_FINGERPRINTS = 10_000;
+const MAX_SUCCESSES = 4_096;
+const SUCCESS_LIFETIME_MS = 300_000;
+const RECORD_TIMEOUT_MS = 200;
+
+interface CrashRecord {
+    /** The crashes by attempt. */
+    readonly events: Map<string, CrashEvent>;
+    readonly time: number;
+}
+
+/** Counts, among the account hosts, the requests on which an upstream crashed, and refuses them from the second crash. */
+export class Quarantine {
+    readonly #options: QuarantineOptions;
+    readonly #crashes = new Map<string, CrashRecord>();
+    readonly #successes = new Map<string, number>();
+
+    /** @param options - What the quarantine works with. */
+    constructor(options: QuarantineOptions) {
+        this.#options = options;
+        options.handlers.add(PeerMethod.RecordCrash, params => this.#receive(params));
+    }
+
+    /**
+     * Whether a request is refused for good.
+     * @param fingerprint - The request's fingerprint.
+     */
+    isRefused(fingerprint: string): boolean {
+        const record = this.#crashes.get(fingerprint);
+        if (record !== undefined && this.#options.clock.getTime() - record.time > CRASH_LIFETIME_MS) {
+            this.#crashes.delete(fingerprint);
+            return false;
+        }
+        return record !== undefined && record.events.size >= CRASHES_TO_REFUSE;
+    }
+
+    /**
+     * Records a crash here and on the other account hosts, and learns of the crashes that they know.
+     * @param account - The account's name.
+     * @param fingerprint - The request's fingerprint.
+     * @param event - Names this crash.
+     */
+    async record(account: string, fingerprint: string, event: CrashEvent): Promise<void> {
+        if (this.#hasSucceeded(fingerprint)) {
+            return;
+        }
+        this.#addEvents(account, fingerprint, [event]);
+        const events = this.#getEvents(fingerprint);
+        const hosts = this.#options.membership.getAccountHosts(account);
+        const others = hosts.filter(host => host.id !== this.#options.membership.getSelf().id);
+        await Promise.all(others.map(host => this.#send(host, { account, fingerprint, events })));
+        if (this.isRefused(fingerprint)) {
+            this.#reportToServiceHosts(fingerprint);
+        }
+    }
+
+    /**
+     * Records that a request was answered, so that it is not what crashes upstreams.
+     * @param fingerprint - The request's fingerprint.
+     */
+    recordSuccess(fingerprint: string): void {
+        this.#successes.delete(fingerprint);
+        this.#successes.set(fingerprint, this.#options.clock.getTime());
+        this.#removeOldest(this.#successes, MAX_SUCCESSES);
+        this.#crashes.delete(fingerprint);
+    }
+
+    #hasSucceeded(fingerprint: string): boolean {
+        const time = this.#successes.get(fingerprint);
+        return time !== undefined && this.#options.clock.getTime() - time <= SUCCESS_LIFETIME_MS;
+    }
+
+    #receive(params: RecordCrashParams): RecordCrashResult {
+        if (this.#hasSucceeded(params.fingerprint)) {
+            return { events: [] };
+        }
+        this.#addEvents(params.account, params.fingerprint, params.events);
+        return { events: this.#getEvents(params.fingerprint) };
+    }
+
+    async #send(host: Member, params: RecordCrashParams): Promise<void> {
+        try {
+            const result = await this.#options.transport.send(
+                host.peerAddress,
+                PeerMethod.RecordCrash,
+                params,
+                RECORD_TIMEOUT_MS,
+            );
+            this.#addEvents(params.account, params.fingerprint, result.events);
+        }
+        catch {
+            // The count of this host alone decides while the other one is away.
+        }
+    }
+
+    #getEvents(fingerprint: string): readonly CrashEvent[] {
+        return [...this.#crashes.get(fingerprint)?.events.values() ?? []];
+    }
+
+    /** Lets the service hosts remove the crashes from what counts against their upstreams. */
+    #reportToServiceHosts(fingerprint: string): void {
+        const { handlers, membership, transport } = this.#options;
+        for (const { attemptId, hostAddress } of this.#getEvents(fingerprint)) {
+            const params = { requestId: attemptId };
+            const isLocal = hostAddress === membership.getSelf().peerAddress;
+            const report = isLocal
+                ? handlers.run(PeerMethod.RemoveCrash, params)
+                : transport.send(hostAddress, PeerMethod.RemoveCrash, params, RECORD_TIMEOUT_MS);
+            report.catch(() => undefined);
+        }
+    }
+
+    #addEvents(account: string, fingerprint: string, events: readonly CrashEvent[]): void {
+        const time = this.#options.clock.getTime();
+        const record = this.#crashes.get(fingerprint) ?? { events: new Map<string, CrashEvent>(), time };
+        const wasRefused = record.events.size >= CRASHES_TO_REFUSE;
+        for (const event of events.slice(0, CRASHES_TO_REFUSE)) {
+            record.events.set(event.attemptId, event);
+        }
+        this.#crashes.set(fingerprint, record);
+        this.#removeOldest(this.#crashes, MAX_FINGERPRINTS);
+        if (!wasRefused && record.events.size >= CRASHES_TO_REFUSE) {
+            const figures = { fingerprint, crashes: record.events.size };
+            this.#options.decisionLog.record({
+                decision: Decision.Quarantined,
+                reason: "request-crashes-upstreams",
+                account,
+                figures,
+            });
+        }
+    }
+
+    #removeOldest(map: Map<string, unknown>, limit: number): void {
+        for (const key of map.keys()) {
+            if (map.size <= limit) {
+                return;
+            }
+            map.delete(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/accounts/ServiceSender.ts
@@ -0,0 +1,193 @@
+import { PeerUnavailableError } from "../errors/index.js";
+import type { Member } from "../membership/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { PeerMethod } from "../peers/index.js";
+import type { FindOutcomeResult, ServiceAnswer, ServiceRequest } from "../services/index.js";
+import { FoundState, restoreOutcome } from "../services/index.js";
+import { runWithTimeout } from "../time/index.js";
+import type { DispatchCall } from "./DispatchCall.js";
+import type { DispatcherOptions } from "./DispatcherOptions.js";
+import type { HostAnswer } from "./HostAnswer.js";
+
+const MAX_HOSTS_PER_ZONE = 3;
+const SUSPICION_MS = 2_000;
+const IDEMPOTENT_WAIT_SHARE = 0.5;
+const ANSWER_GRACE_MS = 1_000;
+const FIND_TIMEOUT_MS = 500;
+const FIND_INTERVAL_MS = 100;
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+const HOST_REASONS: ReadonlySet<RefusalReason> = new Set([RefusalReason.HostNotCurrent, RefusalReason.HostStopping]);
+
+interface SentRequest {
+    readonly request: ServiceRequest;
+    /** When it was sent, in milliseconds of the clock. */
+    readonly time: number;
+}
+
+/** Sends attempts to the service hosts of a zone, here or on other entry hosts. */
+export class ServiceSender {
+    readonly #options: DispatcherOptions;
+    readonly #suspectedUntil = new Map<string, number>();
+
+    /** @param options - What the sender works with. */
+    constructor(options: DispatcherOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Sends one attempt to the first service host of the zone that takes it; never rejects.
+     * @param call - The request.
+     * @param zone - The availability zone.
+     * @param attempt - The attempt's number, from 1.
+     * @param excludedUpstreams - Upstreams that have failed this request.
+     * @param signal - Aborts the attempt.
+     */
+    async send(
+        call: DispatchCall,
+        zone: string,
+        attempt: number,
+        excludedUpstreams: readonly string[],
+        signal: AbortSignal,
+    ): Promise<HostAnswer> {
+        for (const host of this.#getHosts(call.service.name, zone)) {
+            const request = this.#createRequest(call, zone, attempt, excludedUpstreams);
+            const answer = await this.#sendToHost(host, call, request, signal);
+            if (answer !== undefined) {
+                return { ...answer, host, attemptId: request.requestId };
+            }
+        }
+        const detail = `No service host of zone ${zone} could be reached.`;
+        const outcome = createNotRun(RefusalReason.HostUnreachable, detail, DEFAULT_RETRY_AFTER_MS);
+        return { ...createAnswer(outcome), host: undefined };
+    }
+
+    /** Returns undefined if the host can't have sent the request on. */
+    async #sendToHost(
+        host: Member,
+        call: DispatchCall,
+        request: ServiceRequest,
+        signal: AbortSignal,
+    ): Promise<ServiceAnswer | undefined> {
+        const { clock, membership, forwarder, serviceRunner } = this.#options;
+        if (host.id === membership.getSelf().id) {
+            return getUnlessRefusedByHost(await serviceRunner.run(request, signal));
+        }
+        const waitMs = call.isIdempotent
+            ? request.timeoutMs * IDEMPOTENT_WAIT_SHARE
+            : request.timeoutMs + ANSWER_GRACE_MS;
+        const sent = { request, time: clock.getTime() };
+        const controller = new AbortController();
+        const attemptSignal = AbortSignal.any([signal, controller.signal]);
+        try {
+            const run = forwarder.runService(host.peerAddress, request, attemptSignal);
+            const answer = await runWithTimeout(clock, waitMs, run, () => {
+                throw new PeerUnavailableError(`${host.id} did not answer.`, false);
+            });
+            return getUnlessRefusedByHost(answer);
+        }
+        catch (error) {
+            if (call.isIdempotent) {
+                controller.abort();
+            }
+            this.#suspectedUntil.set(host.peerAddress, clock.getTime() + SUSPICION_MS);
+            const isNotSent = error instanceof PeerUnavailableError && error.isNotSent;
+            return isNotSent ? undefined : createAnswer(await this.#findLostOutcome(host, call, sent));
+        }
+    }
+
+    /** Asks the host what became of an order; one that it has never seen has not run there and will not. */
+    async #findLostOutcome(host: Member, call: DispatchCall, sent: SentRequest): Promise<Outcome> {
+        const lost = createUnknown(UnknownReason.ConnectionLost, "The connection was lost after the request was sent.");
+        if (call.isIdempotent) {
+            return lost;
+        }
+        const { clock } = this.#options;
+        const end = Math.max(call.deadline, clock.getTime()) + ANSWER_GRACE_MS;
+        while (clock.getTime() < end) {
+            const result = await this.#findAt(host, sent);
+            if (result !== undefined && result.state !== FoundState.Running) {
+                return getFoundOutcome(result, lost);
+            }
+            await clock.wait(FIND_INTERVAL_MS);
+        }
+        return lost;
+    }
+
+    async #findAt(host: Member, sent: SentRequest): Promise<FindOutcomeResult | undefined> {
+        const { clock, transport } = this.#options;
+        const maxAgeMs = clock.getTime() - sent.time + FIND_TIMEOUT_MS;
+        const params = { requestId: sent.request.requestId, maxAgeMs };
+        try {
+            return await transport.send(host.peerAddress, PeerMethod.FindOutcome, params, FIND_TIMEOUT_MS);
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    #getHosts(service: string, zone: string): readonly Member[] {
+        const hosts = this.#options.membership.getServiceHosts(service, zone).slice(0, MAX_HOSTS_PER_ZONE);
+        const trusted = hosts.filter(host => !this.#isSuspected(host));
+        return [...trusted, ...hosts.filter(host => this.#isSuspected(host))];
+    }
+
+    #isSuspected(host: Member): boolean {
+        const { clock, membership } = this.#options;
+        if (host.id === membership.getSelf().id) {
+            return false;
+        }
+        const until = this.#suspectedUntil.get(host.peerAddress);
+        return (until !== undefined && until > clock.getTime()) || !membership.isReachable(host.id);
+    }
+
+    #createRequest(
+        call: DispatchCall,
+        zone: string,
+        attempt: number,
+        excludedUpstreams: readonly string[],
+    ): ServiceRequest {
+        const { method, path, headers, body } = call.request;
+        const requestId = attempt === 1 ? call.request.requestId : `${call.request.requestId}.${attempt}`;
+        const timeoutMs = Math.max(0, call.deadline - this.#options.clock.getTime());
+        const { account, isIdempotent } = call;
+        const service = call.service.name;
+        return {
+            requestId,
+            account,
+            service,
+            zone,
+            method,
+            path,
+            headers,
+            body,
+            isIdempotent,
+            timeoutMs,
+            excludedUpstreams: [...excludedUpstreams],
+        };
+    }
+}
+
+function getFoundOutcome(result: FindOutcomeResult, lost: Outcome): Outcome {
+    switch (result.state) {
+        case FoundState.Finished:
+            return restoreOutcome(result.outcome);
+        case FoundState.NeverSeen: {
+            const detail = "The request did not reach the service host.";
+            return createNotRun(RefusalReason.HostUnreachable, detail, DEFAULT_RETRY_AFTER_MS);
+        }
+        case FoundState.Running:
+        case FoundState.Forgotten:
+            return lost;
+    }
+}
+
+function createAnswer(outcome: Outcome): ServiceAnswer {
+    return { outcome, upstream: undefined, isCrashSuspected: false, freeSlots: 0, queued: 0 };
+}
+
+function getUnlessRefusedByHost(answer: ServiceAnswer): ServiceAnswer | undefined {
+    const { outcome } = answer;
+    const isRefusedByHost = outcome.kind === OutcomeKind.NotRun && HOST_REASONS.has(outcome.reason);
+    return isRefusedByHost ? undefined : answer;
+}
--- /dev/null
+++ b/src/accounts/ZoneSelectorOptions.ts
@@ -0,0 +1,10 @@
+import type { RandomSource } from "../random/index.js";
+import type { Clock } from "../time/index.js";
+
+/** What a zone selector works with. */
+export interface ZoneSelectorOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    /** This host's availability zone, preferred while it has free slots. */
+    readonly ownZone: string;
+}
--- /dev/null
+++ b/src/accounts/getFingerprint.ts
@@ -0,0 +1,14 @@
+import { createHash } from "node:crypto";
+import type { CallerRequest } from "./CallerRequest.js";
+
+/**
+ * Gets a digest of what a request asks for: account, method, path and body.
+ * @param account - The account's name.
+ * @param request - The request.
+ */
+export function getFingerprint(account: string, request: CallerRequest): string {
+    const hash = createHash("sha256");
+    hash.update(JSON.stringify([account, request.method, request.path]));
+    hash.update(request.body);
+    return hash.digest("base64url");
+}
--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -1,2 +1,6 @@
+export { AccountHost } from "./AccountHost.js";
+export type { AccountHostOptions } from "./AccountHostOptions.js";
 export type { AccountRunner } from "./AccountRunner.js";
 export type { CallerRequest } from "./CallerRequest.js";
+export type { RecordCrashParams } from "./RecordCrashParams.js";
+export type { RecordCrashResult } from "./RecordCrashResult.js";
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -17,8 +17,9 @@
     /**
      * Gets the account hosts of a client account, first choice first.
      * @param account - The account's name.
+     * @param view - The view to look in; the view in force if undefined.
      */
-    getAccountHosts(account: string): readonly Member[];
+    getAccountHosts(account: string, view?: MembershipView): readonly Member[];
     /**
      * Gets the service hosts of a service in a zone, first choice first.
      * @param service - The service's name.
--- a/src/membership/MembershipService.ts
+++ b/src/membership/MembershipService.ts
@@ -43,6 +43,8 @@
     readonly #poll: MajorityPoll;
     readonly #listeners: ViewListener[] = [];
     readonly #controller = new AbortController();
+    /** The tables of views that somebody still asks about. */
+    readonly #tables = new WeakMap<MembershipView, RendezvousTable>();
     #table = new RendezvousTable([]);
     #tasks: Promise<void>[] = [];
     #wasCurrent = false;
@@ -127,10 +129,12 @@
     /**
      * Gets the account hosts of a client account, first choice first.
      * @param account - The account's name.
+     * @param view - The view to look in; the view in force if undefined.
      */
-    getAccountHosts(account: string): readonly Member[] {
+    getAccountHosts(account: string, view?: MembershipView): readonly Member[] {
         const count = this.#options.accountHostCount ?? DEFAULT_ACCOUNT_HOSTS;
-        return this.#table.selectAcrossZones(`account ${account}`, count);
+        const table = view === undefined ? this.#table : this.#getTable(view);
+        return table.selectAcrossZones(`account ${account}`, count);
     }
 
     /**
@@ -236,6 +240,12 @@
         }
     }
 
+    #getTable(view: MembershipView): RendezvousTable {
+        const table = this.#tables.get(view) ?? new RendezvousTable(view.members);
+        this.#tables.set(view, table);
+        return table;
+    }
+
     #isMember(): boolean {
         const { id, incarnation } = this.#options.self;
         return this.getView().members.some(member => member.id === id && member.incarnation === incarnation);
--- /dev/null
+++ b/src/orders/ClaimAnswer.ts
@@ -0,0 +1,8 @@
+import type { ClaimState } from "./ClaimState.js";
+import type { OrderHolder } from "./OrderHolder.js";
+
+/** The answer to a claim of a plain key, or to the question who holds it. */
+export type ClaimAnswer =
+    | { readonly state: ClaimState.Granted; }
+    | { readonly state: ClaimState.Taken; readonly holder: OrderHolder; }
+    | { readonly state: ClaimState.Unavailable; };
--- /dev/null
+++ b/src/orders/OrderLocator.ts
@@ -0,0 +1,122 @@
+import { PeerUnavailableError } from "../errors/index.js";
+import type { Member } from "../membership/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { createUnknown, UnknownReason } from "../outcomes/index.js";
+import { PeerMethod } from "../peers/index.js";
+import { runWithTimeout } from "../time/index.js";
+import type { FindOrderResult } from "./FindOrderResult.js";
+import { getSuccessors } from "./getSuccessors.js";
+import { openKeptOutcome } from "./openKeptOutcome.js";
+import type { OrderCall } from "./OrderCall.js";
+import type { OrderHolder } from "./OrderHolder.js";
+import type { OrderRunnerOptions } from "./OrderRunnerOptions.js";
+
+const FIND_TIMEOUT_MS = 500;
+
+/** Finds the process that holds an order, and forwards requests and questions to it. */
+export class OrderLocator {
+    readonly #options: OrderRunnerOptions;
+
+    /** @param options - What the locator works with. */
+    constructor(options: OrderRunnerOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Forwards an order to its holder; never rejects.
+     * @param call - The order.
+     * @param holder - The holder.
+     * @param signal - Aborted when the caller has left.
+     */
+    async send(call: OrderCall, holder: OrderHolder, signal: AbortSignal): Promise<Outcome> {
+        const { clock } = this.#options;
+        const remainingMs = Math.max(0, call.deadline - clock.getTime());
+        const late = createUnknown(UnknownReason.DeadlineExceeded, "The order's host gave no answer in time.");
+        return await runWithTimeout(clock, remainingMs, this.#sendToHolder(call, holder, signal), () => late);
+    }
+
+    /**
+     * Finds the outcome of an order at its holder; never rejects.
+     * @param holder - The holder.
+     * @param account - The account's name.
+     * @param key - The order's key.
+     */
+    async findOutcome(holder: OrderHolder, account: string, key: string): Promise<Outcome> {
+        const member = this.#findMember(holder);
+        const candidates = member === undefined
+            ? this.#getSuccessors(holder)
+            : [member, ...this.#getSuccessors(holder)];
+        for (const candidate of candidates) {
+            const result = await this.#findAt(candidate, holder, account, key);
+            if (result?.outcome !== undefined) {
+                return openKeptOutcome(result.outcome);
+            }
+        }
+        return createHostGone();
+    }
+
+    async #sendToHolder(call: OrderCall, holder: OrderHolder, signal: AbortSignal): Promise<Outcome> {
+        const member = this.#findMember(holder);
+        const outcome = member === undefined ? undefined : await this.#send(member, call, signal);
+        if (outcome !== undefined) {
+            return outcome;
+        }
+        const successor = await this.#findSuccessor(holder);
+        const later = successor === undefined ? undefined : await this.#send(successor, call, signal);
+        return later ?? createHostGone();
+    }
+
+    /** Returns undefined if the order can't have reached the member. */
+    async #send(member: Member, call: OrderCall, signal: AbortSignal): Promise<Outcome | undefined> {
+        const timeoutMs = Math.max(0, call.deadline - this.#options.clock.getTime());
+        const request = { ...call.request, timeoutMs };
+        try {
+            return await this.#options.forwarder.runAccount(member.peerAddress, request, signal);
+        }
+        catch (error) {
+            return error instanceof PeerUnavailableError && error.isNotSent
+                ? undefined
+                : createUnknown(UnknownReason.ConnectionLost, "The connection to the order's host was lost.");
+        }
+    }
+
+    #findMember(holder: OrderHolder): Member | undefined {
+        const { membership } = this.#options;
+        return membership.getView().members.find(member =>
+            member.id === holder.memberId && member.incarnation === holder.incarnation &&
+            member.id !== membership.getSelf().id
+        );
+    }
+
+    async #findSuccessor(holder: OrderHolder): Promise<Member | undefined> {
+        const candidates = this.#getSuccessors(holder);
+        const results = await Promise.all(candidates.map(candidate => this.#findAt(candidate, holder)));
+        return candidates.find((_, index) => results[index]?.isHolder === true);
+    }
+
+    #getSuccessors(holder: OrderHolder): readonly Member[] {
+        const self = this.#options.membership.getSelf();
+        return getSuccessors(this.#options.membership, holder).filter(member => member.id !== self.id);
+    }
+
+    async #findAt(
+        member: Member,
+        holder: OrderHolder,
+        account?: string,
+        key?: string,
+    ): Promise<FindOrderResult | undefined> {
+        const { memberId, incarnation } = holder;
+        const params = { memberId, incarnation, account, key };
+        try {
+            const { transport } = this.#options;
+            return await transport.send(member.peerAddress, PeerMethod.FindOrder, params, FIND_TIMEOUT_MS);
+        }
+        catch {
+            return undefined;
+        }
+    }
+}
+
+function createHostGone(): Outcome {
+    return createUnknown(UnknownReason.HostGone, "The entry host that holds this order's record is gone.");
+}
--- /dev/null
+++ b/src/orders/OrderRunnerOptions.ts
@@ -0,0 +1,16 @@
+import type { DecisionLog } from "../logging/index.js";
+import type { Membership } from "../membership/index.js";
+import type { PeerForwarder, PeerHandlers, PeerTransport } from "../peers/index.js";
+import type { Store } from "../store/index.js";
+import type { Clock } from "../time/index.js";
+
+/** What the deduplication of orders works with. */
+export interface OrderRunnerOptions {
+    readonly clock: Clock;
+    readonly membership: Membership;
+    readonly transport: PeerTransport;
+    readonly forwarder: PeerForwarder;
+    readonly handlers: PeerHandlers;
+    readonly store: Store;
+    readonly decisionLog: DecisionLog;
+}
--- /dev/null
+++ b/src/orders/RecordedRun.ts
@@ -0,0 +1,86 @@
+import type { Outcome } from "../outcomes/index.js";
+import { closeBody, createUnknown, UnknownReason } from "../outcomes/index.js";
+import { runWithTimeout } from "../time/index.js";
+import { openKeptOutcome } from "./openKeptOutcome.js";
+import { ORDER_LIMITS } from "./ORDER_LIMITS.js";
+import { readOutcome } from "./readOutcome.js";
+import type { RecordedRunOptions } from "./RecordedRunOptions.js";
+
+/** One run of an order, which goes on to its end when its caller has left, and settles the record. */
+export class RecordedRun {
+    readonly #options: RecordedRunOptions;
+
+    /** @param options - What the run works with. */
+    constructor(options: RecordedRunOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Admits and dispatches the order.
+     * @param signal - Aborted when the caller has left.
+     */
+    async run(signal: AbortSignal): Promise<Outcome> {
+        return await this.#waitForOutcome(this.#admitAndRun(), UnknownReason.DeadlineExceeded, signal);
+    }
+
+    /**
+     * Dispatches an order that has been admitted.
+     * @param signal - Aborted when the caller has left.
+     */
+    async runAdmitted(signal: AbortSignal): Promise<Outcome> {
+        return await this.#waitForOutcome(this.#runToEnd(), UnknownReason.DeadlineExceeded, signal);
+    }
+
+    /**
+     * Waits for the run that an earlier request has started.
+     * @param signal - Aborted when the caller has left.
+     */
+    async waitForEarlier(signal: AbortSignal): Promise<Outcome> {
+        const earlier = this.#options.record?.waitForOutcome().then(openKeptOutcome);
+        const gone = createUnknown(UnknownReason.StillRunning, "An earlier request with this key is still running.");
+        return earlier === undefined ? gone : await this.#waitForOutcome(earlier, UnknownReason.StillRunning, signal);
+    }
+
+    async #admitAndRun(): Promise<Outcome> {
+        const refusal = await this.#options.work.admit();
+        return refusal === undefined ? await this.#runToEnd() : await this.#recordOutcome(refusal);
+    }
+
+    async #runToEnd(): Promise<Outcome> {
+        return await this.#recordOutcome(await this.#options.work.run());
+    }
+
+    async #recordOutcome(outcome: Outcome): Promise<Outcome> {
+        const { record, records } = this.#options;
+        if (record === undefined) {
+            return outcome;
+        }
+        const buffered = await readOutcome(outcome, ORDER_LIMITS.maxBodyBytes);
+        records.recordOutcome(record, buffered.kept);
+        this.#options.onSettled(record);
+        return buffered.outcome;
+    }
+
+    /** Waits until the caller's deadline or until it has left; an outcome that comes later stays on record. */
+    async #waitForOutcome(work: Promise<Outcome>, reason: UnknownReason, signal: AbortSignal): Promise<Outcome> {
+        let isWaiting = true;
+        void work.then(outcome => isWaiting ? undefined : closeBody(outcome));
+        const detail = "The order was not answered in time; its outcome can be asked for by its key.";
+        const late = createUnknown(reason, detail);
+        const remainingMs = Math.max(0, this.#options.call.deadline - this.#options.clock.getTime());
+        const left = waitForAbort(signal).then(() => late);
+        const outcome = await Promise.race([runWithTimeout(this.#options.clock, remainingMs, work, () => late), left]);
+        isWaiting = false;
+        return outcome;
+    }
+}
+
+function waitForAbort(signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+        if (signal.aborted) {
+            resolve();
+            return;
+        }
+        signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+}
--- /dev/null
+++ b/src/orders/RecordedRunOptions.ts
@@ -0,0 +1,17 @@
+import type { Clock } from "../time/index.js";
+import type { OrderCall } from "./OrderCall.js";
+import type { OrderRecord } from "./OrderRecord.js";
+import type { OrderRecords } from "./OrderRecords.js";
+import type { OrderWork } from "./OrderWork.js";
+
+/** What a run of an order works with. */
+export interface RecordedRunOptions {
+    readonly clock: Clock;
+    readonly records: OrderRecords;
+    readonly call: OrderCall;
+    readonly work: OrderWork;
+    /** Undefined for an order without a key. */
+    readonly record: OrderRecord | undefined;
+    /** Runs after the order was settled. */
+    readonly onSettled: (record: OrderRecord) => void;
+}
--- /dev/null
+++ b/src/orders/index.ts
@@ -0,0 +1,15 @@
+export type { ClaimAnswer } from "./ClaimAnswer.js";
+export type { ClaimOrderParams } from "./ClaimOrderParams.js";
+export { ClaimState } from "./ClaimState.js";
+export { decodeKeyPrefix } from "./decodeKeyPrefix.js";
+export { encodeKeyPrefix } from "./encodeKeyPrefix.js";
+export type { FindOrderParams } from "./FindOrderParams.js";
+export type { FindOrderResult } from "./FindOrderResult.js";
+export type { HandOverOrdersParams } from "./HandOverOrdersParams.js";
+export type { HandOverOrdersResult } from "./HandOverOrdersResult.js";
+export type { KeyPrefix } from "./KeyPrefix.js";
+export { ORDER_LIMITS } from "./ORDER_LIMITS.js";
+export type { OrderCall } from "./OrderCall.js";
+export { OrderRunner } from "./OrderRunner.js";
+export type { OrderRunnerOptions } from "./OrderRunnerOptions.js";
+export type { OrderWork } from "./OrderWork.js";
--- /dev/null
+++ b/src/orders/readOutcome.ts
@@ -0,0 +1,61 @@
+import { Readable } from "node:stream";
+import type { DoneOutcome, Outcome } from "../outcomes/index.js";
+import { OutcomeKind } from "../outcomes/index.js";
+import type { KeptOutcome } from "../services/index.js";
+import type { BufferedOutcome } from "./BufferedOutcome.js";
+
+/**
+ * Reads an outcome's body as far as it can be kept.
+ * @param outcome - The outcome.
+ * @param maxBodyBytes - The largest body to keep.
+ * @returns What is kept, and an outcome with the whole body for the caller.
+ */
+export async function readOutcome(outcome: Outcome, maxBodyBytes: number): Promise<BufferedOutcome> {
+    return outcome.kind === OutcomeKind.Done
+        ? await readDone(outcome, maxBodyBytes)
+        : { kept: outcome, outcome };
+}
+
+async function readDone(outcome: DoneOutcome, maxBodyBytes: number): Promise<BufferedOutcome> {
+    const { kind, status, headers } = outcome;
+    const iterator = outcome.body[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    const chunks: Buffer[] = [];
+    let length = 0;
+    let failure: Error | undefined;
+    while (length <= maxBodyBytes) {
+        const next = await iterator.next().catch((error: Error) => error);
+        if (next instanceof Error) {
+            failure = next;
+            break;
+        }
+        if (next.done === true) {
+            const bytes = Buffer.concat(chunks);
+            const kept = { kind, status, headers, body: bytes.toString("base64") };
+            return { kept, outcome: { ...outcome, body: Readable.from(bytes.length > 0 ? [bytes] : []) } };
+        }
+        chunks.push(Buffer.from(next.value));
+        length += next.value.length;
+    }
+    const kept: KeptOutcome = { kind, status, headers, body: undefined };
+    return { kept, outcome: { ...outcome, body: Readable.from(readRest(chunks, iterator, failure)) } };
+}
+
+/** Gives the chunks read already, then the rest; a cut answer ends as a cut. */
+async function* readRest(
+    chunks: readonly Buffer[],
+    iterator: AsyncIterator<Buffer>,
+    failure: Error | undefined,
+): AsyncGenerator<Buffer> {
+    yield* chunks;
+    if (failure !== undefined) {
+        throw failure;
+    }
+    try {
+        for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
+            yield next.value;
+        }
+    }
+    finally {
+        await iterator.return?.();
+    }
+}
--- a/src/outcomes/UnknownReason.ts
+++ b/src/outcomes/UnknownReason.ts
@@ -8,4 +8,10 @@
     HostGone = "host-gone",
     /** An earlier request with the same key is still running. */
     StillRunning = "still-running",
+    /** The record of the key may have lapsed, so an earlier request may have run. */
+    KeyExpired = "key-expired",
+    /** The store can't say whether an earlier request with this key ran; this one did not. */
+    StoreUnavailable = "store-unavailable",
+    /** No order with this key is known here; one may be on its way. */
+    NotFound = "not-found",
 }
--- /dev/null
+++ b/src/outcomes/closeBody.ts
@@ -0,0 +1,13 @@
+import type { Outcome } from "./Outcome.js";
+import { OutcomeKind } from "./OutcomeKind.js";
+
+/**
+ * Closes the body of an outcome that nobody reads.
+ * @param outcome - The outcome.
+ */
+export function closeBody(outcome: Outcome): void {
+    if (outcome.kind === OutcomeKind.Done) {
+        outcome.body.on("error", () => {});
+        outcome.body.destroy();
+    }
+}
--- a/src/outcomes/index.ts
+++ b/src/outcomes/index.ts
@@ -1,3 +1,4 @@
+export { closeBody } from "./closeBody.js";
 export { createNotRun } from "./createNotRun.js";
 export { createOutcome } from "./createOutcome.js";
 export { createUnknown } from "./createUnknown.js";
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -8,4 +8,10 @@
     ShareBaseline = "service.shareBaseline",
     FindOutcome = "service.findOutcome",
     RemoveCrash = "service.removeCrash",
+    BorrowTokens = "rate.borrow",
+    HandOverRates = "rate.handOver",
+    HandOverOrders = "order.handOver",
+    FindOrder = "order.find",
+    ClaimOrder = "order.claim",
+    RecordCrash = "quarantine.record",
 }
--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -1,3 +1,4 @@
+import type { RecordCrashParams, RecordCrashResult } from "../accounts/index.js";
 import type {
     GossipAnswer,
     GossipRequest,
@@ -9,6 +10,20 @@
     ViewEdit,
     ViewEditAnswer,
 } from "../membership/index.js";
+import type {
+    ClaimAnswer,
+    ClaimOrderParams,
+    FindOrderParams,
+    FindOrderResult,
+    HandOverOrdersParams,
+    HandOverOrdersResult,
+} from "../orders/index.js";
+import type {
+    BorrowTokensParams,
+    BorrowTokensResult,
+    HandOverRatesParams,
+    HandOverRatesResult,
+} from "../rates/index.js";
 import type {
     FindOutcomeParams,
     FindOutcomeResult,
@@ -29,4 +44,10 @@
     [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
     [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
     [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
+    [PeerMethod.BorrowTokens]: { params: BorrowTokensParams; result: BorrowTokensResult; };
+    [PeerMethod.HandOverRates]: { params: HandOverRatesParams; result: HandOverRatesResult; };
+    [PeerMethod.HandOverOrders]: { params: HandOverOrdersParams; result: HandOverOrdersResult; };
+    [PeerMethod.FindOrder]: { params: FindOrderParams; result: FindOrderResult; };
+    [PeerMethod.ClaimOrder]: { params: ClaimOrderParams; result: ClaimAnswer; };
+    [PeerMethod.RecordCrash]: { params: RecordCrashParams; result: RecordCrashResult; };
 }
--- a/src/rates/RateDecision.ts
+++ b/src/rates/RateDecision.ts
@@ -1,4 +1,6 @@
+import type { RateGrant } from "./RateGrant.js";
+
 /** Whether a request is inside its account's rate. */
 export type RateDecision =
-    | { readonly isAdmitted: true; }
+    | { readonly isAdmitted: true; readonly grant: RateGrant; }
     | { readonly isAdmitted: false; readonly retryAfterMs: number; };
--- a/src/rates/RateLimiter.ts
+++ b/src/rates/RateLimiter.ts
@@ -1,5 +1,6 @@
 import type { Account } from "../configuration/index.js";
 import type { RateDecision } from "./RateDecision.js";
+import type { RateGrant } from "./RateGrant.js";
 
 /** Keeps client accounts within their rate and burst over the whole fleet. */
 export interface RateLimiter {
@@ -11,6 +12,7 @@
     /**
      * Gives back the token of a request that is known not to have run.
      * @param account - The account.
+     * @param grant - The token.
      */
-    restore(account: Account): void;
+    restore(account: Account, grant: RateGrant): void;
 }
--- /dev/null
+++ b/src/rates/RateShare.ts
@@ -0,0 +1,7 @@
+/** The part of an account's rate and burst that one host holds. */
+export interface RateShare {
+    /** Whole tokens. */
+    readonly burst: number;
+    /** Tokens per second. */
+    readonly rate: number;
+}
--- a/src/rates/index.ts
+++ b/src/rates/index.ts
@@ -1,2 +1,11 @@
+export type { BorrowTokensParams } from "./BorrowTokensParams.js";
+export type { BorrowTokensResult } from "./BorrowTokensResult.js";
+export { EvenRateLimiter } from "./EvenRateLimiter.js";
+export type { HandOverRatesParams } from "./HandOverRatesParams.js";
+export type { HandOverRatesResult } from "./HandOverRatesResult.js";
 export type { RateDecision } from "./RateDecision.js";
+export type { RateGrant } from "./RateGrant.js";
 export type { RateLimiter } from "./RateLimiter.js";
+export type { RateLimiterOptions } from "./RateLimiterOptions.js";
+export { RatePolicy } from "./RatePolicy.js";
+export { SharedRateLimiter } from "./SharedRateLimiter.js";
--- /dev/null
+++ b/tests/support/createAccountFleet.ts
@@ -0,0 +1,138 @@
+import type { CallerRequest } from "../../src/accounts/index.js";
+import { AccountHost } from "../../src/accounts/index.js";
+import type { Account, Configuration, Route, Service } from "../../src/configuration/index.js";
+import { RouteAccess, RouteKind } from "../../src/configuration/index.js";
+import { FakeClock, FakeMembership, FakeNetwork, FakeServiceRunner, FakeStore } from "../../src/fakes/index.js";
+import { DecisionHistory } from "../../src/logging/index.js";
+import type { Member, MembershipView } from "../../src/membership/index.js";
+import type { Outcome } from "../../src/outcomes/index.js";
+import { PeerHandlers } from "../../src/peers/index.js";
+import { SeededRandom } from "../../src/random/index.js";
+import type { ServiceRequest } from "../../src/services/index.js";
+
+const ZONES = ["a", "b", "c"];
+const HOLD_OFF_MS = 5_000;
+
+interface FleetHost {
+    readonly member: Member;
+    readonly membership: FakeMembership;
+    readonly runner: FakeServiceRunner;
+    readonly host: AccountHost;
+}
+
+interface Fleet {
+    readonly clock: FakeClock;
+    readonly network: FakeNetwork;
+    readonly store: FakeStore;
+    readonly runs: ServiceRequest[];
+    readonly hosts: FleetHost[];
+    account: Account;
+    start(): Promise<void>;
+    addHost(id: string, zone: string, incarnation: string, view: MembershipView): FleetHost;
+    applyView(view: MembershipView): void;
+    createRequest(kind: RouteKind, fields?: Partial<CallerRequest>): CallerRequest;
+    run(index: number, request: CallerRequest): Promise<Outcome>;
+}
+
+/**
+ * Creates entry hosts in memory, each an account host and a service host in its own zone.
+ * @param size - How many.
+ */
+export function createAccountFleet(size: number): Fleet {
+    const clock = new FakeClock();
+    const network = new FakeNetwork(clock);
+    const store = new FakeStore(clock);
+    const runs: ServiceRequest[] = [];
+    const hosts: FleetHost[] = [];
+    let nextRequest = 1;
+    const members = Array.from({ length: size }, (_, index) => createMember(`m${index}`, ZONES[index % 3]!, "i1"));
+    const fleet: Fleet = {
+        clock,
+        network,
+        store,
+        runs,
+        hosts,
+        account: { name: "shop", rate: 100, burst: 100 },
+        start: () => clock.run(HOLD_OFF_MS),
+        addHost: (id, zone, incarnation, view) => {
+            const member = createMember(id, zone, incarnation);
+            const membership = new FakeMembership(member, view);
+            const runner = new FakeServiceRunner(clock, runs);
+            const handlers = new PeerHandlers();
+            const host = new AccountHost({
+                clock,
+                membership,
+                handlers,
+                store,
+                random: new SeededRandom(1),
+                transport: network.createTransport(member.peerAddress),
+                forwarder: network.createForwarder(member.peerAddress),
+                serviceRunner: runner,
+                decisionLog: new DecisionHistory(clock),
+                getConfiguration: () => createConfiguration(fleet.account),
+            });
+            network.addHost(member.peerAddress, { handlers, serviceRunner: runner, accountRunner: host });
+            const fleetHost = { member, membership, runner, host };
+            hosts.push(fleetHost);
+            return fleetHost;
+        },
+        applyView: view => hosts.forEach(({ membership }) => membership.applyView(view)),
+        createRequest: (kind, fields = {}) => ({
+            requestId: `r${nextRequest++}`,
+            account: fleet.account,
+            keyId: "k",
+            route: createRoute(kind),
+            method: kind === RouteKind.Order ? "POST" : "GET",
+            path: `/${kind}`,
+            headers: {},
+            body: Buffer.from(""),
+            idempotencyKey: undefined,
+            timeoutMs: 2_000,
+            ...fields,
+        }),
+        run: (index, request) => hosts[index]!.host.run(request, new AbortController().signal),
+    };
+    members.forEach(member => fleet.addHost(member.id, member.zone, member.incarnation, { version: 1, members }));
+    return fleet;
+}
+
+function createMember(id: string, zone: string, incarnation: string): Member {
+    return { id, region: "r", zone, peerAddress: `${id}:1`, callerAddress: `${id}:2`, incarnation };
+}
+
+function createRoute(kind: RouteKind): Route {
+    const base = { path: `/${kind}`, methods: ["GET", "POST"], service: "looms", access: RouteAccess.Accounts };
+    return { name: kind, kind, deadlineMs: 2_000, maxBodyBytes: 1_000, ...base };
+}
+
+function createConfiguration(account: Account): Configuration {
+    const service = createService();
+    return {
+        version: 1,
+        getAccount: name => name === account.name ? account : undefined,
+        getKey: () => undefined,
+        findRoute: () => undefined,
+        getRoute: () => undefined,
+        getService: () => service,
+        getServices: () => [service],
+        getAccounts: () => [account],
+    };
+}
+
+function createService(): Service {
+    const upstreams = ZONES.map(zone => ({
+        name: `${zone}-1`,
+        address: `${zone}:9`,
+        zone,
+        slots: 6,
+        connections: 300,
+    }));
+    const detection = {
+        healthyErrorRate: 0.01,
+        failingErrorRate: 0.5,
+        ejectThreshold: 5,
+        slowFactor: 3,
+        probationMs: 1,
+    };
+    return { name: "looms", upstreams, floor: 0.5, retryBudget: 0.2, queuePerSlot: 2, detection };
+}
