Let the test of a plain key accept whichever host claimed it

Ruled out: a second run; all three answers were those of the one run, but of the request whose claim reached the store first. The test now compares the answers with the recorded run.

--- a/tests/accounts/AccountHost.test.ts
+++ b/tests/accounts/AccountHost.test.ts
@@ -35,8 +35,8 @@
     );
     await fleet.clock.run(1_000);
     const texts = await Promise.all(requests.map(async outcome => readText(await outcome)));
-    assert.equal(texts, ["ran r1", "ran r1", "ran r1"]);
     assert.is(fleet.runs.length, 1);
+    assert.equal(texts, [0, 1, 2].map(() => `ran ${fleet.runs[0]!.requestId}`));
 });
 
 test("a shed lookup is tried in another zone, and given up at once with Retry-After when all shed", async () => {
