--- a/src/fakes/FakeHeadStore.ts
+++ b/src/fakes/FakeHeadStore.ts
@@ -39,7 +39,7 @@
         for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
             const record = await this.read();
             const head = record?.head ?? EMPTY_HEAD;
-            const content = head.changes.some(known => known.id === changeId) ? undefined : change(head);
+            const content = head.changes.some(known => known.id === changeId) ? undefined : await change(head);
             if (content === undefined) {
                 return head;
             }
--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -1,4 +1,5 @@
 import type { RecordCrashParams, RecordCrashResult } from "../accounts/index.js";
+import type { ChunkGetParams, ChunkGetResult } from "../configuration/index.js";
 import type {
     GossipAnswer,
     GossipRequest,
@@ -36,6 +37,7 @@
 
 /** The parameters and the result of each call between entry hosts; all are JSON values. */
 export interface PeerMethods {
+    [PeerMethod.GetChunks]: { params: ChunkGetParams; result: ChunkGetResult; };
     [PeerMethod.PullGossip]: { params: GossipRequest; result: GossipAnswer; };
     [PeerMethod.GetHead]: { params: HeadRequest; result: HeadAnswer; };
     [PeerMethod.GetInstalled]: { params: HeadRequest; result: InstalledAnswer; };
