--- a/src/load/Caller.ts
+++ b/src/load/Caller.ts
@@ -83,6 +83,9 @@
     #recordEnd(end: AttemptEnd, route: OrderRoute, chooser: RouteChooser): void {
         switch (end.kind) {
             case AttemptEndKind.Elsewhere:
+                if (end.result === ResultKind.Refused) {
+                    chooser.recordSent();
+                }
                 chooser.recordUseless(route.address);
                 this.#options.book.removeAnswer();
                 return;
--- /dev/null
+++ b/src/measure/Deployment.ts
@@ -0,0 +1,9 @@
+import type { ConfigurationDocument } from "../configuration/index.js";
+
+/** A deployment that is measured. */
+export interface Deployment {
+    readonly name: string;
+    readonly document: ConfigurationDocument;
+    /** Keys, "keyId.secret", by account name. */
+    readonly keys: Readonly<Record<string, string>>;
+}
--- /dev/null
+++ b/src/measure/createMeasurement.ts
@@ -0,0 +1,81 @@
+import type { AccountReport, LoadReport } from "../load/index.js";
+import { RequestKind } from "../load/index.js";
+import { Decision } from "../logging/index.js";
+import type { LoggedDecision } from "./LoggedDecision.js";
+import type { Measurement } from "./Measurement.js";
+import type { Scenario } from "./Scenario.js";
+
+/**
+ * Creates the figures of a run.
+ * @param scenario - The scenario that was run.
+ * @param report - The load tool's report.
+ * @param decisions - The decisions that the entry hosts logged during the run.
+ */
+export function createMeasurement(
+    scenario: Scenario,
+    report: LoadReport,
+    decisions: readonly LoggedDecision[],
+): Measurement {
+    const inside = report.accounts.filter(account => account.account !== scenario.hotAccount);
+    const goodShares = createGoodShares(inside);
+    const [worstAccount, worstGoodShare] = Object.entries(goodShares).reduce((worst, entry) =>
+        entry[1] < worst[1] ? entry : worst
+    );
+    const sent = getTotal(inside, account => account.sent);
+    const refused = getTotal(inside, account => getSum(account.refused));
+    const unsettled = getTotal(inside, account => getSum(account.unknown) + getSum(account.failed));
+    const lookups = inside.filter(account => account.requestKind === RequestKind.Lookup);
+    return {
+        ...createEjectionFigures(scenario, report, decisions),
+        worstGoodShare,
+        worstAccount,
+        goodShares,
+        worstP99Ms: Math.max(...lookups.map(account => account.p99Ms)),
+        refusedInsideRate: refused / sent,
+        unsettled: unsettled / sent,
+        violations: getViolations(report),
+    };
+}
+
+function createEjectionFigures(
+    scenario: Scenario,
+    report: LoadReport,
+    decisions: readonly LoggedDecision[],
+): Pick<Measurement, "detectionMs" | "falseEjections"> {
+    const faultAt = report.faults[0]?.causedAt ?? report.startedAt + scenario.faultAtMs;
+    const ejections = decisions.filter(decision =>
+        decision.decision === Decision.Ejected && decision.time >= report.startedAt
+    );
+    const isRight = (ejection: LoggedDecision): boolean =>
+        ejection.time >= faultAt && scenario.faultyUpstreams.includes(ejection.upstream ?? "");
+    const right = ejections.filter(isRight).map(ejection => ejection.time);
+    return {
+        detectionMs: scenario.needsEjection && right.length > 0 ? Math.min(...right) - faultAt : undefined,
+        falseEjections: ejections.length - right.length,
+    };
+}
+
+function createGoodShares(reports: readonly AccountReport[]): Record<string, number> {
+    const names = [...new Set(reports.map(report => report.account))];
+    return Object.fromEntries(names.map(name => {
+        const own = reports.filter(report => report.account === name);
+        const good = getTotal(own, report => report.done - report.doneWithError - report.wrong);
+        return [name, good / getTotal(own, report => report.sent)];
+    }));
+}
+
+function getViolations(report: LoadReport): number {
+    const { audit } = report;
+    const audited = audit === undefined
+        ? 0
+        : audit.doubles + audit.lost + audit.falseRefusals + audit.leakedKeys + audit.wrongAccounts;
+    return audited + report.unaccounted + getTotal(report.accounts, account => account.wrong);
+}
+
+function getTotal(reports: readonly AccountReport[], get: (report: AccountReport) => number): number {
+    return reports.reduce((sum, report) => sum + get(report), 0);
+}
+
+function getSum(counts: Readonly<Record<string, number>>): number {
+    return Object.values(counts).reduce((sum, count) => sum + count, 0);
+}
--- /dev/null
+++ b/src/measure/getOperatorToken.ts
@@ -0,0 +1,7 @@
+/**
+ * Gets the token of an operator in a fleet on loopback.
+ * @param operator - The operator's name.
+ */
+export function getOperatorToken(operator: string): string {
+    return `measure-token-of-${operator}`;
+}
--- /dev/null
+++ b/src/measure/parseDecision.ts
@@ -0,0 +1,30 @@
+import type { LoggedDecision } from "./LoggedDecision.js";
+
+interface LogLine {
+    readonly decision?: string;
+    readonly upstream?: string;
+    readonly reason?: string;
+    readonly time?: string | number;
+}
+
+/**
+ * Parses a line of an entry host's log; undefined if it is no decision.
+ * @param host - The entry host's name.
+ * @param line - The line.
+ */
+export function parseDecision(host: string, line: string): LoggedDecision | undefined {
+    const { decision, upstream, reason, time } = parseLine(line);
+    if (decision === undefined || time === undefined) {
+        return undefined;
+    }
+    return { host, decision, upstream, reason, time: new Date(time).getTime() };
+}
+
+function parseLine(line: string): LogLine {
+    try {
+        return JSON.parse(line) as LogLine;
+    }
+    catch {
+        return {};
+    }
+}
