--- a/src/measure/createFleetPlan.ts
+++ b/src/measure/createFleetPlan.ts
@@ -48,11 +48,11 @@
 
 function createLocalDocument(options: FleetOptions): ConfigurationDocument {
     let port = options.firstPort + UPSTREAM_OFFSET;
-    const moveUpstream = (upstream: Upstream): Upstream => ({ ...upstream, address: `127.0.0.1:${port++}` });
+    const createLocalUpstream = (upstream: Upstream): Upstream => ({ ...upstream, address: `127.0.0.1:${port++}` });
     const sections = Object.entries(options.document.sections).map(([name, section]) => {
         const services = section.services?.map(service => ({
             ...service,
-            upstreams: service.upstreams.map(moveUpstream),
+            upstreams: service.upstreams.map(createLocalUpstream),
         }));
         return [name, services === undefined ? section : { ...section, services }];
     });
