Assemble the entry host and answer callers

Cause: the roles need one process with its listeners. CallerGate checks a request whole before any of it goes on: key, route, size, and that the secret stands nowhere else; a withdrawn key is refused on open connections and its streams are cut. Ruled out: the key prefix by a call to each account host for each lookup (a round trip more); the lookup computes it from the incarnation's start, and a wall clock that is off by minutes leads to a refusal, never to a second run. Measured: tests/callers 7 passed, 0 failed.

--- /dev/null
+++ b/src/accounts/AccountRouter.ts
@@ -0,0 +1,74 @@
+import { RouteKind } from "../configuration/index.js";
+import { PeerUnavailableError } from "../errors/index.js";
+import type { Member, Membership } from "../membership/index.js";
+import { createNotRun, createUnknown, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import type { PeerForwarder } from "../peers/index.js";
+import type { AccountRouterOptions } from "./AccountRouterOptions.js";
+import type { AccountRunner } from "./AccountRunner.js";
+import type { CallerRequest } from "./CallerRequest.js";
+
+const RETRY_AFTER_MS = 1000;
+
+/** Runs a request on this entry host if it is an account host of the request's account, else forwards it to one. */
+export class AccountRouter implements AccountRunner {
+    readonly #local: AccountRunner;
+    readonly #membership: Membership;
+    readonly #forwarder: PeerForwarder;
+    #isDraining = false;
+
+    /** @param options - This host's own account host and the way to others. */
+    constructor(options: AccountRouterOptions) {
+        this.#local = options.local;
+        this.#membership = options.membership;
+        this.#forwarder = options.forwarder;
+    }
+
+    /** Forwards new requests to the other account hosts from now on, as far as there are any. */
+    drain(): void {
+        this.#isDraining = true;
+    }
+
+    /**
+     * Runs the request; never rejects.
+     * @param request - The request.
+     * @param signal - Aborted when the caller has left.
+     */
+    async run(request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+        if (request.account === undefined) {
+            return await this.#local.run(request, signal);
+        }
+        const hosts = this.#membership.getAccountHosts(request.account.name);
+        const selfId = this.#membership.getSelf().id;
+        const others = hosts.filter(host => host.id !== selfId);
+        const isAccountHost = others.length < hosts.length;
+        if (isAccountHost && (!this.#isDraining || others.length === 0)) {
+            return await this.#local.run(request, signal);
+        }
+        return await this.#runOnOneOf(others, request, signal);
+    }
+
+    async #runOnOneOf(hosts: readonly Member[], request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+        const isRepeatable = request.route.kind !== RouteKind.Order;
+        for (const host of this.#getReachableFirst(hosts)) {
+            try {
+                return await this.#forwarder.runAccount(host.peerAddress, request, signal);
+            }
+            catch (error) {
+                const isNotSent = error instanceof PeerUnavailableError && error.isNotSent;
+                if (!isNotSent && !isRepeatable) {
+                    const detail = "The connection to the account host was lost; ask for the order by its key.";
+                    return createUnknown(UnknownReason.ConnectionLost, detail);
+                }
+            }
+        }
+        const detail = "No account host of the client account can be reached.";
+        return createNotRun(RefusalReason.HostUnreachable, detail, RETRY_AFTER_MS);
+    }
+
+    #getReachableFirst(hosts: readonly Member[]): readonly Member[] {
+        const reachable = hosts.filter(host => this.#membership.isReachable(host.id));
+        const others = hosts.filter(host => !this.#membership.isReachable(host.id));
+        return [...reachable, ...others];
+    }
+}
--- /dev/null
+++ b/src/callers/AddressLookup.ts
@@ -0,0 +1,50 @@
+import type { Account } from "../configuration/index.js";
+import type { Member, Membership } from "../membership/index.js";
+import { createMemberPrefix } from "../orders/index.js";
+import type { Clock } from "../time/index.js";
+import type { AddressLookupOptions } from "./AddressLookupOptions.js";
+import type { LookupAnswer } from "./LookupAnswer.js";
+
+const OPEN_ROUTE_HOSTS = 3;
+
+/** Answers which addresses a caller shall use. */
+export class AddressLookup {
+    readonly #membership: Membership;
+    readonly #clock: Clock;
+    readonly #lifetimeMs: number;
+
+    /** @param options - What the lookup needs. */
+    constructor(options: AddressLookupOptions) {
+        this.#membership = options.membership;
+        this.#clock = options.clock;
+        this.#lifetimeMs = options.lifetimeMs;
+    }
+
+    /**
+     * Gets the addresses for a client account.
+     * @param account - The account; undefined for a caller without a key.
+     */
+    getAddresses(account: Account | undefined): LookupAnswer {
+        const hosts = this.#getHosts(account);
+        const reachable = hosts.filter(host => this.#isUsable(host));
+        const chosen = reachable.length > 0 ? reachable : hosts;
+        const addresses = chosen.map(host => ({
+            url: `http://${host.callerAddress}`,
+            keyPrefix: createMemberPrefix(host, this.#clock.getWallTime()),
+        }));
+        return { addresses, ttlMs: this.#lifetimeMs };
+    }
+
+    #getHosts(account: Account | undefined): readonly Member[] {
+        if (account !== undefined) {
+            return this.#membership.getAccountHosts(account.name);
+        }
+        const self = this.#membership.getSelf();
+        const others = this.#membership.getView().members.filter(member => member.id !== self.id);
+        return [self, ...others.slice(0, OPEN_ROUTE_HOSTS - 1)];
+    }
+
+    #isUsable(host: Member): boolean {
+        return host.id === this.#membership.getSelf().id || this.#membership.isReachable(host.id);
+    }
+}
--- /dev/null
+++ b/src/callers/CallerGateOptions.ts
@@ -0,0 +1,16 @@
+import type { AccountRunner } from "../accounts/index.js";
+import type { Configuration } from "../configuration/index.js";
+import type { DecisionLog } from "../logging/index.js";
+import type { Membership } from "../membership/index.js";
+import type { ActiveRequests } from "./ActiveRequests.js";
+
+/** What the checks of callers' requests need. */
+export interface CallerGateOptions {
+    readonly membership: Membership;
+    readonly decisions: DecisionLog;
+    readonly activeRequests: ActiveRequests;
+    /** Runs a checked request on one of its account hosts. */
+    readonly accountRunner: AccountRunner;
+    /** Gets the configuration in force. */
+    readonly getConfiguration: () => Configuration;
+}
--- /dev/null
+++ b/src/callers/CallerListener.ts
@@ -0,0 +1,174 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
+import polka from "polka";
+import { createNotRun, RefusalReason } from "../outcomes/index.js";
+import { parseAddress, readBody } from "../utils/index.js";
+import type { CallAnswer } from "./CallAnswer.js";
+import type { CallerListenerOptions } from "./CallerListenerOptions.js";
+import { parseCredentials } from "./parseCredentials.js";
+import { RefusalError } from "./RefusalError.js";
+import { sendCallAnswer } from "./sendCallAnswer.js";
+import { sendProblem } from "./sendProblem.js";
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const KEEP_ALIVE_MS = 60_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 60_000;
+const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
+const LOOKUP_REQUEST_ID = "-";
+
+/** Answers callers: lookups of addresses, queries for orders and requests on routes. */
+export class CallerListener {
+    readonly #options: CallerListenerOptions;
+    readonly #server: Server;
+
+    /** @param options - What to answer with. */
+    constructor(options: CallerListenerOptions) {
+        this.#options = options;
+        this.#server = createServer({
+            maxHeaderSize: MAX_HEADER_BYTES,
+            keepAliveTimeout: KEEP_ALIVE_MS,
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            requestTimeout: REQUEST_TIMEOUT_MS,
+        });
+        this.#addRoutes();
+    }
+
+    /**
+     * Starts to listen.
+     * @param address - "ip:port"
+     */
+    async start(address: string): Promise<void> {
+        const { host, port } = parseAddress(address);
+        await new Promise<void>((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen(port, host, resolve);
+        });
+    }
+
+    /** Stops listening, lets running answers end and closes all connections. */
+    async stop(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
+        this.#server.closeIdleConnections();
+        await closed;
+    }
+
+    /** Closes all connections at once, also those with an answer under way. */
+    closeConnections(): void {
+        this.#server.closeAllConnections();
+    }
+
+    #addRoutes(): void {
+        const app = polka({
+            server: this.#server,
+            onNoMatch: (request, response) => void this.#runCall(request, response),
+        });
+        app.get("/v1/addresses", (request, response) => this.#sendAddresses(request, response));
+        app.get("/v1/orders/:key", (request, response) => {
+            void this.#sendOrder(request, String(request.params.key), response);
+        });
+        this.#server.on("request", (request, response) => {
+            if (!refuseUpgrade(request, response)) {
+                app.handler(request as polka.Request, response);
+            }
+        });
+        this.#server.on("connect", (_request, socket) => refuseSocket(socket, "405 Method Not Allowed"));
+        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+            const isOverflow = error.code === HEADER_OVERFLOW_CODE;
+            refuseSocket(socket, isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request");
+        });
+    }
+
+    #sendAddresses(request: IncomingMessage, response: ServerResponse): void {
+        this.#runChecked(response, () => {
+            const credentials = parseCredentials(getHeaders(request));
+            const account = credentials === undefined ? undefined : this.#options.gate.getAccount(credentials);
+            const body = JSON.stringify(this.#options.lookup.getAddresses(account));
+            response.writeHead(200, { "content-type": "application/json" }).end(body);
+        });
+    }
+
+    async #sendOrder(request: IncomingMessage, key: string, response: ServerResponse): Promise<void> {
+        let accountName: string | undefined;
+        this.#runChecked(response, () => {
+            this.#options.gate.checkServing();
+            const credentials = parseCredentials(getHeaders(request));
+            if (credentials === undefined) {
+                throw new RefusalError(RefusalReason.UnknownKey, "An order's outcome needs a key.");
+            }
+            accountName = this.#options.gate.getAccount(credentials).name;
+        });
+        if (accountName !== undefined) {
+            const outcome = await this.#options.findOrder(accountName, key);
+            const signal = new AbortController().signal;
+            await sendCallAnswer({ requestId: LOOKUP_REQUEST_ID, outcome, signal, close: () => {} }, response);
+        }
+    }
+
+    #runChecked(response: ServerResponse, run: () => void): void {
+        try {
+            run();
+        }
+        catch (error) {
+            const isRefusal = error instanceof RefusalError;
+            const detail = "The request could not be read.";
+            const outcome = isRefusal ? error.outcome : createNotRun(RefusalReason.MalformedRequest, detail);
+            sendProblem(outcome, LOOKUP_REQUEST_ID, response);
+        }
+    }
+
+    async #runCall(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const startTime = this.#options.getTime();
+        const controller = new AbortController();
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                controller.abort(new Error("The caller has left."));
+            }
+        });
+        const answer: CallAnswer = await this.#options.gate.run({
+            method: request.method ?? "",
+            target: request.url ?? "/",
+            headers: getHeaders(request),
+            readBody: maxBytes => readRequestBody(request, maxBytes),
+            signal: controller.signal,
+        });
+        this.#options.recordDuration(answer.outcome, this.#options.getTime() - startTime);
+        if (!request.complete) {
+            response.setHeader("connection", "close");
+        }
+        try {
+            await sendCallAnswer(answer, response);
+        }
+        finally {
+            answer.close();
+        }
+    }
+}
+
+function getHeaders(request: IncomingMessage): Record<string, string | string[]> {
+    return request.headers as Record<string, string | string[]>;
+}
+
+async function readRequestBody(request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+    if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
+        return undefined;
+    }
+    return await readBody(request, maxBytes);
+}
+
+function refuseUpgrade(request: IncomingMessage, response: ServerResponse): boolean {
+    if (request.headers.upgrade === undefined) {
+        return false;
+    }
+    const outcome = createNotRun(RefusalReason.MalformedRequest, "Upgrades are not supported.");
+    response.setHeader("connection", "close");
+    sendProblem(outcome, LOOKUP_REQUEST_ID, response);
+    return true;
+}
+
+function refuseSocket(socket: Duplex, status: string): void {
+    if (socket.writable) {
+        socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+    }
+}
--- /dev/null
+++ b/src/callers/ProblemDocument.ts
@@ -0,0 +1,11 @@
+/** An RFC 9457 problem document. */
+export interface ProblemDocument {
+    readonly type: string;
+    readonly title: string;
+    readonly status: number;
+    readonly detail: string;
+    /** "not-run" or "unknown" */
+    readonly outcome: string;
+    readonly reason: string;
+    readonly requestId: string;
+}
--- /dev/null
+++ b/src/callers/getForwardedHeaders.ts
@@ -0,0 +1,44 @@
+import type { HeaderFields } from "../outcomes/index.js";
+
+const DROPPED_FIELDS = new Set([
+    "authorization",
+    "connection",
+    "content-length",
+    "cookie",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-account",
+    "x-deadline-ms",
+    "x-request-id",
+    "x-timeout-ms",
+]);
+
+/**
+ * Gets the header fields that go on to an upstream: without the caller's key and without fields of the connection.
+ * @param headers - The caller's header fields.
+ * @param secret - The secret part of the caller's key; a field that contains it is dropped.
+ */
+export function getForwardedHeaders(headers: HeaderFields, secret: string | undefined): HeaderFields {
+    const connectionFields = getConnectionFields(headers);
+    const kept = Object.entries(headers).filter(([name, value]) =>
+        !DROPPED_FIELDS.has(name) && !connectionFields.has(name) && !hasSecret(value, secret)
+    );
+    return Object.fromEntries(kept);
+}
+
+function getConnectionFields(headers: HeaderFields): Set<string> {
+    const field = String(headers.connection ?? "");
+    return new Set(field.split(",").map(name => name.trim().toLowerCase()));
+}
+
+function hasSecret(value: string | readonly string[], secret: string | undefined): boolean {
+    return secret !== undefined && String(value).includes(secret);
+}
--- /dev/null
+++ b/src/callers/sendCallAnswer.ts
@@ -0,0 +1,38 @@
+import type { ServerResponse } from "node:http";
+import { pipeline } from "node:stream/promises";
+import { OutcomeKind } from "../outcomes/index.js";
+import type { DoneOutcome } from "../outcomes/index.js";
+import type { CallAnswer } from "./CallAnswer.js";
+import { sendProblem } from "./sendProblem.js";
+
+const DROPPED_FIELDS = new Set(["connection", "keep-alive", "transfer-encoding", "x-outcome", "x-request-id"]);
+
+/**
+ * Sends the answer to a caller; a cut answer closes the caller's connection, so that it is seen as a cut.
+ * @param answer - The answer.
+ * @param response - Where to.
+ */
+export async function sendCallAnswer(answer: CallAnswer, response: ServerResponse): Promise<void> {
+    const outcome = answer.outcome;
+    if (outcome.kind !== OutcomeKind.Done) {
+        sendProblem(outcome, answer.requestId, response);
+        return;
+    }
+    response.writeHead(outcome.status, getHeaders(outcome, answer.requestId));
+    response.flushHeaders();
+    try {
+        await pipeline(outcome.body, response, { signal: answer.signal });
+    }
+    catch {
+        response.destroy();
+    }
+}
+
+function getHeaders(outcome: DoneOutcome, requestId: string): Record<string, string | string[]> {
+    const kept = Object.entries(outcome.headers).filter(([name]) => !DROPPED_FIELDS.has(name));
+    return {
+        ...Object.fromEntries(kept) as Record<string, string | string[]>,
+        "x-outcome": outcome.kind,
+        "x-request-id": requestId,
+    };
+}
--- /dev/null
+++ b/src/entry/EntryHostOptions.ts
@@ -0,0 +1,23 @@
+import type { HostList } from "../hostlist/index.js";
+import type { DecisionHistory } from "../logging/index.js";
+import type { PeerForwarder, PeerTransport } from "../peers/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { UpstreamTransport } from "../services/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import type { Store } from "../store/index.js";
+import type { Clock } from "../time/index.js";
+
+/** What an entry host works with. */
+export interface EntryHostOptions {
+    readonly settings: EntrySettings;
+    /** Differs for every start of the process. */
+    readonly incarnation: string;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly store: Store;
+    readonly hostList: HostList;
+    readonly transport: PeerTransport;
+    readonly forwarder: PeerForwarder;
+    readonly upstreamTransport: UpstreamTransport;
+    readonly decisions: DecisionHistory;
+}
--- /dev/null
+++ b/src/entry/EntryProcess.ts
@@ -0,0 +1,128 @@
+import type Logger from "bunyan";
+import { CallerListener } from "../callers/index.js";
+import { AuditTrail } from "../configuration/index.js";
+import { HttpHostList } from "../hostlist/index.js";
+import { DecisionHistory } from "../logging/index.js";
+import { RequestMetrics } from "../metrics/index.js";
+import { OperatorApi } from "../operators/index.js";
+import { HttpPeerForwarder, HttpPeerTransport, PeerConnections, PeerListener } from "../peers/index.js";
+import { SystemRandom } from "../random/index.js";
+import { HttpUpstreamTransport } from "../services/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import { HttpStore } from "../store/index.js";
+import { Supervisor } from "../supervision/index.js";
+import { SystemClock } from "../time/index.js";
+import { createIncarnation } from "./createIncarnation.js";
+import { EntryHost } from "./EntryHost.js";
+import { OperatorListener } from "./OperatorListener.js";
+
+const PLATFORM_TIMEOUT_MS = 1000;
+const PEER_CONNECTIONS = 64;
+const PEER_CONNECT_TIMEOUT_MS = 1000;
+
+/** An entry host as a process: its roles, its listeners and its connections. */
+export class EntryProcess {
+    readonly #settings: EntrySettings;
+    readonly #clock = new SystemClock();
+    readonly #metrics = new RequestMetrics();
+    readonly #decisions: DecisionHistory;
+    readonly #store: HttpStore;
+    readonly #connections = new PeerConnections({
+        maxConnections: PEER_CONNECTIONS,
+        connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+    });
+    readonly #upstreamTransport: HttpUpstreamTransport;
+    readonly #host: EntryHost;
+    readonly #callerListener: CallerListener;
+    readonly #supervisor: Supervisor;
+
+    /**
+     * @param settings - The host's settings.
+     * @param logger - Receives each decision.
+     */
+    constructor(settings: EntrySettings, logger: Logger) {
+        this.#settings = settings;
+        this.#decisions = new DecisionHistory(this.#clock, decision => logger.info(decision, decision.reason));
+        this.#store = new HttpStore({ url: `http://${settings.storeAddress}`, timeoutMs: PLATFORM_TIMEOUT_MS });
+        this.#upstreamTransport = new HttpUpstreamTransport(this.#clock);
+        this.#host = this.#createHost();
+        this.#callerListener = this.#createCallerListener();
+        this.#supervisor = this.#createSupervisor();
+    }
+
+    /** Starts the host and its listeners; rejects if an address can't be had. */
+    async start(): Promise<void> {
+        await this.#supervisor.start();
+    }
+
+    /** Stops gracefully: leaves the fleet, cuts no request, then closes everything. */
+    async stop(): Promise<void> {
+        await this.#host.drain();
+        await this.#supervisor.stop();
+        await this.#connections.close();
+        this.#upstreamTransport.close();
+        await this.#store.close();
+    }
+
+    #createHost(): EntryHost {
+        const { peerSecret: secret, hostListAddress } = this.#settings;
+        const peerOptions = { connections: this.#connections, clock: this.#clock, secret };
+        return new EntryHost({
+            settings: this.#settings,
+            incarnation: createIncarnation(this.#clock),
+            clock: this.#clock,
+            random: new SystemRandom(),
+            store: this.#store,
+            hostList: new HttpHostList({ url: `http://${hostListAddress}`, timeoutMs: PLATFORM_TIMEOUT_MS }),
+            transport: new HttpPeerTransport(peerOptions),
+            forwarder: new HttpPeerForwarder(peerOptions),
+            upstreamTransport: this.#upstreamTransport,
+            decisions: this.#decisions,
+        });
+    }
+
+    #createCallerListener(): CallerListener {
+        return new CallerListener({
+            gate: this.#host.gate,
+            lookup: this.#host.lookup,
+            findOrder: (account, key) => this.#host.accountHost.findOutcome(account, key),
+            recordDuration: (outcome, durationMs) => this.#metrics.record(outcome, durationMs),
+            getTime: () => this.#clock.getTime(),
+        });
+    }
+
+    #createPeerListener(): PeerListener {
+        return new PeerListener({
+            handlers: this.#host.handlers,
+            accountRunner: this.#host.accountHost,
+            serviceRunner: this.#host.serviceHost,
+            getConfiguration: () => this.#host.getConfiguration(),
+            secret: this.#settings.peerSecret,
+        });
+    }
+
+    #createOperatorListener(): OperatorListener {
+        const api = new OperatorApi({
+            operators: this.#settings.operators,
+            changeService: this.#host.changes,
+            auditTrail: new AuditTrail(this.#store),
+            loader: this.#host.loader,
+            decisions: this.#decisions,
+            getStatus: () => ({ ...this.#host.getStatus(), requests: this.#metrics.getReport() }),
+        });
+        return new OperatorListener(app => api.addRoutes(app));
+    }
+
+    #createSupervisor(): Supervisor {
+        const { callerAddress, peerAddress, operatorAddress } = this.#settings;
+        const peers = this.#createPeerListener();
+        const operators = this.#createOperatorListener();
+        const callers = this.#callerListener;
+        return new Supervisor("entry", [
+            { name: "peers", start: () => peers.start(peerAddress), stop: () => peers.stop() },
+            this.#host,
+            { name: "operators", start: () => operators.start(operatorAddress), stop: () => operators.stop() },
+            { name: "callers", start: () => callers.start(callerAddress), stop: () => callers.stop() },
+        ]);
+    }
+}
--- /dev/null
+++ b/src/entry/createIncarnation.ts
@@ -0,0 +1,13 @@
+import { randomBytes } from "node:crypto";
+import type { Clock } from "../time/index.js";
+import { formatIncarnation } from "../utils/index.js";
+
+const RANDOM_BYTES = 4;
+
+/**
+ * Creates the incarnation of a process; differs for every start.
+ * @param clock - The source of time.
+ */
+export function createIncarnation(clock: Clock): string {
+    return formatIncarnation(Math.floor(clock.getWallTime()), randomBytes(RANDOM_BYTES).toString("hex"));
+}
--- /dev/null
+++ b/src/metrics/index.ts
@@ -0,0 +1,2 @@
+export { RequestMetrics } from "./RequestMetrics.js";
+export type { RequestMetricsReport } from "./RequestMetricsReport.js";
--- a/src/orders/index.ts
+++ b/src/orders/index.ts
@@ -1,6 +1,7 @@
 export type { ClaimAnswer } from "./ClaimAnswer.js";
 export type { ClaimOrderParams } from "./ClaimOrderParams.js";
 export { ClaimState } from "./ClaimState.js";
+export { createMemberPrefix } from "./createMemberPrefix.js";
 export { decodeKeyPrefix } from "./decodeKeyPrefix.js";
 export { encodeKeyPrefix } from "./encodeKeyPrefix.js";
 export type { FindOrderParams } from "./FindOrderParams.js";
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,7 +1,9 @@
 export { decodeJson } from "./decodeJson.js";
 export { encodeJson } from "./encodeJson.js";
+export { formatIncarnation } from "./formatIncarnation.js";
 export { isSameText } from "./isSameText.js";
 export { parseAddress } from "./parseAddress.js";
+export { parseIncarnation } from "./parseIncarnation.js";
 export { parseValue } from "./parseValue.js";
 export { readBody } from "./readBody.js";
 export { readJsonFile } from "./readJsonFile.js";
--- /dev/null
+++ b/tests/callers/CallerListener.test.ts
@@ -0,0 +1,129 @@
+import { Readable } from "node:stream";
+import { Client } from "undici";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { OutcomeKind } from "../../src/outcomes/index.js";
+import { CallerBench } from "../support/CallerBench.js";
+import { checkSnapshot } from "../support/checkSnapshot.js";
+
+const PORT = 25_801;
+const AUTHORIZED = "Authorization: Bearer KEY\r\nConnection: close\r\n";
+
+let bench: CallerBench;
+
+test.before.each(async () => {
+    bench = new CallerBench(PORT);
+    await bench.start();
+});
+
+test.after.each(() => bench.stop());
+
+test("bad input gets a 4xx at once and reaches no account host", async () => {
+    const answers: Record<string, string> = {};
+    for (const [name, text] of Object.entries(getBadRequests())) {
+        answers[name] = getSummary(await bench.send(text));
+    }
+    checkSnapshot("callers/bad-input", answers);
+    assert.equal(bench.received, []);
+});
+
+test("neither the key nor a field that contains its secret goes on", async () => {
+    await bench.send(
+        `GET /catalogue/1 HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}X-Copy: KEY\r\nCookie: a=b\r\nX-Account: shop-2\r\nX-Kept: 1\r\n\r\n`,
+    );
+    assert.is(bench.received.length, 1);
+    assert.equal(bench.received[0]!.headers, { "x-kept": "1" });
+    assert.is(JSON.stringify(bench.received[0]).includes(bench.secret), false);
+});
+
+test("a secret in the path or the body is refused", async () => {
+    const inPath = await bench.send(`GET /catalogue?key=KEY HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}\r\n`);
+    const body = `x=${bench.secret}`;
+    const inBody = await bench.send(
+        `POST /orders HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}Content-Length: ${body.length}\r\n\r\n${body}`,
+    );
+    assert.equal([getSummary(inPath), getSummary(inBody)], ["400 malformed-request", "400 malformed-request"]);
+    assert.equal(bench.received, []);
+});
+
+test("a withdrawn key is refused on a connection that was open before", async () => {
+    const client = new Client(`http://127.0.0.1:${PORT}`);
+    const request = {
+        method: "GET",
+        path: "/catalogue/1",
+        headers: { authorization: `Bearer ${bench.key.text}` },
+    } as const;
+    const connections: unknown[] = [];
+    client.on("connect", url => connections.push(url));
+    const first = await client.request(request);
+    await first.body.dump();
+    bench.removeKey();
+    const second = await client.request(request);
+    const problem = await second.body.json() as { reason: string; };
+    await client.close();
+    assert.equal([first.statusCode, second.statusCode, problem.reason], [200, 401, "withdrawn-key"]);
+    assert.is(connections.length, 1);
+});
+
+test("a withdrawn key cuts an answer that is being streamed", async () => {
+    const body = new Readable({ read: () => {} });
+    body.push("first part");
+    bench.createOutcome = () => {
+        setImmediate(() => bench.removeKey());
+        return { kind: OutcomeKind.Done, status: 200, headers: { "content-length": "100" }, body };
+    };
+    const answer = await bench.send(`GET /catalogue/1 HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}\r\n`);
+    assert.is(answer.includes("first part") && answer.length > 100, true);
+    assert.is(bench.activeRequests.getCount(), 0);
+});
+
+test("an answer that breaks off is passed on as a cut", async () => {
+    const body = Readable.from((async function* createParts() {
+        yield "first part";
+        throw new Error("The upstream has closed the connection.");
+    })());
+    bench.createOutcome = () => ({ kind: OutcomeKind.Done, status: 200, headers: {}, body });
+    const answer = await bench.send(`GET /catalogue/1 HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}\r\n`);
+    assert.is(answer.endsWith("0\r\n\r\n"), false);
+    assert.is(bench.activeRequests.getCount(), 0);
+});
+
+test("a host that is not current refuses as not run", async () => {
+    bench.membership.isHostCurrent = false;
+    const answer = await bench.send(`GET /catalogue/1 HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}\r\n`);
+    assert.is(getSummary(answer), "503 host-not-current");
+    assert.match(answer, /x-outcome: not-run\r\n/);
+    assert.match(answer, /retry-after: 1\r\n/);
+});
+
+test.run();
+
+function getBadRequests(): Record<string, string> {
+    const post = `POST /orders HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}`;
+    return {
+        "no key": "GET /catalogue HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+        "unknown key": "GET /catalogue HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer x.y\r\nConnection: close\r\n\r\n",
+        "wrong secret": "GET /catalogue HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer KEYx\r\nConnection: close\r\n\r\n",
+        "not a key": "GET /catalogue HTTP/1.1\r\nHost: a\r\nAuthorization: Basic eA==\r\nConnection: close\r\n\r\n",
+        "unknown route": `GET /catalogues HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}\r\n`,
+        "wrong method": `DELETE /orders HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}\r\n`,
+        "body over the limit": `${post}Content-Length: 99999\r\n\r\n`,
+        "chunked body over the limit": `${post}Transfer-Encoding: chunked\r\n\r\n800\r\n${
+            "x".repeat(2048)
+        }\r\n0\r\n\r\n`,
+        "both lengths": `${post}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+        "two lengths": `${post}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc`,
+        "over-long header": `GET /catalogue HTTP/1.1\r\nHost: a\r\nX-Long: ${"x".repeat(20_000)}\r\n\r\n`,
+        "not HTTP": "HELLO\r\n\r\n",
+        "upgrade": "GET /catalogue HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n",
+        "connect": "CONNECT 127.0.0.1:80 HTTP/1.1\r\nHost: a\r\n\r\n",
+        "bad timeout": `GET /catalogue HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}X-Timeout-Ms: soon\r\n\r\n`,
+        "bad idempotency key": `${post}Idempotency-Key: a b\r\nContent-Length: 0\r\n\r\n`,
+    };
+}
+
+function getSummary(answer: string): string {
+    const status = answer.split(" ")[1] ?? "no answer";
+    const reason = /"reason":"([^"]+)"/.exec(answer)?.[1] ?? "";
+    return `${status} ${reason}`.trim();
+}
--- /dev/null
+++ b/tests/support/CallerBench.ts
@@ -0,0 +1,104 @@
+import { connect } from "node:net";
+import { Readable } from "node:stream";
+import type { AccountRunner, CallerRequest } from "../../src/accounts/index.js";
+import { ActiveRequests, AddressLookup, CallerGate, CallerListener } from "../../src/callers/index.js";
+import { createKey, IndexedConfiguration } from "../../src/configuration/index.js";
+import type { AccountKey, Configuration, ConfigurationDocument } from "../../src/configuration/index.js";
+import { FakeClock, FakeMembership } from "../../src/fakes/index.js";
+import { DecisionHistory } from "../../src/logging/index.js";
+import type { Member } from "../../src/membership/index.js";
+import { createNotRun, OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
+import type { Outcome } from "../../src/outcomes/index.js";
+import { createTestDocument } from "./createTestDocument.js";
+
+/** A caller listener on loopback before a fake account host that records what reaches it. */
+export class CallerBench implements AccountRunner {
+    readonly key = createKey("shop-1");
+    readonly secret = this.key.text.split(".")[1]!;
+    readonly clock = new FakeClock();
+    readonly membership: FakeMembership;
+    readonly activeRequests = new ActiveRequests();
+    readonly received: CallerRequest[] = [];
+    /** Creates the answer to each request. */
+    createOutcome: (request: CallerRequest) => Outcome = createEmptyAnswer;
+    #configuration: Configuration;
+    readonly #listener: CallerListener;
+    readonly #port: number;
+
+    /** @param port - The port on loopback. */
+    constructor(port: number) {
+        this.#port = port;
+        const self = createMember("a", port);
+        this.membership = new FakeMembership(self, { version: 1, members: [self] });
+        this.#configuration = this.#createConfiguration(this.key.record, 1);
+        const gate = new CallerGate({
+            membership: this.membership,
+            decisions: new DecisionHistory(this.clock),
+            activeRequests: this.activeRequests,
+            accountRunner: this,
+            getConfiguration: () => this.#configuration,
+        });
+        this.#listener = new CallerListener({
+            gate,
+            lookup: new AddressLookup({ membership: this.membership, clock: this.clock, lifetimeMs: 5000 }),
+            findOrder: async () => createNotRun(RefusalReason.MalformedRequest, "There is no such order."),
+            recordDuration: () => {},
+            getTime: () => this.clock.getTime(),
+        });
+    }
+
+    /** Starts to listen. */
+    async start(): Promise<void> {
+        await this.#listener.start(`127.0.0.1:${this.#port}`);
+    }
+
+    /** Closes all connections and stops listening. */
+    async stop(): Promise<void> {
+        this.#listener.closeConnections();
+        await this.#listener.stop();
+    }
+
+    /** Withdraws the key, as a change of the configuration does. */
+    removeKey(): void {
+        this.#configuration = this.#createConfiguration({ ...this.key.record, withdrawn: true }, 2);
+        this.activeRequests.checkKeys(this.#configuration);
+    }
+
+    /**
+     * Runs a request that passed the checks.
+     * @param request - The request.
+     */
+    async run(request: CallerRequest): Promise<Outcome> {
+        this.received.push(request);
+        return this.createOutcome(request);
+    }
+
+    /**
+     * Sends bytes over a new connection and returns all that comes back until it closes.
+     * @param text - The bytes; "KEY" stands for the key.
+     */
+    async send(text: string): Promise<string> {
+        const socket = connect(this.#port, "127.0.0.1");
+        let answer = "";
+        socket.setEncoding("latin1").on("data", (part: string) => answer += part);
+        socket.write(text.replaceAll("KEY", this.key.text), "latin1");
+        await new Promise(resolve => socket.once("close", resolve).once("error", () => {}));
+        return answer;
+    }
+
+    #createConfiguration(record: AccountKey, version: number): Configuration {
+        const document = createTestDocument();
+        const accounts = { ...document.sections.accounts!, keys: [record] };
+        const changed: ConfigurationDocument = { sections: { ...document.sections, accounts } };
+        return new IndexedConfiguration(version, changed);
+    }
+}
+
+function createEmptyAnswer(): Outcome {
+    return { kind: OutcomeKind.Done, status: 200, headers: { "content-length": "0" }, body: Readable.from([]) };
+}
+
+function createMember(id: string, port: number): Member {
+    const callerAddress = `127.0.0.1:${port}`;
+    return { id, region: "r", zone: "a", peerAddress: "127.0.0.1:1", callerAddress, incarnation: "1-x" };
+}
