--- a/src/fakes/FakeFleet.ts
+++ b/src/fakes/FakeFleet.ts
@@ -5,6 +5,7 @@
 import { SeededRandom } from "../random/index.js";
 import { FakeClock } from "./FakeClock.js";
 import type { FakeFleetHost } from "./FakeFleetHost.js";
+import { FakeHeadInstaller } from "./FakeHeadInstaller.js";
 import { FakeHeadStore } from "./FakeHeadStore.js";
 import { FakeHostClock } from "./FakeHostClock.js";
 import { FakeHostStore } from "./FakeHostStore.js";
@@ -165,7 +166,8 @@
 
     #startHost(index: number): void {
         const clock = new FakeHostClock(this.clock);
-        const store = new FakeHostStore(this.store);
+        const store = new FakeHostStore(this.store, this.clock);
+        const installer = new FakeHeadInstaller();
         const handlers = new PeerHandlers();
         const member = createMember(index, `${this.#seed}-${this.#starts}`);
         const membership = new MembershipService({
@@ -175,12 +177,12 @@
             handlers,
             headStore: new FakeHeadStore(store),
             hostList: { getHosts: async () => [...this.#listed.values()] },
-            installer: { apply: async () => {} },
+            installer,
             log: new DecisionHistory(this.clock, undefined, 1),
             self: member,
             seedAddresses: Array.from({ length: SEED_HOSTS }, (_, seed) => getAddress(seed)),
         });
-        this.#hosts.set(index, { member, membership, clock, store });
+        this.#hosts.set(index, { member, membership, clock, store, installer });
         this.network.addHost(member.peerAddress, { handlers });
         this.#listed.set(member.peerAddress, { address: member.peerAddress, leaving: false });
         membership.start();
--- a/src/fakes/FakeFleetHost.ts
+++ b/src/fakes/FakeFleetHost.ts
@@ -1,4 +1,5 @@
 import type { Member, MembershipService } from "../membership/index.js";
+import type { FakeHeadInstaller } from "./FakeHeadInstaller.js";
 import type { FakeHostClock } from "./FakeHostClock.js";
 import type { FakeHostStore } from "./FakeHostStore.js";
 
@@ -8,4 +9,5 @@
     readonly membership: MembershipService;
     readonly clock: FakeHostClock;
     readonly store: FakeHostStore;
+    readonly installer: FakeHeadInstaller;
 }
--- a/src/fakes/FakeHostStore.ts
+++ b/src/fakes/FakeHostStore.ts
@@ -1,5 +1,6 @@
 import { StoreUnavailableError } from "../errors/index.js";
 import type { Store, StoreRecord, WriteResult } from "../store/index.js";
+import type { Clock } from "../time/index.js";
 
 /** One host's way to the store, which can be cut on its own. */
 export class FakeHostStore implements Store {
@@ -7,11 +8,18 @@
     isCut = false;
     /** Whether the store's answers no longer reach this host. */
     losesAnswers = false;
+    /** How long answers are on their way, in milliseconds. */
+    answerDelayMs = 0;
     readonly #store: Store;
+    readonly #clock: Clock;
 
-    /** @param store - The store of all hosts. */
-    constructor(store: Store) {
+    /**
+     * @param store - The store of all hosts.
+     * @param clock - The source of time.
+     */
+    constructor(store: Store, clock: Clock) {
         this.#store = store;
+        this.#clock = clock;
     }
 
     /**
@@ -79,6 +87,9 @@
     async #run<R>(call: () => Promise<R>): Promise<R> {
         this.#checkIsOpen(this.isCut);
         const result = await call();
+        if (this.answerDelayMs > 0) {
+            await this.#clock.wait(this.answerDelayMs);
+        }
         this.#checkIsOpen(this.isCut || this.losesAnswers);
         return result;
     }
--- a/src/fakes/index.ts
+++ b/src/fakes/index.ts
@@ -1,6 +1,7 @@
 export { FakeClock } from "./FakeClock.js";
 export { FakeFleet } from "./FakeFleet.js";
 export type { FakeFleetHost } from "./FakeFleetHost.js";
+export { FakeHeadInstaller } from "./FakeHeadInstaller.js";
 export { FakeHeadStore } from "./FakeHeadStore.js";
 export type { FakeHost } from "./FakeHost.js";
 export { FakeHostClock } from "./FakeHostClock.js";
