--- a/src/fakes/index.ts
+++ b/src/fakes/index.ts
@@ -1,10 +1,12 @@
 export { FakeClock } from "./FakeClock.js";
 export { FakeFleet } from "./FakeFleet.js";
 export type { FakeFleetHost } from "./FakeFleetHost.js";
+export { FakeHeadInstaller } from "./FakeHeadInstaller.js";
 export { FakeHeadStore } from "./FakeHeadStore.js";
 export type { FakeHost } from "./FakeHost.js";
 export { FakeHostClock } from "./FakeHostClock.js";
 export { FakeHostStore } from "./FakeHostStore.js";
+export { FakeHostTransport } from "./FakeHostTransport.js";
 export { FakeMembership } from "./FakeMembership.js";
 export { FakeNetwork } from "./FakeNetwork.js";
 export { FakeServiceRunner } from "./FakeServiceRunner.js";
