Give small answers of the upstream stand-in no filler

Cause: the mended size left filler behind the JSON line of small answers, and two tests that parse such answers failed (127 passed, 2 failed). The size is now the fixed point of the line's own length. Ruled out: changing those tests.

--- a/src/standins/createAnswerBody.ts
+++ b/src/standins/createAnswerBody.ts
@@ -1,9 +1,7 @@
 import type { UpstreamAnswerHead } from "./UpstreamAnswerHead.js";
 
 const CHUNK_BYTES = 65_536;
-const FILLER = Buffer.alloc(CHUNK_BYTES, "thread ");
-/** Room for the digits by which a raised size makes the line longer. */
-const SIZE_DIGITS = 16;
+const FILLER = Buffer.alloc(CHUNK_BYTES, " thread");
 
 /**
  * Creates the body of an answer: its head as a line of JSON, then filler.
@@ -12,8 +10,12 @@
 export function createAnswerBody(
     head: UpstreamAnswerHead,
 ): { readonly bytes: number; readonly chunks: Iterable<Buffer>; } {
-    const bytes = Math.max(createLine(head).length + SIZE_DIGITS, head.bytes);
-    const line = createLine({ ...head, bytes });
+    let { bytes } = head;
+    let line = createLine(head);
+    while (line.length > bytes) {
+        bytes = line.length;
+        line = createLine({ ...head, bytes });
+    }
     return { bytes, chunks: createChunks(line, bytes - line.length) };
 }
 
