--- a/src/bin/fuchsiapath-standin.ts
+++ b/src/bin/fuchsiapath-standin.ts
@@ -58,8 +58,9 @@
     try {
         const standIn = await start();
         console.log(JSON.stringify(standIn.report));
-        process.once("SIGTERM", () => void standIn.stop());
-        process.once("SIGINT", () => void standIn.stop());
+        const stop = (): void => void standIn.stop().finally(() => process.exit());
+        process.once("SIGTERM", stop);
+        process.once("SIGINT", stop);
     }
     catch (error) {
         reportFailure(error);
--- a/src/measure/ChildProgram.ts
+++ b/src/measure/ChildProgram.ts
@@ -8,12 +8,14 @@
 
 const PROGRAM_FOLDER = join(import.meta.dirname, "..", "bin");
 const KEPT_LINES = 20;
+const CHECK_INTERVAL_MS = 50;
 
 /** A program of the project that runs as a process of its own. */
 export class ChildProgram {
     readonly #options: ChildProgramOptions;
     readonly #clock: Clock;
     readonly #lastLines: string[] = [];
+    readonly #output: string[] = [];
     #process: ChildProcess | undefined;
 
     /**
@@ -35,26 +37,47 @@
         return this.#process?.pid;
     }
 
-    /** Starts the process and returns the first line that it prints. */
-    async start(): Promise<string> {
-        const { args, name, program } = this.#options;
+    /** Starts the process. */
+    start(): void {
+        const { args, program } = this.#options;
         const file = join(PROGRAM_FOLDER, `${program}.js`);
         const child = spawn(process.execPath, [file, ...args], { stdio: ["ignore", "pipe", "pipe"] });
         this.#process = child;
         createInterface({ input: child.stderr }).on("line", line => this.#receiveLine(line));
-        const output = createInterface({ input: child.stdout });
-        const controller = new AbortController();
-        const firstLine = once(output, "line", { signal: controller.signal }).then(([line]) => line as string);
-        const exit = once(child, "exit", { signal: controller.signal }).then(([code]) => {
-            throw new FuchsiapathError(`${name} ended with ${code}:\n${this.#lastLines.join("\n")}`);
-        });
-        try {
-            return await Promise.race([firstLine, exit]);
+        createInterface({ input: child.stdout }).on("line", line => this.#output.push(line));
+    }
+
+    /** Waits for the first line that the process prints; rejects if it ends before. */
+    async readFirstLine(): Promise<string> {
+        return await this.waitUntil(() => Promise.resolve(this.#output[0]));
+    }
+
+    /** Waits until the process ends and returns what it printed; rejects if it failed. */
+    async readOutput(): Promise<string> {
+        const child = this.#process!;
+        if (child.exitCode === null && child.signalCode === null) {
+            await once(child, "close");
         }
-        finally {
-            controller.abort();
-            await Promise.allSettled([firstLine, exit]);
+        if (child.exitCode !== 0) {
+            throw this.#createError();
         }
+        return this.#output.join("\n");
+    }
+
+    /**
+     * Waits until a check finds something; rejects if the process ends before.
+     * @param find - The check.
+     */
+    async waitUntil<Found>(find: () => Promise<Found | undefined>): Promise<Found> {
+        const child = this.#process!;
+        while (child.exitCode === null && child.signalCode === null) {
+            const found = await find();
+            if (found !== undefined) {
+                return found;
+            }
+            await this.#clock.wait(CHECK_INTERVAL_MS);
+        }
+        throw this.#createError();
     }
 
     /**
@@ -74,6 +97,11 @@
         force.cancel();
     }
 
+    #createError(): FuchsiapathError {
+        const end = this.#process?.exitCode ?? this.#process?.signalCode;
+        return new FuchsiapathError(`${this.#options.name} ended with ${end}:\n${this.#lastLines.join("\n")}`);
+    }
+
     #receiveLine(line: string): void {
         this.#lastLines.push(line);
         if (this.#lastLines.length > KEPT_LINES) {
--- /dev/null
+++ b/src/tools/measure.ts
@@ -0,0 +1,74 @@
+import { writeFile } from "node:fs/promises";
+import yargs from "yargs";
+import {
+    createScenario,
+    type Deployment,
+    formatMeasurements,
+    type MeasuredPair,
+    type Measurement,
+    readDeployment,
+    runScenario,
+    ScenarioKind,
+} from "../measure/index.js";
+import { Policy } from "../settings/index.js";
+import { SystemClock } from "../time/index.js";
+
+/* Measures this version against the baseline policy: each scenario on fleets of separate processes, side by side. */
+const DEFAULT_FIRST_PORT = 27_000;
+const PORTS_OF_FLEET = 600;
+const DEFAULT_SEEDS = [1, 2, 3];
+const DEFAULT_HOSTS_PER_ZONE = 3;
+const POLICIES = [Policy.Standard, Policy.Baseline];
+
+const args = await yargs(process.argv.slice(2))
+    .scriptName("npm run measure --")
+    .option("deployment", { type: "string", array: true, default: ["kelom", "guild"], describe: "folders of examples" })
+    .option("scenario", {
+        type: "string",
+        array: true,
+        choices: Object.values(ScenarioKind),
+        describe: "all if left out",
+    })
+    .option("seed", { type: "number", array: true, default: DEFAULT_SEEDS, describe: "seeds of arrivals and faults" })
+    .option("policy", { type: "string", array: true, choices: POLICIES, default: POLICIES, describe: "what to run" })
+    .option("hosts-per-zone", { type: "number", default: DEFAULT_HOSTS_PER_ZONE, describe: "entry hosts in each zone" })
+    .option("port", { type: "number", default: DEFAULT_FIRST_PORT, describe: "first port on loopback" })
+    .option("out", { type: "string", describe: "file for the figures of every run as JSON" })
+    .strict()
+    .help()
+    .parseAsync();
+
+const clock = new SystemClock();
+const deployments = await Promise.all(args.deployment.map(readDeployment));
+const kinds = args.scenario ?? Object.values(ScenarioKind);
+const measured = await Promise.all(deployments.map(measureDeployment));
+measured.forEach((pairs, index) => {
+    console.log(formatMeasurements(`${deployments[index]!.name}, seeds ${args.seed.join(", ")}`, pairs));
+});
+if (args.out !== undefined) {
+    await writeFile(args.out, JSON.stringify(measured, undefined, 4) + "\n");
+}
+
+async function measureDeployment(deployment: Deployment, index: number): Promise<MeasuredPair[]> {
+    const pairs: MeasuredPair[] = [];
+    for (const kind of kinds) {
+        pairs.push(await measureScenario(kind, deployment, index));
+    }
+    return pairs;
+}
+
+async function measureScenario(kind: ScenarioKind, deployment: Deployment, index: number): Promise<MeasuredPair> {
+    const scenario = createScenario(kind, deployment);
+    const figures: Record<Policy, Measurement[]> = { [Policy.Standard]: [], [Policy.Baseline]: [] };
+    for (const seed of args.seed) {
+        await Promise.all(args.policy.map(async policy => {
+            const fleetIndex = index * POLICIES.length + POLICIES.indexOf(policy);
+            const firstPort = args.port + fleetIndex * PORTS_OF_FLEET;
+            const run = { scenario, deployment, policy, seed, hostsPerZone: args.hostsPerZone, firstPort };
+            const measurement = await runScenario(run, clock);
+            console.error(JSON.stringify({ deployment: deployment.name, kind, policy, seed, ...measurement }));
+            figures[policy].push(measurement);
+        }));
+    }
+    return { scenario, standard: figures[Policy.Standard], baseline: figures[Policy.Baseline] };
+}
