--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -1,5 +1,6 @@
 /** The calls between entry hosts. */
 export enum PeerMethod {
+    GetChunks = "chunk.get",
     PullGossip = "gossip.pull",
     GetHead = "head.get",
     GetInstalled = "head.installed",
