--- a/src/measure/Fleet.ts
+++ b/src/measure/Fleet.ts
@@ -9,9 +9,11 @@
 import type { FleetOptions } from "./FleetOptions.js";
 import type { FleetPlan } from "./FleetPlan.js";
 
+import { getOperatorToken } from "./getOperatorToken.js";
 import type { LoggedDecision } from "./LoggedDecision.js";
 import { parseDecision } from "./parseDecision.js";
 
+const ADDRESSES_TO_TRY = 3;
 const STOP_LIMIT_MS = 15_000;
 
 /** A fleet on loopback: stand-ins and entry hosts as separate processes. */
@@ -103,6 +105,29 @@
     }
 
     async #applyDocument(): Promise<void> {
+        const file = await this.#writeFile("configuration.json", this.#plan.document);
+        for (const [name, section] of Object.entries(this.#plan.document.sections)) {
+            await this.#applySection(file, name, section.owners[0]!);
+        }
+    }
+
+    async #applySection(file: string, section: string, owner: string): Promise<void> {
+        const addresses = this.#plan.entries.slice(0, ADDRESSES_TO_TRY).map(entry => entry.operatorAddress);
+        const program = new ChildProgram({
+            name: `apply ${section}`,
+            program: "fuchsiapath",
+            args: [
+                "apply",
+                file,
+                "--section",
+                section,
+                "--token",
+                getOperatorToken(owner),
+                ...addresses.flatMap(address => ["--address", address]),
+            ],
+        }, this.#clock);
+        program.start();
+        await program.readOutput();
     }
 
     async #writeFile(name: string, content: object): Promise<string> {
