--- a/src/load/experimentSchema.ts
+++ b/src/load/experimentSchema.ts
@@ -56,7 +56,8 @@
         method,
         path: path.optional(),
         headers: z.record(z.string(), z.string()).default({}),
-        body: z.unknown().optional(),
+        /** A baseVersion of "current" is replaced by the version in force. */
+        body: z.looseObject({}).optional(),
     }),
 ]);
 
--- a/src/load/runFault.ts
+++ b/src/load/runFault.ts
@@ -5,6 +5,10 @@
 import { FaultKind } from "./FaultKind.js";
 
 const STATUS_REDIRECT = 300;
+const CONFIGURATION_PATH = "/v1/configuration";
+const CURRENT_VERSION = "current";
+
+type OperatorFault = Extract<ExperimentFault, { readonly kind: FaultKind.Operator; }>;
 
 /**
  * Causes a fault; rejects if that fails.
@@ -16,8 +20,9 @@
         case FaultKind.Control:
             return await sendRequest(experiment.targets[fault.target]!, "POST", {}, fault.body);
         case FaultKind.Operator: {
-            const url = experiment.targets[fault.target]! + (fault.path ?? "");
-            return await sendRequest(url, fault.method, fault.headers, fault.body);
+            const target = experiment.targets[fault.target]!;
+            const body = await createOperatorBody(target, fault);
+            return await sendRequest(target + (fault.path ?? ""), fault.method, fault.headers, body);
         }
         case FaultKind.Signal:
             process.kill(experiment.processes[fault.process]!, fault.signal);
@@ -27,6 +32,16 @@
     }
 }
 
+/** Fills in the version in force where the body asks for it. */
+async function createOperatorBody(target: string, fault: OperatorFault): Promise<unknown> {
+    if (fault.body?.["baseVersion"] !== CURRENT_VERSION) {
+        return fault.body;
+    }
+    const answer = await request(target + CONFIGURATION_PATH, { headers: fault.headers });
+    const { version } = await answer.body.json() as { version: number; };
+    return { ...fault.body, baseVersion: version };
+}
+
 async function sendRequest(
     url: string,
     method: "GET" | "POST" | "PUT" | "PATCH" | "DELETE",
--- a/src/measure/Fleet.ts
+++ b/src/measure/Fleet.ts
@@ -59,7 +59,11 @@
         return {
             entries: entries.map(entry => `http://${entry.callerAddress}`),
             records: [`${control}/records`],
-            targets: { upstreams: control, store: `http://127.0.0.1:${storePort}/control` },
+            targets: {
+                upstreams: control,
+                store: `http://127.0.0.1:${storePort}/control`,
+                operator: `http://${entries[0]!.operatorAddress}`,
+            },
             processes: Object.fromEntries(this.#entries.map(entry => [entry.getName(), entry.getProcessId()!])),
             keys,
         };
--- a/src/measure/getOperatorToken.ts
+++ b/src/measure/getOperatorToken.ts
@@ -3,5 +3,5 @@
  * @param operator - The operator's name.
  */
 export function getOperatorToken(operator: string): string {
-    return `measure-token-of-${operator}`;
+    return `example-token-of-${operator}`;
 }
