--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -1,3 +1,5 @@
+import type { RecordCrashParams, RecordCrashResult } from "../accounts/index.js";
+import type { ChunkGetParams, ChunkGetResult } from "../configuration/index.js";
 import type {
     GossipAnswer,
     GossipRequest,
@@ -9,13 +11,45 @@
     ViewEdit,
     ViewEditAnswer,
 } from "../membership/index.js";
+import type {
+    ClaimAnswer,
+    ClaimOrderParams,
+    FindOrderParams,
+    FindOrderResult,
+    HandOverOrdersParams,
+    HandOverOrdersResult,
+} from "../orders/index.js";
+import type {
+    BorrowTokensParams,
+    BorrowTokensResult,
+    HandOverRatesParams,
+    HandOverRatesResult,
+} from "../rates/index.js";
+import type {
+    FindOutcomeParams,
+    FindOutcomeResult,
+    RemoveCrashParams,
+    RemoveCrashResult,
+    ShareBaselineParams,
+    ShareBaselineResult,
+} from "../services/index.js";
 import type { PeerMethod } from "./PeerMethod.js";
 
 /** The parameters and the result of each call between entry hosts; all are JSON values. */
 export interface PeerMethods {
+    [PeerMethod.GetChunks]: { params: ChunkGetParams; result: ChunkGetResult; };
     [PeerMethod.PullGossip]: { params: GossipRequest; result: GossipAnswer; };
     [PeerMethod.GetHead]: { params: HeadRequest; result: HeadAnswer; };
     [PeerMethod.GetInstalled]: { params: HeadRequest; result: InstalledAnswer; };
     [PeerMethod.Probe]: { params: ProbeRequest; result: ProbeAnswer; };
     [PeerMethod.EditView]: { params: ViewEdit; result: ViewEditAnswer; };
+    [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
+    [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
+    [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
+    [PeerMethod.BorrowTokens]: { params: BorrowTokensParams; result: BorrowTokensResult; };
+    [PeerMethod.HandOverRates]: { params: HandOverRatesParams; result: HandOverRatesResult; };
+    [PeerMethod.HandOverOrders]: { params: HandOverOrdersParams; result: HandOverOrdersResult; };
+    [PeerMethod.FindOrder]: { params: FindOrderParams; result: FindOrderResult; };
+    [PeerMethod.ClaimOrder]: { params: ClaimOrderParams; result: ClaimAnswer; };
+    [PeerMethod.RecordCrash]: { params: RecordCrashParams; result: RecordCrashResult; };
 }
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,3 +1,18 @@
 export { HostListServer } from "./HostListServer.js";
 export { LaggingHostList } from "./LaggingHostList.js";
+export { RecordEnd } from "./RecordEnd.js";
+export { ReportMode } from "./ReportMode.js";
+export { ServiceTimeKind } from "./ServiceTimeKind.js";
+export { SlotQueue } from "./SlotQueue.js";
+export type { StandIn } from "./StandIn.js";
+export { standInSettings } from "./standInSettings.js";
+export { startHostListStandIn } from "./startHostListStandIn.js";
+export { startStoreStandIn } from "./startStoreStandIn.js";
+export { startUpstreamStandIns } from "./startUpstreamStandIns.js";
 export { StoreServer } from "./StoreServer.js";
+export type { UpstreamAnswerHead } from "./UpstreamAnswerHead.js";
+export { UpstreamControl } from "./UpstreamControl.js";
+export type { UpstreamRecord } from "./UpstreamRecord.js";
+export { upstreamSettings } from "./upstreamSettings.js";
+export { UpstreamStandIn } from "./UpstreamStandIn.js";
+export type { UpstreamStandInSettings } from "./UpstreamStandInSettings.js";
