Send heads between hosts as differences

Cause: a full head names each member; at 900 members that is more than the control traffic allows for each change. Views, sections and changes go as differences to what the asking host has; heads with the same view share it.

--- a/src/membership/Gossip.ts
+++ b/src/membership/Gossip.ts
@@ -9,6 +9,7 @@
 import type { HeadTracker } from "./HeadTracker.js";
 import type { LayoutHistory } from "./LayoutHistory.js";
 import type { Member } from "./Member.js";
+import { mergeHeadDelta } from "./mergeHeadDelta.js";
 import type { PullTargets } from "./PullTargets.js";
 
 const CALL_TIMEOUT_MS = 1_000;
@@ -40,7 +41,7 @@
         this.#options = options;
         const { handlers, tracker, transport, self } = options;
         handlers.add(PeerMethod.PullGossip, () => this.#createAnswer());
-        handlers.add(PeerMethod.GetHead, () => ({ head: tracker.getHead() }));
+        handlers.add(PeerMethod.GetHead, request => ({ delta: tracker.createDelta(request) }));
         handlers.add(PeerMethod.GetInstalled, () => ({ from: self.id, headVersion: tracker.getVersion() }));
         handlers.add(PeerMethod.Probe, async params => {
             const request = { from: self.peerAddress };
@@ -91,10 +92,11 @@
 
     async #readHead(address: string): Promise<void> {
         const { transport, self, tracker } = this.#options;
-        const params = { from: self.peerAddress };
-        const answer = await transport.send(address, PeerMethod.GetHead, params, HEAD_TIMEOUT_MS);
-        if (answer.head !== undefined) {
-            await tracker.apply(answer.head);
+        const request = tracker.createRequest(self.peerAddress);
+        const { delta } = await transport.send(address, PeerMethod.GetHead, request, HEAD_TIMEOUT_MS);
+        const head = delta && mergeHeadDelta(delta, tracker.getHead());
+        if (head !== undefined) {
+            await tracker.apply(head);
         }
     }
 
--- a/src/membership/HeadAnswer.ts
+++ b/src/membership/HeadAnswer.ts
@@ -1,7 +1,7 @@
-import type { Head } from "../head/index.js";
+import type { HeadDelta } from "./HeadDelta.js";
 
 /** The head that a host has installed. */
 export interface HeadAnswer {
     /** Left out while the host has none. */
-    readonly head?: Head;
+    readonly delta?: HeadDelta;
 }
--- a/src/membership/HeadTracker.ts
+++ b/src/membership/HeadTracker.ts
@@ -1,9 +1,17 @@
 import type { Head, HeadInstaller } from "../head/index.js";
+import { createHeadDelta } from "./createHeadDelta.js";
+import type { HeadDelta } from "./HeadDelta.js";
+import type { HeadRequest } from "./HeadRequest.js";
+import type { MembershipView } from "./MembershipView.js";
+
+const KEPT_VIEWS = 8;
 
 /** Installs heads in order of their versions and holds the one installed. */
 export class HeadTracker {
     readonly #installer: HeadInstaller;
     readonly #listeners: ((head: Head, previous: Head | undefined) => void)[] = [];
+    /** The newest views installed, oldest first; heads with the same view share it. */
+    readonly #views: MembershipView[] = [];
     #installed: Head | undefined;
     #newest: Head | undefined;
     #attempt: Promise<void> | undefined;
@@ -31,6 +39,25 @@
         this.#listeners.push(listener);
     }
 
+    /**
+     * Creates the request for a newer head.
+     * @param from - This host's peer address.
+     */
+    createRequest(from: string): HeadRequest {
+        const head = this.#installed;
+        const knownViews = head === undefined ? [] : [head.view.version, head.nextView?.version ?? 0];
+        return { from, knownVersion: this.getVersion(), knownViews: knownViews.filter(version => version > 0) };
+    }
+
+    /**
+     * Creates the answer to a request for a newer head; undefined while there is none.
+     * @param request - Names the head that the host has.
+     */
+    createDelta(request: HeadRequest): HeadDelta | undefined {
+        const find = (version: number): MembershipView | undefined => this.#findView(version);
+        return this.#installed && createHeadDelta(this.#installed, request, find);
+    }
+
     /**
      * Installs a head unless it is older than the installed one; returns whether the installed head is as new now.
      * @param head - The head.
@@ -50,7 +77,7 @@
     }
 
     async #applyNewest(): Promise<void> {
-        const head = this.#newest!;
+        const head = this.#mergeViews(this.#newest!);
         try {
             await this.#installer.apply(head);
             const previous = this.#installed;
@@ -66,4 +93,22 @@
             this.#attempt = undefined;
         }
     }
+
+    #mergeViews(head: Head): Head {
+        const nextView = head.nextView && this.#getShared(head.nextView);
+        return { ...head, view: this.#getShared(head.view), ...(nextView && { nextView }) };
+    }
+
+    #getShared(view: MembershipView): MembershipView {
+        const known = this.#findView(view.version);
+        if (known === undefined) {
+            this.#views.push(view);
+            this.#views.splice(0, this.#views.length - KEPT_VIEWS);
+        }
+        return known ?? view;
+    }
+
+    #findView(version: number): MembershipView | undefined {
+        return this.#views.find(view => view.version === version);
+    }
 }
--- a/src/membership/LayoutHistory.ts
+++ b/src/membership/LayoutHistory.ts
@@ -16,7 +16,7 @@
     add(head: Head): void {
         const key = `${head.view.version}.${head.nextView?.version ?? 0}`;
         if (this.getNewest().key !== key) {
-            this.#layouts.push({ key, memberIds: getHeadMembers(head).map(member => member.id) });
+            this.#layouts.push({ key, memberIds: getHeadMembers(head).map(member => member.id).sort() });
             this.#layouts.splice(0, this.#layouts.length - KEPT_LAYOUTS);
         }
     }
--- a/src/membership/MembershipService.ts
+++ b/src/membership/MembershipService.ts
@@ -45,7 +45,6 @@
     readonly #controller = new AbortController();
     /** The tables of views that somebody still asks about. */
     readonly #tables = new WeakMap<MembershipView, RendezvousTable>();
-    #table = new RendezvousTable([]);
     #tasks: Promise<void>[] = [];
     #wasCurrent = false;
 
@@ -133,8 +132,7 @@
      */
     getAccountHosts(account: string, view?: MembershipView): readonly Member[] {
         const count = this.#options.accountHostCount ?? DEFAULT_ACCOUNT_HOSTS;
-        const table = view === undefined ? this.#table : this.#getTable(view);
-        return table.selectAcrossZones(`account ${account}`, count);
+        return this.#getTable(view ?? this.getView()).selectAcrossZones(`account ${account}`, count);
     }
 
     /**
@@ -143,7 +141,7 @@
      * @param zone - The availability zone of the upstreams.
      */
     getServiceHosts(service: string, zone: string): readonly Member[] {
-        return this.#table.selectInZone(`service ${service} ${zone}`, zone, SERVICE_HOST_CANDIDATES);
+        return this.#getTable(this.getView()).selectInZone(`service ${service} ${zone}`, zone, SERVICE_HOST_CANDIDATES);
     }
 
     /**
@@ -227,7 +225,6 @@
         if (head.view.version === previousView.version) {
             return;
         }
-        this.#table = new RendezvousTable(head.view.members);
         this.#options.log.record({
             decision: Decision.ViewChanged,
             reason: "a new view is in force",
@@ -257,7 +254,7 @@
         if (!this.#isMember() || !this.isCurrent()) {
             return true;
         }
-        const order = this.#table.getOrder(WATCH_DUTY);
+        const order = this.#getTable(this.getView()).getOrder(WATCH_DUTY);
         const reachable = order.filter(member => member.zone === self.zone && this.isReachable(member.id));
         return reachable.slice(0, WATCHERS_PER_ZONE).some(member => member.id === self.id);
     }
--- a/src/membership/mergeViewEdits.ts
+++ b/src/membership/mergeViewEdits.ts
@@ -1,10 +1,11 @@
 import { UnexpectedVariantError } from "../errors/index.js";
+import { compareMembers } from "./compareMembers.js";
 import type { Member } from "./Member.js";
 import type { ViewEdit } from "./ViewEdit.js";
 import { ViewEditKind } from "./ViewEditKind.js";
 
 /**
- * Merges wanted changes into the members of a view; returns undefined if they change nothing.
+ * Merges wanted changes into the members of a view, in order of their ids; returns undefined if they change nothing.
  * @param members - The members.
  * @param edits - The wanted changes.
  */
@@ -26,5 +27,5 @@
                 throw new UnexpectedVariantError(edit);
         }
     }
-    return isChanged ? [...merged.values()] : undefined;
+    return isChanged ? [...merged.values()].sort(compareMembers) : undefined;
 }
--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -6,6 +6,7 @@
     HeadAnswer,
     HeadRequest,
     InstalledAnswer,
+    InstalledRequest,
     ProbeAnswer,
     ProbeRequest,
     ViewEdit,
@@ -40,7 +41,7 @@
     [PeerMethod.GetChunks]: { params: ChunkGetParams; result: ChunkGetResult; };
     [PeerMethod.PullGossip]: { params: GossipRequest; result: GossipAnswer; };
     [PeerMethod.GetHead]: { params: HeadRequest; result: HeadAnswer; };
-    [PeerMethod.GetInstalled]: { params: HeadRequest; result: InstalledAnswer; };
+    [PeerMethod.GetInstalled]: { params: InstalledRequest; result: InstalledAnswer; };
     [PeerMethod.Probe]: { params: ProbeRequest; result: ProbeAnswer; };
     [PeerMethod.EditView]: { params: ViewEdit; result: ViewEditAnswer; };
     [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
--- /dev/null
+++ b/tests/membership/RendezvousTable.test.ts
@@ -0,0 +1,39 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { RendezvousTable } from "../../src/membership/index.js";
+import { createMember } from "../support/createMember.js";
+
+const MEMBERS = Array.from({ length: 40 }, (_, index) => createMember(index));
+const KEYS = Array.from({ length: 1_000 }, (_, index) => `account-${index}`);
+const COUNT = 3;
+
+test("the hosts of a key stand in different availability zones while there are enough", () => {
+    const table = new RendezvousTable(MEMBERS);
+    for (const key of KEYS) {
+        assert.is(new Set(table.selectAcrossZones(key, COUNT).map(member => member.zone)).size, COUNT);
+    }
+    assert.is(new RendezvousTable(MEMBERS.slice(0, 2)).selectAcrossZones("key", COUNT).length, 2);
+    const oneZone = MEMBERS.filter(member => member.zone === "zone-a");
+    assert.is(new RendezvousTable(oneZone).selectAcrossZones("key", COUNT).length, COUNT);
+});
+
+test("only the keys of a removed member move", () => {
+    const table = new RendezvousTable(MEMBERS);
+    const smaller = new RendezvousTable(MEMBERS.slice(1));
+    for (const key of KEYS) {
+        const before = table.selectAcrossZones(key, COUNT).map(member => member.id);
+        const after = smaller.selectAcrossZones(key, COUNT).map(member => member.id);
+        if (!before.includes("host-0")) {
+            assert.equal(after, before);
+        }
+        assert.equal(before.filter(id => !after.includes(id) && id !== "host-0"), []);
+    }
+});
+
+test("a service's hosts stand in its availability zone, or anywhere if it has none", () => {
+    const table = new RendezvousTable(MEMBERS);
+    assert.ok(table.selectInZone("orders", "zone-b", COUNT).every(member => member.zone === "zone-b"));
+    assert.is(table.selectInZone("orders", "zone-x", COUNT).length, COUNT);
+});
+
+test.run();
--- /dev/null
+++ b/tests/support/createMember.ts
@@ -0,0 +1,21 @@
+import type { Member } from "../../src/membership/index.js";
+
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+const PEER_PORT = 10_000;
+const CALLER_PORT = 20_000;
+
+/**
+ * Creates the entry of a host for tests; the zones take turns.
+ * @param index - The host's number.
+ * @param incarnation - Its incarnation.
+ */
+export function createMember(index: number, incarnation = "1"): Member {
+    return {
+        id: `host-${index}`,
+        region: "region-1",
+        zone: ZONES[index % ZONES.length]!,
+        peerAddress: `127.0.0.1:${PEER_PORT + index}`,
+        callerAddress: `127.0.0.1:${CALLER_PORT + index}`,
+        incarnation,
+    };
+}
