--- a/src/membership/Freshness.ts
+++ b/src/membership/Freshness.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../time/index.js";
 import type { Evidence } from "./Evidence.js";
 import { FRESHNESS_BOUND_MS } from "./FRESHNESS_BOUND_MS.js";
-import { hasQuorum } from "./hasQuorum.js";
+import { getQuorumTime } from "./getQuorumTime.js";
 import type { HeadTracker } from "./HeadTracker.js";
 import type { Member } from "./Member.js";
 import type { StoppedMembers } from "./StoppedMembers.js";
@@ -54,6 +54,13 @@
         return this.#vouches;
     }
 
+    /** Gets how long ago a majority is known to have had no newer head, in milliseconds; Infinity if never. */
+    getMajorityAge(): number {
+        const head = this.#tracker.getHead();
+        const now = this.#clock.getTime();
+        return head === undefined ? Infinity : now - this.#getMajorityTime(head, now);
+    }
+
     #isCaughtUp(): boolean {
         const head = this.#tracker.getHead();
         if (head === undefined) {
@@ -62,11 +69,9 @@
         if (this.#evidence.getStoreTime() >= this.#startTime) {
             return true;
         }
-        const threshold = this.#startTime + FRESHNESS_BOUND_MS;
-        return this.#hasQuorum(
-            head,
-            member => member.id !== this.#selfId && this.#evidence.getConfirmedTime(member.id) > threshold,
-        );
+        const getOtherTime = (member: Member): number =>
+            member.id === this.#selfId ? -Infinity : this.#evidence.getConfirmedTime(member.id);
+        return this.#getHeadTime(head, getOtherTime) > this.#startTime + FRESHNESS_BOUND_MS;
     }
 
     #getCurrentUntil(now: number): number {
@@ -75,41 +80,21 @@
             return -Infinity;
         }
         const storeUntil = this.#evidence.getStoreTime() + FRESHNESS_BOUND_MS;
-        return storeUntil >= now ? storeUntil : this.#getMajorityUntil(head, now);
+        return storeUntil >= now ? storeUntil : this.#getMajorityTime(head, now) + FRESHNESS_BOUND_MS;
     }
 
-    /** Finds the latest time up to which a majority is enough; the bound is checked in whole steps of the evidence. */
-    #getMajorityUntil(head: Head, now: number): number {
-        const getTime = (member: Member): number =>
-            member.id === this.#selfId && this.hasVote() ? now : this.#evidence.getConfirmedTime(member.id);
-        const isFresh = (member: Member): boolean => getTime(member) + FRESHNESS_BOUND_MS >= now;
-        if (!this.#hasQuorum(head, isFresh)) {
-            return -Infinity;
-        }
-        const times = [...new Set(head.view.members.concat(head.nextView?.members ?? []).filter(isFresh).map(getTime))];
-        times.sort((left, right) => left - right);
-        return this.#findLatest(times, time => this.#hasQuorum(head, member => getTime(member) >= time)) +
-            FRESHNESS_BOUND_MS;
-    }
-
-    #findLatest(times: readonly number[], isEnough: (time: number) => boolean): number {
-        let low = 0;
-        let high = times.length - 1;
-        while (low < high) {
-            const middle = Math.ceil((low + high) / 2);
-            if (isEnough(times[middle]!)) {
-                low = middle;
-            }
-            else {
-                high = middle - 1;
-            }
-        }
-        return times[low]!;
+    #getMajorityTime(head: Head, now: number): number {
+        const hasVote = this.hasVote();
+        return this.#getHeadTime(
+            head,
+            member => member.id === this.#selfId && hasVote ? now : this.#evidence.getConfirmedTime(member.id),
+        );
     }
 
-    #hasQuorum(head: Head, isMet: (member: Member) => boolean): boolean {
+    /** While a view is proposed, its members count as well as those of the view in force. */
+    #getHeadTime(head: Head, getTime: (member: Member) => number): number {
         const isStopped = (memberId: string): boolean => this.#stopped.isStopped(memberId);
-        return hasQuorum(head.view, isStopped, isMet) &&
-            (head.nextView === undefined || hasQuorum(head.nextView, isStopped, isMet));
+        const views = head.nextView === undefined ? [head.view] : [head.view, head.nextView];
+        return Math.min(...views.map(view => getQuorumTime(view, isStopped, getTime)));
     }
 }
--- a/src/membership/MembershipService.ts
+++ b/src/membership/MembershipService.ts
@@ -117,6 +117,11 @@
         return this.#freshness.isCurrent();
     }
 
+    /** Gets how long ago a majority is known to have had no newer head, in milliseconds; Infinity if never. */
+    getMajorityAge(): number {
+        return this.#freshness.getMajorityAge();
+    }
+
     /**
      * Whether a member has answered lately, directly or through another member.
      * @param memberId - The member's id.
