--- a/src/fakes/FakeFleet.ts
+++ b/src/fakes/FakeFleet.ts
@@ -1,3 +1,4 @@
+import { StoredHeadStore } from "../head/index.js";
 import type { ListedHost } from "../hostlist/index.js";
 import { DecisionHistory } from "../logging/index.js";
 import { type Member, MembershipService } from "../membership/index.js";
@@ -6,7 +7,6 @@
 import { FakeClock } from "./FakeClock.js";
 import type { FakeFleetHost } from "./FakeFleetHost.js";
 import { FakeHeadInstaller } from "./FakeHeadInstaller.js";
-import { FakeHeadStore } from "./FakeHeadStore.js";
 import { FakeHostClock } from "./FakeHostClock.js";
 import { FakeHostStore } from "./FakeHostStore.js";
 import { FakeHostTransport } from "./FakeHostTransport.js";
@@ -133,7 +133,7 @@
      */
     async write(index: number): Promise<number> {
         const host = this.get(index);
-        const head = await new FakeHeadStore(host.store).apply(
+        const head = await host.headStore.apply(
             `change-${this.#seed}-${this.#starts++}`,
             content => content,
         );
@@ -172,19 +172,21 @@
         const handlers = new PeerHandlers();
         const member = createMember(index, `${this.#seed}-${this.#starts}`);
         const transport = new FakeHostTransport(this.network.createTransport(member.peerAddress), clock);
+        const random = new SeededRandom(this.#seed * SEED_STEP + this.#starts++);
+        const headStore = new StoredHeadStore({ store, clock, random });
         const membership = new MembershipService({
             clock,
-            random: new SeededRandom(this.#seed * SEED_STEP + this.#starts++),
+            random,
             transport,
             handlers,
-            headStore: new FakeHeadStore(store),
+            headStore,
             hostList: { getHosts: async () => [...this.#listed.values()] },
             installer,
             log: new DecisionHistory(this.clock, undefined, 1),
             self: member,
             seedAddresses: Array.from({ length: SEED_HOSTS }, (_, seed) => getAddress(seed)),
         });
-        this.#hosts.set(index, { member, membership, clock, store, transport, installer });
+        this.#hosts.set(index, { member, membership, clock, store, headStore, transport, installer });
         this.network.addHost(member.peerAddress, { handlers });
         this.#listed.set(member.peerAddress, { address: member.peerAddress, leaving: false });
         membership.start();
--- a/src/fakes/FakeFleetHost.ts
+++ b/src/fakes/FakeFleetHost.ts
@@ -1,3 +1,4 @@
+import type { HeadStore } from "../head/index.js";
 import type { Member, MembershipService } from "../membership/index.js";
 import type { FakeHeadInstaller } from "./FakeHeadInstaller.js";
 import type { FakeHostClock } from "./FakeHostClock.js";
@@ -10,6 +11,7 @@
     readonly membership: MembershipService;
     readonly clock: FakeHostClock;
     readonly store: FakeHostStore;
+    readonly headStore: HeadStore;
     readonly transport: FakeHostTransport;
     readonly installer: FakeHeadInstaller;
 }
