--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -9,6 +9,7 @@
     FindOutcome = "service.findOutcome",
     RemoveCrash = "service.removeCrash",
     BorrowTokens = "rate.borrow",
+    ReceiveTokens = "rate.receive",
     HandOverRates = "rate.handOver",
     HandOverOrders = "order.handOver",
     FindOrder = "order.find",
--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -23,6 +23,8 @@
     BorrowTokensResult,
     HandOverRatesParams,
     HandOverRatesResult,
+    ReceiveTokensParams,
+    ReceiveTokensResult,
 } from "../rates/index.js";
 import type {
     FindOutcomeParams,
@@ -45,6 +47,7 @@
     [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
     [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
     [PeerMethod.BorrowTokens]: { params: BorrowTokensParams; result: BorrowTokensResult; };
+    [PeerMethod.ReceiveTokens]: { params: ReceiveTokensParams; result: ReceiveTokensResult; };
     [PeerMethod.HandOverRates]: { params: HandOverRatesParams; result: HandOverRatesResult; };
     [PeerMethod.HandOverOrders]: { params: HandOverOrdersParams; result: HandOverOrdersResult; };
     [PeerMethod.FindOrder]: { params: FindOrderParams; result: FindOrderResult; };
--- a/src/rates/BorrowTokensResult.ts
+++ b/src/rates/BorrowTokensResult.ts
@@ -2,6 +2,8 @@
 export interface BorrowTokensResult {
     /** Tokens debited at the giver. */
     readonly tokens: number;
-    /** Tokens left there. */
-    readonly left: number;
+    /** Names the loan at the giver. */
+    readonly loanId: number;
+    /** Whether the giver can't refill while the loan counts there. */
+    readonly isReceiptWanted: boolean;
 }
--- a/src/rates/BucketTable.ts
+++ b/src/rates/BucketTable.ts
@@ -31,6 +31,14 @@
         return bucket;
     }
 
+    /**
+     * Finds the bucket of an account.
+     * @param account - The account's name.
+     */
+    find(account: string): AccountBucket | undefined {
+        return this.#buckets.get(account);
+    }
+
     /** Gets all buckets by account name. */
     getAll(): ReadonlyMap<string, AccountBucket> {
         return this.#buckets;
--- a/src/rates/SharedRateLimiter.ts
+++ b/src/rates/SharedRateLimiter.ts
@@ -1,5 +1,4 @@
 import type { Account } from "../configuration/index.js";
-import { Decision } from "../logging/index.js";
 import { PeerMethod } from "../peers/index.js";
 import type { AccountBucket } from "./AccountBucket.js";
 import { BorrowRound } from "./BorrowRound.js";
@@ -11,6 +10,8 @@
 import type { RateGrant } from "./RateGrant.js";
 import type { RateLimiter } from "./RateLimiter.js";
 import type { RateLimiterOptions } from "./RateLimiterOptions.js";
+import type { ReceiveTokensParams } from "./ReceiveTokensParams.js";
+import type { ReceiveTokensResult } from "./ReceiveTokensResult.js";
 import { ShareHandOver } from "./ShareHandOver.js";
 import { TokenLenders } from "./TokenLenders.js";
 
@@ -23,6 +24,7 @@
     readonly #buckets: BucketTable;
     readonly #lenders: TokenLenders;
     readonly #handOver: ShareHandOver;
+    #nextLoan = 1;
     readonly #rounds = new Map<string, BorrowRound>();
 
     /** @param options - What the limiter works with. */
@@ -32,6 +34,7 @@
         this.#lenders = new TokenLenders(options);
         this.#handOver = new ShareHandOver(options, this.#buckets);
         options.handlers.add(PeerMethod.BorrowTokens, params => this.#lend(params));
+        options.handlers.add(PeerMethod.ReceiveTokens, params => this.#removeLoan(params));
     }
 
     /**
@@ -50,7 +53,7 @@
         }
         const grant = await this.#waitForLoan(account, bucket);
         return grant === undefined
-            ? { isAdmitted: false, retryAfterMs: this.#getRetryAfter(account) }
+            ? { isAdmitted: false, retryAfterMs: getRetryAfter(account) }
             : { isAdmitted: true, grant };
     }
 
@@ -106,23 +109,23 @@
     #lend(params: BorrowTokensParams): BorrowTokensResult {
         const account = this.#options.getConfiguration().getAccount(params.account);
         if (account === undefined || !this.#options.membership.isCurrent() || this.#handOver.hasStopped()) {
-            return { tokens: 0, left: 0 };
+            return { tokens: 0, loanId: 0, isReceiptWanted: false };
         }
         const now = this.#options.clock.getTime();
         const bucket = this.#buckets.get(account, now).apply(account, now);
         const spare = Math.max(0, bucket.getTokens(now) - params.needed) * ADVANCE_SHARE;
         const maximum = params.needed + Math.min(params.advance, spare);
-        const tokens = bucket.grant(params.minimum, maximum, LOAN_MS, now);
-        return { tokens, left: bucket.getTokens(now) };
+        const loan = bucket.lend({ id: this.#nextLoan++, minimum: params.minimum, maximum, end: now + LOAN_MS }, now);
+        return { tokens: loan.tokens, loanId: loan.id, isReceiptWanted: bucket.isHeldBack(LOAN_MS) };
     }
 
-    #getRetryAfter(account: Account): number {
-        const retryAfterMs = account.rate > 0 ? Math.ceil(MS_PER_SECOND / account.rate) : MS_PER_SECOND;
-        this.#options.decisionLog.record({
-            decision: Decision.Refused,
-            reason: "rate-exceeded",
-            account: account.name,
-        });
-        return retryAfterMs;
+    #removeLoan(params: ReceiveTokensParams): ReceiveTokensResult {
+        const bucket = this.#buckets.find(params.account);
+        const now = this.#options.clock.getTime();
+        return { isRemoved: bucket?.apply(bucket.getAccount(), now).removeLoan(params.loanId, now) ?? false };
     }
 }
+
+function getRetryAfter(account: Account): number {
+    return account.rate > 0 ? Math.ceil(MS_PER_SECOND / account.rate) : MS_PER_SECOND;
+}
--- a/src/rates/TokenBucket.ts
+++ b/src/rates/TokenBucket.ts
@@ -1,4 +1,6 @@
+import type { LoanRequest } from "./LoanRequest.js";
 import type { RateShare } from "./RateShare.js";
+import type { TokenLoan } from "./TokenLoan.js";
 
 const MS_PER_SECOND = 1_000;
 
@@ -8,7 +10,7 @@
     #tokens: number;
     #time: number;
     /** Tokens lent that may still be on their way; they count as held here until then. */
-    #loans: { readonly tokens: number; readonly end: number; }[] = [];
+    #loans: TokenLoan[] = [];
     /** When the bucket last was so full that a token given back would not have fitted. */
     #lastFullTime: number;
 
@@ -89,21 +91,40 @@
     }
 
     /**
-     * Takes out tokens for another host; returns how many.
-     * @param minimum - Fewer than this are not given.
-     * @param maximum - The most to give.
-     * @param loanMs - How long they may be on their way, in milliseconds.
+     * Takes out tokens for another host.
+     * @param request - How many.
      * @param time - The time in milliseconds.
      */
-    grant(minimum: number, maximum: number, loanMs: number, time: number): number {
+    lend(request: LoanRequest, time: number): TokenLoan {
         this.#addRefill(time);
-        const tokens = Math.min(this.#tokens, maximum);
-        if (tokens <= 0 || tokens < minimum) {
-            return 0;
+        const available = Math.min(this.#tokens, request.maximum);
+        const tokens = available > 0 && available >= request.minimum ? available : 0;
+        const loan = { id: request.id, tokens, end: request.end };
+        if (tokens > 0) {
+            this.#tokens -= tokens;
+            this.#loans.push(loan);
         }
-        this.#tokens -= tokens;
-        this.#loans.push({ tokens, end: time + loanMs });
-        return tokens;
+        return loan;
+    }
+
+    /**
+     * Removes a loan whose tokens have arrived; returns false if it no longer counted.
+     * @param id - The loan's id.
+     * @param time - The time in milliseconds.
+     */
+    removeLoan(id: number, time: number): boolean {
+        this.#addRefill(time);
+        const count = this.#loans.length;
+        this.#loans = this.#loans.filter(loan => loan.id !== id);
+        return this.#loans.length < count;
+    }
+
+    /**
+     * Whether loans will hold back the refill within a span of time.
+     * @param durationMs - The span in milliseconds.
+     */
+    isHeldBack(durationMs: number): boolean {
+        return this.#tokens + this.#share.rate * durationMs / MS_PER_SECOND > this.#getRoom();
     }
 
     /**
--- a/src/rates/TokenLenders.ts
+++ b/src/rates/TokenLenders.ts
@@ -5,7 +5,7 @@
 import type { BorrowTokensResult } from "./BorrowTokensResult.js";
 import type { RateLimiterOptions } from "./RateLimiterOptions.js";
 
-const BORROW_TIMEOUT_MS = 250;
+const BORROW_TIMEOUT_MS = 100;
 const SUSPICION_MS = 1_000;
 const LENT_LATELY_MS = 1_000;
 const MAX_REMEMBERED = 10_000;
@@ -48,12 +48,12 @@
             if (clock.getTime() > end) {
                 throw new PeerUnavailableError("The tokens came too late.", false);
             }
-            this.#recordLoan(params.account, result);
+            this.#recordLoan(host, params.account, result);
             return result;
         }
         catch {
             this.#suspectedUntil.set(host.id, clock.getTime() + SUSPICION_MS);
-            return { tokens: 0, left: 0 };
+            return { tokens: 0, loanId: 0, isReceiptWanted: false };
         }
     }
 
@@ -66,14 +66,26 @@
         return time !== undefined && this.#options.clock.getTime() - time <= LENT_LATELY_MS;
     }
 
-    #recordLoan(account: string, result: BorrowTokensResult): void {
+    #recordLoan(host: Member, account: string, result: BorrowTokensResult): void {
         if (result.tokens > 0) {
+            this.#sendReceipt(host, account, result);
             this.#lentTimes.delete(account);
             this.#lentTimes.set(account, this.#options.clock.getTime());
             this.#removeOldest();
         }
     }
 
+    /** Tells the giver that the tokens no longer count there; without it they count until the loan ends. */
+    #sendReceipt(host: Member, account: string, result: BorrowTokensResult): void {
+        if (result.isReceiptWanted) {
+            const params = { account, loanId: result.loanId };
+            const { transport } = this.#options;
+            transport.send(host.peerAddress, PeerMethod.ReceiveTokens, params, BORROW_TIMEOUT_MS).catch(() =>
+                undefined
+            );
+        }
+    }
+
     #removeOldest(): void {
         for (const account of this.#lentTimes.keys()) {
             if (this.#lentTimes.size <= MAX_REMEMBERED) {
--- a/src/rates/index.ts
+++ b/src/rates/index.ts
@@ -8,4 +8,6 @@
 export type { RateLimiter } from "./RateLimiter.js";
 export type { RateLimiterOptions } from "./RateLimiterOptions.js";
 export { RatePolicy } from "./RatePolicy.js";
+export type { ReceiveTokensParams } from "./ReceiveTokensParams.js";
+export type { ReceiveTokensResult } from "./ReceiveTokensResult.js";
 export { SharedRateLimiter } from "./SharedRateLimiter.js";
