--- a/src/configuration/IndexedConfiguration.ts
+++ b/src/configuration/IndexedConfiguration.ts
@@ -11,8 +11,8 @@
     readonly version: number;
     readonly #accounts = new Map<string, Account>();
     readonly #keys = new Map<string, AccountKey>();
+    readonly #routes = new Map<string, Route>();
     readonly #routesByPath = new Map<string, Route>();
-    readonly #routesByName = new Map<string, Route>();
     readonly #services = new Map<string, Service>();
 
     /**
@@ -47,7 +47,7 @@
      * @param name - The route's name.
      */
     getRoute(name: string): Route | undefined {
-        return this.#routesByName.get(name);
+        return this.#routes.get(name);
     }
 
     /**
@@ -87,8 +87,12 @@
     #addSection(section: Section): void {
         section.accounts?.forEach(account => this.#accounts.set(account.name, account));
         section.keys?.forEach(key => this.#keys.set(key.id, key));
-        section.routes?.forEach(route => this.#routesByPath.set(route.path, route));
-        section.routes?.forEach(route => this.#routesByName.set(route.name, route));
+        section.routes?.forEach(route => this.#addRoute(route));
         section.services?.forEach(service => this.#services.set(service.name, service));
     }
+
+    #addRoute(route: Route): void {
+        this.#routes.set(route.name, route);
+        this.#routesByPath.set(route.path, route);
+    }
 }
--- a/src/fakes/FakeFleet.ts
+++ b/src/fakes/FakeFleet.ts
@@ -5,9 +5,11 @@
 import { SeededRandom } from "../random/index.js";
 import { FakeClock } from "./FakeClock.js";
 import type { FakeFleetHost } from "./FakeFleetHost.js";
+import { FakeHeadInstaller } from "./FakeHeadInstaller.js";
 import { FakeHeadStore } from "./FakeHeadStore.js";
 import { FakeHostClock } from "./FakeHostClock.js";
 import { FakeHostStore } from "./FakeHostStore.js";
+import { FakeHostTransport } from "./FakeHostTransport.js";
 import { FakeNetwork } from "./FakeNetwork.js";
 import { FakeStore } from "./FakeStore.js";
 
@@ -165,22 +167,24 @@
 
     #startHost(index: number): void {
         const clock = new FakeHostClock(this.clock);
-        const store = new FakeHostStore(this.store);
+        const store = new FakeHostStore(this.store, this.clock);
+        const installer = new FakeHeadInstaller();
         const handlers = new PeerHandlers();
         const member = createMember(index, `${this.#seed}-${this.#starts}`);
+        const transport = new FakeHostTransport(this.network.createTransport(member.peerAddress), clock);
         const membership = new MembershipService({
             clock,
             random: new SeededRandom(this.#seed * SEED_STEP + this.#starts++),
-            transport: this.network.createTransport(member.peerAddress),
+            transport,
             handlers,
             headStore: new FakeHeadStore(store),
             hostList: { getHosts: async () => [...this.#listed.values()] },
-            installer: { apply: async () => {} },
+            installer,
             log: new DecisionHistory(this.clock, undefined, 1),
             self: member,
             seedAddresses: Array.from({ length: SEED_HOSTS }, (_, seed) => getAddress(seed)),
         });
-        this.#hosts.set(index, { member, membership, clock, store });
+        this.#hosts.set(index, { member, membership, clock, store, transport, installer });
         this.network.addHost(member.peerAddress, { handlers });
         this.#listed.set(member.peerAddress, { address: member.peerAddress, leaving: false });
         membership.start();
