--- a/tests/rates/SharedRateLimiter.test.ts
+++ b/tests/rates/SharedRateLimiter.test.ts
@@ -125,7 +125,7 @@
         case "heal":
             return fleet.network.openDirection(address, otherAddress);
         case "view":
-            return await changeView(fleet, index, other, value);
+            return await applyView(fleet, index, other, value);
         case "drain":
             void fleet.hosts[index]!.limiter.drain();
             return await runFlood(fleet, TICK_MS * 4);
@@ -143,7 +143,7 @@
 }
 
 /** Puts a view without one host in force; another host learns of it late and stops at the freshness bound. */
-async function changeView(fleet: RateFleet, without: number, late: number, lagMs: number): Promise<void> {
+async function applyView(fleet: RateFleet, without: number, late: number, lagMs: number): Promise<void> {
     const version = fleet.hosts[0]!.membership.getView().version + 1;
     const view = fleet.createView(version, fleet.hosts.map((_, index) => index).filter(index => index !== without));
     const lagging = new Set([fleet.hosts[without]!, fleet.hosts[late]!]);
