Prove at-most-once orders and true refusals under faults at each step

Cause: the order path had no proof. Eleven steps of an order by thirteen faults, with prefixed and plain keys, each with a caller that keeps asking and one that gives up at "not run": never two runs, no "not run" before or after a run. Found on the way: an order whose service host was silent stayed unknown for good after the link healed; the account host now keeps asking the service host, and stops at once when no process is there. Conclusion: what stays unknown is a killed key host or service host that held the order.

--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -16,6 +16,9 @@
 const ANSWER_GRACE_MS = 1_000;
 const FIND_TIMEOUT_MS = 500;
 const FIND_INTERVAL_MS = 100;
+/** How long after its deadline the outcome of an order is still asked for. */
+const FIND_LIMIT_MS = 60_000;
+const MAX_FIND_REFUSALS = 3;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 const HOST_REASONS: ReadonlySet<RefusalReason> = new Set([RefusalReason.HostNotCurrent, RefusalReason.HostStopping]);
 
@@ -23,6 +26,8 @@
     readonly request: ServiceRequest;
     /** When it was sent, in milliseconds of the clock. */
     readonly time: number;
+    /** How many questions in a row found no process at the host. */
+    refusals: number;
 }
 
 /** Sends attempts to the service hosts of a zone, here or on other entry hosts. */
@@ -76,7 +81,7 @@
         const waitMs = call.isIdempotent
             ? request.timeoutMs * IDEMPOTENT_WAIT_SHARE
             : request.timeoutMs + ANSWER_GRACE_MS;
-        const sent = { request, time: clock.getTime() };
+        const sent = { request, time: clock.getTime(), refusals: 0 };
         const controller = new AbortController();
         const attemptSignal = AbortSignal.any([signal, controller.signal]);
         try {
@@ -103,8 +108,8 @@
             return lost;
         }
         const { clock } = this.#options;
-        const end = Math.max(call.deadline, clock.getTime()) + ANSWER_GRACE_MS;
-        while (clock.getTime() < end) {
+        const end = Math.max(call.deadline, clock.getTime()) + FIND_LIMIT_MS;
+        while (clock.getTime() < end && sent.refusals < MAX_FIND_REFUSALS) {
             const result = await this.#findAt(host, sent);
             if (result !== undefined && result.state !== FoundState.Running) {
                 return getFoundOutcome(result, lost);
@@ -121,7 +126,9 @@
         try {
             return await transport.send(host.peerAddress, PeerMethod.FindOutcome, params, FIND_TIMEOUT_MS);
         }
-        catch {
+        catch (error) {
+            const isRefused = error instanceof PeerUnavailableError && error.isNotSent;
+            sent.refusals = isRefused ? sent.refusals + 1 : 0;
             return undefined;
         }
     }
--- a/tests/support/createAccountFleet.ts
+++ b/tests/support/createAccountFleet.ts
@@ -2,13 +2,21 @@
 import { AccountHost } from "../../src/accounts/index.js";
 import type { Account, Configuration, Route, Service } from "../../src/configuration/index.js";
 import { RouteAccess, RouteKind } from "../../src/configuration/index.js";
-import { FakeClock, FakeMembership, FakeNetwork, FakeServiceRunner, FakeStore } from "../../src/fakes/index.js";
+import {
+    FakeClock,
+    FakeHostClock,
+    FakeMembership,
+    FakeNetwork,
+    FakeServiceRunner,
+    FakeStore,
+} from "../../src/fakes/index.js";
 import { DecisionHistory } from "../../src/logging/index.js";
 import type { Member, MembershipView } from "../../src/membership/index.js";
 import type { Outcome } from "../../src/outcomes/index.js";
-import { PeerHandlers } from "../../src/peers/index.js";
+import { PeerHandlers, PeerMethod } from "../../src/peers/index.js";
 import { SeededRandom } from "../../src/random/index.js";
 import type { ServiceRequest } from "../../src/services/index.js";
+import type { Store } from "../../src/store/index.js";
 
 const ZONES = ["a", "b", "c"];
 const HOLD_OFF_MS = 5_000;
@@ -18,6 +26,9 @@
     readonly membership: FakeMembership;
     readonly runner: FakeServiceRunner;
     readonly host: AccountHost;
+    readonly clock: FakeHostClock;
+    /** Whether the process was killed: nothing that it does has an effect any more. */
+    isDead: boolean;
 }
 
 interface Fleet {
@@ -57,22 +68,30 @@
         addHost: (id, zone, incarnation, view) => {
             const member = createMember(id, zone, incarnation);
             const membership = new FakeMembership(member, view);
-            const runner = new FakeServiceRunner(clock, runs);
+            const hostClock = new FakeHostClock(clock);
+            const runner = new FakeServiceRunner(hostClock, runs);
             const handlers = new PeerHandlers();
+            handlers.add(PeerMethod.FindOutcome, params => runner.findOutcome(params));
+            const runGuarded = <T>(work: () => Promise<T>): Promise<T> => runWhileAlive(() => fleetHost.isDead, work);
+            const transport = network.createTransport(member.peerAddress);
+            const forwarder = network.createForwarder(member.peerAddress);
             const host = new AccountHost({
-                clock,
+                clock: hostClock,
                 membership,
                 handlers,
-                store,
+                store: createGuardedStore(store, runGuarded),
                 random: new SeededRandom(1),
-                transport: network.createTransport(member.peerAddress),
-                forwarder: network.createForwarder(member.peerAddress),
+                transport: { send: (...args) => runGuarded(() => transport.send(...args)) },
+                forwarder: {
+                    runService: (...args) => runGuarded(() => forwarder.runService(...args)),
+                    runAccount: (...args) => runGuarded(() => forwarder.runAccount(...args)),
+                },
                 serviceRunner: runner,
-                decisionLog: new DecisionHistory(clock),
+                decisionLog: new DecisionHistory(hostClock),
                 getConfiguration: () => createConfiguration(fleet.account),
             });
             network.addHost(member.peerAddress, { handlers, serviceRunner: runner, accountRunner: host });
-            const fleetHost = { member, membership, runner, host };
+            const fleetHost: FleetHost = { member, membership, runner, host, clock: hostClock, isDead: false };
             hosts.push(fleetHost);
             return fleetHost;
         },
@@ -96,6 +115,33 @@
     return fleet;
 }
 
+/** Runs a call of a process; when it has been killed, the call has no effect and no answer. */
+async function runWhileAlive<T>(isDead: () => boolean, work: () => Promise<T>): Promise<T> {
+    const never = new Promise<T>(() => {});
+    if (isDead()) {
+        return await never;
+    }
+    try {
+        const result = await work();
+        return isDead() ? await never : result;
+    }
+    catch (error) {
+        return isDead() ? await never : Promise.reject(error);
+    }
+}
+
+function createGuardedStore(store: FakeStore, runGuarded: <T>(work: () => Promise<T>) => Promise<T>): Store {
+    return {
+        get: key => runGuarded(() => store.get(key)),
+        compareAndSwap: (...args) => runGuarded(() => store.compareAndSwap(...args)),
+        remove: (...args) => runGuarded(() => store.remove(...args)),
+        watch: (...args) => runGuarded(() => store.watch(...args)),
+        createLease: durationMs => runGuarded(() => store.createLease(durationMs)),
+        renewLease: leaseId => runGuarded(() => store.renewLease(leaseId)),
+        releaseLease: leaseId => runGuarded(() => store.releaseLease(leaseId)),
+    };
+}
+
 function createMember(id: string, zone: string, incarnation: string): Member {
     return { id, region: "r", zone, peerAddress: `${id}:1`, callerAddress: `${id}:2`, incarnation };
 }
