--- a/src/fakes/FakeUpstreams.ts
+++ b/src/fakes/FakeUpstreams.ts
@@ -12,6 +12,7 @@
 const CONNECT_MS = 1;
 const DEFAULT_ANSWER_BYTES = 32;
 const DEFAULT_RESTART_MS = 5_000;
+const TAIL_FACTOR = 10;
 const OK = 200;
 const INTERNAL_ERROR = 500;
 
@@ -182,9 +183,10 @@
     }
 
     #getServiceTime(state: FakeUpstream): number {
-        const { random, serviceTimeMs, coldStartMs, coldFactor } = this.#options;
+        const { random, serviceTimeMs, coldStartMs, coldFactor, tailRate } = this.#options;
+        const tail = tailRate !== undefined && random.getNext() < tailRate ? TAIL_FACTOR : 1;
         const cold = state.isCold(coldStartMs ?? 0) ? coldFactor ?? 1 : 1;
-        return serviceTimeMs * (0.5 + random.getNext()) * (state.faults.slowFactor ?? 1) * cold;
+        return serviceTimeMs * (0.5 + random.getNext()) * (state.faults.slowFactor ?? 1) * cold * tail;
     }
 
     async #open(state: FakeUpstream): Promise<FakeConnection | undefined> {
@@ -217,7 +219,7 @@
             time: this.#options.clock.getTime(),
             isRun,
             running,
-            headers: createUpstreamHeaders(request, options.firstByteTimeoutMs),
+            headers: createUpstreamHeaders(request, options.deadlineMs),
         });
     }
 
--- a/src/fakes/FakeUpstreamsOptions.ts
+++ b/src/fakes/FakeUpstreamsOptions.ts
@@ -9,6 +9,8 @@
     readonly serviceTimeMs: number;
     /** Share of the requests that fail on a healthy upstream, from 0 to 1. */
     readonly healthyErrorRate?: number;
+    /** Share of the requests that take ten times as long on a healthy upstream, from 0 to 1. */
+    readonly tailRate?: number;
     /** Bytes of an answer's body. */
     readonly answerBytes?: number;
     /** Time between the head and the end of an answer, in milliseconds. */
--- a/tests/support/ServiceBench.ts
+++ b/src/fakes/ServiceBench.ts
@@ -1,15 +1,16 @@
-import type { Configuration, DetectionSettings, Service, Upstream } from "../../src/configuration/index.js";
-import { FakeClock, FakeUpstreams } from "../../src/fakes/index.js";
-import type { FakeUpstreamsOptions } from "../../src/fakes/index.js";
-import { DecisionHistory } from "../../src/logging/index.js";
-import type { Membership } from "../../src/membership/index.js";
-import type { Outcome } from "../../src/outcomes/index.js";
-import { OutcomeKind } from "../../src/outcomes/index.js";
-import { PeerHandlers } from "../../src/peers/index.js";
-import type { PeerTransport } from "../../src/peers/index.js";
-import { SeededRandom } from "../../src/random/index.js";
-import type { EjectionPolicy, ServiceAnswer, ServiceRequest } from "../../src/services/index.js";
-import { ServiceHost } from "../../src/services/index.js";
+import type { Configuration, DetectionSettings, Service, Upstream } from "../configuration/index.js";
+import { DecisionHistory } from "../logging/index.js";
+import type { Membership } from "../membership/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { OutcomeKind } from "../outcomes/index.js";
+import { PeerHandlers } from "../peers/index.js";
+import type { PeerTransport } from "../peers/index.js";
+import { SeededRandom } from "../random/index.js";
+import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
+import { ServiceHost } from "../services/index.js";
+import { FakeClock } from "./FakeClock.js";
+import { FakeUpstreams } from "./FakeUpstreams.js";
+import type { ServiceBenchOptions } from "./ServiceBenchOptions.js";
 
 const DETECTION: DetectionSettings = {
     healthyErrorRate: 0.02,
@@ -19,6 +20,10 @@
     probationMs: 5_000,
 };
 
+const MS_PER_SECOND = 1_000;
+/** Time for the last requests of a load to end. */
+const END_MS = 2_000;
+
 /** One service host before fake upstreams of one service in one zone. */
 export class ServiceBench {
     readonly clock = new FakeClock();
@@ -31,20 +36,8 @@
     weights: Readonly<Record<string, number>> = {};
     #nextRequest = 0;
 
-    /**
-     * @param options - Seed, upstreams and what else differs from the usual.
-     */
-    constructor(
-        options: {
-            seed?: number;
-            policy?: EjectionPolicy;
-            service?: Partial<Service>;
-            count?: number;
-            slots?: number;
-            fakes?: Partial<FakeUpstreamsOptions>;
-            detection?: Partial<DetectionSettings>;
-        } = {},
-    ) {
+    /** @param options - What differs from the usual. */
+    constructor(options: ServiceBenchOptions = {}) {
         this.random = new SeededRandom(options.seed ?? 1);
         this.upstreams = new FakeUpstreams({
             clock: this.clock,
@@ -56,7 +49,7 @@
         this.service = {
             name: "orders",
             upstreams: Array.from(
-                { length: options.count ?? 5 },
+                { length: options.upstreams ?? 5 },
                 (_, index) => createUpstream(index, options.slots ?? 6),
             ),
             floor: 0.5,
@@ -118,29 +111,41 @@
     }
 
     /**
-     * Sends requests at a rate with random gaps, in virtual time.
+     * Sends requests at a rate with random gaps while the clock runs; returns all answers in the end.
      * @param ratePerSecond - Requests a second.
      * @param durationMs - For how long, in milliseconds.
      * @param request - What differs from a usual lookup.
      */
-    async runLoad(
+    async sendLoad(
         ratePerSecond: number,
         durationMs: number,
         request: Partial<ServiceRequest> = {},
     ): Promise<ServiceAnswer[]> {
         const answers: Promise<ServiceAnswer>[] = [];
         const end = this.clock.getTime() + durationMs;
-        const sendNext = (): void => {
-            if (this.clock.getTime() < end) {
-                answers.push(this.send(request));
-                this.clock.schedule(-Math.log(1 - this.random.getNext()) * 1_000 / ratePerSecond, sendNext);
-            }
-        };
-        sendNext();
-        await this.clock.run(durationMs + 2_000);
+        while (this.clock.getTime() < end) {
+            answers.push(this.send(request));
+            await this.clock.wait(-Math.log(1 - this.random.getNext()) * MS_PER_SECOND / ratePerSecond);
+        }
         return await Promise.all(answers);
     }
 
+    /**
+     * Sends requests at a rate in virtual time and lets them end.
+     * @param ratePerSecond - Requests a second.
+     * @param durationMs - For how long, in milliseconds.
+     * @param request - What differs from a usual lookup.
+     */
+    async runLoad(
+        ratePerSecond: number,
+        durationMs: number,
+        request: Partial<ServiceRequest> = {},
+    ): Promise<ServiceAnswer[]> {
+        const load = this.sendLoad(ratePerSecond, durationMs, request);
+        await this.clock.run(durationMs + END_MS);
+        return await load;
+    }
+
     /** Gets the state of each upstream. */
     getStates(): string[] {
         return this.host.getStatus().map(status => status.state);
--- /dev/null
+++ b/src/fakes/ServiceBenchOptions.ts
@@ -0,0 +1,16 @@
+import type { DetectionSettings, Service } from "../configuration/index.js";
+import type { EjectionPolicy } from "../services/index.js";
+import type { FakeUpstreamsOptions } from "./FakeUpstreamsOptions.js";
+
+/** What differs from the usual service bench. */
+export interface ServiceBenchOptions {
+    readonly seed?: number;
+    readonly policy?: EjectionPolicy;
+    readonly service?: Partial<Service>;
+    readonly detection?: Partial<DetectionSettings>;
+    readonly fakes?: Partial<FakeUpstreamsOptions>;
+    /** Number of upstreams. */
+    readonly upstreams?: number;
+    /** Slots of each upstream. */
+    readonly slots?: number;
+}
--- a/src/fakes/index.ts
+++ b/src/fakes/index.ts
@@ -12,4 +12,6 @@
 export type { FakeUpstreamRecord } from "./FakeUpstreamRecord.js";
 export { FakeUpstreams } from "./FakeUpstreams.js";
 export type { FakeUpstreamsOptions } from "./FakeUpstreamsOptions.js";
+export { ServiceBench } from "./ServiceBench.js";
+export type { ServiceBenchOptions } from "./ServiceBenchOptions.js";
 export { waitForTasks } from "./waitForTasks.js";
--- /dev/null
+++ b/src/services/AttemptRecorder.ts
@@ -0,0 +1,83 @@
+import { AnswerCutError } from "../errors/index.js";
+import type { AttemptRecorderOptions } from "./AttemptRecorderOptions.js";
+import { createObservation } from "./createObservation.js";
+import { ObservationKind } from "./ObservationKind.js";
+import type { PooledUpstream } from "./PooledUpstream.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+import type { UpstreamAttempt } from "./UpstreamAttempt.js";
+
+const SHED_PAUSE_MS = 100;
+const MAX_SHED_PAUSE_MS = 5_000;
+
+/** Records what attempts show of their upstreams. */
+export class AttemptRecorder {
+    readonly #options: AttemptRecorderOptions;
+
+    /** @param options - What the recorder is made of. */
+    constructor(options: AttemptRecorderOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Records the head of an answer, or that none came.
+     * @param upstream - The upstream.
+     * @param request - The request.
+     * @param attempt - The attempt.
+     */
+    recordHead(upstream: PooledUpstream, request: ServiceRequest, attempt: UpstreamAttempt): void {
+        const { answer, latencyMs } = attempt;
+        if (answer.kind === UpstreamAnswerKind.Shed) {
+            this.#recordShed(upstream, answer.retryAfterMs);
+        }
+        if (answer.kind === UpstreamAnswerKind.Answered || answer.kind === UpstreamAnswerKind.TimedOut) {
+            this.#options.limit.record(latencyMs);
+        }
+        const observation = createObservation(attempt, request.requestId, this.#options.getPatience(upstream));
+        if (observation !== undefined) {
+            this.#options.judge.record(upstream, observation);
+        }
+    }
+
+    /**
+     * Records that the deadline of a request that runs on has passed.
+     * @param upstream - The upstream.
+     * @param request - The request.
+     * @param waitedMs - Time waited in vain, in milliseconds.
+     */
+    recordLate(upstream: PooledUpstream, request: ServiceRequest, waitedMs: number): void {
+        this.recordHead(upstream, request, { answer: { kind: UpstreamAnswerKind.TimedOut }, latencyMs: waitedMs });
+    }
+
+    /**
+     * Records the end of an answer's body.
+     * @param upstream - The upstream.
+     * @param request - The request.
+     * @param attempt - The attempt.
+     * @param error - What ended it early, if anything.
+     */
+    recordBodyEnd(
+        upstream: PooledUpstream,
+        request: ServiceRequest,
+        attempt: UpstreamAttempt,
+        error: Error | undefined,
+    ): void {
+        const { requestId } = request;
+        const isFailed = createObservation(attempt, requestId, 0) !== undefined;
+        const isLeft = error !== undefined && !(error instanceof AnswerCutError);
+        if (isFailed || isLeft) {
+            return;
+        }
+        const { latencyMs } = attempt;
+        const observation = error === undefined
+            ? { kind: ObservationKind.Success, requestId, latencyMs, detail: "answered" }
+            : { kind: ObservationKind.Failure, requestId, latencyMs, detail: "cut answer" };
+        this.#options.judge.record(upstream, observation);
+    }
+
+    #recordShed(upstream: PooledUpstream, retryAfterMs: number | undefined): void {
+        const pauseMs = Math.min(retryAfterMs ?? SHED_PAUSE_MS, MAX_SHED_PAUSE_MS);
+        upstream.recordShed(pauseMs);
+        this.#options.clock.schedule(pauseMs, this.#options.onCapacity);
+    }
+}
--- a/src/services/AttemptRunner.ts
+++ b/src/services/AttemptRunner.ts
@@ -8,6 +8,9 @@
 import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 import type { UpstreamTransport } from "./UpstreamTransport.js";
 
+/** How long the answer to a request that is not idempotent is waited for after its deadline, to keep it. */
+const LATE_ANSWER_MS = 30_000;
+
 /** Runs attempts at upstreams with a learned first-byte limit, and again on a new connection when one is silent. */
 export class AttemptRunner {
     readonly #clock: Clock;
@@ -41,11 +44,12 @@
         signal: AbortSignal,
     ): Promise<UpstreamAttempt> {
         if (!request.isIdempotent) {
-            return await this.#send(upstream, request, deadline, true, new AbortController().signal);
+            const isolated = new AbortController().signal;
+            return await this.#send(upstream, request, deadline + LATE_ANSWER_MS, deadline, true, isolated);
         }
         const isLimited = this.#clock.getTime() + limit.getLimit() < deadline;
         const limitTime = isLimited ? this.#clock.getTime() + limit.getLimit() : deadline;
-        const attempt = await this.#send(upstream, request, limitTime, false, signal);
+        const attempt = await this.#send(upstream, request, limitTime, limitTime, false, signal);
         if (attempt.answer.kind !== UpstreamAnswerKind.TimedOut || !isLimited) {
             return attempt;
         }
@@ -73,19 +77,24 @@
             service: request.service,
             upstream: upstream.name,
         });
-        return await this.#send(upstream, request, deadline, true, signal);
+        return await this.#send(upstream, request, deadline, deadline, true, signal);
     }
 
     async #send(
         upstream: Upstream,
         request: ServiceRequest,
+        end: number,
         deadline: number,
         freshConnection: boolean,
         signal: AbortSignal,
     ): Promise<UpstreamAttempt> {
         const start = this.#clock.getTime();
-        const firstByteTimeoutMs = Math.max(0, deadline - start);
-        const answer = await this.#transport.send(upstream, request, { firstByteTimeoutMs, freshConnection, signal });
+        const answer = await this.#transport.send(upstream, request, {
+            firstByteTimeoutMs: Math.max(0, end - start),
+            deadlineMs: Math.max(0, deadline - start),
+            freshConnection,
+            signal,
+        });
         return { answer, latencyMs: this.#clock.getTime() - start };
     }
 }
--- a/src/services/HttpUpstreamTransport.ts
+++ b/src/services/HttpUpstreamTransport.ts
@@ -40,6 +40,7 @@
         const exchange = new UpstreamExchange(connection, request, {
             clock: this.#clock,
             firstByteTimeoutMs: options.firstByteTimeoutMs,
+            deadlineMs: options.deadlineMs,
             signal: options.signal,
             onEnd: isWhole => isWhole ? connections.release(connection) : connections.remove(connection),
         });
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -1,17 +1,15 @@
 import { finished } from "node:stream";
 import type { Service, Upstream } from "../configuration/index.js";
-import { AnswerCutError } from "../errors/index.js";
 import { Decision } from "../logging/index.js";
 import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { AttemptRecorder } from "./AttemptRecorder.js";
 import { AttemptRunner } from "./AttemptRunner.js";
 import { createKeptBody } from "./createKeptBody.js";
 import { createKeptOutcome } from "./createKeptOutcome.js";
-import { createObservation } from "./createObservation.js";
 import { createOutcome } from "./createOutcome.js";
 import { createStatus } from "./createStatus.js";
 import { FirstByteLimit } from "./FirstByteLimit.js";
-import { ObservationKind } from "./ObservationKind.js";
 import { PooledUpstream } from "./PooledUpstream.js";
 import type { ServiceAnswer } from "./ServiceAnswer.js";
 import { ServiceBaseline } from "./ServiceBaseline.js";
@@ -26,8 +24,6 @@
 import type { UpstreamStatus } from "./UpstreamStatus.js";
 
 const MAX_KEPT_BODY_BYTES = 64 * 1024;
-const SHED_PAUSE_MS = 100;
-const MAX_SHED_PAUSE_MS = 5_000;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
 /** The upstreams of a service in one zone with their queue. */
@@ -40,6 +36,7 @@
     readonly #queue: SlotQueue;
     readonly #judge: UpstreamJudge;
     readonly #runner: AttemptRunner;
+    readonly #recorder: AttemptRecorder;
     readonly #upstreams: UpstreamSet;
     #service: Service;
     #working = 0;
@@ -66,6 +63,13 @@
         const judgeOptions = { clock, random, decisions, policy, baseline: this.baseline };
         this.#judge = new UpstreamJudge(service, { ...judgeOptions, onCapacity: () => this.#queue.run() });
         this.#runner = new AttemptRunner(clock, transport, decisions);
+        this.#recorder = new AttemptRecorder({
+            clock,
+            judge: this.#judge,
+            limit: this.#limit,
+            getPatience: pooled => this.#service.detection.slowFactor * (this.baseline.getRates(pooled).medianMs ?? 0),
+            onCapacity: () => this.#queue.run(),
+        });
         this.#upstreams = new UpstreamSet({ clock, decisions, transport, policy });
         this.apply(service, service.upstreams.filter(upstream => upstream.zone === zone));
     }
@@ -149,6 +153,33 @@
         request: ServiceRequest,
         deadline: number,
         signal: AbortSignal,
+    ): Promise<Outcome> {
+        const { clock } = this.#options;
+        const late = new AbortController();
+        if (request.isIdempotent) {
+            return await this.#runAttempt(pooled, request, deadline, signal, late.signal);
+        }
+        const start = clock.getTime();
+        return await new Promise(resolve => {
+            const timer = clock.schedule(Math.max(0, deadline - start), () => {
+                late.abort();
+                this.#recorder.recordLate(pooled, request, clock.getTime() - start);
+                resolve(createOutcome({ kind: UpstreamAnswerKind.TimedOut }));
+            });
+            const reader = AbortSignal.any([signal, late.signal]);
+            void this.#runAttempt(pooled, request, deadline, reader, late.signal).then(outcome => {
+                timer.cancel();
+                resolve(outcome);
+            });
+        });
+    }
+
+    async #runAttempt(
+        pooled: PooledUpstream,
+        request: ServiceRequest,
+        deadline: number,
+        signal: AbortSignal,
+        late: AbortSignal,
     ): Promise<Outcome> {
         const start = this.#options.clock.getTime();
         const expectedMs = this.#queue.getSlotTime();
@@ -157,7 +188,9 @@
             this.#queue.recordSlotTime(request.account, expectedMs, this.#options.clock.getTime() - start);
             this.#release(pooled);
         };
-        this.#recordHead(pooled, request, attempt);
+        if (!late.aborted) {
+            this.#recorder.recordHead(pooled, request, attempt);
+        }
         if (attempt.answer.kind !== UpstreamAnswerKind.Answered) {
             const outcome = createOutcome(attempt.answer);
             this.#recordEnd(request, pooled, outcome, undefined);
@@ -179,7 +212,7 @@
             return outcome;
         }
         finished(outcome.body, error => {
-            this.#recordBodyEnd(pooled, request, attempt, error ?? undefined);
+            this.#recorder.recordBodyEnd(pooled, request, attempt, error ?? undefined);
             release();
         });
         if (request.isIdempotent) {
@@ -197,43 +230,6 @@
         };
     }
 
-    #recordHead(pooled: PooledUpstream, request: ServiceRequest, attempt: UpstreamAttempt): void {
-        if (attempt.answer.kind === UpstreamAnswerKind.Shed) {
-            const pauseMs = Math.min(attempt.answer.retryAfterMs ?? SHED_PAUSE_MS, MAX_SHED_PAUSE_MS);
-            pooled.recordShed(pauseMs);
-            this.#options.clock.schedule(pauseMs, () => this.#queue.run());
-        }
-        if (
-            attempt.answer.kind === UpstreamAnswerKind.Answered || attempt.answer.kind === UpstreamAnswerKind.TimedOut
-        ) {
-            this.#limit.record(attempt.latencyMs);
-        }
-        const slowMs = this.#service.detection.slowFactor * (this.baseline.getRates(pooled).medianMs ?? 0);
-        const observation = createObservation(attempt, request.requestId, slowMs);
-        if (observation !== undefined) {
-            this.#judge.record(pooled, observation);
-        }
-    }
-
-    #recordBodyEnd(
-        pooled: PooledUpstream,
-        request: ServiceRequest,
-        attempt: UpstreamAttempt,
-        error: Error | undefined,
-    ): void {
-        const isFailed = createObservation(attempt, request.requestId, 0) !== undefined;
-        const isLeft = error !== undefined && !(error instanceof AnswerCutError);
-        if (isFailed || isLeft) {
-            return;
-        }
-        const { requestId } = request;
-        const { latencyMs } = attempt;
-        const observation = error === undefined
-            ? { kind: ObservationKind.Success, requestId, latencyMs, detail: "answered" }
-            : { kind: ObservationKind.Failure, requestId, latencyMs, detail: "cut answer" };
-        this.#judge.record(pooled, observation);
-    }
-
     #recordEnd(request: ServiceRequest, pooled: PooledUpstream, outcome: Outcome, body: Buffer | undefined): void {
         if (!request.isIdempotent) {
             const { name } = pooled.getUpstream();
--- a/src/services/UpstreamExchange.ts
+++ b/src/services/UpstreamExchange.ts
@@ -57,7 +57,7 @@
             this.#connection.client.dispatch({
                 method: this.#request.method as Dispatcher.HttpMethod,
                 path: this.#request.path,
-                headers: createUpstreamHeaders(this.#request, this.#options.firstByteTimeoutMs),
+                headers: createUpstreamHeaders(this.#request, this.#options.deadlineMs),
                 body,
             }, this.#createHandler());
         }
--- a/src/services/UpstreamExchangeOptions.ts
+++ b/src/services/UpstreamExchangeOptions.ts
@@ -5,6 +5,8 @@
     readonly clock: Clock;
     /** Time until the first byte of the answer, in milliseconds. */
     readonly firstByteTimeoutMs: number;
+    /** Time until the caller's deadline, in milliseconds; the upstream is told. */
+    readonly deadlineMs: number;
     readonly signal: AbortSignal;
     /** Receives whether the whole answer came; the connection may be used again only then. */
     readonly onEnd: (isWhole: boolean) => void;
--- a/src/services/createKeptBody.ts
+++ b/src/services/createKeptBody.ts
@@ -27,6 +27,7 @@
         options.signal.removeEventListener("abort", drain);
         options.onEnd(bytes > options.maxBytes ? undefined : Buffer.concat(chunks), error);
     };
+    body.on("error", () => {});
     source.on("data", (chunk: Buffer) => {
         bytes += chunk.length;
         if (bytes <= options.maxBytes) {
@@ -46,5 +47,8 @@
     });
     options.signal.addEventListener("abort", drain, { once: true });
     source.pause();
+    if (options.signal.aborted) {
+        drain();
+    }
     return body;
 }
--- a/src/services/createObservation.ts
+++ b/src/services/createObservation.ts
@@ -5,6 +5,7 @@
 import type { UpstreamObservation } from "./UpstreamObservation.js";
 
 const FIRST_FAILURE_STATUS = 500;
+const GATEWAY_TIMEOUT = 504;
 
 /**
  * Creates what an attempt shows of its upstream; undefined if that is known only at the end of the answer.
@@ -26,6 +27,9 @@
     });
     switch (answer.kind) {
         case UpstreamAnswerKind.Answered:
+            if (answer.status === GATEWAY_TIMEOUT && latencyMs < patienceMs) {
+                return create(ObservationKind.Cancelled, "a short deadline passed");
+            }
             return answer.status >= FIRST_FAILURE_STATUS
                 ? create(ObservationKind.Failure, `status ${answer.status}`)
                 : undefined;
--- a/src/services/createUpstreamHeaders.ts
+++ b/src/services/createUpstreamHeaders.ts
@@ -24,9 +24,9 @@
 /**
  * Creates the header fields that go to an upstream: never a caller's key, never connection-level fields.
  * @param request - The request.
- * @param timeoutMs - Time until the first byte of the answer is due, in milliseconds.
+ * @param deadlineMs - Time until the first byte of the answer is due, in milliseconds.
  */
-export function createUpstreamHeaders(request: ServiceRequest, timeoutMs: number): Record<string, string | string[]> {
+export function createUpstreamHeaders(request: ServiceRequest, deadlineMs: number): Record<string, string | string[]> {
     const headers: Record<string, string | string[]> = {};
     for (const [name, value] of Object.entries(request.headers as HeaderFields)) {
         if (!REMOVED_FIELDS.has(name.toLowerCase())) {
@@ -35,6 +35,6 @@
     }
     headers["x-request-id"] = request.requestId;
     headers["x-account"] = request.account;
-    headers["x-deadline-ms"] = String(Math.max(0, Math.floor(timeoutMs)));
+    headers["x-deadline-ms"] = String(Math.max(0, Math.floor(deadlineMs)));
     return headers;
 }
--- a/tests/services/ServiceHost.test.ts
+++ b/tests/services/ServiceHost.test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { ServiceBench } from "../../src/fakes/index.js";
 import { OutcomeKind } from "../../src/outcomes/index.js";
-import { ServiceBench } from "../support/ServiceBench.js";
 
 test("each request of a healthy service is answered and no slot is used twice", async () => {
     const bench = new ServiceBench();
--- /dev/null
+++ b/tests/services/SlotQueue.test.ts
@@ -0,0 +1,106 @@
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ServiceBench } from "../../src/fakes/index.js";
+import { OutcomeKind } from "../../src/outcomes/index.js";
+import type { ServiceAnswer } from "../../src/services/index.js";
+
+const SLOT_SECONDS = 0.02;
+
+test("no upstream runs more than its slots and each request ends once, whatever comes", async () => {
+    const arrival = fc.record({
+        atMs: fc.nat(300),
+        leavesAfterMs: fc.option(fc.nat(100), { nil: undefined }),
+        timeoutMs: fc.integer({ min: 1, max: 200 }),
+        isIdempotent: fc.boolean(),
+        account: fc.constantFrom("a", "b", "c"),
+    });
+    const property = fc.asyncProperty(fc.array(arrival, { maxLength: 80 }), fc.nat(), async (arrivals, seed) => {
+        const bench = new ServiceBench({ seed, upstreams: 2, slots: 2 });
+        bench.upstreams.applyFaults("u1", { errorRate: 0.3, lossRate: 0.2, cutRate: 0.2 });
+        const answers = Promise.all(arrivals.map(async ({ atMs, leavesAfterMs, ...request }) => {
+            const controller = new AbortController();
+            await bench.clock.wait(atMs);
+            if (leavesAfterMs !== undefined) {
+                bench.clock.schedule(leavesAfterMs, () => controller.abort());
+            }
+            return await bench.send(request, controller.signal);
+        }));
+        await bench.clock.run(5_000);
+        assert.is((await answers).length, arrivals.length);
+        assert.ok(bench.upstreams.records.every(record => record.running < 2));
+        const ids = bench.upstreams.records.map(record => record.requestId);
+        assert.is(new Set(ids).size, ids.length);
+        assert.is(bench.upstreams.getRunning("u0") + bench.upstreams.getRunning("u1"), 0);
+        assert.ok(bench.host.getStatus().every(status => status.running === 0));
+    });
+    await fc.assert(property, { seed: 11, numRuns: 40 });
+});
+
+test("an account inside its rate keeps 95 % of its service while another sends five times its own", async () => {
+    const capacity = 4 * 2 / SLOT_SECONDS;
+    const alone = await runAccounts({ small: 0.1 * capacity });
+    const beside = await runAccounts({ small: 0.1 * capacity, large: 5 * 0.8 * capacity });
+    assert.ok(beside >= 0.95 * alone, `${beside} answered beside, ${alone} alone`);
+});
+
+test("a request that can't be served in time is refused at once, as not run, with a time to come back", async () => {
+    const bench = new ServiceBench({ upstreams: 1, slots: 1, service: { queuePerSlot: 100 } });
+    await bench.runLoad(20, 10_000);
+    const waiting = Array.from({ length: 20 }, () => bench.send({ timeoutMs: 10_000 }));
+    await bench.clock.run(0);
+    const start = bench.clock.getTime();
+    const { outcome } = await bench.send({ timeoutMs: 50 });
+    assert.is(bench.clock.getTime(), start);
+    assert.ok(outcome.kind === OutcomeKind.NotRun && outcome.retryAfterMs! > 0);
+    await bench.clock.run(10_000);
+    assert.ok((await Promise.all(waiting)).every(answer => answer.outcome.kind === OutcomeKind.Done));
+});
+
+test("a full queue refuses the account that fills it and no other", async () => {
+    const bench = new ServiceBench({ upstreams: 1, slots: 1, service: { queuePerSlot: 4 } });
+    const many = Array.from({ length: 8 }, () => bench.send({ account: "many" }));
+    const one = bench.send({ account: "one" });
+    await bench.clock.run(1_000);
+    assert.is((await one).outcome.kind, OutcomeKind.Done);
+    assert.is((await Promise.all(many)).filter(isNotRun).length, 4);
+});
+
+test("a caller that leaves while it waits frees its place at once and is not run", async () => {
+    const bench = new ServiceBench({ upstreams: 1, slots: 1 });
+    const first = bench.send();
+    const controller = new AbortController();
+    const second = bench.send({ isIdempotent: false }, controller.signal);
+    controller.abort();
+    assert.ok(isNotRun(await second));
+    await bench.clock.run(1_000);
+    await first;
+    assert.is(bench.upstreams.records.length, 1);
+});
+
+test("a slot stays in use until the answer's body has ended", async () => {
+    const bench = new ServiceBench({ upstreams: 1, slots: 1, fakes: { answerTimeMs: 500 } });
+    const answers = Promise.all([bench.send(), bench.send()]);
+    await bench.clock.run(2_000);
+    await answers;
+    const [first, second] = bench.upstreams.records;
+    assert.ok(second!.time - first!.time >= 500);
+});
+
+test.run();
+
+/** Returns the share of the small account's requests that are answered. */
+async function runAccounts(ratesPerSecond: Readonly<Record<string, number>>): Promise<number> {
+    const bench = new ServiceBench({ upstreams: 4, slots: 2, service: { queuePerSlot: 16 } });
+    bench.weights = { small: 0.1, large: 0.8 };
+    const loads = Object.entries(ratesPerSecond).map(([account, rate]) =>
+        bench.sendLoad(rate, 10_000, { account, timeoutMs: 300 })
+    );
+    await bench.clock.run(12_000);
+    const [small] = await Promise.all(loads);
+    return small!.filter(answer => answer.outcome.kind === OutcomeKind.Done).length / small!.length;
+}
+
+function isNotRun(answer: ServiceAnswer): boolean {
+    return answer.outcome.kind === OutcomeKind.NotRun;
+}
