--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -1,5 +1,6 @@
 /** The calls between entry hosts. */
 export enum PeerMethod {
+    GetChunks = "chunk.get",
     PullGossip = "gossip.pull",
     GetHead = "head.get",
     GetInstalled = "head.installed",
@@ -8,4 +9,10 @@
     ShareBaseline = "service.shareBaseline",
     FindOutcome = "service.findOutcome",
     RemoveCrash = "service.removeCrash",
+    BorrowTokens = "rate.borrow",
+    HandOverRates = "rate.handOver",
+    HandOverOrders = "order.handOver",
+    FindOrder = "order.find",
+    ClaimOrder = "order.claim",
+    RecordCrash = "quarantine.record",
 }
