--- a/src/fakes/FakeFleet.ts
+++ b/src/fakes/FakeFleet.ts
@@ -1,4 +1,4 @@
-import { StoredHeadStore } from "../head/index.js";
+import { type Head, StoredHeadStore } from "../head/index.js";
 import type { ListedHost } from "../hostlist/index.js";
 import { DecisionHistory } from "../logging/index.js";
 import { type Member, MembershipService } from "../membership/index.js";
@@ -25,6 +25,8 @@
     readonly network = new FakeNetwork(this.clock);
     /** How long the platform's list names a host that has stopped, in milliseconds. */
     listLagMs = 5_000;
+    /** Time between two pulls of a host, in milliseconds; the default if undefined. */
+    pullIntervalMs: number | undefined;
     readonly #seed: number;
     readonly #hosts = new Map<number, FakeFleetHost>();
     readonly #listed = new Map<string, ListedHost>();
@@ -45,6 +47,19 @@
         }
     }
 
+    /**
+     * Starts the first hosts of a fleet as members of a view that stands in the store already.
+     * @param count - How many hosts.
+     */
+    async startMembers(count: number): Promise<void> {
+        const indexes = Array.from({ length: count }, (_, index) => index);
+        const members = indexes.map(index => createMember(index, this.#getIncarnation(index)));
+        members.sort((left, right) => left.id < right.id ? -1 : 1);
+        const head: Head = { version: 1, sections: {}, view: { version: 1, members }, changes: [] };
+        await this.store.compareAndSwap("head", JSON.stringify(head), 0);
+        this.start(...indexes);
+    }
+
     /**
      * Stops a host as a crash does.
      * @param index - Its number.
@@ -165,14 +180,18 @@
             );
     }
 
+    #getIncarnation(start: number): string {
+        return `${this.#seed}-${start}`;
+    }
+
     #startHost(index: number): void {
         const clock = new FakeHostClock(this.clock);
         const store = new FakeHostStore(this.store, this.clock);
         const installer = new FakeHeadInstaller();
         const handlers = new PeerHandlers();
-        const member = createMember(index, `${this.#seed}-${this.#starts}`);
-        const transport = new FakeHostTransport(this.network.createTransport(member.peerAddress), clock);
+        const member = createMember(index, this.#getIncarnation(this.#starts));
         const random = new SeededRandom(this.#seed * SEED_STEP + this.#starts++);
+        const transport = new FakeHostTransport(this.network.createTransport(member.peerAddress), clock, random);
         const headStore = new StoredHeadStore({ store, clock, random });
         const membership = new MembershipService({
             clock,
@@ -184,6 +203,7 @@
             installer,
             log: new DecisionHistory(this.clock, undefined, 1),
             self: member,
+            pullIntervalMs: this.pullIntervalMs,
             seedAddresses: Array.from({ length: SEED_HOSTS }, (_, seed) => getAddress(seed)),
         });
         this.#hosts.set(index, { member, membership, clock, store, headStore, transport, installer });
--- a/src/membership/Freshness.ts
+++ b/src/membership/Freshness.ts
@@ -5,12 +5,13 @@
 import { getQuorumTime } from "./getQuorumTime.js";
 import type { HeadTracker } from "./HeadTracker.js";
 import type { Member } from "./Member.js";
+import type { MembershipView } from "./MembershipView.js";
 import type { StoppedMembers } from "./StoppedMembers.js";
 
 /** Decides whether this host may serve by its head, and whether it may vouch for it to others. */
 export class Freshness {
     readonly #clock: Clock;
-    readonly #selfId: string;
+    readonly #self: Member;
     readonly #tracker: HeadTracker;
     readonly #evidence: Evidence;
     readonly #stopped: StoppedMembers;
@@ -20,14 +21,14 @@
 
     /**
      * @param clock - The source of time.
-     * @param selfId - This host's member id.
+     * @param self - This host's own entry.
      * @param tracker - Holds the head.
      * @param evidence - What this host has heard.
      * @param stopped - The members known to have stopped.
      */
-    constructor(clock: Clock, selfId: string, tracker: HeadTracker, evidence: Evidence, stopped: StoppedMembers) {
+    constructor(clock: Clock, self: Member, tracker: HeadTracker, evidence: Evidence, stopped: StoppedMembers) {
         this.#clock = clock;
-        this.#selfId = selfId;
+        this.#self = self;
         this.#tracker = tracker;
         this.#evidence = evidence;
         this.#stopped = stopped;
@@ -51,7 +52,7 @@
      */
     hasVote(): boolean {
         this.#vouches ||= this.#isCaughtUp();
-        return this.#vouches;
+        return this.#vouches && !this.#isOtherAddress();
     }
 
     /** Gets how long ago a majority is known to have had no newer head, in milliseconds; Infinity if never. */
@@ -61,6 +62,17 @@
         return head === undefined ? Infinity : now - this.#getMajorityTime(head, now);
     }
 
+    /** Whether the entry with this host's id belongs to another address, whose host may still run. */
+    #isOtherAddress(): boolean {
+        const head = this.#tracker.getHead();
+        const entries = head === undefined ? [] : [head.view, head.nextView].map(view => this.#findEntry(view));
+        return entries.some(entry => entry !== undefined && entry.peerAddress !== this.#self.peerAddress);
+    }
+
+    #findEntry(view: MembershipView | undefined): Member | undefined {
+        return view?.members.find(member => member.id === this.#self.id);
+    }
+
     #isCaughtUp(): boolean {
         const head = this.#tracker.getHead();
         if (head === undefined) {
@@ -70,7 +82,7 @@
             return true;
         }
         const getOtherTime = (member: Member): number =>
-            member.id === this.#selfId ? -Infinity : this.#evidence.getConfirmedTime(member.id);
+            member.id === this.#self.id ? -Infinity : this.#evidence.getConfirmedTime(member.id);
         return this.#getHeadTime(head, getOtherTime) > this.#startTime + FRESHNESS_BOUND_MS;
     }
 
@@ -87,7 +99,7 @@
         const hasVote = this.hasVote();
         return this.#getHeadTime(
             head,
-            member => member.id === this.#selfId && hasVote ? now : this.#evidence.getConfirmedTime(member.id),
+            member => member.id === this.#self.id && hasVote ? now : this.#evidence.getConfirmedTime(member.id),
         );
     }
 
--- a/src/membership/MembershipService.ts
+++ b/src/membership/MembershipService.ts
@@ -54,7 +54,7 @@
         this.#options = options;
         this.#tracker = new HeadTracker(options.installer);
         this.#stopped = new StoppedMembers(clock, hostList, this.#tracker, this.#evidence);
-        this.#freshness = new Freshness(clock, self.id, this.#tracker, this.#evidence, this.#stopped);
+        this.#freshness = new Freshness(clock, self, this.#tracker, this.#evidence, this.#stopped);
         this.#reachability = new Reachability(clock, self.id, this.#tracker, this.#evidence);
         this.#poll = new MajorityPoll(clock, transport, self, this.#tracker, this.#stopped);
         this.#storeWatch = new StoreWatch(clock, headStore, this.#tracker, this.#evidence, () => this.#isWatcher());
--- a/src/membership/mergeViewEdits.ts
+++ b/src/membership/mergeViewEdits.ts
@@ -6,6 +6,7 @@
 
 /**
  * Merges wanted changes into the members of a view, in order of their ids; returns undefined if they change nothing.
+ * A host may take over an entry only on its address, where its predecessor can't run any more.
  * @param members - The members.
  * @param edits - The wanted changes.
  */
@@ -13,12 +14,14 @@
     const merged = new Map(members.map(member => [member.id, member]));
     let isChanged = false;
     for (const edit of edits) {
-        const incarnation = merged.get(edit.member.id)?.incarnation;
-        const isPresent = incarnation === edit.member.incarnation;
+        const known = merged.get(edit.member.id);
+        const isPresent = known?.incarnation === edit.member.incarnation;
         switch (edit.kind) {
             case ViewEditKind.Join:
-                merged.set(edit.member.id, edit.member);
-                isChanged ||= !isPresent;
+                if (known === undefined || known.peerAddress === edit.member.peerAddress) {
+                    merged.set(edit.member.id, edit.member);
+                    isChanged ||= !isPresent;
+                }
                 break;
             case ViewEditKind.Leave:
                 isChanged = isPresent && merged.delete(edit.member.id) || isChanged;
