--- a/src/callers/CallerListener.ts
+++ b/src/callers/CallerListener.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
 import polka from "polka";
 import { createNotRun, RefusalReason } from "../outcomes/index.js";
@@ -36,15 +37,16 @@
     }
 
     /**
-     * Starts to listen.
-     * @param address - "ip:port"
+     * Starts to listen and returns the port.
+     * @param address - "ip:port"; port 0 for any that is free.
      */
-    async start(address: string): Promise<void> {
+    async start(address: string): Promise<number> {
         const { host, port } = parseAddress(address);
         await new Promise<void>((resolve, reject) => {
             this.#server.once("error", reject);
             this.#server.listen(port, host, resolve);
         });
+        return (this.#server.address() as AddressInfo).port;
     }
 
     /** Stops listening, lets running answers end and closes all connections. */
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -122,7 +122,7 @@
             { name: "peers", start: () => peers.start(peerAddress), stop: () => peers.stop() },
             this.#host,
             { name: "operators", start: () => operators.start(operatorAddress), stop: () => operators.stop() },
-            { name: "callers", start: () => callers.start(callerAddress), stop: () => callers.stop() },
+            { name: "callers", start: async () => void await callers.start(callerAddress), stop: () => callers.stop() },
         ]);
     }
 }
--- a/src/fleet/ProcessFleet.ts
+++ b/src/fleet/ProcessFleet.ts
@@ -5,11 +5,14 @@
 import type { ConfigurationDocument, Service } from "../configuration/index.js";
 import { parseDocument } from "../configuration/index.js";
 import { FuchsiapathError } from "../errors/index.js";
+import type { ExperimentPlace } from "../load/index.js";
 import { SystemClock } from "../time/index.js";
 import { parseAddress } from "../utils/index.js";
 import { createEntrySettings } from "./createEntrySettings.js";
+import { createFleetDocument } from "./createFleetDocument.js";
 import { FLEET_OPERATOR } from "./FLEET_OPERATOR.js";
 import { FleetAddresses } from "./FleetAddresses.js";
+import type { FleetKeys } from "./FleetKeys.js";
 import type { FleetOptions } from "./FleetOptions.js";
 import { FleetProcess } from "./FleetProcess.js";
 
@@ -32,7 +35,8 @@
     constructor(options: FleetOptions) {
         this.#options = options;
         this.addresses = new FleetAddresses(options);
-        this.document = createOwnedDocument(readFileSync(join(options.example, "configuration.json"), "utf8"));
+        const text = readFileSync(join(options.example, "configuration.json"), "utf8");
+        this.document = createFleetDocument(parseDocument(text), options.basePort);
     }
 
     /** Gets the services of the fleet's document. */
@@ -64,17 +68,29 @@
         );
     }
 
-    /** Gets the control endpoints that experiments name, as "name=URL". */
-    getTargets(): readonly string[] {
+    /** Gets the URLs that experiments name. */
+    getTargets(): Readonly<Record<string, string>> {
         const controls = this.getServices().map((service, index) =>
-            `${service.name}=http://${this.addresses.getUpstreamControl(index)}/control`
+            [service.name, `http://${this.addresses.getUpstreamControl(index)}/control`] as const
         );
-        return [
-            ...controls,
-            `store=http://${this.addresses.getStore()}/control`,
-            `hosts=http://${this.addresses.getHostList()}/control`,
-            `operator=http://${this.addresses.getOperator(0)}`,
-        ];
+        return {
+            ...Object.fromEntries(controls),
+            store: `http://${this.addresses.getStore()}/control`,
+            hosts: `http://${this.addresses.getHostList()}/control`,
+            operator: `http://${this.addresses.getOperator(0)}`,
+        };
+    }
+
+    /** Gets where an experiment finds this fleet. */
+    getPlace(): ExperimentPlace {
+        const { keys } = JSON.parse(readFileSync(join(this.#options.example, "keys.json"), "utf8")) as FleetKeys;
+        return {
+            entries: this.getEntryUrls(),
+            records: this.getRecordUrls(),
+            targets: this.getTargets(),
+            processes: Object.fromEntries([...this.#entries.values()].map(entry => [entry.name, entry.getId()])),
+            keys: Object.fromEntries(keys.map(({ account, key }) => [account, key])),
+        };
     }
 
     /**
@@ -238,11 +254,3 @@
         timer.cancel();
     }
 }
-
-function createOwnedDocument(text: string): ConfigurationDocument {
-    const { sections } = parseDocument(text);
-    const owned = Object.entries(sections).map(([name, section]) => {
-        return [name, { ...section, owners: [...section.owners, FLEET_OPERATOR.name] }];
-    });
-    return { sections: Object.fromEntries(owned) };
-}
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,6 +1,8 @@
 export { createEntrySettings } from "./createEntrySettings.js";
+export { createFleetDocument } from "./createFleetDocument.js";
 export { FLEET_OPERATOR } from "./FLEET_OPERATOR.js";
 export { FleetAddresses } from "./FleetAddresses.js";
+export type { FleetKeys } from "./FleetKeys.js";
 export type { FleetOptions } from "./FleetOptions.js";
 export { FleetProcess } from "./FleetProcess.js";
 export type { FleetProcessOptions } from "./FleetProcessOptions.js";
--- a/src/tools/try.ts
+++ b/src/tools/try.ts
@@ -52,7 +52,7 @@
         ...["--keys", join(EXAMPLE, "keys.json")],
         ...fleet.getEntryUrls().flatMap(url => ["--entry", url]),
         ...fleet.getRecordUrls().flatMap(url => ["--records", url]),
-        ...fleet.getTargets().flatMap(target => ["--target", target]),
+        ...Object.entries(fleet.getTargets()).flatMap(([name, url]) => ["--target", `${name}=${url}`]),
     ]);
     console.log(output);
     return exitCode ?? 1;
--- a/tests/callers/CallerListener.test.ts
+++ b/tests/callers/CallerListener.test.ts
@@ -6,13 +6,12 @@
 import { CallerBench } from "../support/CallerBench.js";
 import { checkSnapshot } from "../support/checkSnapshot.js";
 
-const PORT = 25_801;
 const AUTHORIZED = "Authorization: Bearer KEY\r\nConnection: close\r\n";
 
 let bench: CallerBench;
 
 test.before.each(async () => {
-    bench = new CallerBench(PORT);
+    bench = new CallerBench();
     await bench.start();
 });
 
@@ -47,7 +46,7 @@
 });
 
 test("a withdrawn key is refused on a connection that was open before", async () => {
-    const client = new Client(`http://127.0.0.1:${PORT}`);
+    const client = new Client(bench.getUrl());
     const request = {
         method: "GET",
         path: "/catalogue/1",
--- a/tests/support/CallerBench.ts
+++ b/tests/support/CallerBench.ts
@@ -23,12 +23,11 @@
     createOutcome: (request: CallerRequest) => Outcome = createEmptyAnswer;
     #configuration: Configuration;
     readonly #listener: CallerListener;
-    readonly #port: number;
+    #port = 0;
 
-    /** @param port - The port on loopback. */
-    constructor(port: number) {
-        this.#port = port;
-        const self = createMember("a", port);
+    /** Creates the listener. */
+    constructor() {
+        const self = createMember("a");
         this.membership = new FakeMembership(self, { version: 1, members: [self] });
         this.#configuration = this.#createConfiguration(this.key.record, 1);
         const gate = new CallerGate({
@@ -49,7 +48,12 @@
 
     /** Starts to listen. */
     async start(): Promise<void> {
-        await this.#listener.start(`127.0.0.1:${this.#port}`);
+        this.#port = await this.#listener.start("127.0.0.1:0");
+    }
+
+    /** Gets the URL at which callers reach the listener. */
+    getUrl(): string {
+        return `http://127.0.0.1:${this.#port}`;
     }
 
     /** Closes all connections and stops listening. */
@@ -98,7 +102,7 @@
     return { kind: OutcomeKind.Done, status: 200, headers: { "content-length": "0" }, body: Readable.from([]) };
 }
 
-function createMember(id: string, port: number): Member {
-    const callerAddress = `127.0.0.1:${port}`;
-    return { id, region: "r", zone: "a", peerAddress: "127.0.0.1:1", callerAddress, incarnation: "1-x" };
+function createMember(id: string): Member {
+    const address = "127.0.0.1:1";
+    return { id, region: "r", zone: "a", peerAddress: address, callerAddress: address, incarnation: "1-x" };
 }
