Tell a resend that the answer of its order was not kept

Such a resend now gets done with status 502 and a problem document. Also: test fleets take ports below the range of outgoing connections, where one port had been taken.

--- a/src/load/readAttemptEnd.ts
+++ b/src/load/readAttemptEnd.ts
@@ -17,6 +17,8 @@
     RefusalReason.HostUnreachable,
 ];
 
+const PROBLEM_TYPE = "application/problem+json";
+
 type AnsweredAttempt = Extract<Attempt, { readonly kind: AttemptKind.Answered; }>;
 
 /**
@@ -63,6 +65,10 @@
 
 async function readDone(attempt: AnsweredAttempt, path: string): Promise<AttemptEnd> {
     const { status } = attempt;
+    if (attempt.headers["content-type"] === PROBLEM_TYPE) {
+        const { reason } = await readProblem(status, attempt.body);
+        return { kind: AttemptEndKind.Final, result: ResultKind.Done, status, reason };
+    }
     const check = await checkAnswerBody(attempt.body, path);
     switch (check) {
         case BodyCheck.Cut:
--- a/src/orders/openKeptOutcome.ts
+++ b/src/orders/openKeptOutcome.ts
@@ -1,24 +1,35 @@
 import { Readable } from "node:stream";
-import type { HeaderFields, Outcome } from "../outcomes/index.js";
+import type { DoneOutcome, Outcome } from "../outcomes/index.js";
 import { OutcomeKind } from "../outcomes/index.js";
 import type { KeptOutcome } from "../services/index.js";
 import { restoreOutcome } from "../services/index.js";
 
-const BODY_STATE_HEADER = "fuchsiapath-body";
-const BODY_NOT_KEPT = "not-kept";
+const BAD_GATEWAY_STATUS = 502;
+const ANSWER_NOT_KEPT = "answer-not-kept";
 
 /**
- * Opens a kept outcome for a resend; an answer whose body was not kept comes without it and says so.
+ * Opens a kept outcome for a resend. Where the answer was cut or too large to keep, a problem document says that the order
+ * ran, so that nobody takes a part of the answer for the whole.
  * @param kept - The kept outcome.
  */
 export function openKeptOutcome(kept: KeptOutcome): Outcome {
     if (kept.kind !== OutcomeKind.Done || kept.body !== undefined) {
         return restoreOutcome(kept);
     }
-    const headers = { ...getHeadersWithoutLength(kept.headers), [BODY_STATE_HEADER]: BODY_NOT_KEPT };
-    return { kind: kept.kind, status: kept.status, headers, body: Readable.from([]) };
+    return createNotKeptAnswer(kept.status);
 }
 
-function getHeadersWithoutLength(headers: HeaderFields): HeaderFields {
-    return Object.fromEntries(Object.entries(headers).filter(([name]) => name !== "content-length"));
+function createNotKeptAnswer(upstreamStatus: number): DoneOutcome {
+    const problem = {
+        type: `urn:fuchsiapath:${ANSWER_NOT_KEPT}`,
+        title: "The order ran, but its answer is not at hand",
+        status: BAD_GATEWAY_STATUS,
+        detail: `The upstream answered with status ${upstreamStatus}; the answer was cut or is too large to be kept.`,
+        outcome: OutcomeKind.Done,
+        reason: ANSWER_NOT_KEPT,
+        upstreamStatus,
+    };
+    const body = Buffer.from(JSON.stringify(problem));
+    const headers = { "content-type": "application/problem+json", "content-length": String(body.length) };
+    return { kind: OutcomeKind.Done, status: BAD_GATEWAY_STATUS, headers, body: Readable.from([body]) };
 }
--- a/tests/support/ProcessBench.ts
+++ b/tests/support/ProcessBench.ts
@@ -4,9 +4,10 @@
 import { Policy } from "../../src/settings/index.js";
 import { SystemClock } from "../../src/time/index.js";
 
-const FIRST_PORT = 30_000;
+/** Below the range from which the system takes ports of outgoing connections. */
+const FIRST_PORT = 10_000;
 const PORTS_PER_FLEET = 500;
-const FLEET_SLOTS = 50;
+const FLEET_SLOTS = 20;
 const HOSTS_PER_ZONE = 2;
 const LOOKUP_LIFETIME_MS = 1000;
 const HOLD_OFF_MS = 8000;
