Measure with the test fleet of processes; fill answers with spaces so that they stay JSON

Spaces keep both: the named size and a body that parses. The fleet of this folder is dropped for src/fleet, which gets upstream ports, a seed and the process ids.

--- a/src/fleet/FleetOptions.ts
+++ b/src/fleet/FleetOptions.ts
@@ -14,4 +14,8 @@
     readonly upstreams: UpstreamDefaults;
     /** How long callers keep a lookup's answer, in milliseconds. */
     readonly lookupLifetimeMs: number;
+    /** First port of the upstreams; the document's own addresses if left out. */
+    readonly upstreamPort?: number;
+    /** Seed of the upstreams' random numbers. */
+    readonly seed?: number;
 }
--- a/src/fleet/ProcessFleet.ts
+++ b/src/fleet/ProcessFleet.ts
@@ -1,13 +1,13 @@
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
 import type { ConfigurationDocument, Service } from "../configuration/index.js";
-import { parseDocument } from "../configuration/index.js";
 import { FuchsiapathError } from "../errors/index.js";
 import { SystemClock } from "../time/index.js";
 import { parseAddress } from "../utils/index.js";
 import { createEntrySettings } from "./createEntrySettings.js";
+import { createFleetDocument } from "./createFleetDocument.js";
 import { FLEET_OPERATOR } from "./FLEET_OPERATOR.js";
 import { FleetAddresses } from "./FleetAddresses.js";
 import type { FleetOptions } from "./FleetOptions.js";
@@ -15,6 +15,7 @@
 
 const BIN_FOLDER = "dist/src/bin";
 const READY_TIMEOUT_MS = 30_000;
+const UPSTREAM_SEED_STEP = 1_000;
 const READY_POLL_MS = 50;
 const STOP_TIMEOUT_MS = 20_000;
 
@@ -32,7 +33,7 @@
     constructor(options: FleetOptions) {
         this.#options = options;
         this.addresses = new FleetAddresses(options);
-        this.document = createOwnedDocument(readFileSync(join(options.example, "configuration.json"), "utf8"));
+        this.document = createFleetDocument(options);
     }
 
     /** Gets the services of the fleet's document. */
@@ -94,6 +95,11 @@
         return join(this.#folder, "fleet.log");
     }
 
+    /** Gets the process ids that experiments name. */
+    getProcesses(): Readonly<Record<string, number>> {
+        return Object.fromEntries([...this.#entries.values()].map(entry => [entry.name, entry.getId()]));
+    }
+
     /** Starts the stand-ins and all entry hosts, and waits until the entry hosts serve. */
     async start(): Promise<void> {
         this.#startStandIns();
@@ -212,7 +218,7 @@
             port: parseAddress(upstream.address).port,
             slots: upstream.slots,
             connections: upstream.connections,
-            seed: seed + 1,
+            seed: (this.#options.seed ?? 1) * UPSTREAM_SEED_STEP + seed,
             ...this.#options.upstreams,
         }));
         const { port: controlPort } = parseAddress(this.addresses.getUpstreamControl(index));
@@ -238,11 +244,3 @@
         timer.cancel();
     }
 }
-
-function createOwnedDocument(text: string): ConfigurationDocument {
-    const { sections } = parseDocument(text);
-    const owned = Object.entries(sections).map(([name, section]) => {
-        return [name, { ...section, owners: [...section.owners, FLEET_OPERATOR.name] }];
-    });
-    return { sections: Object.fromEntries(owned) };
-}
--- a/src/fleet/UpstreamDefaults.ts
+++ b/src/fleet/UpstreamDefaults.ts
@@ -1,5 +1,8 @@
-/** Settings that all upstream stand-ins of a test fleet share; see the settings of fuchsiapath-standin. */
-export interface UpstreamDefaults {
-    readonly serviceTime: { readonly kind: string; readonly ms: number; };
-    readonly largeBytes: number;
-}
+import type { z } from "zod";
+import type { upstreamSettings } from "../standins/index.js";
+
+/** Settings that all upstream stand-ins of a test fleet share. */
+export type UpstreamDefaults = Omit<
+    z.input<typeof upstreamSettings>,
+    "name" | "port" | "slots" | "connections" | "seed"
+>;
--- a/src/measure/LoggedDecision.ts
+++ b/src/measure/LoggedDecision.ts
@@ -1,7 +1,5 @@
 /** A decision as an entry host has written it to its log. */
 export interface LoggedDecision {
-    /** The entry host's name. */
-    readonly host: string;
     readonly decision: string;
     readonly upstream: string | undefined;
     readonly reason: string | undefined;
--- a/src/measure/createScenario.ts
+++ b/src/measure/createScenario.ts
@@ -19,8 +19,14 @@
  * @param deployment - The deployment that it runs on.
  */
 export function createScenario(kind: ScenarioKind, deployment: Deployment): Scenario {
-    const upstream = findLookupService(deployment).upstreams[0]!.name;
-    const createControl = (body: object): object => ({ kind: "control", atMs: FAULT_AT_MS, target: "upstreams", body });
+    const service = findLookupService(deployment);
+    const upstream = service.upstreams[0]!.name;
+    const createControl = (body: object): object => ({
+        kind: "control",
+        atMs: FAULT_AT_MS,
+        target: service.name,
+        body,
+    });
     const createChange = (body: object): object => createControl({ upstreams: [upstream], ...body });
     switch (kind) {
         case ScenarioKind.Healthy:
--- a/src/measure/parseDecision.ts
+++ b/src/measure/parseDecision.ts
@@ -9,15 +9,14 @@
 
 /**
  * Parses a line of an entry host's log; undefined if it is no decision.
- * @param host - The entry host's name.
  * @param line - The line.
  */
-export function parseDecision(host: string, line: string): LoggedDecision | undefined {
+export function parseDecision(line: string): LoggedDecision | undefined {
     const { decision, upstream, reason, time } = parseLine(line);
     if (decision === undefined || time === undefined) {
         return undefined;
     }
-    return { host, decision, upstream, reason, time: new Date(time).getTime() };
+    return { decision, upstream, reason, time: new Date(time).getTime() };
 }
 
 function parseLine(line: string): LogLine {
--- a/src/measure/readDeployment.ts
+++ b/src/measure/readDeployment.ts
@@ -1,4 +1,5 @@
 import { readFile } from "node:fs/promises";
+import { join } from "node:path";
 import { z } from "zod";
 import { parseDocument } from "../configuration/index.js";
 import { readJsonFile } from "../utils/index.js";
@@ -11,7 +12,8 @@
  * @param name - The folder's name below examples.
  */
 export async function readDeployment(name: string): Promise<Deployment> {
-    const document = parseDocument(await readFile(`examples/${name}/configuration.json`, "utf8"));
-    const { keys } = await readJsonFile(`examples/${name}/keys.json`, keyFileSchema);
-    return { name, document, keys: Object.fromEntries(keys.map(entry => [entry.account, entry.key])) };
+    const folder = join("examples", name);
+    const document = parseDocument(await readFile(join(folder, "configuration.json"), "utf8"));
+    const { keys } = await readJsonFile(join(folder, "keys.json"), keyFileSchema);
+    return { name, folder, document, keys: Object.fromEntries(keys.map(entry => [entry.account, entry.key])) };
 }
--- a/src/measure/runScenario.ts
+++ b/src/measure/runScenario.ts
@@ -1,24 +1,26 @@
-import { mkdtemp, rm } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { createHttpRun, parseExperiment } from "../load/index.js";
-import type { Policy } from "../settings/index.js";
+import { readFile } from "node:fs/promises";
+import { ProcessFleet } from "../fleet/index.js";
+import { createHttpRun, type ExperimentPlace, parseExperiment } from "../load/index.js";
+import { ServiceTimeKind } from "../standins/index.js";
 import type { Clock } from "../time/index.js";
 import { createExperiment } from "./createExperiment.js";
 import { createMeasurement } from "./createMeasurement.js";
-import type { Deployment } from "./Deployment.js";
-import { Fleet } from "./Fleet.js";
+import type { LoggedDecision } from "./LoggedDecision.js";
 import type { Measurement } from "./Measurement.js";
-import type { Scenario } from "./Scenario.js";
+import { parseDecision } from "./parseDecision.js";
+import type { ScenarioRun } from "./ScenarioRun.js";
 
-interface ScenarioRun {
-    readonly scenario: Scenario;
-    readonly deployment: Deployment;
-    readonly policy: Policy;
-    readonly seed: number;
-    readonly hostsPerZone: number;
-    readonly firstPort: number;
-}
+const UPSTREAM_PORT_OFFSET = 400;
+const LOOKUP_LIFETIME_MS = 5_000;
+/** New account hosts admit nothing until shares of an earlier view have lapsed, then fill their buckets. */
+const HOLD_OFF_MS = 8_000;
+const UPSTREAM_DEFAULTS = {
+    serviceTime: { kind: ServiceTimeKind.LogNormal, medianMs: 15, sigma: 0.4 },
+    coldStartMs: 4_000,
+    coldStartFactor: 5,
+    crashDownMs: 2_000,
+    largeBytes: 1_048_576,
+} as const;
 
 /**
  * Runs a scenario once on a fleet of its own and returns its figures.
@@ -26,18 +28,41 @@
  * @param clock - The source of time.
  */
 export async function runScenario(run: ScenarioRun, clock: Clock): Promise<Measurement> {
-    const folder = await mkdtemp(join(tmpdir(), "fuchsiapath-measure-"));
-    const { deployment, scenario } = run;
-    const fleet = new Fleet({ ...run, document: deployment.document, folder }, clock);
+    const { deployment, firstPort: basePort, scenario, seed } = run;
+    const fleet = new ProcessFleet({
+        example: deployment.folder,
+        hostsPerZone: run.hostsPerZone,
+        basePort,
+        policy: run.policy,
+        upstreams: UPSTREAM_DEFAULTS,
+        lookupLifetimeMs: LOOKUP_LIFETIME_MS,
+        upstreamPort: basePort + UPSTREAM_PORT_OFFSET,
+        seed,
+    });
     try {
         await fleet.start();
-        const content = createExperiment(scenario, deployment, run.seed);
-        const experiment = parseExperiment(content, fleet.getPlace(deployment.keys));
+        await fleet.applyDocument();
+        await clock.wait(HOLD_OFF_MS);
+        const experiment = parseExperiment(createExperiment(scenario, deployment, seed), createPlace(fleet, run));
         const report = await createHttpRun(experiment, clock).run();
-        return createMeasurement(scenario, report, fleet.decisions);
+        return createMeasurement(scenario, report, await readDecisions(fleet));
     }
     finally {
         await fleet.stop();
-        await rm(folder, { recursive: true });
     }
 }
+
+function createPlace(fleet: ProcessFleet, run: ScenarioRun): ExperimentPlace {
+    return {
+        entries: fleet.getEntryUrls(),
+        records: fleet.getRecordUrls(),
+        targets: Object.fromEntries(fleet.getTargets().map(target => target.split("=", 2))) as Record<string, string>,
+        processes: fleet.getProcesses(),
+        keys: run.deployment.keys,
+    };
+}
+
+async function readDecisions(fleet: ProcessFleet): Promise<LoggedDecision[]> {
+    const text = await readFile(fleet.getLogFile(), "utf8");
+    return text.split("\n").map(parseDecision).filter(decision => decision !== undefined);
+}
--- a/src/standins/createAnswerBody.ts
+++ b/src/standins/createAnswerBody.ts
@@ -1,12 +1,12 @@
 import type { UpstreamAnswerHead } from "./UpstreamAnswerHead.js";
 
 const CHUNK_BYTES = 65_536;
-const FILLER = Buffer.alloc(CHUNK_BYTES, "thread ");
+const FILLER = Buffer.alloc(CHUNK_BYTES, " ");
 /** Room for the digits by which a raised size makes the line longer. */
 const SIZE_DIGITS = 16;
 
 /**
- * Creates the body of an answer: its head as a line of JSON, then filler.
+ * Creates the body of an answer: its head as a line of JSON, then spaces, so that the whole is JSON.
  * @param head - The head; its size is raised if the line alone is longer.
  */
 export function createAnswerBody(
--- a/src/tools/try.ts
+++ b/src/tools/try.ts
@@ -2,6 +2,7 @@
 import { join } from "node:path";
 import { FLEET_OPERATOR, ProcessFleet } from "../fleet/index.js";
 import { Policy } from "../settings/index.js";
+import { ServiceTimeKind } from "../standins/index.js";
 import { SystemClock } from "../time/index.js";
 
 /*
@@ -23,7 +24,7 @@
     hostsPerZone: HOSTS_PER_ZONE,
     basePort: BASE_PORT,
     policy: Policy.Standard,
-    upstreams: { serviceTime: { kind: "exponential", ms: SERVICE_TIME_MS }, largeBytes: LARGE_BYTES },
+    upstreams: { serviceTime: { kind: ServiceTimeKind.Exponential, ms: SERVICE_TIME_MS }, largeBytes: LARGE_BYTES },
     lookupLifetimeMs: LOOKUP_LIFETIME_MS,
 });
 try {
--- a/tests/bin/fuchsiapath-standin.test.ts
+++ b/tests/bin/fuchsiapath-standin.test.ts
@@ -1,56 +1,64 @@
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ChildProgram } from "../../src/measure/ChildProgram.js";
+import { FleetProcess } from "../../src/fleet/index.js";
 import { HttpStore } from "../../src/store/index.js";
 import { SystemClock } from "../../src/time/index.js";
 
-const STOP_LIMIT_MS = 60_000;
-const clock = new SystemClock();
+const LONG_MS = 60_000;
+const folder = mkdtempSync(join(tmpdir(), "standin-"));
+const logFile = join(folder, "log");
+
+test.after(() => rmSync(folder, { recursive: true }));
 
 test("the store is served until the process is stopped, also while a watch waits", async () => {
     const program = createProgram(["store", "--port", "0"]);
-    program.start();
-    const { url } = JSON.parse(await program.readFirstLine()) as { url: string; };
-    const store = new HttpStore({ url, timeoutMs: STOP_LIMIT_MS });
-    const watch = store.watch("a", 0, STOP_LIMIT_MS).catch(() => "ended");
+    const { url } = await readReport<{ url: string; }>(program);
+    const store = new HttpStore({ url, timeoutMs: LONG_MS });
+    const watch = store.watch("a", 0, LONG_MS).catch(() => "ended");
     assert.is((await store.compareAndSwap("b", "1", 0)).kind, "written");
-    await program.stop(STOP_LIMIT_MS);
+    program.send("SIGTERM");
+    assert.is(await program.wait(), 0);
     assert.is(await watch, "ended");
     await store.close();
 });
 
 test("one process serves several upstreams and reports on them together", async () => {
-    const folder = await mkdtemp(join(tmpdir(), "standin-"));
     const file = join(folder, "settings.json");
     const upstreams = ["u1", "u2"].map(name => ({ name, slots: 1, connections: 5 }));
-    await writeFile(file, JSON.stringify({ upstreams }));
+    writeFileSync(file, JSON.stringify({ upstreams }));
     const program = createProgram(["upstream", "--settings", file]);
-    program.start();
-    const report = JSON.parse(await program.readFirstLine()) as { control: string; upstreams: { address: string; }[]; };
+    const report = await readReport<{ control: string; upstreams: { address: string; }[]; }>(program);
     for (const { address } of report.upstreams) {
         await (await request(`http://${address}/a`)).body.dump();
     }
-    const { records } = await (await request(`${report.control}/records`)).body.json() as {
-        records: { upstream: string; }[];
-    };
+    const answer = await request(`${report.control}/records`);
+    const { records } = await answer.body.json() as { records: { upstream: string; }[]; };
     assert.equal(records.map(record => record.upstream), ["u1", "u2"]);
-    await program.stop(STOP_LIMIT_MS);
-    await rm(folder, { recursive: true });
+    program.send("SIGTERM");
+    assert.is(await program.wait(), 0);
 });
 
 test("findings in the settings end the program with their places", async () => {
     const program = createProgram(["upstream", "--settings", "/nonexistent"]);
-    program.start();
-    const message = await program.readOutput().catch((error: Error) => error.message);
-    assert.match(message, /ended with 2:\n\/nonexistent: ENOENT/);
+    assert.is(await program.wait(), 2);
+    assert.match(readFileSync(logFile, "utf8"), "/nonexistent: ENOENT");
 });
 
 test.run();
 
-function createProgram(args: readonly string[]): ChildProgram {
-    return new ChildProgram({ name: "stand-in", program: "fuchsiapath-standin", args }, clock);
+function createProgram(args: readonly string[]): FleetProcess {
+    return new FleetProcess({ name: "stand-in", program: "dist/src/bin/fuchsiapath-standin.js", args, logFile });
+}
+
+async function readReport<Report>(program: FleetProcess): Promise<Report> {
+    const clock = new SystemClock();
+    while (!program.getOutput().includes("\n")) {
+        assert.not(program.hasExited());
+        await clock.wait(1);
+    }
+    return JSON.parse(program.getOutput()) as Report;
 }
--- a/tests/load/examples.test.ts
+++ b/tests/load/examples.test.ts
@@ -4,7 +4,7 @@
 import { parseExperiment } from "../../src/load/index.js";
 import { readDeployment } from "../../src/measure/index.js";
 
-const targets = { upstreams: "http://127.0.0.1:2", operator: "http://127.0.0.1:3" };
+const targets = { catalogue: "http://127.0.0.1:2", register: "http://127.0.0.1:2", operator: "http://127.0.0.1:3" };
 
 for (const name of ["kelom", "guild"]) {
     test(`the experiment of ${name} is sound and has a key for every account`, async () => {
--- a/tests/measure/createExperiment.test.ts
+++ b/tests/measure/createExperiment.test.ts
@@ -7,7 +7,7 @@
 import { ScenarioKind } from "../../src/measure/ScenarioKind.js";
 
 const entries = ["http://127.0.0.1:1"];
-const targets = { upstreams: "http://127.0.0.1:2", store: "http://127.0.0.1:3" };
+const targets = { catalogue: "http://127.0.0.1:2", register: "http://127.0.0.1:2", store: "http://127.0.0.1:3" };
 
 for (const name of ["kelom", "guild"]) {
     test(`each experiment of ${name} is sound and stays inside every rate but the busy account's`, async () => {
--- a/tests/measure/createMeasurement.test.ts
+++ b/tests/measure/createMeasurement.test.ts
@@ -66,15 +66,14 @@
 });
 
 test("a line that is no decision is passed over", () => {
-    assert.is(parseDecision("entry-1", "text"), undefined);
-    assert.is(parseDecision("entry-1", "{\"msg\":\"started\"}"), undefined);
+    assert.is(parseDecision("text"), undefined);
+    assert.is(parseDecision("{\"msg\":\"started\"}"), undefined);
 });
 
 test.run();
 
 function createDecision(upstream: string, time: number): NonNullable<ReturnType<typeof parseDecision>> {
     return parseDecision(
-        "entry-1",
         JSON.stringify({ decision: "ejected", upstream, time: new Date(time).toISOString() }),
     )!;
 }
