--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -6,6 +6,7 @@
     HeadAnswer,
     HeadRequest,
     InstalledAnswer,
+    InstalledRequest,
     ProbeAnswer,
     ProbeRequest,
     ViewEdit,
@@ -24,6 +25,8 @@
     BorrowTokensResult,
     HandOverRatesParams,
     HandOverRatesResult,
+    ReceiveTokensParams,
+    ReceiveTokensResult,
 } from "../rates/index.js";
 import type {
     FindOutcomeParams,
@@ -40,13 +43,14 @@
     [PeerMethod.GetChunks]: { params: ChunkGetParams; result: ChunkGetResult; };
     [PeerMethod.PullGossip]: { params: GossipRequest; result: GossipAnswer; };
     [PeerMethod.GetHead]: { params: HeadRequest; result: HeadAnswer; };
-    [PeerMethod.GetInstalled]: { params: HeadRequest; result: InstalledAnswer; };
+    [PeerMethod.GetInstalled]: { params: InstalledRequest; result: InstalledAnswer; };
     [PeerMethod.Probe]: { params: ProbeRequest; result: ProbeAnswer; };
     [PeerMethod.EditView]: { params: ViewEdit; result: ViewEditAnswer; };
     [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
     [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
     [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
     [PeerMethod.BorrowTokens]: { params: BorrowTokensParams; result: BorrowTokensResult; };
+    [PeerMethod.ReceiveTokens]: { params: ReceiveTokensParams; result: ReceiveTokensResult; };
     [PeerMethod.HandOverRates]: { params: HandOverRatesParams; result: HandOverRatesResult; };
     [PeerMethod.HandOverOrders]: { params: HandOverOrdersParams; result: HandOverOrdersResult; };
     [PeerMethod.FindOrder]: { params: FindOrderParams; result: FindOrderResult; };
--- a/src/standins/createAnswerBody.ts
+++ b/src/standins/createAnswerBody.ts
@@ -1,19 +1,21 @@
 import type { UpstreamAnswerHead } from "./UpstreamAnswerHead.js";
 
 const CHUNK_BYTES = 65_536;
-const FILLER = Buffer.alloc(CHUNK_BYTES, " ");
-/** Room for the digits by which a raised size makes the line longer. */
-const SIZE_DIGITS = 16;
+const FILLER = Buffer.alloc(CHUNK_BYTES, " thread");
 
 /**
- * Creates the body of an answer: its head as a line of JSON, then spaces, so that the whole is JSON.
+ * Creates the body of an answer: its head as a line of JSON, then filler.
  * @param head - The head; its size is raised if the line alone is longer.
  */
 export function createAnswerBody(
     head: UpstreamAnswerHead,
 ): { readonly bytes: number; readonly chunks: Iterable<Buffer>; } {
-    const bytes = Math.max(createLine(head).length + SIZE_DIGITS, head.bytes);
-    const line = createLine({ ...head, bytes });
+    let { bytes } = head;
+    let line = createLine(head);
+    while (line.length > bytes) {
+        bytes = line.length;
+        line = createLine({ ...head, bytes });
+    }
     return { bytes, chunks: createChunks(line, bytes - line.length) };
 }
 
