--- /dev/null
+++ b/src/measure/ScenarioResult.ts
@@ -0,0 +1,8 @@
+import type { LoadReport } from "../load/index.js";
+import type { Measurement } from "./Measurement.js";
+
+/** The figures of one run of a scenario, and the report that they come from. */
+export interface ScenarioResult {
+    readonly measurement: Measurement;
+    readonly report: LoadReport;
+}
--- a/src/measure/runScenario.ts
+++ b/src/measure/runScenario.ts
@@ -6,8 +6,8 @@
 import { createExperiment } from "./createExperiment.js";
 import { createMeasurement } from "./createMeasurement.js";
 import type { LoggedDecision } from "./LoggedDecision.js";
-import type { Measurement } from "./Measurement.js";
 import { parseDecision } from "./parseDecision.js";
+import type { ScenarioResult } from "./ScenarioResult.js";
 import type { ScenarioRun } from "./ScenarioRun.js";
 
 const UPSTREAM_PORT_OFFSET = 400;
@@ -27,7 +27,7 @@
  * @param run - What is run.
  * @param clock - The source of time.
  */
-export async function runScenario(run: ScenarioRun, clock: Clock): Promise<Measurement> {
+export async function runScenario(run: ScenarioRun, clock: Clock): Promise<ScenarioResult> {
     const { deployment, firstPort: basePort, scenario, seed } = run;
     const fleet = new ProcessFleet({
         example: deployment.folder,
@@ -45,7 +45,7 @@
         await clock.wait(HOLD_OFF_MS);
         const experiment = parseExperiment(createExperiment(scenario, deployment, seed), createPlace(fleet, run));
         const report = await createHttpRun(experiment, clock).run();
-        return createMeasurement(scenario, report, await readDecisions(fleet));
+        return { measurement: createMeasurement(scenario, report, await readDecisions(fleet)), report };
     }
     finally {
         await fleet.stop();
--- a/src/tools/measure.ts
+++ b/src/tools/measure.ts
@@ -1,5 +1,6 @@
 import { writeFile } from "node:fs/promises";
 import yargs from "yargs";
+import { formatReport } from "../load/index.js";
 import {
     createScenario,
     type Deployment,
@@ -32,6 +33,7 @@
     .option("seed", { type: "number", array: true, default: DEFAULT_SEEDS, describe: "seeds of arrivals and faults" })
     .option("policy", { type: "string", array: true, choices: POLICIES, default: POLICIES, describe: "what to run" })
     .option("hosts-per-zone", { type: "number", default: DEFAULT_HOSTS_PER_ZONE, describe: "entry hosts in each zone" })
+    .option("verbose", { type: "boolean", default: false, describe: "print the load tool's table of every run" })
     .option("port", { type: "number", default: DEFAULT_FIRST_PORT, describe: "first port on loopback" })
     .option("out", { type: "string", describe: "file for the figures of every run as JSON" })
     .strict()
@@ -65,7 +67,10 @@
             const fleetIndex = index * POLICIES.length + POLICIES.indexOf(policy);
             const firstPort = args.port + fleetIndex * PORTS_OF_FLEET;
             const run = { scenario, deployment, policy, seed, hostsPerZone: args.hostsPerZone, firstPort };
-            const measurement = await runScenario(run, clock);
+            const { measurement, report } = await runScenario(run, clock);
+            if (args.verbose) {
+                console.error(formatReport(report));
+            }
             console.error(JSON.stringify({ deployment: deployment.name, kind, policy, seed, ...measurement }));
             figures[policy].push(measurement);
         }));
