--- a/src/fleet/ProcessFleet.ts
+++ b/src/fleet/ProcessFleet.ts
@@ -3,7 +3,6 @@
 import { join } from "node:path";
 import { request } from "undici";
 import type { ConfigurationDocument, Service } from "../configuration/index.js";
-import { parseDocument } from "../configuration/index.js";
 import { FuchsiapathError } from "../errors/index.js";
 import type { ExperimentPlace } from "../load/index.js";
 import { SystemClock } from "../time/index.js";
@@ -18,6 +17,7 @@
 
 const BIN_FOLDER = "dist/src/bin";
 const READY_TIMEOUT_MS = 30_000;
+const UPSTREAM_SEED_STEP = 1_000;
 const READY_POLL_MS = 50;
 const STOP_TIMEOUT_MS = 20_000;
 
@@ -35,8 +35,7 @@
     constructor(options: FleetOptions) {
         this.#options = options;
         this.addresses = new FleetAddresses(options);
-        const text = readFileSync(join(options.example, "configuration.json"), "utf8");
-        this.document = createFleetDocument(parseDocument(text), options.basePort);
+        this.document = createFleetDocument(options);
     }
 
     /** Gets the services of the fleet's document. */
@@ -110,6 +109,11 @@
         return join(this.#folder, "fleet.log");
     }
 
+    /** Gets the process ids that experiments name. */
+    getProcesses(): Readonly<Record<string, number>> {
+        return Object.fromEntries([...this.#entries.values()].map(entry => [entry.name, entry.getId()]));
+    }
+
     /** Starts the stand-ins and all entry hosts, and waits until the entry hosts serve. */
     async start(): Promise<void> {
         this.#startStandIns();
@@ -228,7 +232,7 @@
             port: parseAddress(upstream.address).port,
             slots: upstream.slots,
             connections: upstream.connections,
-            seed: seed + 1,
+            seed: (this.#options.seed ?? 1) * UPSTREAM_SEED_STEP + seed,
             ...this.#options.upstreams,
         }));
         const { port: controlPort } = parseAddress(this.addresses.getUpstreamControl(index));
--- a/src/fleet/createFleetDocument.ts
+++ b/src/fleet/createFleetDocument.ts
@@ -1,25 +1,30 @@
-import type { ConfigurationDocument, Section, Service } from "../configuration/index.js";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import type { ConfigurationDocument, Section, Upstream } from "../configuration/index.js";
+import { parseDocument } from "../configuration/index.js";
 import { FLEET_OPERATOR } from "./FLEET_OPERATOR.js";
-
-const UPSTREAM_OFFSET = 400;
+import type { FleetOptions } from "./FleetOptions.js";
 
 /**
- * Creates a test fleet's document from an example: the fleet's operator owns all sections, and the upstreams stand on
- * the fleet's own ports, so that several fleets can run side by side.
- * @param document - The example's document.
- * @param basePort - The fleet's first port.
+ * Creates a fleet's document from its example: the fleet's operator owns every section, and upstreams have its ports.
+ * @param options - The fleet.
  */
-export function createFleetDocument(document: ConfigurationDocument, basePort: number): ConfigurationDocument {
-    let nextPort = basePort + UPSTREAM_OFFSET;
-    const createService = (service: Service): Service => ({
-        ...service,
-        upstreams: service.upstreams.map(upstream => ({ ...upstream, address: `127.0.0.1:${nextPort++}` })),
-    });
+export function createFleetDocument(options: FleetOptions): ConfigurationDocument {
+    const { sections } = parseDocument(readFileSync(join(options.example, "configuration.json"), "utf8"));
+    let port = options.upstreamPort;
+    const createUpstream = (upstream: Upstream): Upstream =>
+        port === undefined ? upstream : { ...upstream, address: `127.0.0.1:${port++}` };
     const createSection = (section: Section): Section => ({
         ...section,
         owners: [...section.owners, FLEET_OPERATOR.name],
-        ...section.services === undefined ? {} : { services: section.services.map(createService) },
+        ...(section.services === undefined ? {} : {
+            services: section.services.map(service => ({
+                ...service,
+                upstreams: service.upstreams.map(createUpstream),
+            })),
+        }),
     });
-    const sections = Object.entries(document.sections).map(([name, section]) => [name, createSection(section)]);
-    return { sections: Object.fromEntries(sections) };
+    return {
+        sections: Object.fromEntries(Object.entries(sections).map(([name, section]) => [name, createSection(section)])),
+    };
 }
--- a/tests/support/ProcessBench.ts
+++ b/tests/support/ProcessBench.ts
@@ -2,11 +2,13 @@
 import { createHttpRun, parseExperiment } from "../../src/load/index.js";
 import type { LoadReport } from "../../src/load/index.js";
 import { Policy } from "../../src/settings/index.js";
+import { ServiceTimeKind } from "../../src/standins/index.js";
 import { SystemClock } from "../../src/time/index.js";
 
 /** Below the range from which the system takes ports of outgoing connections. */
 const FIRST_PORT = 10_000;
 const PORTS_PER_FLEET = 500;
+const UPSTREAM_OFFSET = 400;
 const FLEET_SLOTS = 20;
 const HOSTS_PER_ZONE = 2;
 const LOOKUP_LIFETIME_MS = 1000;
@@ -22,12 +24,17 @@
 
     /** Creates the fleet; the process id chooses its ports, so that test runs side by side don't meet. */
     constructor() {
+        const basePort = FIRST_PORT + (process.pid % FLEET_SLOTS) * PORTS_PER_FLEET;
         this.fleet = new ProcessFleet({
             example: "examples/kelom",
             hostsPerZone: HOSTS_PER_ZONE,
-            basePort: FIRST_PORT + (process.pid % FLEET_SLOTS) * PORTS_PER_FLEET,
+            basePort,
+            upstreamPort: basePort + UPSTREAM_OFFSET,
             policy: Policy.Standard,
-            upstreams: { serviceTime: { kind: "exponential", ms: SERVICE_TIME_MS }, largeBytes: LARGE_BYTES },
+            upstreams: {
+                serviceTime: { kind: ServiceTimeKind.Exponential, ms: SERVICE_TIME_MS },
+                largeBytes: LARGE_BYTES,
+            },
             lookupLifetimeMs: LOOKUP_LIFETIME_MS,
         });
     }
