--- a/src/fleet/ProcessFleet.ts
+++ b/src/fleet/ProcessFleet.ts
@@ -87,7 +87,7 @@
             entries: this.getEntryUrls(),
             records: this.getRecordUrls(),
             targets: this.getTargets(),
-            processes: Object.fromEntries([...this.#entries.values()].map(entry => [entry.name, entry.getId()])),
+            processes: this.getProcesses(),
             keys: Object.fromEntries(keys.map(({ account, key }) => [account, key])),
         };
     }
--- a/src/measure/runScenario.ts
+++ b/src/measure/runScenario.ts
@@ -1,5 +1,6 @@
 import { readFile } from "node:fs/promises";
 import { ProcessFleet } from "../fleet/index.js";
+import { createHttpRun, parseExperiment } from "../load/index.js";
 import { ServiceTimeKind } from "../standins/index.js";
 import type { Clock } from "../time/index.js";
 import { createExperiment } from "./createExperiment.js";
