--- a/src/fakes/FakeFleetHost.ts
+++ b/src/fakes/FakeFleetHost.ts
@@ -1,6 +1,9 @@
+import type { HeadStore } from "../head/index.js";
 import type { Member, MembershipService } from "../membership/index.js";
+import type { FakeHeadInstaller } from "./FakeHeadInstaller.js";
 import type { FakeHostClock } from "./FakeHostClock.js";
 import type { FakeHostStore } from "./FakeHostStore.js";
+import type { FakeHostTransport } from "./FakeHostTransport.js";
 
 /** One host of a fake fleet. */
 export interface FakeFleetHost {
@@ -8,4 +11,7 @@
     readonly membership: MembershipService;
     readonly clock: FakeHostClock;
     readonly store: FakeHostStore;
+    readonly headStore: HeadStore;
+    readonly transport: FakeHostTransport;
+    readonly installer: FakeHeadInstaller;
 }
