Remove chunks that are no longer used from the store

A change lists the chunks that it retires in the head; after 20 more versions a later change removes them. Until a chunk has left that list nothing may refer to it: the same content gets another digest by a space at its end. The faults at every store call of a change are tried with a removal due as well.

--- a/src/configuration/ConfigurationLoader.ts
+++ b/src/configuration/ConfigurationLoader.ts
@@ -1,5 +1,5 @@
 import type { Head, HeadInstaller } from "../head/index.js";
-import { createEmptyHead } from "../head/index.js";
+import { createEmptyHead, findDigests } from "../head/index.js";
 import { Decision, type DecisionLog } from "../logging/index.js";
 import { type PeerHandlers, PeerMethod } from "../peers/index.js";
 import { ChunkCache, type ChunkContent, ChunkFetcher, SectionTree } from "./chunks/index.js";
@@ -98,7 +98,7 @@
     async #runPinned<T>(head: Head, work: () => T): Promise<T> {
         this.#pinnedHeads.add(head);
         try {
-            await this.#fetcher.run(head.version, findDigests(head));
+            await this.#fetcher.run(head.version, findDigests(head.sections));
             return work();
         }
         finally {
@@ -108,11 +108,11 @@
 
     #applyHead(head: Head): void {
         const previous = this.#configuration;
-        const before = findDigests(this.#head);
-        const after = findDigests(head);
+        const before = findDigests(this.#head.sections);
+        const after = findDigests(head.sections);
         this.#index = this.#index.createNext(this.#getContents(before, after), this.#getContents(after, before));
         this.#configuration = new IndexedConfiguration(head.version, this.#index);
-        this.#cache.removeOthers([before, after, ...[...this.#pinnedHeads].map(findDigests)]);
+        this.#cache.removeOthers([before, after, ...[...this.#pinnedHeads].map(known => findDigests(known.sections))]);
         this.#head = head;
         this.#decisions.record({
             decision: Decision.ConfigurationApplied,
@@ -134,7 +134,3 @@
         return Object.fromEntries(trees) as Record<string, SectionTree>;
     }
 }
-
-function findDigests(head: Head): Set<string> {
-    return new Set(Object.values(head.sections).flatMap(section => section.chunks));
-}
--- a/src/configuration/changes/ChangeService.ts
+++ b/src/configuration/changes/ChangeService.ts
@@ -6,7 +6,7 @@
     TooManyConflictsError,
 } from "../../errors/index.js";
 import { UnsettledChangeError } from "../../errors/index.js";
-import type { Head, HeadChange, HeadContent } from "../../head/index.js";
+import { findDigests, type Head, type HeadChange, type HeadContent } from "../../head/index.js";
 import { checkDocument } from "../checks/index.js";
 import { createDigest, createSectionTree, type SectionTree } from "../chunks/index.js";
 import { AuditTrail } from "./AuditTrail.js";
@@ -18,6 +18,7 @@
 import { createAuditedOperation } from "./createAuditedOperation.js";
 import { isCovered } from "./isCovered.js";
 import type { MergeResult } from "./MergeResult.js";
+import { removeRetiredChunks } from "./removeRetiredChunks.js";
 import { SectionWriter } from "./SectionWriter.js";
 
 const MAJORITY_TIMEOUT_MS = 4_000;
@@ -131,7 +132,19 @@
             ...(head.lastAuditKey === undefined ? {} : { previous: head.lastAuditKey }),
         });
         const removedSections = createRemovedSections(head, merged.removedSections, sections);
-        return { ...head, sections, removedSections, auditKey, changeDigest };
+        const retiredChunks = await this.#createRetiredChunks(head, sections);
+        return { ...head, sections, removedSections, retiredChunks, auditKey, changeDigest };
+    }
+
+    async #createRetiredChunks(head: Head, sections: HeadContent["sections"]): Promise<Record<string, number>> {
+        const retired: Record<string, number> = { ...await removeRetiredChunks(this.#options.store, head) };
+        const used = findDigests(sections);
+        for (const digest of findDigests(head.sections)) {
+            if (!used.has(digest)) {
+                retired[digest] = head.version + 1;
+            }
+        }
+        return retired;
     }
 
     /**
--- a/src/configuration/changes/SectionWriter.ts
+++ b/src/configuration/changes/SectionWriter.ts
@@ -1,7 +1,7 @@
 import { isDeepStrictEqual } from "node:util";
 import type { Head, SectionReference } from "../../head/index.js";
 import type { Store } from "../../store/index.js";
-import { createChunkKey, type SectionLeaf, type SectionTree } from "../chunks/index.js";
+import { createChunkKey, createDigest, type SectionLeaf, type SectionTree } from "../chunks/index.js";
 import type { ConfigurationLoader } from "../ConfigurationLoader.js";
 import { writeImmutable } from "./writeImmutable.js";
 
@@ -34,14 +34,16 @@
     ): Promise<Record<string, SectionReference>> {
         const references: Record<string, SectionReference> = {};
         const newLeaves: SectionLeaf[] = [];
+        const retired = new Set(Object.keys(head.retiredChunks ?? {}));
         for (const [name, tree] of Object.entries(trees)) {
             const known = head.sections[name];
-            const chunks = tree.leaves.map(leaf => leaf.digest);
+            const leaves = tree.leaves.map(leaf => createUnretired(leaf, retired));
+            const chunks = leaves.map(leaf => leaf.digest);
             const isSame = known !== undefined && !putSections.has(name) &&
                 isDeepStrictEqual([known.owners, known.chunks], [tree.owners, chunks]);
             references[name] = isSame ? known : { owners: tree.owners, version: head.version + 1, chunks };
             const knownDigests = new Set(known?.chunks);
-            newLeaves.push(...tree.leaves.filter(leaf => !knownDigests.has(leaf.digest)));
+            newLeaves.push(...leaves.filter(leaf => !knownDigests.has(leaf.digest)));
         }
         await this.#writeChunks(newLeaves);
         return references;
@@ -58,3 +60,13 @@
         await Promise.all(Array.from({ length: CONCURRENT_WRITES }, writeNext));
     }
 }
+
+/** A space at the end gives the same content another digest. */
+function createUnretired(leaf: SectionLeaf, retired: ReadonlySet<string>): SectionLeaf {
+    let { digest, text } = leaf;
+    while (retired.has(digest)) {
+        text = `${text} `;
+        digest = createDigest(text);
+    }
+    return { ...leaf, digest, text };
+}
--- a/src/head/Head.ts
+++ b/src/head/Head.ts
@@ -17,4 +17,9 @@
     readonly lastAuditKey?: string;
     /** The versions that removed sections, kept as long as the change list reaches back to them. */
     readonly removedSections?: Readonly<Record<string, number>>;
+    /**
+     * Chunks that no section refers to any more, with the versions that retired them. Later changes remove them from the
+     * store; until a chunk has left this list nothing may refer to it.
+     */
+    readonly retiredChunks?: Readonly<Record<string, number>>;
 }
--- a/src/head/StoredHeadStore.ts
+++ b/src/head/StoredHeadStore.ts
@@ -148,6 +148,7 @@
     };
     return {
         removedSections: head.removedSections,
+        retiredChunks: head.retiredChunks,
         ...rest,
         lastAuditKey: auditKey ?? head.lastAuditKey,
         version,
--- a/tests/configuration/ChangeService.test.ts
+++ b/tests/configuration/ChangeService.test.ts
@@ -10,6 +10,7 @@
     createSectionTree,
 } from "../../src/configuration/index.js";
 import { FakeClock, FakeNetwork, FakeStore } from "../../src/fakes/index.js";
+import { findDigests } from "../../src/head/index.js";
 import type { ChangeHost } from "../support/ChangeHost.js";
 import { checkSnapshot } from "../support/checkSnapshot.js";
 import { createChangeHost } from "../support/createChangeHost.js";
@@ -22,6 +23,8 @@
 const { accounts, catalogue, orders } = document.sections;
 const FAULTS: readonly StepFault[] = ["answer-lost", "away", "crash", "rival", "late-answer"];
 const MAX_STEPS = 40;
+/** After so many changes the next one removes a chunk from the store. */
+const RETIRING_CHANGES = 21;
 
 test("operators that race on different sections are both accepted, on the same section one is refused", async () => {
     const { hosts, run } = await createWorld();
@@ -105,10 +108,30 @@
     assert.is((await run(hosts[1]!.service.apply(unseen)))?.kind, ChangeAnswerKind.Refused);
 });
 
+test("chunks that are no longer used leave the store, and none that is used again is lost", async () => {
+    const { clock, network, store, hosts, run } = await createWorld();
+    const seen = new Set<string>();
+    for (let count = 0; count < 60; count++) {
+        const change = { ...createChange(`c${count}`, "office", createPutAccount(1 + count % 2)), baseVersion: 1 };
+        assert.is((await run(hosts[count % 2]!.service.apply(change)))?.kind, ChangeAnswerKind.Accepted);
+        const { head } = (await hosts[0]!.headStore.read())!;
+        Object.values(head.sections).flatMap(section => section.chunks).forEach(digest => seen.add(digest));
+        const fresh = createChangeHost(clock, network, store, "127.0.0.1:9");
+        await run(fresh.loader.apply(head));
+        assert.is(fresh.loader.getConfiguration().getAccount("shop-7")?.rate, 1 + count % 2);
+    }
+    const stored = await Promise.all([...seen].map(digest => store.get(`chunk/${digest}`)));
+    const { head } = (await hosts[0]!.headStore.read())!;
+    const listed = findDigests(head.sections).size + Object.keys(head.retiredChunks!).length;
+    assert.is(stored.filter(record => record !== undefined).length, listed);
+    assert.ok(listed < 30);
+});
+
 for (const fault of FAULTS) {
     test(`each change takes effect once, whole or not at all: ${fault} at every step`, async () => {
         for (let step = 1; step <= MAX_STEPS; step++) {
             const { clock, store, network, hosts, run } = await createWorld();
+            await retireChunks(hosts[0]!, run);
             const faulty = new StepStore(store, step, fault);
             const host = createChangeHost(clock, network, faulty, "127.0.0.1:9");
             const change = createChange("a", "office", createPutAccount(7), createPutAccount(8, "shop-8"));
@@ -127,10 +150,10 @@
             assert.is((await run(hosts[1]!.service.apply(change)))?.kind, ChangeAnswerKind.Accepted, `step ${step}`);
             await checkHeadIsWhole(hosts[1]!, run);
             const head = (await hosts[1]!.headStore.read())!.head;
-            assert.is(head.version, 3, `step ${step}`);
+            assert.is(head.version, RETIRING_CHANGES + 3, `step ${step}`);
             assert.is(hosts[1]!.loader.getConfiguration().getAccount("shop-8")?.rate, 8, `step ${step}`);
-            const trail = await new AuditTrail(store).read(head, 10);
-            assert.equal(trail.map(entry => entry.record.version), [3, 2, 1], `step ${step}`);
+            const trail = await new AuditTrail(store).read(head, MAX_STEPS);
+            assert.is(trail.length, RETIRING_CHANGES + 3, `step ${step}`);
             if (step > faulty.steps) {
                 return;
             }
@@ -190,6 +213,12 @@
     return { clock, store, network, hosts, run };
 }
 
+async function retireChunks(host: ChangeHost, run: World["run"]): Promise<void> {
+    for (let count = 0; count < RETIRING_CHANGES; count++) {
+        await run(host.service.apply(createChange(`r${count}`, "office", createPutAccount(100 + count))));
+    }
+}
+
 /** Checks that the head in the store refers only to chunks that a new host can read. */
 async function checkHeadIsWhole(host: ChangeHost, run: World["run"]): Promise<void> {
     const { head } = (await host.headStore.read())!;
