--- a/tests/configuration/ChangeService.test.ts
+++ b/tests/configuration/ChangeService.test.ts
@@ -131,7 +131,7 @@
     test(`each change takes effect once, whole or not at all: ${fault} at every step`, async () => {
         for (let step = 1; step <= MAX_STEPS; step++) {
             const { clock, store, network, hosts, run } = await createWorld();
-            await retireChunks(hosts[0]!, run);
+            await createRetiredChunks(hosts[0]!, run);
             const faulty = new StepStore(store, step, fault);
             const host = createChangeHost(clock, network, faulty, "127.0.0.1:9");
             const change = createChange("a", "office", createPutAccount(7), createPutAccount(8, "shop-8"));
@@ -213,7 +213,7 @@
     return { clock, store, network, hosts, run };
 }
 
-async function retireChunks(host: ChangeHost, run: World["run"]): Promise<void> {
+async function createRetiredChunks(host: ChangeHost, run: World["run"]): Promise<void> {
     for (let count = 0; count < RETIRING_CHANGES; count++) {
         await run(host.service.apply(createChange(`r${count}`, "office", createPutAccount(100 + count))));
     }
