--- a/src/orders/HeldPrefixes.ts
+++ b/src/orders/HeldPrefixes.ts
@@ -1,6 +1,7 @@
 import type { Membership } from "../membership/index.js";
 import type { Clock } from "../time/index.js";
 import { encodeKeyPrefix } from "./encodeKeyPrefix.js";
+import { ORDER_LIMITS } from "./ORDER_LIMITS.js";
 import type { OrderHolder } from "./OrderHolder.js";
 
 const MS_PER_MINUTE = 60_000;
@@ -11,6 +12,8 @@
     readonly #membership: Membership;
     /** The start of each incarnation on this process's clock, in milliseconds. */
     readonly #starts = new Map<string, number>();
+    /** When the incarnations of others were handed over, in milliseconds. */
+    readonly #addTimes = new Map<string, number>();
 
     /**
      * @param clock - The source of time.
@@ -54,6 +57,18 @@
     add(holder: OrderHolder, ageMs: number): void {
         const id = getId({ id: holder.memberId, incarnation: holder.incarnation });
         this.#starts.set(id, this.#clock.getTime() - ageMs);
+        this.#addTimes.set(id, this.#clock.getTime());
+    }
+
+    /** Removes the incarnations of others whose keys have all lapsed. */
+    removeExpired(): void {
+        const end = this.#clock.getTime() - ORDER_LIMITS.recordLifetimeMs;
+        for (const [id, time] of this.#addTimes) {
+            if (time < end) {
+                this.#addTimes.delete(id);
+                this.#starts.delete(id);
+            }
+        }
     }
 
     /**
--- a/src/orders/OrderRunner.ts
+++ b/src/orders/OrderRunner.ts
@@ -60,6 +60,7 @@
     /** Removes records that have outlived their time. */
     removeExpired(): void {
         this.#records.removeExpired();
+        this.#prefixes.removeExpired();
     }
 
     /** Hands all records over to a successor; afterwards orders are forwarded to it. */
