--- a/src/services/FairQueue.ts
+++ b/src/services/FairQueue.ts
@@ -57,12 +57,14 @@
      */
     select(isEligible: (item: T) => boolean): T | undefined {
         const waiting = [...this.#accounts.values()].filter(queue => queue.items.length > 0);
-        waiting.sort((left, right) => left.startTag - right.startTag);
-        for (const queue of waiting) {
+        while (waiting.length > 0) {
+            const next = findEarliest(waiting);
+            const queue = waiting[next]!;
             const index = queue.items.slice(0, MAX_LOOKAHEAD).findIndex(isEligible);
             if (index >= 0) {
                 return this.#removeItem(queue, index);
             }
+            waiting.splice(next, 1);
         }
         return undefined;
     }
@@ -156,3 +158,13 @@
 function getRelativeLength<T>(queue: AccountQueue<T>): number {
     return queue.items.length / queue.weight;
 }
+
+function findEarliest<T>(queues: readonly AccountQueue<T>[]): number {
+    let earliest = 0;
+    for (let index = 1; index < queues.length; index++) {
+        if (queues[index]!.startTag < queues[earliest]!.startTag) {
+            earliest = index;
+        }
+    }
+    return earliest;
+}
--- a/src/services/PooledUpstream.ts
+++ b/src/services/PooledUpstream.ts
@@ -28,6 +28,7 @@
     readonly #machine: MachineService<Machine>;
     #upstream: Upstream;
     #running = 0;
+    #lastClaim = Number.NEGATIVE_INFINITY;
     #since: number;
     #rampSlots = 1;
     #rampAnswers = 0;
@@ -122,9 +123,15 @@
             state !== UpstreamState.Probation;
     }
 
+    /** Gets when a slot of it was claimed last, in milliseconds. */
+    getLastClaim(): number {
+        return this.#lastClaim;
+    }
+
     /** Uses a slot. */
     claim(): void {
         this.#running++;
+        this.#lastClaim = this.#clock.getTime();
     }
 
     /** Gives a slot back. */
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -52,7 +52,7 @@
         this.#service = service;
         this.#options = options;
         this.baseline = new ServiceBaseline(clock);
-        this.#selector = new UpstreamSelector(policy, random);
+        this.#selector = new UpstreamSelector(policy);
         this.#queue = new SlotQueue({
             clock,
             selector: this.#selector,
--- a/src/services/SlotQueue.ts
+++ b/src/services/SlotQueue.ts
@@ -58,7 +58,7 @@
                 return;
             }
             upstream.claim();
-            item.resolve(upstream);
+            item.onSelected(upstream);
         }
     }
 
@@ -85,7 +85,7 @@
      * @param refusal - What they get.
      */
     refuse(isRefused: (request: ServiceRequest) => boolean, refusal: NotRunOutcome): void {
-        this.#queue.getItems().filter(item => isRefused(item.request)).forEach(item => item.resolve(refusal));
+        this.#queue.getItems().filter(item => isRefused(item.request)).forEach(item => item.onRefused(refusal));
     }
 
     #add(
@@ -96,21 +96,25 @@
     ): void {
         const { clock, limit } = this.#options;
         const cancel = (): void =>
-            item.resolve(createNotRun(RefusalReason.DeadlineExceeded, "The caller left while the request waited."));
+            item.onRefused(createNotRun(RefusalReason.DeadlineExceeded, "The caller left while the request waited."));
         const timer = clock.schedule(
             Math.max(0, request.timeoutMs - limit.getFastest()),
-            () => item.resolve(this.#createLate(this.#slotTimeMs)),
+            () => item.onRefused(this.#createLate(this.#slotTimeMs)),
         );
+        const sendResult = (result: PooledUpstream | NotRunOutcome): void => {
+            timer.cancel();
+            signal.removeEventListener("abort", cancel);
+            resolve(result);
+        };
         const item: QueuedRequest = {
             account: request.account,
             weight,
             cost: this.#slotTimeMs,
             request,
-            resolve: result => {
+            onSelected: sendResult,
+            onRefused: refusal => {
                 this.#queue.remove(item);
-                timer.cancel();
-                signal.removeEventListener("abort", cancel);
-                resolve(result);
+                sendResult(refusal);
             },
         };
         signal.addEventListener("abort", cancel, { once: true });
@@ -139,7 +143,7 @@
         if (newest === undefined || own >= longest) {
             return this.#createFull(request.account, weight);
         }
-        newest.resolve(this.#createFull(newest.account, newest.weight));
+        newest.onRefused(this.#createFull(newest.account, newest.weight));
         return undefined;
     }
 
--- a/src/services/UpstreamSelector.ts
+++ b/src/services/UpstreamSelector.ts
@@ -1,4 +1,3 @@
-import type { RandomSource } from "../random/index.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import type { PooledUpstream } from "./PooledUpstream.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
@@ -10,17 +9,12 @@
 /** Selects the upstream for a request among those with a free slot. */
 export class UpstreamSelector {
     readonly #policy: EjectionPolicy;
-    readonly #random: RandomSource;
     #upstreams: readonly PooledUpstream[] = [];
     #next = 0;
 
-    /**
-     * @param policy - How to choose.
-     * @param random - Decides between equals.
-     */
-    constructor(policy: EjectionPolicy, random: RandomSource) {
+    /** @param policy - How to choose. */
+    constructor(policy: EjectionPolicy) {
         this.#policy = policy;
-        this.#random = random;
     }
 
     /**
@@ -64,17 +58,10 @@
             return trial;
         }
         let best: PooledUpstream | undefined;
-        let bestLoad = Number.POSITIVE_INFINITY;
-        let equals = 0;
         for (const upstream of free) {
-            if (upstream.getState() === UpstreamState.Probation) {
-                continue;
-            }
-            const load = getLoad(upstream);
-            equals = load === bestLoad ? equals + 1 : 1;
-            if (load < bestLoad || (load === bestLoad && this.#random.getNext() * equals < 1)) {
+            const isTrial = upstream.getState() === UpstreamState.Probation;
+            if (!isTrial && (best === undefined || compareLoad(upstream, best) < 0)) {
                 best = upstream;
-                bestLoad = load;
             }
         }
         return best;
@@ -98,6 +85,12 @@
     return request.excludedUpstreams.includes(upstream.getUpstream().name);
 }
 
+/** Of two with equal load the one that has waited longest for work comes first. */
+function compareLoad(left: PooledUpstream, right: PooledUpstream): number {
+    const difference = getLoad(left) - getLoad(right);
+    return difference !== 0 ? difference : left.getLastClaim() - right.getLastClaim();
+}
+
 function getLoad(upstream: PooledUpstream): number {
     const load = upstream.getRunning() / upstream.getLimit();
     return upstream.getState() === UpstreamState.Held ? load + HELD_LOAD : load;
--- a/src/tools/Deployment.ts
+++ b/src/tools/Deployment.ts
@@ -1,4 +1,4 @@
-import type { DetectionSettings } from "../configuration/index.js";
+import type { Account, DetectionSettings } from "../configuration/index.js";
 
 /** One service of a deployment as one of its service hosts sees it. */
 export interface Deployment {
@@ -11,4 +11,5 @@
     readonly detection: DetectionSettings;
     /** Requests a second at this service host. */
     readonly rate: number;
+    readonly accounts: readonly Account[];
 }
