--- a/src/fakes/FakeFleet.ts
+++ b/src/fakes/FakeFleet.ts
@@ -1,3 +1,4 @@
+import { StoredHeadStore } from "../head/index.js";
 import type { ListedHost } from "../hostlist/index.js";
 import { DecisionHistory } from "../logging/index.js";
 import { type Member, MembershipService } from "../membership/index.js";
@@ -5,9 +6,10 @@
 import { SeededRandom } from "../random/index.js";
 import { FakeClock } from "./FakeClock.js";
 import type { FakeFleetHost } from "./FakeFleetHost.js";
-import { FakeHeadStore } from "./FakeHeadStore.js";
+import { FakeHeadInstaller } from "./FakeHeadInstaller.js";
 import { FakeHostClock } from "./FakeHostClock.js";
 import { FakeHostStore } from "./FakeHostStore.js";
+import { FakeHostTransport } from "./FakeHostTransport.js";
 import { FakeNetwork } from "./FakeNetwork.js";
 import { FakeStore } from "./FakeStore.js";
 
@@ -131,7 +133,7 @@
      */
     async write(index: number): Promise<number> {
         const host = this.get(index);
-        const head = await new FakeHeadStore(host.store).apply(
+        const head = await host.headStore.apply(
             `change-${this.#seed}-${this.#starts++}`,
             content => content,
         );
@@ -165,22 +167,26 @@
 
     #startHost(index: number): void {
         const clock = new FakeHostClock(this.clock);
-        const store = new FakeHostStore(this.store);
+        const store = new FakeHostStore(this.store, this.clock);
+        const installer = new FakeHeadInstaller();
         const handlers = new PeerHandlers();
         const member = createMember(index, `${this.#seed}-${this.#starts}`);
+        const transport = new FakeHostTransport(this.network.createTransport(member.peerAddress), clock);
+        const random = new SeededRandom(this.#seed * SEED_STEP + this.#starts++);
+        const headStore = new StoredHeadStore({ store, clock, random });
         const membership = new MembershipService({
             clock,
-            random: new SeededRandom(this.#seed * SEED_STEP + this.#starts++),
-            transport: this.network.createTransport(member.peerAddress),
+            random,
+            transport,
             handlers,
-            headStore: new FakeHeadStore(store),
+            headStore,
             hostList: { getHosts: async () => [...this.#listed.values()] },
-            installer: { apply: async () => {} },
+            installer,
             log: new DecisionHistory(this.clock, undefined, 1),
             self: member,
             seedAddresses: Array.from({ length: SEED_HOSTS }, (_, seed) => getAddress(seed)),
         });
-        this.#hosts.set(index, { member, membership, clock, store });
+        this.#hosts.set(index, { member, membership, clock, store, headStore, transport, installer });
         this.network.addHost(member.peerAddress, { handlers });
         this.#listed.set(member.peerAddress, { address: member.peerAddress, leaving: false });
         membership.start();
