Let a pool come back whose upstreams are all on trial; refuse what waits once no upstream can run it; weigh Kelom's threshold

Cause: with a floor of 0 and all upstreams ejected, the check for candidates left out those in probation, so that no trial lookup ever came and the pool stayed out of work; and requests that waited when their last upstream left were refused only at their deadline. Found by reading; both have a test.

--- a/src/services/HttpUpstreamTransport.ts
+++ b/src/services/HttpUpstreamTransport.ts
@@ -52,7 +52,11 @@
      * @param upstream - The upstream.
      */
     closeIdle(upstream: Upstream): void {
-        this.#connections.get(upstream.address)?.closeIdle();
+        const connections = this.#connections.get(upstream.address);
+        connections?.closeIdle();
+        if (connections?.getCount() === 0) {
+            this.#connections.delete(upstream.address);
+        }
     }
 
     /** Closes all connections, cutting what runs on them. */
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -61,14 +61,14 @@
             getCapacity: () => this.#upstreams.getSlots() * this.#service.queuePerSlot,
         });
         const judgeOptions = { clock, random, decisions, policy, baseline: this.baseline };
-        this.#judge = new UpstreamJudge(service, { ...judgeOptions, onCapacity: () => this.#queue.run() });
+        this.#judge = new UpstreamJudge(service, { ...judgeOptions, onCapacity: () => this.#runQueue() });
         this.#runner = new AttemptRunner(clock, transport, decisions);
         this.#recorder = new AttemptRecorder({
             clock,
             judge: this.#judge,
             limit: this.#limit,
             getPatience: pooled => this.#service.detection.slowFactor * (this.baseline.getRates(pooled).medianMs ?? 0),
-            onCapacity: () => this.#queue.run(),
+            onCapacity: () => this.#runQueue(),
         });
         this.#upstreams = new UpstreamSet({ clock, decisions, transport, policy });
         this.apply(service, service.upstreams.filter(upstream => upstream.zone === zone));
@@ -86,7 +86,7 @@
         this.#selector.apply(pooled);
         this.baseline.apply(pooled);
         this.#judge.apply(service, pooled);
-        this.#queue.run();
+        this.#runQueue();
     }
 
     /**
@@ -143,7 +143,7 @@
 
     async #claimSlot(request: ServiceRequest, signal: AbortSignal): Promise<PooledUpstream | NotRunOutcome> {
         if (!this.#selector.hasCandidate(request)) {
-            return createNotRun(RefusalReason.NoUpstream, "No upstream can run it now.", NO_UPSTREAM_RETRY_AFTER_MS);
+            return createNoUpstream();
         }
         return await this.#queue.wait(request, this.#options.getWeight(request.account), signal);
     }
@@ -200,6 +200,12 @@
         return this.#createDone(pooled, request, attempt, signal, release);
     }
 
+    /** Starts what can start and refuses what no upstream can run any more. */
+    #runQueue(): void {
+        this.#queue.refuse(request => !this.#selector.hasCandidate(request), createNoUpstream());
+        this.#queue.run();
+    }
+
     #createDone(
         pooled: PooledUpstream,
         request: ServiceRequest,
@@ -271,3 +277,7 @@
         return { outcome, upstream, isCrashSuspected, freeSlots, queued: this.#queue.getSize() };
     }
 }
+
+function createNoUpstream(): NotRunOutcome {
+    return createNotRun(RefusalReason.NoUpstream, "No upstream can run it now.", NO_UPSTREAM_RETRY_AFTER_MS);
+}
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -215,6 +215,7 @@
             () => this.#startTrials(upstream),
         );
         this.#recordDecision(Decision.Ejected, upstream, { backOffMs: Math.round(durationMs) });
+        this.#options.onCapacity();
     }
 
     #startTrials(upstream: PooledUpstream): void {
--- a/src/services/UpstreamJudgeOptions.ts
+++ b/src/services/UpstreamJudgeOptions.ts
@@ -11,6 +11,6 @@
     readonly decisions: DecisionLog;
     readonly policy: EjectionPolicy;
     readonly baseline: ServiceBaseline;
-    /** Runs after an upstream may take more work. */
+    /** Runs after the work that the upstreams may take has changed. */
     readonly onCapacity: () => void;
 }
--- a/src/services/UpstreamSelector.ts
+++ b/src/services/UpstreamSelector.ts
@@ -35,7 +35,7 @@
      * @param request - The request.
      */
     hasCandidate(request: ServiceRequest): boolean {
-        return this.#upstreams.some(upstream => upstream.isWorking() && !isExcluded(upstream, request));
+        return this.#upstreams.some(upstream => isCandidate(upstream, request));
     }
 
     /**
@@ -54,7 +54,7 @@
 
     #selectLeastLoaded(free: readonly PooledUpstream[], request: ServiceRequest): PooledUpstream | undefined {
         const trial = free.find(upstream => upstream.getState() === UpstreamState.Probation);
-        if (trial !== undefined && request.isIdempotent && request.excludedUpstreams.length === 0) {
+        if (trial !== undefined && isCandidate(trial, request)) {
             return trial;
         }
         let best: PooledUpstream | undefined;
@@ -81,6 +81,12 @@
     }
 }
 
+function isCandidate(upstream: PooledUpstream, request: ServiceRequest): boolean {
+    const isTrial = upstream.getState() === UpstreamState.Probation;
+    const isTrialRequest = request.isIdempotent && request.excludedUpstreams.length === 0;
+    return !isExcluded(upstream, request) && (upstream.isWorking() || (isTrial && isTrialRequest));
+}
+
 function isExcluded(upstream: PooledUpstream, request: ServiceRequest): boolean {
     return request.excludedUpstreams.includes(upstream.getUpstream().name);
 }
--- a/src/tools/createCapacityService.ts
+++ b/src/tools/createCapacityService.ts
@@ -25,7 +25,7 @@
         detection: {
             healthyErrorRate: 0.02,
             failingErrorRate: 0.4,
-            ejectThreshold: 11,
+            ejectThreshold: 12,
             slowFactor: 3,
             probationMs: 2_000,
         },
--- a/src/tools/measure-detection.ts
+++ b/src/tools/measure-detection.ts
@@ -9,7 +9,7 @@
 /*
  * Prints, in virtual time and for both deployments, detection time and false ejections against the baseline policy,
  * and the share that the worst-served account gets beside one that sends five times its rate.
- * Usage: node dist/src/tools/measure-detection.js [number of seeds] [healthy hours]
+ * Usage: node dist/src/tools/measure-detection.js [number of seeds] [healthy hours] [deployment]
  */
 const FAULT_MS = 120_000;
 const HOUR_MS = 3_600_000;
@@ -36,7 +36,8 @@
 
 const seeds = Array.from({ length: Number(process.argv[2] ?? DEFAULT_SEEDS) }, (_, index) => index + 1);
 const hours = Number(process.argv[3] ?? DEFAULT_HOURS);
-for (const deployment of DEPLOYMENTS) {
+const only = process.argv[4];
+for (const deployment of DEPLOYMENTS.filter(candidate => only === undefined || candidate.name === only)) {
     await reportDeployment(deployment);
 }
 
--- a/tests/services/UpstreamHealth.test.ts
+++ b/tests/services/UpstreamHealth.test.ts
@@ -114,6 +114,26 @@
     assert.is(measureWorking(bench), 4);
 });
 
+test("a lone upstream that a floor of 0 lets go comes back by its trial lookups", async () => {
+    const bench = new ServiceBench({ upstreams: 1, service: { floor: 0 } });
+    bench.upstreams.applyFaults("u0", { errorRate: 1 });
+    await bench.runLoad(50, 2_000);
+    assert.equal(bench.getStates(), ["ejected"]);
+    bench.upstreams.applyFaults("u0", {});
+    await bench.runLoad(50, 20_000);
+    assert.equal(bench.getStates(), ["healthy"]);
+});
+
+test("requests that wait are refused as not run at once when their last upstream leaves", async () => {
+    const bench = new ServiceBench({ upstreams: 1, slots: 1, fakes: { serviceTimeMs: 500 } });
+    const running = bench.send();
+    const waiting = bench.send();
+    bench.apply({ upstreams: bench.service.upstreams.map(upstream => ({ ...upstream, draining: true })) });
+    assert.is((await waiting).outcome.kind, OutcomeKind.NotRun);
+    await bench.clock.run(1_000);
+    assert.is((await running).outcome.kind, OutcomeKind.Done);
+});
+
 test("a draining upstream gets no new work and finishes what it runs", async () => {
     const bench = new ServiceBench({ fakes: { serviceTimeMs: 200 } });
     const load = bench.runLoad(100, 2_000);
