--- /dev/null
+++ b/src/measure/formatDecisions.ts
@@ -0,0 +1,12 @@
+import type { LoggedDecision } from "./LoggedDecision.js";
+
+/**
+ * Formats logged decisions with their time in a run.
+ * @param decisions - The decisions.
+ * @param startedAt - When the run began, in milliseconds since the Unix epoch.
+ */
+export function formatDecisions(decisions: readonly LoggedDecision[], startedAt: number): string {
+    return decisions.map(({ decision, reason, time, upstream }) =>
+        `${String(time - startedAt).padStart(6)} ms  ${decision} ${upstream}: ${reason}`
+    ).join("\n");
+}
--- a/src/measure/runScenario.ts
+++ b/src/measure/runScenario.ts
@@ -1,6 +1,7 @@
 import { readFile } from "node:fs/promises";
 import { ProcessFleet } from "../fleet/index.js";
 import { createHttpRun, type ExperimentPlace, parseExperiment } from "../load/index.js";
+import { Decision } from "../logging/index.js";
 import { ServiceTimeKind } from "../standins/index.js";
 import type { Clock } from "../time/index.js";
 import { createExperiment } from "./createExperiment.js";
@@ -14,6 +15,7 @@
 const LOOKUP_LIFETIME_MS = 5_000;
 /** New account hosts admit nothing until shares of an earlier view have lapsed, then fill their buckets. */
 const HOLD_OFF_MS = 8_000;
+const EJECTION_DECISIONS: ReadonlySet<string> = new Set([Decision.Ejected, Decision.Restored]);
 const UPSTREAM_DEFAULTS = {
     serviceTime: { kind: ServiceTimeKind.LogNormal, medianMs: 15, sigma: 0.4 },
     coldStartMs: 4_000,
@@ -45,7 +47,8 @@
         await clock.wait(HOLD_OFF_MS);
         const experiment = parseExperiment(createExperiment(scenario, deployment, seed), createPlace(fleet, run));
         const report = await createHttpRun(experiment, clock).run();
-        return { measurement: createMeasurement(scenario, report, await readDecisions(fleet)), report };
+        const decisions = await readDecisions(fleet);
+        return { measurement: createMeasurement(scenario, report, decisions), report, decisions };
     }
     finally {
         await fleet.stop();
@@ -64,5 +67,7 @@
 
 async function readDecisions(fleet: ProcessFleet): Promise<LoggedDecision[]> {
     const text = await readFile(fleet.getLogFile(), "utf8");
-    return text.split("\n").map(parseDecision).filter(decision => decision !== undefined);
+    return text.split("\n").map(parseDecision)
+        .filter(decision => decision !== undefined && EJECTION_DECISIONS.has(decision.decision))
+        .map(decision => decision!);
 }
--- a/src/tools/measure.ts
+++ b/src/tools/measure.ts
@@ -4,6 +4,7 @@
 import {
     createScenario,
     type Deployment,
+    formatDecisions,
     formatMeasurements,
     type MeasuredPair,
     type Measurement,
@@ -67,9 +68,9 @@
             const fleetIndex = index * POLICIES.length + POLICIES.indexOf(policy);
             const firstPort = args.port + fleetIndex * PORTS_OF_FLEET;
             const run = { scenario, deployment, policy, seed, hostsPerZone: args.hostsPerZone, firstPort };
-            const { measurement, report } = await runScenario(run, clock);
+            const { decisions, measurement, report } = await runScenario(run, clock);
             if (args.verbose) {
-                console.error(formatReport(report));
+                console.error(formatReport(report) + formatDecisions(decisions, report.startedAt));
             }
             console.error(JSON.stringify({ deployment: deployment.name, kind, policy, seed, ...measurement }));
             figures[policy].push(measurement);
