--- a/tests/orders/OrderRunner.test.ts
+++ b/tests/orders/OrderRunner.test.ts
@@ -36,7 +36,7 @@
     assert.is(fleet.runs.length, 0);
 });
 
-test("a large answer is passed on whole, and the resend gets the outcome without it", async () => {
+test("a large answer is passed on whole, and the resend is told that it ran", async () => {
     const { fleet, order } = await startFleet();
     const chunk = Buffer.alloc(40_000, "x");
     for (const { runner } of fleet.hosts) {
