--- a/src/fleet/ProcessFleet.ts
+++ b/src/fleet/ProcessFleet.ts
@@ -1,15 +1,17 @@
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
 import type { ConfigurationDocument, Service } from "../configuration/index.js";
 import { FuchsiapathError } from "../errors/index.js";
+import type { ExperimentPlace } from "../load/index.js";
 import { SystemClock } from "../time/index.js";
 import { parseAddress } from "../utils/index.js";
 import { createEntrySettings } from "./createEntrySettings.js";
 import { createFleetDocument } from "./createFleetDocument.js";
 import { FLEET_OPERATOR } from "./FLEET_OPERATOR.js";
 import { FleetAddresses } from "./FleetAddresses.js";
+import type { FleetKeys } from "./FleetKeys.js";
 import type { FleetOptions } from "./FleetOptions.js";
 import { FleetProcess } from "./FleetProcess.js";
 
@@ -65,17 +67,29 @@
         );
     }
 
-    /** Gets the control endpoints that experiments name, as "name=URL". */
-    getTargets(): readonly string[] {
+    /** Gets the URLs that experiments name. */
+    getTargets(): Readonly<Record<string, string>> {
         const controls = this.getServices().map((service, index) =>
-            `${service.name}=http://${this.addresses.getUpstreamControl(index)}/control`
+            [service.name, `http://${this.addresses.getUpstreamControl(index)}/control`] as const
         );
-        return [
-            ...controls,
-            `store=http://${this.addresses.getStore()}/control`,
-            `hosts=http://${this.addresses.getHostList()}/control`,
-            `operator=http://${this.addresses.getOperator(0)}`,
-        ];
+        return {
+            ...Object.fromEntries(controls),
+            store: `http://${this.addresses.getStore()}/control`,
+            hosts: `http://${this.addresses.getHostList()}/control`,
+            operator: `http://${this.addresses.getOperator(0)}`,
+        };
+    }
+
+    /** Gets where an experiment finds this fleet. */
+    getPlace(): ExperimentPlace {
+        const { keys } = JSON.parse(readFileSync(join(this.#options.example, "keys.json"), "utf8")) as FleetKeys;
+        return {
+            entries: this.getEntryUrls(),
+            records: this.getRecordUrls(),
+            targets: this.getTargets(),
+            processes: Object.fromEntries([...this.#entries.values()].map(entry => [entry.name, entry.getId()])),
+            keys: Object.fromEntries(keys.map(({ account, key }) => [account, key])),
+        };
     }
 
     /**
--- a/src/measure/runScenario.ts
+++ b/src/measure/runScenario.ts
@@ -1,6 +1,6 @@
 import { readFile } from "node:fs/promises";
 import { ProcessFleet } from "../fleet/index.js";
-import { createHttpRun, type ExperimentPlace, parseExperiment } from "../load/index.js";
+import { createHttpRun, parseExperiment } from "../load/index.js";
 import { Decision } from "../logging/index.js";
 import { ServiceTimeKind } from "../standins/index.js";
 import type { Clock } from "../time/index.js";
@@ -45,7 +45,7 @@
         await fleet.start();
         await fleet.applyDocument();
         await clock.wait(HOLD_OFF_MS);
-        const experiment = parseExperiment(createExperiment(scenario, deployment, seed), createPlace(fleet, run));
+        const experiment = parseExperiment(createExperiment(scenario, deployment, seed), fleet.getPlace());
         const report = await createHttpRun(experiment, clock).run();
         const decisions = await readDecisions(fleet);
         return { measurement: createMeasurement(scenario, report, decisions), report, decisions };
@@ -55,16 +55,6 @@
     }
 }
 
-function createPlace(fleet: ProcessFleet, run: ScenarioRun): ExperimentPlace {
-    return {
-        entries: fleet.getEntryUrls(),
-        records: fleet.getRecordUrls(),
-        targets: Object.fromEntries(fleet.getTargets().map(target => target.split("=", 2))) as Record<string, string>,
-        processes: fleet.getProcesses(),
-        keys: run.deployment.keys,
-    };
-}
-
 async function readDecisions(fleet: ProcessFleet): Promise<LoggedDecision[]> {
     const text = await readFile(fleet.getLogFile(), "utf8");
     return text.split("\n").map(parseDecision)
