--- a/src/scenario/ScenarioRun.ts
+++ b/src/scenario/ScenarioRun.ts
@@ -210,6 +210,8 @@
         this.#check(getShare(OutcomeKind.Done) >= (step.doneAtLeast ?? 0), place, "too few requests were done");
         this.#check(getShare(OutcomeKind.NotRun) <= (step.refusedAtMost ?? 1), place, "too many were refused");
         this.#check(getShare(OutcomeKind.Unknown) <= (step.unknownAtMost ?? 1), place, "too many are unknown");
+        const open = results.filter(result => result.hasOpenAttempt).length / Math.max(1, results.length);
+        this.#check(open <= (step.openAtMost ?? 1), place, "too many had an attempt without a known outcome");
         if (step.current !== undefined) {
             const current = this.#fleet.getHosts().filter(({ host }) => host.membership.isCurrent());
             const found = current.map(host => host.index).sort((left, right) => left - right);
--- a/src/scenario/scenarioSchema.ts
+++ b/src/scenario/scenarioSchema.ts
@@ -58,6 +58,8 @@
         doneAtLeast: share.optional(),
         refusedAtMost: share.optional(),
         unknownAtMost: share.optional(),
+        /** Requests of which an attempt ended without a known outcome, also if a later attempt succeeded. */
+        openAtMost: share.optional(),
         current: z.array(host).optional(),
         changesAccepted: z.number().int().optional(),
     }),
