--- /dev/null
+++ b/src/matrix/MatrixProtocol.ts
@@ -0,0 +1,11 @@
+/** The protocols under which the fault matrix causes faults. */
+export enum MatrixProtocol {
+    AcceptChange = "accept-change",
+    WithdrawKey = "withdraw-key",
+    ChangeView = "change-view",
+    Order = "order",
+    BorrowTokens = "borrow-tokens",
+    EjectUpstream = "eject-upstream",
+    DrainUpstream = "drain-upstream",
+    PlannedStop = "planned-stop",
+}
--- /dev/null
+++ b/src/matrix/createMatrixScenario.ts
@@ -0,0 +1,71 @@
+import { UnexpectedVariantError } from "../errors/index.js";
+import type { Scenario, ScenarioStep } from "../scenario/index.js";
+import { StepKind } from "../scenario/index.js";
+import { createFaultSteps } from "./createFaultSteps.js";
+import type { MatrixCase } from "./MatrixCase.js";
+import { MatrixProtocol } from "./MatrixProtocol.js";
+
+const HOSTS = 6;
+const NEW_HOST = 6;
+/** The host that a protocol runs on. */
+const ACTOR = 2;
+const PROTOCOL_AT_MS = 2000;
+const LOAD_MS = 9000;
+const END_MS = 12_000;
+const MENDED = { errorRate: 0 } as const;
+
+/**
+ * Creates the scenario of a case: load, the protocol, its faults and their cure. The run itself checks all promises.
+ * @param matrixCase - The case.
+ */
+export function createMatrixScenario(matrixCase: MatrixCase): Scenario {
+    const { protocol, faults, offsetMs, seed } = matrixCase;
+    const faultAt = PROTOCOL_AT_MS + offsetMs;
+    return {
+        name: `${protocol} with ${faults.join(" and ")} at ${offsetMs} ms`,
+        seeds: [seed],
+        hosts: HOSTS,
+        steps: [
+            ...createLoads(protocol),
+            ...createProtocolSteps(protocol),
+            ...faults.flatMap(fault => createFaultSteps(fault, ACTOR, faultAt)),
+            { at: END_MS, do: StepKind.Heal },
+        ],
+    };
+}
+
+function createLoads(protocol: MatrixProtocol): ScenarioStep[] {
+    const busyRate = protocol === MatrixProtocol.BorrowTokens ? 38 : 10;
+    const loads = [
+        { name: "orders", account: "shop-1", route: "orders", perSecond: 8 },
+        { name: "lookups", account: "shop-2", route: "catalogue", perSecond: busyRate },
+        { name: "mixed-orders", account: "shop-3", route: "orders", perSecond: 4 },
+    ];
+    return loads.map(load => ({ at: 0, do: StepKind.Load, forMs: LOAD_MS, ...load }));
+}
+
+function createProtocolSteps(protocol: MatrixProtocol): ScenarioStep[] {
+    const at = PROTOCOL_AT_MS;
+    switch (protocol) {
+        case MatrixProtocol.AcceptChange:
+            return [{ at, do: StepKind.Apply, host: ACTOR, account: "shop-2", rate: 20, burst: 10 }];
+        case MatrixProtocol.WithdrawKey:
+            return [{ at, do: StepKind.Withdraw, host: ACTOR, account: "shop-2" }];
+        case MatrixProtocol.ChangeView:
+            return [{ at, do: StepKind.Start, hosts: [NEW_HOST] }];
+        case MatrixProtocol.Order:
+        case MatrixProtocol.BorrowTokens:
+            return [];
+        case MatrixProtocol.EjectUpstream:
+            return [
+                { at, do: StepKind.Upstream, name: "orders-0", faults: { errorRate: 0.5 } },
+                { at: at + 4000, do: StepKind.Upstream, name: "orders-0", faults: MENDED },
+            ];
+        case MatrixProtocol.DrainUpstream:
+            return [{ at, do: StepKind.Drain, host: ACTOR, upstream: "orders-1" }];
+        case MatrixProtocol.PlannedStop:
+            return [{ at, do: StepKind.Stop, hosts: [ACTOR] }];
+        default:
+            throw new UnexpectedVariantError(protocol);
+    }
+}
