Check the figures against the targets, say how late the load tool ran, and report unreadable records

Cause: on a machine with a load average of 33 to 48 a healthy run of kelom refused over half of its requests and ejected 40 upstreams; such figures say nothing of the policy. The load tool now reports how late it sent its own requests, runs follow one another instead of side by side, and a signal stops the fleet of the run.

--- a/src/load/AccountLoad.ts
+++ b/src/load/AccountLoad.ts
@@ -68,7 +68,8 @@
     }
 
     #startRequest(dueAt: number): void {
-        const { account, runId } = this.#options;
+        const { account, clock, results, runId } = this.#options;
+        results.recordLateness(clock.getTime() - dueAt);
         const reference = `${runId}-${account.name}-${this.#count++}`;
         const work = this.#runRequest({ item: this.#selectItem(), reference, dueAt });
         this.#running.add(work);
--- a/src/load/LoadRun.ts
+++ b/src/load/LoadRun.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from "../random/index.js";
 import { AccountLoad } from "./AccountLoad.js";
 import { AddressBook } from "./AddressBook.js";
+import type { AuditReport } from "./AuditReport.js";
 import { Caller } from "./Caller.js";
 import type { CallerTransport } from "./CallerTransport.js";
 import { checkRecords } from "./checkRecords.js";
@@ -86,16 +87,9 @@
     async #createReport(faults: readonly FaultReport[]): Promise<LoadReport> {
         const { clock, experiment } = this.#options;
         const results = this.results.getResults();
-        const secrets = experiment.accounts.flatMap(account =>
-            account.key === undefined ? [] : [getSecret(account.key)]
-        );
-        const audit = experiment.records.length === 0
-            ? undefined
-            : checkRecords(results, await readRecords(experiment.records), secrets);
+        const audit = await this.#createAudit().catch((error: Error) => error);
+        const isAudited = !(audit instanceof Error);
         const unaccounted = this.results.getSent() - results.length;
-        const violations = audit === undefined
-            ? 0
-            : audit.doubles + audit.lost + audit.falseRefusals + audit.leakedKeys + audit.wrongAccounts;
         const hasWrong = results.some(result => result.isWrong);
         const hasFailedFault = faults.some(fault => fault.failure !== undefined);
         return {
@@ -103,15 +97,31 @@
             seed: experiment.seed,
             startedAt: this.#startedAt,
             durationMs: clock.getWallTime() - this.#startedAt,
+            latenessP99Ms: this.results.getLatenessP99Ms(),
             accounts: this.results.createReports(),
             faults,
             unaccounted,
-            audit,
-            isClean: unaccounted === 0 && violations === 0 && !hasWrong && !hasFailedFault,
+            audit: isAudited ? audit : undefined,
+            auditFailure: isAudited ? undefined : audit.message,
+            isClean: unaccounted === 0 && isAudited && !hasViolation(audit) && !hasWrong && !hasFailedFault,
         };
     }
+
+    async #createAudit(): Promise<AuditReport | undefined> {
+        const { accounts, records } = this.#options.experiment;
+        if (records.length === 0) {
+            return undefined;
+        }
+        const secrets = accounts.flatMap(account => account.key === undefined ? [] : [getSecret(account.key)]);
+        return checkRecords(this.results.getResults(), await readRecords(records), secrets);
+    }
 }
 
 function getSecret(key: string): string {
     return key.slice(key.indexOf(".") + 1);
 }
+
+function hasViolation(audit: AuditReport | undefined): boolean {
+    return audit !== undefined &&
+        audit.doubles + audit.lost + audit.falseRefusals + audit.leakedKeys + audit.wrongAccounts > 0;
+}
--- a/src/load/formatReport.ts
+++ b/src/load/formatReport.ts
@@ -27,6 +27,7 @@
         "",
         formatTable([HEADINGS, ...report.accounts.map(formatRow), formatTotal(report.accounts)]),
         "",
+        `the load tool sent 99 of 100 requests at most ${report.latenessP99Ms.toFixed(1)} ms late`,
         ...report.faults.map(fault => `fault: ${fault.description}${formatFailure(fault.failure)}`),
         ...formatAudit(report),
     ].join("\n") + "\n";
@@ -80,6 +81,7 @@
     ].join(", ");
     return [
         `not accounted for ${report.unaccounted}, ${counts}`,
+        ...(report.auditFailure === undefined ? [] : [`the records could not be read: ${report.auditFailure}`]),
         ...(audit?.examples ?? []),
         report.isClean ? "clean" : "NOT CLEAN",
     ];
--- a/src/measure/Measurement.ts
+++ b/src/measure/Measurement.ts
@@ -16,6 +16,8 @@
     readonly refusedInsideRate: number;
     /** Share of the requests that ended unknown or failed at the caller, from 0 to 1. */
     readonly unsettled: number;
+    /** How late the load tool itself sent requests, 99th percentile in milliseconds; high on a busy machine. */
+    readonly latenessP99Ms: number;
     /** Doubles, lost requests, false refusals, leaked keys, wrong accounts and answers, and requests not accounted for. */
     readonly violations: number;
 }
--- /dev/null
+++ b/src/measure/TargetCheck.ts
@@ -0,0 +1,6 @@
+/** Whether a target was met. */
+export interface TargetCheck {
+    readonly target: string;
+    readonly figure: string;
+    readonly isMet: boolean;
+}
--- a/src/measure/createMeasurement.ts
+++ b/src/measure/createMeasurement.ts
@@ -33,6 +33,7 @@
         worstP99Ms: Math.max(...lookups.map(account => account.p99Ms)),
         refusedInsideRate: refused / sent,
         unsettled: unsettled / sent,
+        latenessP99Ms: report.latenessP99Ms,
         violations: getViolations(report),
     };
 }
--- a/src/measure/formatMeasurements.ts
+++ b/src/measure/formatMeasurements.ts
@@ -44,6 +44,11 @@
         get: runs => getSum(runs.map(run => run.unsettled)) / runs.length,
         format: formatShare,
     },
+    {
+        name: "load tool late, worst p99",
+        get: runs => Math.max(...runs.map(run => run.latenessP99Ms)),
+        format: formatMs,
+    },
     { name: "violations, sum", get: runs => getSum(runs.map(run => run.violations)), format: formatCount },
 ];
 
--- a/src/measure/index.ts
+++ b/src/measure/index.ts
@@ -1,3 +1,4 @@
+export { checkTargets } from "./checkTargets.js";
 export { createScenario } from "./createScenario.js";
 export type { Deployment } from "./Deployment.js";
 export { formatDecisions } from "./formatDecisions.js";
@@ -7,3 +8,4 @@
 export { readDeployment } from "./readDeployment.js";
 export { runScenario } from "./runScenario.js";
 export { ScenarioKind } from "./ScenarioKind.js";
+export type { ScenarioRun } from "./ScenarioRun.js";
--- a/src/measure/runScenario.ts
+++ b/src/measure/runScenario.ts
@@ -28,8 +28,9 @@
  * Runs a scenario once on a fleet of its own and returns its figures.
  * @param run - What is run.
  * @param clock - The source of time.
+ * @param signal - Ends the run early and stops its fleet.
  */
-export async function runScenario(run: ScenarioRun, clock: Clock): Promise<ScenarioResult> {
+export async function runScenario(run: ScenarioRun, clock: Clock, signal: AbortSignal): Promise<ScenarioResult> {
     const { deployment, firstPort: basePort, scenario, seed } = run;
     const fleet = new ProcessFleet({
         example: deployment.folder,
@@ -44,9 +45,9 @@
     try {
         await fleet.start();
         await fleet.applyDocument();
-        await clock.wait(HOLD_OFF_MS);
+        await clock.wait(HOLD_OFF_MS, signal);
         const experiment = parseExperiment(createExperiment(scenario, deployment, seed), fleet.getPlace());
-        const report = await createHttpRun(experiment, clock).run();
+        const report = await Promise.race([createHttpRun(experiment, clock).run(), waitForEnd(signal)]);
         const decisions = await readDecisions(fleet);
         return { measurement: createMeasurement(scenario, report, decisions), report, decisions };
     }
@@ -61,3 +62,9 @@
         .filter(decision => decision !== undefined && EJECTION_DECISIONS.has(decision.decision))
         .map(decision => decision!);
 }
+
+function waitForEnd(signal: AbortSignal): Promise<never> {
+    return new Promise((_, reject) => {
+        signal.addEventListener("abort", () => reject(signal.reason as Error), { once: true });
+    });
+}
--- a/src/tools/measure.ts
+++ b/src/tools/measure.ts
@@ -2,6 +2,7 @@
 import yargs from "yargs";
 import { formatReport } from "../load/index.js";
 import {
+    checkTargets,
     createScenario,
     type Deployment,
     formatDecisions,
@@ -11,11 +12,12 @@
     readDeployment,
     runScenario,
     ScenarioKind,
+    type ScenarioRun,
 } from "../measure/index.js";
 import { Policy } from "../settings/index.js";
 import { SystemClock } from "../time/index.js";
 
-/* Measures this version against the baseline policy: each scenario on fleets of separate processes, side by side. */
+/* Measures this version against the baseline policy: each run on a fleet of separate processes, one after another. */
 const DEFAULT_FIRST_PORT = 27_000;
 const PORTS_OF_FLEET = 600;
 const DEFAULT_SEEDS = [1, 2, 3];
@@ -42,11 +44,20 @@
     .parseAsync();
 
 const clock = new SystemClock();
+const controller = new AbortController();
+process.once("SIGINT", () => controller.abort());
+process.once("SIGTERM", () => controller.abort());
 const deployments = await Promise.all(args.deployment.map(readDeployment));
 const kinds = args.scenario ?? Object.values(ScenarioKind);
-const measured = await Promise.all(deployments.map(measureDeployment));
+const measured: MeasuredPair[][] = [];
+for (const [index, deployment] of deployments.entries()) {
+    measured.push(await measureDeployment(deployment, index));
+}
 measured.forEach((pairs, index) => {
     console.log(formatMeasurements(`${deployments[index]!.name}, seeds ${args.seed.join(", ")}`, pairs));
+    for (const check of checkTargets(pairs)) {
+        console.log(`${check.isMet ? "met   " : "MISSED"} ${check.target}: ${check.figure}`);
+    }
 });
 if (args.out !== undefined) {
     await writeFile(args.out, JSON.stringify(measured, undefined, 4) + "\n");
@@ -64,17 +75,24 @@
     const scenario = createScenario(kind, deployment);
     const figures: Record<Policy, Measurement[]> = { [Policy.Standard]: [], [Policy.Baseline]: [] };
     for (const seed of args.seed) {
-        await Promise.all(args.policy.map(async policy => {
+        for (const policy of args.policy) {
             const fleetIndex = index * POLICIES.length + POLICIES.indexOf(policy);
             const firstPort = args.port + fleetIndex * PORTS_OF_FLEET;
             const run = { scenario, deployment, policy, seed, hostsPerZone: args.hostsPerZone, firstPort };
-            const { decisions, measurement, report } = await runScenario(run, clock);
-            if (args.verbose) {
-                console.error(formatReport(report) + formatDecisions(decisions, report.startedAt));
-            }
-            console.error(JSON.stringify({ deployment: deployment.name, kind, policy, seed, ...measurement }));
-            figures[policy].push(measurement);
-        }));
+            figures[policy].push(await measureRun(run));
+        }
     }
     return { scenario, standard: figures[Policy.Standard], baseline: figures[Policy.Baseline] };
 }
+
+async function measureRun(run: ScenarioRun): Promise<Measurement> {
+    const { decisions, measurement, report } = await runScenario(run, clock, controller.signal);
+    if (args.verbose) {
+        console.error(formatReport(report) + formatDecisions(decisions, report.startedAt));
+    }
+    const { deployment, policy, scenario, seed } = run;
+    console.error(
+        JSON.stringify({ deployment: deployment.name, scenario: scenario.kind, policy, seed, ...measurement }),
+    );
+    return measurement;
+}
--- a/tests/load/LoadRun.test.ts
+++ b/tests/load/LoadRun.test.ts
@@ -47,6 +47,15 @@
     assert.is(report.isClean, false);
 });
 
+test("records that can't be read make the run not clean", async () => {
+    const clock = new FakeClock();
+    const experiment = parseExperiment(content, { ...place, records: ["http://127.0.0.1:1/control/records"] });
+    const report = new LoadRun({ experiment, clock, createTransport: () => new FakeTransport() }).run();
+    await clock.run(20_000);
+    const { auditFailure, isClean } = await report;
+    assert.equal([auditFailure !== undefined, isClean], [true, false]);
+});
+
 test("a wrong answer makes the run not clean", async () => {
     const transport = new FakeTransport();
     transport.script.push(FakeTransport.createAnswer("done", { path: "/other" }));
--- a/tests/measure/createMeasurement.test.ts
+++ b/tests/measure/createMeasurement.test.ts
@@ -30,6 +30,7 @@
     seed: 1,
     startedAt: 1_000,
     durationMs: 30_000,
+    latenessP99Ms: 2,
     accounts: [account, {
         ...account,
         account: "b",
@@ -42,6 +43,7 @@
     faults: [{ description: "fault", causedAt: 9_000, failure: undefined }],
     unaccounted: 0,
     audit: undefined,
+    auditFailure: undefined,
     isClean: true,
 };
 
