--- a/tests/orders/orderFaults.test.ts
+++ b/tests/orders/orderFaults.test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { checkSnapshot } from "../support/checkSnapshot.js";
@@ -6,6 +7,8 @@
 /** From the arrival of the order to its answer, in milliseconds. */
 const STEPS_MS = [0, 1, 2, 3, 4, 6, 8, 9, 10, 12, 300];
 
+const PAIR_RUNS = 200;
+
 const FAULTS: Record<string, (trial: OrderTrial) => void> = {
     "no fault": () => {},
     "key host killed": trial => trial.stopHost(trial.keyHost),
@@ -46,6 +49,20 @@
     });
 }
 
+test("two faults at any steps cause no second run and no false \"not run\"", async () => {
+    const names = fc.constantFrom(...Object.keys(FAULTS));
+    const fault = fc.record({ name: names, timeMs: fc.constantFrom(...STEPS_MS, 50, 2_500, 3_001, 6_001) });
+    const property = fc.asyncProperty(fault, fault, fc.boolean(), fc.boolean(), async (first, second, ...kinds) => {
+        const [isPrefixed, stopsAtNotRun] = kinds;
+        const trial = new OrderTrial();
+        await trial.start(isPrefixed);
+        trial.fleet.clock.schedule(second.timeMs, () => FAULTS[second.name]!(trial));
+        await trial.run(first.timeMs, FAULTS[first.name]!, stopsAtNotRun);
+        checkTrial(trial, stopsAtNotRun, "two faults");
+    });
+    await fc.assert(property, { numRuns: Number(process.env.PAIR_RUNS ?? PAIR_RUNS), seed: 11 });
+});
+
 test.run();
 
 /** Returns the last answer that a caller got who keeps asking. */
@@ -60,10 +77,7 @@
         const trial = new OrderTrial();
         await trial.start(isPrefixed);
         await trial.run(faultMs, fault, stopsAtNotRun);
-        assert.ok(trial.getRuns() <= 1, `${place}: ${trial.getRuns()} runs`);
-        const notRun = trial.answers.filter(answer => answer.kind.startsWith("not-run"));
-        assert.ok(notRun.every(answer => answer.runs === 0), `${place}: "not run" after a run`);
-        assert.ok(!stopsAtNotRun || notRun.length === 0 || trial.getRuns() === 0, `${place}: ran after "not run"`);
+        checkTrial(trial, stopsAtNotRun, place);
         if (!stopsAtNotRun) {
             return trial.answers.at(-1)?.kind ?? "no answer";
         }
@@ -71,6 +85,13 @@
     return "no answer";
 }
 
+function checkTrial(trial: OrderTrial, stopsAtNotRun: boolean, place: string): void {
+    assert.ok(trial.getRuns() <= 1, `${place}: ${trial.getRuns()} runs`);
+    const notRun = trial.answers.filter(answer => answer.kind.startsWith("not-run"));
+    assert.ok(notRun.every(answer => answer.runs === 0), `${place}: "not run" after a run`);
+    assert.ok(!stopsAtNotRun || notRun.length === 0 || trial.getRuns() === 0, `${place}: ran after "not run"`);
+}
+
 function stopAsPlanned(trial: OrderTrial, index: number): void {
     void trial.fleet.hosts[index]!.host.drain().then(() => trial.stopHost(index));
 }
--- a/tests/rates/SharedRateLimiter.test.ts
+++ b/tests/rates/SharedRateLimiter.test.ts
@@ -48,6 +48,23 @@
     assert.is(fleet.refused, 0);
 });
 
+test("a planned stop of an account host refuses no request inside the rate", async () => {
+    const fleet = createRateFleet(4, { name: "shop", rate: 100, burst: 30 });
+    await fleet.clock.run(SETTLED_MS);
+    const accountHosts = fleet.hosts[0]!.membership.getAccountHosts("shop").map(({ id }) => id);
+    const [stopped, other, last] = accountHosts.map(id => fleet.hosts.findIndex(({ member }) => member.id === id));
+    const view = fleet.createView(2, [0, 1, 2, 3].filter(index => index !== stopped));
+    const start = fleet.clock.getTime();
+    fleet.clock.schedule(3_000, () => void fleet.hosts[stopped!]!.limiter.drain());
+    fleet.clock.schedule(5_000, () => fleet.hosts.forEach(({ membership }) => membership.applyView(view)));
+    for (let index = 0; fleet.clock.getTime() < start + 15_000; index++) {
+        fleet.admit(index % 2 === 0 ? other! : last!, 1);
+        await fleet.clock.run(10.5);
+    }
+    assert.is(fleet.refused, 0);
+    assert.is(fleet.findExcess(), undefined);
+});
+
 test("a burst smaller than the number of hosts is admitted at any of them", async () => {
     const fleet = createRateFleet(3, { name: "shop", rate: 1, burst: 1 });
     await fleet.clock.run(SETTLED_MS);
