--- a/tests/orders/OrderRunner.test.ts
+++ b/tests/orders/OrderRunner.test.ts
@@ -45,8 +45,10 @@
         });
     }
     assert.is((await runToText(fleet, 0, order())).length, 120_000);
-    const again = JSON.parse(await runToText(fleet, 0, order())) as { reason: string; upstreamStatus: number; };
-    assert.equal([again.reason, again.upstreamStatus], ["answer-not-kept", 201]);
+    const again = await runToOutcome(fleet, 0, order());
+    assert.is(again.kind === OutcomeKind.Done && again.status, 502);
+    const { outcome, reason, upstreamStatus } = JSON.parse(await runToText(fleet, 0, order()));
+    assert.equal([outcome, reason, upstreamStatus], ["done", "answer-not-kept", 201]);
     assert.is(fleet.runs.length, 1);
 });
 
