Do not count a stall of the service host as its upstreams' latency

Cause: on a busy machine all upstreams of one service host were ejected as slow in the same 100 ms; a process that was paused, or whose processor was busy, sees every answer under way late. A timer measures by how much it comes late, and attempts are timed without that. Ruled out: the health settings (a threshold high enough for stalls would miss slow upstreams); event loop histograms of the runtime (they give percentiles, not the stall of one interval).

--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -175,7 +175,7 @@
     }
 
     #createServiceHost(): ServiceHost {
-        const { clock, random, upstreamTransport, transport, decisions, settings } = this.#options;
+        const { clock, random, upstreamTransport, transport, decisions, settings, stallMeter } = this.#options;
         const isBaseline = settings.policy === Policy.Baseline;
         return new ServiceHost({
             clock,
@@ -186,6 +186,7 @@
             membership: this.membership,
             decisions,
             policy: isBaseline ? EjectionPolicy.Baseline : EjectionPolicy.Sequential,
+            stallMeter,
         });
     }
 
--- a/src/entry/EntryHostOptions.ts
+++ b/src/entry/EntryHostOptions.ts
@@ -5,7 +5,7 @@
 import type { UpstreamTransport } from "../services/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import type { Store } from "../store/index.js";
-import type { Clock } from "../time/index.js";
+import type { Clock, StallMeter } from "../time/index.js";
 
 /** What an entry host works with. */
 export interface EntryHostOptions {
@@ -20,4 +20,6 @@
     readonly forwarder: PeerForwarder;
     readonly upstreamTransport: UpstreamTransport;
     readonly decisions: DecisionHistory;
+    /** Time in which this process stands still is not counted as an upstream's latency. */
+    readonly stallMeter?: StallMeter;
 }
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -11,7 +11,7 @@
 import type { EntrySettings } from "../settings/index.js";
 import { HttpStore } from "../store/index.js";
 import { Supervisor } from "../supervision/index.js";
-import { SystemClock } from "../time/index.js";
+import { SystemClock, TimerStallMeter } from "../time/index.js";
 import { createIncarnation } from "./createIncarnation.js";
 import { EntryHost } from "./EntryHost.js";
 import { OperatorListener } from "./OperatorListener.js";
@@ -24,6 +24,7 @@
 export class EntryProcess {
     readonly #settings: EntrySettings;
     readonly #clock = new SystemClock();
+    readonly #stallMeter = new TimerStallMeter(this.#clock);
     readonly #metrics = new RequestMetrics();
     readonly #decisions: DecisionHistory;
     readonly #store: HttpStore;
@@ -78,6 +79,7 @@
             forwarder: new HttpPeerForwarder(peerOptions),
             upstreamTransport: this.#upstreamTransport,
             decisions: this.#decisions,
+            stallMeter: this.#stallMeter,
         });
     }
 
@@ -118,7 +120,9 @@
         const peers = this.#createPeerListener();
         const operators = this.#createOperatorListener();
         const callers = this.#callerListener;
+        const stallMeter = this.#stallMeter;
         return new Supervisor("entry", [
+            { name: "stall-meter", start: async () => stallMeter.start(), stop: async () => stallMeter.stop() },
             { name: "peers", start: () => peers.start(peerAddress), stop: () => peers.stop() },
             this.#host,
             { name: "operators", start: () => operators.start(operatorAddress), stop: () => operators.stop() },
--- a/src/services/AttemptRunner.ts
+++ b/src/services/AttemptRunner.ts
@@ -1,7 +1,7 @@
 import type { Upstream } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import type { DecisionLog } from "../logging/index.js";
-import type { Clock } from "../time/index.js";
+import type { Clock, StallMeter } from "../time/index.js";
 import type { FirstByteLimit } from "./FirstByteLimit.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
@@ -16,16 +16,19 @@
     readonly #clock: Clock;
     readonly #transport: UpstreamTransport;
     readonly #decisions: DecisionLog;
+    readonly #stallMeter: StallMeter | undefined;
 
     /**
      * @param clock - The source of time.
      * @param transport - Sends to upstreams.
      * @param decisions - Receives the retries.
+     * @param stallMeter - Time in which this process stands still is not counted as an upstream's latency.
      */
-    constructor(clock: Clock, transport: UpstreamTransport, decisions: DecisionLog) {
+    constructor(clock: Clock, transport: UpstreamTransport, decisions: DecisionLog, stallMeter?: StallMeter) {
         this.#clock = clock;
         this.#transport = transport;
         this.#decisions = decisions;
+        this.#stallMeter = stallMeter;
     }
 
     /**
@@ -89,12 +92,18 @@
         signal: AbortSignal,
     ): Promise<UpstreamAttempt> {
         const start = this.#clock.getTime();
+        const stalledBefore = this.#getStalledTime();
         const answer = await this.#transport.send(upstream, request, {
             firstByteTimeoutMs: Math.max(0, end - start),
             deadlineMs: Math.max(0, deadline - start),
             freshConnection,
             signal,
         });
-        return { answer, latencyMs: this.#clock.getTime() - start };
+        const stalledMs = this.#getStalledTime() - stalledBefore;
+        return { answer, latencyMs: Math.max(0, this.#clock.getTime() - start - stalledMs) };
+    }
+
+    #getStalledTime(): number {
+        return this.#stallMeter?.getStalledTime() ?? 0;
     }
 }
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -180,7 +180,7 @@
     }
 
     #createPool(service: Service, zone: string): ServicePool {
-        const { clock, random, transport, decisions, policy } = this.#options;
+        const { clock, random, transport, decisions, policy, stallMeter } = this.#options;
         return new ServicePool(service, zone, {
             clock,
             random,
@@ -188,6 +188,7 @@
             decisions,
             policy: policy ?? EjectionPolicy.Sequential,
             outcomes: this.#outcomes,
+            stallMeter,
             getWeight: account => this.#configuration?.getAccount(account)?.rate ?? DEFAULT_WEIGHT,
         });
     }
--- a/src/services/ServiceHostOptions.ts
+++ b/src/services/ServiceHostOptions.ts
@@ -2,7 +2,7 @@
 import type { Membership } from "../membership/index.js";
 import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
-import type { Clock } from "../time/index.js";
+import type { Clock, StallMeter } from "../time/index.js";
 import type { EjectionPolicy } from "./EjectionPolicy.js";
 import type { UpstreamTransport } from "./UpstreamTransport.js";
 
@@ -17,4 +17,6 @@
     readonly decisions: DecisionLog;
     /** How upstreams are chosen and judged; sequential unless it is given. */
     readonly policy?: EjectionPolicy;
+    /** Time in which this process stands still is not counted as an upstream's latency. */
+    readonly stallMeter?: StallMeter;
 }
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -62,7 +62,7 @@
         });
         const judgeOptions = { clock, random, decisions, policy, baseline: this.baseline };
         this.#judge = new UpstreamJudge(service, { ...judgeOptions, onCapacity: () => this.#runQueue() });
-        this.#runner = new AttemptRunner(clock, transport, decisions);
+        this.#runner = new AttemptRunner(clock, transport, decisions, options.stallMeter);
         this.#recorder = new AttemptRecorder({
             clock,
             judge: this.#judge,
@@ -160,10 +160,12 @@
             return await this.#runAttempt(pooled, request, deadline, signal, late.signal);
         }
         const start = clock.getTime();
+        const stalledBefore = this.#getStalledTime();
         return await new Promise(resolve => {
             const timer = clock.schedule(Math.max(0, deadline - start), () => {
                 late.abort();
-                this.#recorder.recordLate(pooled, request, clock.getTime() - start);
+                const stalledMs = this.#getStalledTime() - stalledBefore;
+                this.#recorder.recordLate(pooled, request, clock.getTime() - start - stalledMs);
                 resolve(createOutcome({ kind: UpstreamAnswerKind.TimedOut }));
             });
             const reader = AbortSignal.any([signal, late.signal]);
@@ -174,6 +176,10 @@
         });
     }
 
+    #getStalledTime(): number {
+        return this.#options.stallMeter?.getStalledTime() ?? 0;
+    }
+
     async #runAttempt(
         pooled: PooledUpstream,
         request: ServiceRequest,
--- a/src/services/ServicePoolOptions.ts
+++ b/src/services/ServicePoolOptions.ts
@@ -1,6 +1,6 @@
 import type { DecisionLog } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
-import type { Clock } from "../time/index.js";
+import type { Clock, StallMeter } from "../time/index.js";
 import type { EjectionPolicy } from "./EjectionPolicy.js";
 import type { OutcomeMemory } from "./OutcomeMemory.js";
 import type { UpstreamTransport } from "./UpstreamTransport.js";
@@ -13,6 +13,8 @@
     readonly decisions: DecisionLog;
     readonly policy: EjectionPolicy;
     readonly outcomes: OutcomeMemory;
+    /** Time in which this process stands still is not counted as an upstream's latency. */
+    readonly stallMeter?: StallMeter;
     /** Gets an account's share of the slots relative to others, above 0. */
     readonly getWeight: (account: string) => number;
 }
