--- a/src/fakes/ServiceBench.ts
+++ b/src/fakes/ServiceBench.ts
@@ -4,7 +4,6 @@
 import type { Outcome } from "../outcomes/index.js";
 import { OutcomeKind } from "../outcomes/index.js";
 import { PeerHandlers } from "../peers/index.js";
-import type { PeerTransport } from "../peers/index.js";
 import { SeededRandom } from "../random/index.js";
 import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
 import { ServiceHost } from "../services/index.js";
@@ -63,10 +62,10 @@
             random: this.random,
             transport: this.upstreams,
             handlers: this.handlers,
-            peers: { send: () => Promise.reject(new Error("no peers")) } as PeerTransport,
+            peers: options.peers ?? { send: () => Promise.reject(new Error("There are no peers.")) },
             membership: {
-                getSelf: () => ({ peerAddress: "127.0.0.1:1" }),
-                getServiceHosts: () => [],
+                getSelf: () => ({ peerAddress: "own" }),
+                getServiceHosts: (_: string, zone: string) => [{ peerAddress: `host-of-${zone}` }],
             } as unknown as Membership,
             decisions: this.decisions,
             policy: options.policy,
--- a/src/fakes/ServiceBenchOptions.ts
+++ b/src/fakes/ServiceBenchOptions.ts
@@ -1,4 +1,5 @@
 import type { DetectionSettings, Service } from "../configuration/index.js";
+import type { PeerTransport } from "../peers/index.js";
 import type { EjectionPolicy } from "../services/index.js";
 import type { FakeUpstreamsOptions } from "./FakeUpstreamsOptions.js";
 
@@ -9,6 +10,8 @@
     readonly service?: Partial<Service>;
     readonly detection?: Partial<DetectionSettings>;
     readonly fakes?: Partial<FakeUpstreamsOptions>;
+    /** Sends to other service hosts; without it none answers. */
+    readonly peers?: PeerTransport;
     /** Number of upstreams. */
     readonly upstreams?: number;
     /** Slots of each upstream. */
--- /dev/null
+++ b/tests/services/baseline.test.ts
@@ -0,0 +1,65 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ServiceBench } from "../../src/fakes/index.js";
+import { PeerMethod } from "../../src/peers/index.js";
+import type { PeerTransport } from "../../src/peers/index.js";
+import type { ShareBaselineParams } from "../../src/services/index.js";
+
+const HEALTHY = { errorRate: 0.01, slowRate: 0.01, medianMs: 20 };
+
+test("a lone upstream that is slow is found by what the other zones' service hosts say", async () => {
+    const bench = createLoneBench();
+    await bench.runLoad(20, 100);
+    const params = { service: "orders", zone: "b", upstreams: [HEALTHY, HEALTHY, HEALTHY] };
+    assert.equal(await bench.handlers.run(PeerMethod.ShareBaseline, params), { isUsed: true });
+    await bench.runLoad(20, 3_000);
+    assert.equal(bench.getStates(), ["ejected"]);
+});
+
+test("a lone upstream is not called slow without a baseline, nor by one that is old", async () => {
+    const bench = createLoneBench();
+    await bench.runLoad(20, 3_000);
+    await bench.handlers.run(PeerMethod.ShareBaseline, { service: "orders", zone: "b", upstreams: [HEALTHY] });
+    await bench.clock.run(31_000);
+    await bench.runLoad(20, 3_000);
+    assert.equal(bench.getStates(), ["healthy"]);
+});
+
+test("what fails in all zones ejects nobody", async () => {
+    const bench = new ServiceBench();
+    await bench.runLoad(100, 1_000);
+    const failing = { errorRate: 0.4, slowRate: 0, medianMs: 20 };
+    const upstreams = [failing, failing, failing, failing, failing, failing];
+    await bench.handlers.run(PeerMethod.ShareBaseline, { service: "orders", zone: "b", upstreams });
+    ["u0", "u1", "u2", "u3", "u4"].forEach(name => bench.upstreams.applyFaults(name, { errorRate: 0.4 }));
+    await bench.runLoad(100, 20_000);
+    assert.ok(bench.getStates().every(state => state !== "ejected" && state !== "probation"));
+});
+
+test("a service host tells those of the other zones how its upstreams fare", async () => {
+    const sent: { address: string; params: ShareBaselineParams; }[] = [];
+    const peers = {
+        send: (address: string, _: PeerMethod, params: ShareBaselineParams) => {
+            sent.push({ address, params });
+            return Promise.reject(new Error("The peer is away."));
+        },
+    } as unknown as PeerTransport;
+    const bench = new ServiceBench({ peers });
+    const [first] = bench.service.upstreams;
+    const other = { ...first!, name: "v0", address: "127.0.0.1:9100", zone: "b" };
+    bench.apply({ upstreams: [...bench.service.upstreams, other] });
+    bench.host.start();
+    await bench.runLoad(100, 4_000);
+    bench.host.stop();
+    assert.equal(sent.map(({ address }) => address), ["host-of-b"]);
+    assert.is(sent[0]!.params.zone, "a");
+    assert.is(sent[0]!.params.upstreams.length, 5);
+});
+
+test.run();
+
+function createLoneBench(): ServiceBench {
+    const bench = new ServiceBench({ upstreams: 1, service: { floor: 0 } });
+    bench.upstreams.applyFaults("u0", { slowFactor: 10 });
+    return bench;
+}
