Name other entry hosts in refusals that concern one host

Cause: the design asks that a host that is not current names other addresses, so that callers needn't guess. Ruled out: the account's own hosts (the key can't be trusted by a host that is not current, and a lookup elsewhere names them).

--- a/src/callers/CallerGate.ts
+++ b/src/callers/CallerGate.ts
@@ -15,6 +15,9 @@
 
 const NOT_CURRENT_RETRY_MS = 1000;
 const STOPPING_RETRY_MS = 100;
+/** Refusals that concern this host only. */
+const HOST_REASONS: ReadonlySet<RefusalReason> = new Set([RefusalReason.HostNotCurrent, RefusalReason.HostStopping]);
+const OTHER_URLS = 3;
 const TIMEOUT_PATTERN = /^[1-9][0-9]{0,8}$/;
 const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
 
@@ -200,7 +203,16 @@
         const reason = refusal.outcome.reason;
         const figures = { path: call.target.split("?", 1)[0]!, method: call.method };
         this.#options.decisions.record({ decision: Decision.Refused, reason, requestId, figures });
-        return refusal.outcome;
+        return HOST_REASONS.has(reason) ? { ...refusal.outcome, otherUrls: this.#getOtherUrls() } : refusal.outcome;
+    }
+
+    #getOtherUrls(): readonly string[] {
+        const { membership } = this.#options;
+        const selfId = membership.getSelf().id;
+        const others = membership.getView().members.filter(member => member.id !== selfId);
+        const start = this.#nextRequest % Math.max(1, others.length);
+        return [...others.slice(start), ...others.slice(0, start)].slice(0, OTHER_URLS)
+            .map(member => `http://${member.callerAddress}`);
     }
 
     #recordOutcome(request: CallerRequest, outcome: Outcome): void {
--- a/src/callers/ProblemDocument.ts
+++ b/src/callers/ProblemDocument.ts
@@ -8,4 +8,6 @@
     readonly outcome: string;
     readonly reason: string;
     readonly requestId: string;
+    /** Other entry hosts to ask, as URLs. */
+    readonly otherUrls?: readonly string[];
 }
--- a/src/callers/createProblem.ts
+++ b/src/callers/createProblem.ts
@@ -20,5 +20,6 @@
         outcome: outcome.kind,
         reason: outcome.reason,
         requestId,
+        ...isNotRun && outcome.otherUrls !== undefined ? { otherUrls: outcome.otherUrls } : {},
     };
 }
--- a/src/outcomes/NotRunOutcome.ts
+++ b/src/outcomes/NotRunOutcome.ts
@@ -9,4 +9,6 @@
     readonly detail: string;
     /** When the caller should ask again, in milliseconds from now; undefined if asking again is of no use. */
     readonly retryAfterMs: number | undefined;
+    /** Other entry hosts to ask, as URLs. */
+    readonly otherUrls?: readonly string[];
 }
--- a/tests/callers/CallerListener.test.ts
+++ b/tests/callers/CallerListener.test.ts
@@ -93,6 +93,7 @@
     assert.is(getSummary(answer), "503 host-not-current");
     assert.match(answer, /x-outcome: not-run\r\n/);
     assert.match(answer, /retry-after: 1\r\n/);
+    assert.match(answer, /"otherUrls":\["http:\/\/127\.0\.0\.1:2"\]/);
 });
 
 test.run();
--- a/tests/support/CallerBench.ts
+++ b/tests/support/CallerBench.ts
@@ -27,8 +27,9 @@
 
     /** Creates the listener. */
     constructor() {
-        const self = createMember("a");
-        this.membership = new FakeMembership(self, { version: 1, members: [self] });
+        const self = createMember("a", "127.0.0.1:1");
+        const members = [self, createMember("b", "127.0.0.1:2")];
+        this.membership = new FakeMembership(self, { version: 1, members });
         this.#configuration = this.#createConfiguration(this.key.record, 1);
         const gate = new CallerGate({
             membership: this.membership,
@@ -102,7 +103,6 @@
     return { kind: OutcomeKind.Done, status: 200, headers: { "content-length": "0" }, body: Readable.from([]) };
 }
 
-function createMember(id: string): Member {
-    const address = "127.0.0.1:1";
+function createMember(id: string, address: string): Member {
     return { id, region: "r", zone: "a", peerAddress: address, callerAddress: address, incarnation: "1-x" };
 }
