Show that each mechanism of the configuration carries a test

Taken out without a failing test: keeping the chunks of heads that are being loaded. A new test causes that race; it fails without the mechanism and passes with it. Checking a peer's chunk against the digests asked for failed no test either: the cache names each chunk by a digest of its own, so a wrong one is never found under the name asked for; the check only keeps unasked chunks out of memory.

--- a/tests/configuration/ConfigurationLoader.test.ts
+++ b/tests/configuration/ConfigurationLoader.test.ts
@@ -3,7 +3,7 @@
 import { ChangeKind, type ChangeOperation, createSectionTree } from "../../src/configuration/index.js";
 import { ChunksMissingError, StoreUnavailableError } from "../../src/errors/index.js";
 import { FakeClock, FakeNetwork, FakeStore } from "../../src/fakes/index.js";
-import type { Head } from "../../src/head/index.js";
+import { findDigests, type Head } from "../../src/head/index.js";
 import { PeerHandlers, PeerMethod } from "../../src/peers/index.js";
 import type { ChangeHost } from "../support/ChangeHost.js";
 import { createChangeHost } from "../support/createChangeHost.js";
@@ -68,6 +68,24 @@
     assert.is(loader.getConfiguration().getKey("k1")?.withdrawn, true);
 });
 
+test("chunks fetched for a newer head are kept while an older one comes into force", async () => {
+    const { clock, store, network, createHost, run, heads } = await createWorld();
+    const [changed] = [...findDigests(heads[1]!.sections)].filter(digest =>
+        !findDigests(heads[0]!.sections).has(digest)
+    );
+    const { value } = (await store.get(`chunk/${changed}`))!;
+    const handlers = new PeerHandlers();
+    handlers.add(PeerMethod.GetChunks, ({ digests }) => ({ texts: digests.includes(changed!) ? [value] : [] }));
+    network.addHost(LYING, { handlers });
+    store.faults.delayMs = 100;
+    const { loader } = createHost(SECOND, [LYING]);
+    const older = loader.apply(heads[0]!);
+    await clock.run(50);
+    const newer = loader.apply(heads[1]!);
+    await run(Promise.all([older, newer]));
+    assert.is(loader.getConfiguration().version, 2);
+});
+
 test("only the chunks that changed are fetched, and only one of 46,000 keys' chunks changes", async () => {
     const { store, createHost, run } = await createWorld();
     const { service, loader, headStore } = createHost(SECOND, []);
