--- a/src/tools/Deployment.ts
+++ b/src/tools/MeasuredService.ts
@@ -1,7 +1,7 @@
 import type { Account, DetectionSettings } from "../configuration/index.js";
 
 /** One service of a deployment as one of its service hosts sees it. */
-export interface Deployment {
+export interface MeasuredService {
     readonly name: string;
     /** Upstreams in one availability zone. */
     readonly upstreams: number;
--- a/src/tools/measure-detection.ts
+++ b/src/tools/measure-detection.ts
@@ -1,10 +1,10 @@
 import { EjectionPolicy } from "../services/index.js";
-import type { Deployment } from "./Deployment.js";
 import type { DetectionCase } from "./DetectionCase.js";
 import type { DetectionFigures } from "./DetectionFigures.js";
 import { measureDetection } from "./measureDetection.js";
+import type { MeasuredService } from "./MeasuredService.js";
 import { measureShares } from "./measureShares.js";
-import { readExample } from "./readExample.js";
+import { readMeasuredService } from "./readMeasuredService.js";
 
 /*
  * Prints, in virtual time and for both deployments, detection time and false ejections against the baseline policy,
@@ -29,9 +29,9 @@
     { name: "a third never answered", faults: { hangRate: 0.33 } },
     { name: "ten times as slow", faults: { slowFactor: 10 } },
 ];
-const DEPLOYMENTS: readonly Deployment[] = [
-    readExample("kelom", "orders", 50),
-    readExample("guild", "order-ledger", 20),
+const DEPLOYMENTS: readonly MeasuredService[] = [
+    readMeasuredService("kelom", "orders", 50),
+    readMeasuredService("guild", "order-ledger", 20),
 ];
 
 const seeds = Array.from({ length: Number(process.argv[2] ?? DEFAULT_SEEDS) }, (_, index) => index + 1);
@@ -41,7 +41,7 @@
     await reportDeployment(deployment);
 }
 
-async function reportDeployment(deployment: Deployment): Promise<void> {
+async function reportDeployment(deployment: MeasuredService): Promise<void> {
     const { name, detection, upstreams, slots, rate } = deployment;
     console.log(
         `\n${name}: ${upstreams} upstreams of ${slots} slots, ${rate} requests/s, ${JSON.stringify(detection)}`,
@@ -67,7 +67,7 @@
     await reportShares(deployment);
 }
 
-async function reportShares(deployment: Deployment): Promise<void> {
+async function reportShares(deployment: MeasuredService): Promise<void> {
     const { accounts } = deployment;
     const storming = accounts.reduce((largest, account) => account.rate > largest.rate ? account : largest);
     const total = accounts.reduce((sum, account) => sum + account.rate, 0);
--- a/src/tools/measureDetection.ts
+++ b/src/tools/measureDetection.ts
@@ -2,8 +2,8 @@
 import type { FakeUpstreamFaults } from "../fakes/index.js";
 import { Decision } from "../logging/index.js";
 import type { EjectionPolicy } from "../services/index.js";
-import type { Deployment } from "./Deployment.js";
 import type { DetectionFigures } from "./DetectionFigures.js";
+import type { MeasuredService } from "./MeasuredService.js";
 
 const WARM_UP_MS = 60_000;
 const FAULTY_UPSTREAM = "u1";
@@ -20,7 +20,7 @@
  * @param durationMs - How long the fault, or the healthy run, lasts, in milliseconds.
  */
 export async function measureDetection(
-    deployment: Deployment,
+    deployment: MeasuredService,
     policy: EjectionPolicy,
     seed: number,
     faults: FakeUpstreamFaults | undefined,
--- a/src/tools/measureShares.ts
+++ b/src/tools/measureShares.ts
@@ -2,7 +2,7 @@
 import { ServiceBench } from "../fakes/index.js";
 import { OutcomeKind } from "../outcomes/index.js";
 import type { ServiceAnswer } from "../services/index.js";
-import type { Deployment } from "./Deployment.js";
+import type { MeasuredService } from "./MeasuredService.js";
 
 const DURATION_MS = 30_000;
 const END_MS = 5_000;
@@ -20,7 +20,7 @@
  * @param totalRate - Rate of all accounts of the deployment together, which decides the service time.
  */
 export async function measureShares(
-    deployment: Deployment,
+    deployment: MeasuredService,
     accounts: readonly Account[],
     excess: (account: Account) => number,
     seed: number,
