Wait for a service host's running work at a planned stop

Cause: a planned stop waited for the answers of its own callers only; attempts that run for other account hosts could be cut when the process ended. The service host now takes no more and finishes what it has, within the stop's limit. Ruled out: refusing attempts before the view has changed (they would all be retried elsewhere at once).

--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -107,7 +107,8 @@
         this.gate.stop();
         const timeout = new AbortController();
         const timeUp = clock.wait(settings.stopTimeoutMs, timeout.signal).catch(() => {});
-        await Promise.race([this.activeRequests.waitForIdle(), timeUp]);
+        const finished = Promise.all([this.activeRequests.waitForIdle(), this.serviceHost.drain()]);
+        await Promise.race([finished, timeUp]);
         timeout.abort();
     }
 
