Judge a lookup's refusal by its own attempt in the audit

Cause: a lookup that was lost, sent again and then refused was counted as a false refusal, although 'not run' spoke of its second attempt. The check stays as strict where a refusal claims something: an order's refusal still speaks of every attempt, a lookup's of the request id that the refused answer names, and of every attempt if none before can have run.

--- a/src/load/AttemptEnd.ts
+++ b/src/load/AttemptEnd.ts
@@ -9,4 +9,6 @@
     readonly reason?: FailureReason | string;
     readonly status?: number;
     readonly isWrong?: boolean;
+    /** What the system calls the request in its answer. */
+    readonly requestId?: string | undefined;
 }
--- a/src/load/Caller.ts
+++ b/src/load/Caller.ts
@@ -37,15 +37,18 @@
         const startedAt = clock.getWallTime();
         const chooser = new RouteChooser(random, task.reference, task.repeatedRoute);
         let attempts = 1;
+        let mayHaveRunBefore = false;
         let end = await this.#runAttempt(task, chooser);
         while (end.kind !== AttemptEndKind.Final && attempts <= experiment.resends) {
             if (end.kind === AttemptEndKind.Again) {
+                mayHaveRunBefore ||= end.reason !== FailureReason.NoAddress;
                 await clock.wait(experiment.resendDelayMs * attempts);
             }
             attempts++;
             end = await this.#runAttempt(task, chooser);
         }
-        return { result: this.#createResult(task, end, attempts, startedAt), route: chooser.getRoute() };
+        const result = { ...this.#createResult(task, end, startedAt), attempts, mayHaveRunBefore };
+        return { result, route: chooser.getRoute() };
     }
 
     async #runAttempt(task: CallerTask, chooser: RouteChooser): Promise<AttemptEnd> {
@@ -108,7 +111,11 @@
         };
     }
 
-    #createResult(task: CallerTask, end: AttemptEnd, attempts: number, startedAt: number): RequestResult {
+    #createResult(
+        task: CallerTask,
+        end: AttemptEnd,
+        startedAt: number,
+    ): Omit<RequestResult, "attempts" | "mayHaveRunBefore"> {
         return {
             account: this.#options.account,
             requestKind: task.item.kind,
@@ -118,7 +125,7 @@
             reason: end.reason,
             status: end.status,
             isWrong: end.isWrong ?? false,
-            attempts,
+            requestId: end.requestId,
             startedAt,
             durationMs: this.#options.clock.getTime() - task.dueAt,
         };
--- a/src/load/RequestResult.ts
+++ b/src/load/RequestResult.ts
@@ -17,6 +17,10 @@
     /** Whether the answer belonged to another request. */
     readonly isWrong: boolean;
     readonly attempts: number;
+    /** What the system called the last attempt in its answer. */
+    readonly requestId: string | undefined;
+    /** Whether an attempt before the last may have been run. */
+    readonly mayHaveRunBefore: boolean;
     /** Milliseconds since the Unix epoch. */
     readonly startedAt: number;
     /** From when it was due to its end, in milliseconds. */
--- a/src/load/checkRecords.ts
+++ b/src/load/checkRecords.ts
@@ -19,10 +19,11 @@
     secrets: readonly string[],
 ): AuditReport {
     const runs = createRuns(records);
+    const requestIds = new Set(records.filter(record => record.ran).map(record => record.requestId));
     const accounts = new Map(results.map(result => [result.reference, result.account]));
     const doubles = findDoubles(results, records, runs);
     const lost = results.filter(result => result.kind === ResultKind.Done && !runs.has(result.reference));
-    const refused = results.filter(result => result.kind === ResultKind.Refused && runs.has(result.reference));
+    const refused = results.filter(result => isFalseRefusal(result, runs, requestIds));
     const leaks = records.filter(record => hasSecret(record, secrets));
     const strangers = records.filter(record => isWrongAccount(record, accounts));
     return {
@@ -35,7 +36,7 @@
         examples: [
             ...doubles.slice(0, EXAMPLES_OF_EACH).map(name => `double: ${name}`),
             ...lost.slice(0, EXAMPLES_OF_EACH).map(result => `lost: ${result.reference}`),
-            ...refused.slice(0, EXAMPLES_OF_EACH).map(result => `false refusal: ${result.reference} ${result.reason}`),
+            ...refused.slice(0, EXAMPLES_OF_EACH).map(result => formatRefusal(result)),
             ...leaks.slice(0, EXAMPLES_OF_EACH).map(record => `leaked key: ${record.upstream} ${record.path}`),
             ...strangers.slice(0, EXAMPLES_OF_EACH).map(record => `wrong account: ${record.account} ${record.path}`),
         ],
@@ -71,6 +72,24 @@
     return [...references, ...reused];
 }
 
+/** A lookup's refusal speaks of its last attempt alone, an order's of the order. */
+function isFalseRefusal(
+    result: RequestResult,
+    runs: ReadonlyMap<string, number>,
+    requestIds: ReadonlySet<string | undefined>,
+): boolean {
+    if (result.kind !== ResultKind.Refused) {
+        return false;
+    }
+    const speaksOfAll = result.requestKind === RequestKind.Order || !result.mayHaveRunBefore;
+    const hasRunItself = result.requestId !== undefined && requestIds.has(result.requestId);
+    return hasRunItself || (speaksOfAll && runs.has(result.reference));
+}
+
+function formatRefusal(result: RequestResult): string {
+    return `false refusal: ${result.requestKind} ${result.reference} ${result.reason}`;
+}
+
 function getReference(record: UpstreamRecord): string | undefined {
     return REFERENCE_PATTERN.exec(record.path)?.[1];
 }
--- a/src/load/readAttemptEnd.ts
+++ b/src/load/readAttemptEnd.ts
@@ -49,7 +49,8 @@
             const { reason } = await readProblem(status, attempt.body);
             const isHostReason = HOST_REASONS.includes(reason);
             const endKind = isHostReason ? AttemptEndKind.Elsewhere : AttemptEndKind.Final;
-            return { kind: endKind, result: ResultKind.Refused, reason, status };
+            const requestId = attempt.headers["x-request-id"]?.toString();
+            return { kind: endKind, result: ResultKind.Refused, reason, status, requestId };
         }
         case OutcomeKind.Unknown: {
             const { reason } = await readProblem(status, attempt.body);
--- a/tests/load/Caller.test.ts
+++ b/tests/load/Caller.test.ts
@@ -85,6 +85,7 @@
     transport.script.push(lost, lost, lost, lost);
     const { result } = await run(RequestKind.Lookup);
     assert.equal([result.kind, result.reason, result.attempts], [ResultKind.Failed, "lost", 4]);
+    assert.is(result.mayHaveRunBefore, true);
 });
 
 test("a repeated order keeps its route and key", async () => {
--- a/tests/load/checkRecords.test.ts
+++ b/tests/load/checkRecords.test.ts
@@ -17,6 +17,8 @@
     status: 200,
     isWrong: false,
     attempts: 1,
+    mayHaveRunBefore: false,
+    requestId: undefined,
     startedAt: 0,
     durationMs: 1,
 };
@@ -59,6 +61,20 @@
     checkCounts(checkRecords([refused], [{ ...record, ran: false }], []), {});
 });
 
+test("a lookup's refusal speaks of its last attempt, an order's of every attempt", () => {
+    const refused = {
+        ...result,
+        kind: ResultKind.Refused,
+        reason: "rate-exceeded",
+        attempts: 2,
+        mayHaveRunBefore: true,
+    };
+    checkCounts(checkRecords([refused], [record], []), { falseRefusals: 1 });
+    const lookup = { ...refused, requestKind: RequestKind.Lookup };
+    checkCounts(checkRecords([lookup], [record], []), {});
+    checkCounts(checkRecords([{ ...lookup, requestId: "r1" }], [record], []), { falseRefusals: 1 });
+});
+
 test("finds a secret in a header's value, name or the path", () => {
     const leaky = { ...record, headers: ["cookie", "x=id.secret"] };
     checkCounts(checkRecords([result], [leaky], ["secret"]), { leakedKeys: 1 });
