--- a/tests/operators/runCommandLine.test.ts
+++ b/tests/operators/runCommandLine.test.ts
@@ -97,6 +97,18 @@
     await run("office", ["outcome", "slow"]);
 });
 
+test("with the store away nothing is stored and the program says so; what was stored before is still confirmed", async () => {
+    const { version } = host.loader.getHead();
+    store.faults.isAway = true;
+    const args = ["account", "set", "shop-2", "--rate", "1", "--burst", "1", "--change-id", "away"];
+    await run("office", args, ExitCode.Unreachable);
+    await run("office", ["outcome", "slow"]);
+    await run("office", ["outcome", "away"], ExitCode.Unreachable);
+    store.faults.isAway = false;
+    await run("office", ["outcome", "away"], ExitCode.Refused);
+    assert.is(host.loader.getHead().version, version);
+});
+
 test("malformed input, a wrong token and hosts that are away end with their own exit codes", async () => {
     const broken = { sections: { a: { owners: [], accounts: [{ name: "x y" }] } } };
     await run("office", ["check", writeDocument("broken", broken)], ExitCode.BadInput);
