Let the hand-over end while requests go on, and wait for orders of callers that have left

Cause: AccountHost.drain() waited until nothing ran, and Membership.leave() waits for it without a limit; under traffic a planned stop would never leave the view. Ruled out: a limit on that wait, which would only hide it; leaving the view cuts nothing. drain() now ends with the hand-over, and EntryHost.drain() waits with AccountHost.waitForIdle() before the stop, so that an order whose caller has left is not cut either. The new test fails with the old drain (the order runs 500 ms).

--- a/src/accounts/AccountHost.ts
+++ b/src/accounts/AccountHost.ts
@@ -19,7 +19,6 @@
 const ANONYMOUS_ACCOUNT = "anonymous";
 const RETRY_AFTER_MS = 1_000;
 const CLEAN_UP_INTERVAL_MS = 30_000;
-const DRAIN_CHECK_INTERVAL_MS = 50;
 
 /** Runs callers' requests: rate, quarantine, deduplication of orders, dispatch with retries, and the outcome. */
 export class AccountHost implements AccountRunner {
@@ -28,7 +27,8 @@
     readonly #quarantine: Quarantine;
     readonly #dispatcher: Dispatcher;
     readonly #orders: OrderRunner;
-    #running = 0;
+    /** The requests that run for callers. */
+    readonly #running = new Set<Promise<Outcome>>();
     #controller: AbortController | undefined;
 
     /** @param options - What the account host works with. */
@@ -46,16 +46,21 @@
         void this.#runCleanUp(this.#controller.signal);
     }
 
-    /** Hands shares and order records over and waits until the requests that run have ended. */
+    /** Hands shares and order records over; requests go on, and orders are forwarded to the successor. */
     async drain(): Promise<void> {
         const handOvers = [this.#orders.drain()];
         if (this.#limiter instanceof SharedRateLimiter) {
             handOvers.push(this.#limiter.drain());
         }
         await Promise.all(handOvers);
-        while (this.#running > 0) {
-            await this.#options.clock.wait(DRAIN_CHECK_INTERVAL_MS);
+    }
+
+    /** Waits until no request and no order of a caller that has left runs; call it when no more are sent here. */
+    async waitForIdle(): Promise<void> {
+        while (this.#running.size > 0) {
+            await Promise.allSettled([...this.#running]);
         }
+        await this.#orders.waitForIdle();
     }
 
     /** Stops the tasks. */
@@ -84,7 +89,10 @@
      * @param signal - Aborted when the caller has left.
      */
     async run(request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
-        this.#running++;
+        return await this.#recordRunning(this.#runSafely(request, signal));
+    }
+
+    async #runSafely(request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
         try {
             const outcome = await this.#run(request, signal);
             this.#recordOutcome(request, outcome);
@@ -93,8 +101,15 @@
         catch (error) {
             return this.#getFailure(request, error);
         }
+    }
+
+    async #recordRunning(work: Promise<Outcome>): Promise<Outcome> {
+        this.#running.add(work);
+        try {
+            return await work;
+        }
         finally {
-            this.#running--;
+            this.#running.delete(work);
         }
     }
 
@@ -126,17 +141,11 @@
             admission.cancel();
             return createNotRun(RefusalReason.NoUpstream, "This route's service has no upstreams.", RETRY_AFTER_MS);
         }
-        this.#running++;
-        try {
-            const outcome = await this.#dispatcher.run({ ...call, service }, signal);
-            if (outcome.kind === OutcomeKind.NotRun) {
-                admission.cancel();
-            }
-            return outcome;
-        }
-        finally {
-            this.#running--;
+        const outcome = await this.#dispatcher.run({ ...call, service }, signal);
+        if (outcome.kind === OutcomeKind.NotRun) {
+            admission.cancel();
         }
+        return outcome;
     }
 
     #createAdmission(request: CallerRequest, fingerprint: string): RequestAdmission {
--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -107,7 +107,8 @@
         this.gate.stop();
         const timeout = new AbortController();
         const timeUp = clock.wait(settings.stopTimeoutMs, timeout.signal).catch(() => {});
-        await Promise.race([this.activeRequests.waitForIdle(), timeUp]);
+        const idle = Promise.all([this.activeRequests.waitForIdle(), this.accountHost.waitForIdle()]);
+        await Promise.race([idle, timeUp]);
         timeout.abort();
     }
 
--- a/src/orders/OrderHandOver.ts
+++ b/src/orders/OrderHandOver.ts
@@ -12,7 +12,7 @@
 import type { OrderRunnerOptions } from "./OrderRunnerOptions.js";
 
 const SEND_TIMEOUT_MS = 1_000;
-const MAX_LAST_TRIES = 3;
+const MAX_TRIES = 3;
 const MAX_PART_BYTES = 262_144;
 const RECORD_BYTES = 300;
 
@@ -22,6 +22,7 @@
     readonly #records: OrderRecords;
     readonly #prefixes: HeldPrefixes;
     readonly #receivers = new Map<OrderRecord, Member>();
+    readonly #updates = new Set<Promise<void>>();
     #sending: Promise<void> | undefined;
     #nextTransfer = 1;
 
@@ -58,15 +59,26 @@
      * Sends the outcome of an order that ran when it was handed over.
      * @param record - The order's record.
      */
-    async sendUpdate(record: OrderRecord): Promise<void> {
+    sendUpdate(record: OrderRecord): void {
+        const update = this.#sendUpdate(record).finally(() => this.#updates.delete(update));
+        this.#updates.add(update);
+    }
+
+    /** Waits until the outcomes that are due have been sent. */
+    async waitForUpdates(): Promise<void> {
+        await Promise.allSettled([...this.#updates]);
+    }
+
+    async #sendUpdate(record: OrderRecord): Promise<void> {
         await this.waitWhileSending();
         const receiver = this.#receivers.get(record);
-        if (receiver === undefined) {
-            return;
-        }
         this.#receivers.delete(record);
         const part = { orders: [this.#encode(record)], isLast: false, isUpdate: true };
-        await this.#sendPart(receiver, record.holder, "", part);
+        for (let count = 0; receiver !== undefined && count < MAX_TRIES; count++) {
+            if (await this.#sendPart(receiver, record.holder, "", part)) {
+                return;
+            }
+        }
     }
 
     async #sendAll(): Promise<void> {
@@ -113,7 +125,7 @@
         transferId: string,
         orders: readonly HandedOverOrder[],
     ): Promise<void> {
-        for (let count = 0; count < MAX_LAST_TRIES; count++) {
+        for (let count = 0; count < MAX_TRIES; count++) {
             if (await this.#sendPart(successor, holder, transferId, { orders, isLast: true, isUpdate: false })) {
                 return;
             }
--- a/src/orders/OrderRunner.ts
+++ b/src/orders/OrderRunner.ts
@@ -1,14 +1,15 @@
 import { KeylessOrders } from "../configuration/index.js";
 import type { Outcome } from "../outcomes/index.js";
-import { createNotRun, createUnknown, OutcomeKind } from "../outcomes/index.js";
+import { createNotRun, createUnknown } from "../outcomes/index.js";
 import { RefusalReason, UnknownReason } from "../outcomes/index.js";
 import { PeerMethod } from "../peers/index.js";
-import type { KeptOutcome } from "../services/index.js";
+import { checkPrefixAge } from "./checkPrefixAge.js";
 import { ClaimState } from "./ClaimState.js";
 import { decodeKeyPrefix } from "./decodeKeyPrefix.js";
 import type { FindOrderParams } from "./FindOrderParams.js";
 import type { FindOrderResult } from "./FindOrderResult.js";
 import { HeldPrefixes } from "./HeldPrefixes.js";
+import { isRestartable } from "./isRestartable.js";
 import type { KeyPrefix } from "./KeyPrefix.js";
 import { openKeptOutcome } from "./openKeptOutcome.js";
 import { ORDER_LIMITS } from "./ORDER_LIMITS.js";
@@ -35,6 +36,8 @@
     readonly #locator: OrderLocator;
     readonly #claims: OrderClaims;
     readonly #handOver: OrderHandOver;
+    /** Runs that go on, also those whose callers have left. */
+    readonly #running = new Set<Promise<Outcome>>();
 
     /** @param options - What the deduplication works with. */
     constructor(options: OrderRunnerOptions) {
@@ -68,6 +71,14 @@
         await this.#handOver.drain();
     }
 
+    /** Waits until no order runs, and a successor knows the outcomes of those that ran. */
+    async waitForIdle(): Promise<void> {
+        while (this.#running.size > 0) {
+            await Promise.allSettled([...this.#running]);
+        }
+        await this.#handOver.waitForUpdates();
+    }
+
     /**
      * Runs an order, or gives the outcome of the earlier run with the same key; never rejects.
      * @param call - The order.
@@ -127,7 +138,7 @@
         if (heldMs === undefined) {
             return await this.#locator.send(call, prefix, signal);
         }
-        const refusal = checkAge(heldMs - prefix.minute * MS_PER_MINUTE) ?? this.#checkRoom(call);
+        const refusal = checkPrefixAge(heldMs - prefix.minute * MS_PER_MINUTE) ?? this.#checkRoom(call);
         if (refusal !== undefined) {
             return refusal;
         }
@@ -244,10 +255,16 @@
             record,
             call,
             work,
-            onSettled: settled => void this.#handOver.sendUpdate(settled),
+            onStarted: run => this.#addRunning(run),
+            onSettled: settled => this.#handOver.sendUpdate(settled),
         });
     }
 
+    #addRunning(run: Promise<Outcome>): void {
+        this.#running.add(run);
+        void run.finally(() => this.#running.delete(run));
+    }
+
     #findAnswer(params: FindOrderParams): FindOrderResult {
         const isHolder = this.#prefixes.getAge(params) !== undefined;
         if (params.account === undefined || params.key === undefined) {
@@ -261,27 +278,6 @@
     }
 }
 
-/** Whether the same process may run the order again: it did not run, and nobody else may run it. */
-function isRestartable(kept: KeptOutcome): boolean {
-    return kept.kind === OutcomeKind.NotRun ||
-        (kept.kind === OutcomeKind.Unknown && kept.reason === UnknownReason.StoreUnavailable);
-}
-
-/** Checks the time since a prefix was issued. */
-function checkAge(ageMs: number): Outcome | undefined {
-    if (ageMs < 0) {
-        return createNotRun(RefusalReason.MalformedRequest, "This key prefix has not been issued.");
-    }
-    if (ageMs > ORDER_LIMITS.proofLifetimeMs) {
-        return createUnknown(UnknownReason.KeyExpired, "The key prefix is too old to tell whether the order ran.");
-    }
-    if (ageMs > ORDER_LIMITS.prefixLifetimeMs) {
-        const detail = "The key prefix is too old; ask for addresses again and use a new one.";
-        return createNotRun(RefusalReason.IdempotencyKeyExpired, detail);
-    }
-    return undefined;
-}
-
 function getPresentOutcome(record: OrderRecord): Outcome {
     const kept = record.getOutcome();
     return kept === undefined ? createStillRunning() : openKeptOutcome(kept);
--- a/src/orders/RecordedRun.ts
+++ b/src/orders/RecordedRun.ts
@@ -20,7 +20,7 @@
      * @param signal - Aborted when the caller has left.
      */
     async run(signal: AbortSignal): Promise<Outcome> {
-        return await this.#waitForOutcome(this.#admitAndRun(), UnknownReason.DeadlineExceeded, signal);
+        return await this.#waitForOutcome(this.#start(this.#admitAndRun()), UnknownReason.DeadlineExceeded, signal);
     }
 
     /**
@@ -28,7 +28,7 @@
      * @param signal - Aborted when the caller has left.
      */
     async runAdmitted(signal: AbortSignal): Promise<Outcome> {
-        return await this.#waitForOutcome(this.#runToEnd(), UnknownReason.DeadlineExceeded, signal);
+        return await this.#waitForOutcome(this.#start(this.#runToEnd()), UnknownReason.DeadlineExceeded, signal);
     }
 
     /**
@@ -41,6 +41,11 @@
         return earlier === undefined ? gone : await this.#waitForOutcome(earlier, UnknownReason.StillRunning, signal);
     }
 
+    #start(run: Promise<Outcome>): Promise<Outcome> {
+        this.#options.onStarted(run);
+        return run;
+    }
+
     async #admitAndRun(): Promise<Outcome> {
         const refusal = await this.#options.work.admit();
         return refusal === undefined ? await this.#runToEnd() : await this.#recordOutcome(refusal);
--- a/src/orders/RecordedRunOptions.ts
+++ b/src/orders/RecordedRunOptions.ts
@@ -1,3 +1,4 @@
+import type { Outcome } from "../outcomes/index.js";
 import type { Clock } from "../time/index.js";
 import type { OrderCall } from "./OrderCall.js";
 import type { OrderRecord } from "./OrderRecord.js";
@@ -12,6 +13,8 @@
     readonly work: OrderWork;
     /** Undefined for an order without a key. */
     readonly record: OrderRecord | undefined;
+    /** Receives the whole run, which may outlast its caller. */
+    readonly onStarted: (run: Promise<Outcome>) => void;
     /** Runs after the order was settled. */
     readonly onSettled: (record: OrderRecord) => void;
 }
--- a/tests/accounts/AccountHost.test.ts
+++ b/tests/accounts/AccountHost.test.ts
@@ -55,6 +55,26 @@
     assert.is(outcome.kind === OutcomeKind.NotRun && outcome.retryAfterMs !== undefined, true);
 });
 
+test("hand-over ends while requests go on, and an order of a caller that has left is waited for", async () => {
+    const fleet = createAccountFleet(3);
+    await fleet.start();
+    const { host, runner } = fleet.hosts[0]!;
+    runner.delayMs = 500;
+    const ended: string[] = [];
+    const controller = new AbortController();
+    void host.run(fleet.createRequest(RouteKind.Order), controller.signal);
+    await fleet.clock.run(1);
+    controller.abort();
+    void host.drain().then(() => ended.push("handed over"));
+    void fleet.run(0, fleet.createRequest(RouteKind.Lookup));
+    await fleet.clock.run(300);
+    void host.waitForIdle().then(() => ended.push("idle"));
+    await fleet.clock.run(100);
+    assert.equal(ended, ["handed over"]);
+    await fleet.clock.run(1_000);
+    assert.equal(ended, ["handed over", "idle"]);
+});
+
 test.run();
 
 async function readText(outcome: Outcome): Promise<string> {
--- a/tests/orders/orderFaults.test.ts
+++ b/tests/orders/orderFaults.test.ts
@@ -93,7 +93,8 @@
 }
 
 function stopAsPlanned(trial: OrderTrial, index: number): void {
-    void trial.fleet.hosts[index]!.host.drain().then(() => trial.stopHost(index));
+    const { host } = trial.fleet.hosts[index]!;
+    void host.drain().then(() => host.waitForIdle()).then(() => trial.stopHost(index));
 }
 
 function closeDirection(trial: OrderTrial, from: number, to: number): void {
