--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -107,8 +107,12 @@
         this.gate.stop();
         const timeout = new AbortController();
         const timeUp = clock.wait(settings.stopTimeoutMs, timeout.signal).catch(() => {});
-        const finished = Promise.all([this.activeRequests.waitForIdle(), this.serviceHost.drain()]);
-        await Promise.race([finished, timeUp]);
+        const idle = Promise.all([
+            this.activeRequests.waitForIdle(),
+            this.accountHost.waitForIdle(),
+            this.serviceHost.drain(),
+        ]);
+        await Promise.race([idle, timeUp]);
         timeout.abort();
     }
 
