--- a/src/rates/ShareHandOver.ts
+++ b/src/rates/ShareHandOver.ts
@@ -3,6 +3,7 @@
 import { PeerMethod } from "../peers/index.js";
 import type { AccountBucket } from "./AccountBucket.js";
 import type { BucketTable } from "./BucketTable.js";
+import type { ExtraShare } from "./ExtraShare.js";
 import type { HandedOverShare } from "./HandedOverShare.js";
 import type { HandOverRatesParams } from "./HandOverRatesParams.js";
 import type { HandOverRatesResult } from "./HandOverRatesResult.js";
@@ -10,13 +11,14 @@
 import type { RateLimiterOptions } from "./RateLimiterOptions.js";
 
 const SEND_TIMEOUT_MS = 1_000;
+const MAX_TRIES = 4;
+const RETRY_INTERVAL_MS = 250;
 const SHARES_A_MESSAGE = 500;
 
 /** Hands shares over at a planned stop, and takes over those of others; the giver stops first. */
 export class ShareHandOver {
     readonly #options: RateLimiterOptions;
     readonly #buckets: BucketTable;
-    readonly #receivers = new Set<AccountBucket>();
     #hasStopped = false;
 
     /**
@@ -85,18 +87,25 @@
         for (let start = 0; start < shares.length; start += SHARES_A_MESSAGE) {
             const part = shares.slice(start, start + SHARES_A_MESSAGE);
             const params = { memberId, incarnation, viewVersion, shares: part };
-            const send = this.#options.transport.send(
-                host.peerAddress,
-                PeerMethod.HandOverRates,
-                params,
-                SEND_TIMEOUT_MS,
-            );
-            await send.catch(() => undefined);
+            await this.#sendPart(host, params);
         }
         const figures = { shares: shares.length };
         this.#options.decisionLog.record({ decision: Decision.HandedOver, reason: "rates", member: host.id, figures });
     }
 
+    /** Repeats a part that was not taken: the receiver may learn of the view a little later. */
+    async #sendPart(host: Member, params: HandOverRatesParams): Promise<void> {
+        const { clock, transport } = this.#options;
+        for (let count = 0; count < MAX_TRIES; count++) {
+            const send = transport.send(host.peerAddress, PeerMethod.HandOverRates, params, SEND_TIMEOUT_MS);
+            const result = await send.catch(() => undefined);
+            if (result !== undefined && result.accepted > 0) {
+                return;
+            }
+            await clock.wait(RETRY_INTERVAL_MS);
+        }
+    }
+
     #receive(params: HandOverRatesParams): HandOverRatesResult {
         const view = this.#options.membership.getView();
         const isReplacement = params.viewVersion !== undefined;
@@ -115,47 +124,60 @@
         }
         const now = this.#options.clock.getTime();
         const bucket = this.#buckets.get(account, now);
-        this.#receivers.add(bucket);
         const extra = { burst: share.burst, memberId: params.memberId, isReplacement };
         return bucket.addExtra(params.incarnation, extra, share.tokens, now);
     }
 
-    /** Gives up the shares of members that have left, and passes them on to the hosts that took their place. */
+    /** Passes shares that end with a view on to the hosts that took the place of their holders. */
     #applyView(view: MembershipView, previous: MembershipView): void {
-        const now = this.#options.clock.getTime();
         const passedOn = new Map<Member, HandedOverShare[]>();
-        for (const bucket of this.#receivers) {
-            for (const [incarnation, extra] of [...bucket.getExtras()]) {
-                if (!extra.isReplacement && hasIncarnation(view, extra.memberId, incarnation)) {
-                    continue;
-                }
-                bucket.removeExtra(incarnation, now);
-                const { name } = bucket.getAccount();
-                const host = extra.isReplacement ? undefined : this.#findNewHost(name, view, previous);
-                if (host !== undefined) {
-                    const share = { account: name, burst: extra.burst, tokens: 0 };
-                    passedOn.set(host, [...passedOn.get(host) ?? [], share]);
+        const self = this.#options.membership.getSelf();
+        for (const [account, bucket] of this.#buckets.getAll()) {
+            const ended = this.#removeEnded(bucket, view);
+            for (const { memberId, burst } of [{ memberId: self.id, burst: bucket.getOwnBurst() }, ...ended]) {
+                const host = burst > 0 ? this.#findNewHost(account, memberId, view, previous) : undefined;
+                if (host !== undefined && host.id !== self.id) {
+                    passedOn.set(host, [...passedOn.get(host) ?? [], { account, burst, tokens: 0 }]);
                 }
             }
-            if (bucket.getExtras().size === 0) {
-                this.#receivers.delete(bucket);
-            }
         }
         for (const [host, shares] of passedOn) {
-            const self = this.#options.membership.getSelf();
             void this.#send(host, self.id, `${self.incarnation}/${view.version}`, shares, view.version);
         }
     }
 
-    #findNewHost(account: string, view: MembershipView, previous: MembershipView): Member | undefined {
+    /** Removes the extra shares of members that have left. */
+    #removeEnded(bucket: AccountBucket, view: MembershipView): ExtraShare[] {
+        const ended: ExtraShare[] = [];
+        for (const [incarnation, extra] of [...bucket.getExtras()]) {
+            if (extra.isReplacement || !hasIncarnation(view, extra.memberId, incarnation)) {
+                bucket.removeExtra(incarnation, this.#options.clock.getTime());
+                ended.push(...(extra.isReplacement ? [] : [extra]));
+            }
+        }
+        return ended;
+    }
+
+    /** Finds the account host that took the place of one that no longer is one. */
+    #findNewHost(
+        account: string,
+        memberId: string,
+        view: MembershipView,
+        previous: MembershipView,
+    ): Member | undefined {
         const { membership } = this.#options;
         const former = membership.getAccountHosts(account, previous);
-        const isNew = (host: Member): boolean =>
-            !former.some(other => other.id === host.id && other.incarnation === host.incarnation);
-        return membership.getAccountHosts(account, view).find(isNew);
+        const present = membership.getAccountHosts(account, view);
+        const lost = former.filter(host => !hasMember(present, host));
+        const added = present.filter(host => !hasMember(former, host));
+        return added[lost.findIndex(host => host.id === memberId)];
     }
 }
 
+function hasMember(members: readonly Member[], member: Member): boolean {
+    return members.some(other => other.id === member.id && other.incarnation === member.incarnation);
+}
+
 function hasIncarnation(view: MembershipView, memberId: string, incarnation: string): boolean {
     return view.members.some(member => member.id === memberId && member.incarnation === incarnation);
 }
