Say unknown, not "not run", where the checks before the account host refuse a request with a key

Cause: a resend of an order that had run, at a host that was not current or with a key withdrawn meanwhile, was refused with outcome not-run, which was false for the order; only the key's own host may say so. Such refusals keep their status and reason and say unknown. Also: an account host refuses keys that it knows to be withdrawn, whatever the host that took the request in knows, and the host list's lag comes from the settings. Ruled out: asking the key's host before each refusal (a stale host would forward for keys that it can't check).

--- a/src/accounts/AccountHost.ts
+++ b/src/accounts/AccountHost.ts
@@ -155,9 +155,16 @@
             quarantine: this.#quarantine,
             account: request.account,
             fingerprint,
+            isKeyWithdrawn: () => this.#isKeyWithdrawn(request),
         });
     }
 
+    /** The host that took the request in may know less of the newest changes than this one. */
+    #isKeyWithdrawn(request: CallerRequest): boolean {
+        const { keyId } = request;
+        return keyId !== undefined && this.#options.getConfiguration().getKey(keyId)?.withdrawn === true;
+    }
+
     #findService(request: CallerRequest): Service | undefined {
         return this.#options.getConfiguration().getService(request.route.service);
     }
--- a/src/accounts/RequestAdmission.ts
+++ b/src/accounts/RequestAdmission.ts
@@ -5,7 +5,7 @@
 
 const RETRY_AFTER_MS = 1_000;
 
-/** Admits one request by freshness, quarantine and rate, and gives its token back if it did not run. */
+/** Admits one request by freshness, key, quarantine and rate, and gives its token back if it did not run. */
 export class RequestAdmission {
     readonly #options: RequestAdmissionOptions;
     #grant: RateGrant | undefined;
@@ -17,10 +17,13 @@
 
     /** Returns the refusal, or undefined if the request may run. */
     async admit(): Promise<NotRunOutcome | undefined> {
-        const { account, fingerprint, limiter, membership, quarantine } = this.#options;
+        const { account, fingerprint, isKeyWithdrawn, limiter, membership, quarantine } = this.#options;
         if (!membership.isCurrent()) {
             return createNotRun(RefusalReason.HostNotCurrent, "This entry host can't serve now.", RETRY_AFTER_MS);
         }
+        if (isKeyWithdrawn()) {
+            return createNotRun(RefusalReason.WithdrawnKey, "The key has been withdrawn.");
+        }
         if (quarantine.isRefused(fingerprint)) {
             return createNotRun(
                 RefusalReason.RequestQuarantined,
--- a/src/accounts/RequestAdmissionOptions.ts
+++ b/src/accounts/RequestAdmissionOptions.ts
@@ -11,4 +11,6 @@
     /** Undefined for a caller without a key, who has no rate. */
     readonly account: Account | undefined;
     readonly fingerprint: string;
+    /** Whether the key that came with the request has been withdrawn. */
+    readonly isKeyWithdrawn: () => boolean;
 }
--- a/src/callers/CallerGate.ts
+++ b/src/callers/CallerGate.ts
@@ -203,7 +203,9 @@
         const reason = refusal.outcome.reason;
         const figures = { path: call.target.split("?", 1)[0]!, method: call.method };
         this.#options.decisions.record({ decision: Decision.Refused, reason, requestId, figures });
-        return HOST_REASONS.has(reason) ? { ...refusal.outcome, otherUrls: this.#getOtherUrls() } : refusal.outcome;
+        const otherUrls = HOST_REASONS.has(reason) ? this.#getOtherUrls() : undefined;
+        const details = { ...refusal.outcome, otherUrls };
+        return hasIdempotencyKey(call) ? { ...details, kind: OutcomeKind.Unknown } : details;
     }
 
     #getOtherUrls(): readonly string[] {
@@ -235,3 +237,8 @@
 function getDecision(outcome: { kind: OutcomeKind.NotRun | OutcomeKind.Unknown; }): Decision {
     return outcome.kind === OutcomeKind.NotRun ? Decision.Refused : Decision.OutcomeUnknown;
 }
+
+/** What the checks refuse has not run, but of a request with a key they can't say whether an earlier one with it has. */
+function hasIdempotencyKey(call: IncomingCall): boolean {
+    return call.headers["idempotency-key"] !== undefined;
+}
--- a/src/callers/createProblem.ts
+++ b/src/callers/createProblem.ts
@@ -1,9 +1,10 @@
-import { OutcomeKind } from "../outcomes/index.js";
+import { OutcomeKind, RefusalReason } from "../outcomes/index.js";
 import type { NotRunOutcome, UnknownOutcome } from "../outcomes/index.js";
 import { getRefusalStatus } from "./getRefusalStatus.js";
 import type { ProblemDocument } from "./ProblemDocument.js";
 
 const UNKNOWN_STATUS = 502;
+const REFUSAL_REASONS: ReadonlySet<string> = new Set(Object.values(RefusalReason));
 
 /**
  * Creates the problem document of an outcome without an answer.
@@ -15,11 +16,15 @@
     return {
         type: `urn:fuchsiapath:${outcome.reason}`,
         title: isNotRun ? "The request was not run" : "It is not known whether the request ran",
-        status: isNotRun ? getRefusalStatus(outcome.reason) : UNKNOWN_STATUS,
+        status: isRefusal(outcome.reason) ? getRefusalStatus(outcome.reason) : UNKNOWN_STATUS,
         detail: outcome.detail,
         outcome: outcome.kind,
         reason: outcome.reason,
         requestId,
-        ...isNotRun && outcome.otherUrls !== undefined ? { otherUrls: outcome.otherUrls } : {},
+        ...outcome.otherUrls !== undefined ? { otherUrls: outcome.otherUrls } : {},
     };
 }
+
+function isRefusal(reason: string): reason is RefusalReason {
+    return REFUSAL_REASONS.has(reason);
+}
--- a/src/callers/sendProblem.ts
+++ b/src/callers/sendProblem.ts
@@ -1,5 +1,4 @@
 import type { ServerResponse } from "node:http";
-import { OutcomeKind } from "../outcomes/index.js";
 import type { NotRunOutcome, UnknownOutcome } from "../outcomes/index.js";
 import { createProblem } from "./createProblem.js";
 
@@ -32,7 +31,7 @@
 }
 
 function getRetryAfter(outcome: NotRunOutcome | UnknownOutcome): Record<string, string> {
-    if (outcome.kind === OutcomeKind.Unknown || outcome.retryAfterMs === undefined) {
+    if (outcome.retryAfterMs === undefined) {
         return {};
     }
     const seconds = Math.max(1, Math.ceil(outcome.retryAfterMs / MS_PER_SECOND));
--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -163,6 +163,7 @@
             log: decisions,
             self: createMember(settings, incarnation),
             seedAddresses: settings.seedPeers,
+            hostListLagMs: settings.hostListLagMs,
             handOver: () => this.accountHost.drain(),
         });
     }
--- a/src/load/readAttemptEnd.ts
+++ b/src/load/readAttemptEnd.ts
@@ -54,8 +54,7 @@
         }
         case OutcomeKind.Unknown: {
             const { reason } = await readProblem(status, attempt.body);
-            const isOpen = kind !== RequestKind.Order || reason === UnknownReason.StillRunning;
-            const endKind = isOpen ? AttemptEndKind.Again : AttemptEndKind.Final;
+            const endKind = getUnknownEnd(kind, reason);
             return { kind: endKind, result: ResultKind.Unknown, reason, status };
         }
         default:
@@ -64,6 +63,14 @@
     }
 }
 
+function getUnknownEnd(kind: RequestKind, reason: string): AttemptEndKind {
+    if (HOST_REASONS.includes(reason)) {
+        return AttemptEndKind.Elsewhere;
+    }
+    const isOpen = kind !== RequestKind.Order || reason === UnknownReason.StillRunning;
+    return isOpen ? AttemptEndKind.Again : AttemptEndKind.Final;
+}
+
 async function readDone(attempt: AnsweredAttempt, path: string): Promise<AttemptEnd> {
     const { status } = attempt;
     if (attempt.headers["content-type"] === PROBLEM_TYPE) {
--- a/src/membership/MembershipOptions.ts
+++ b/src/membership/MembershipOptions.ts
@@ -23,6 +23,8 @@
     readonly seedAddresses: readonly string[];
     /** Account hosts of each client account; 3 if left out. */
     readonly accountHostCount?: number;
+    /** How far the host list may lag, in milliseconds; 10 s if left out. */
+    readonly hostListLagMs?: number;
     /** Time between two pulls, in milliseconds; 250 if left out. */
     readonly pullIntervalMs?: number;
     /** Hands this host's duties to their next holders before it leaves the view. */
--- a/src/membership/MembershipService.ts
+++ b/src/membership/MembershipService.ts
@@ -53,7 +53,7 @@
         const { clock, transport, self, headStore, hostList } = options;
         this.#options = options;
         this.#tracker = new HeadTracker(options.installer);
-        this.#stopped = new StoppedMembers(clock, hostList, this.#tracker, this.#evidence);
+        this.#stopped = new StoppedMembers(clock, hostList, this.#tracker, this.#evidence, options.hostListLagMs);
         this.#freshness = new Freshness(clock, self, this.#tracker, this.#evidence, this.#stopped);
         this.#reachability = new Reachability(clock, self.id, this.#tracker, this.#evidence);
         this.#poll = new MajorityPoll(clock, transport, self, this.#tracker, this.#stopped);
--- a/src/membership/StoppedMembers.ts
+++ b/src/membership/StoppedMembers.ts
@@ -6,7 +6,7 @@
 import type { HeadTracker } from "./HeadTracker.js";
 
 const LIST_INTERVAL_MS = 2_000;
-const LIST_LAG_MS = 10_000;
+const DEFAULT_LIST_LAG_MS = 10_000;
 
 /** Knows the members that the platform's list has dropped for longer than its lag, and that nobody has heard since. */
 export class StoppedMembers {
@@ -14,6 +14,7 @@
     readonly #hostList: HostList;
     readonly #tracker: HeadTracker;
     readonly #evidence: Evidence;
+    readonly #listLagMs: number;
     readonly #absentSince = new Map<string, number>();
     #listedAddresses: readonly string[] = [];
 
@@ -22,12 +23,20 @@
      * @param hostList - The platform's list.
      * @param tracker - Holds the head.
      * @param evidence - Tells when a member was heard.
+     * @param listLagMs - How far the list may lag, in milliseconds.
      */
-    constructor(clock: Clock, hostList: HostList, tracker: HeadTracker, evidence: Evidence) {
+    constructor(
+        clock: Clock,
+        hostList: HostList,
+        tracker: HeadTracker,
+        evidence: Evidence,
+        listLagMs = DEFAULT_LIST_LAG_MS,
+    ) {
         this.#clock = clock;
         this.#hostList = hostList;
         this.#tracker = tracker;
         this.#evidence = evidence;
+        this.#listLagMs = listLagMs;
     }
 
     /**
@@ -40,7 +49,7 @@
             return false;
         }
         const now = this.#clock.getTime();
-        return now - absentSince > LIST_LAG_MS && now - this.#evidence.getHeardTime(memberId) > FRESHNESS_BOUND_MS;
+        return now - absentSince > this.#listLagMs && now - this.#evidence.getHeardTime(memberId) > FRESHNESS_BOUND_MS;
     }
 
     /** Gets the peer addresses of the newest list. */
--- a/src/services/KeptOutcome.ts
+++ b/src/services/KeptOutcome.ts
@@ -15,4 +15,4 @@
         readonly detail: string;
         readonly retryAfterMs?: number;
     }
-    | { readonly kind: OutcomeKind.Unknown; readonly reason: UnknownReason; readonly detail: string; };
+    | { readonly kind: OutcomeKind.Unknown; readonly reason: UnknownReason | RefusalReason; readonly detail: string; };
--- a/tests/accounts/AccountHost.test.ts
+++ b/tests/accounts/AccountHost.test.ts
@@ -27,6 +27,22 @@
     assert.is(fleet.runs.length, 1);
 });
 
+test("a withdrawn key starts nothing, also let in by a host that does not know yet; what ran before is still told", async () => {
+    const fleet = createAccountFleet(3);
+    await fleet.start();
+    const idempotencyKey = `${fleet.hosts[0]!.host.createKeyPrefix()}.own-1`;
+    const first = fleet.run(0, fleet.createRequest(RouteKind.Order, { idempotencyKey }));
+    await fleet.clock.run(100);
+    fleet.withdrawnKeys.add("k");
+    const again = fleet.run(0, fleet.createRequest(RouteKind.Order, { idempotencyKey }));
+    const lookup = fleet.run(1, fleet.createRequest(RouteKind.Lookup));
+    await fleet.clock.run(100);
+    const refused = await lookup;
+    assert.equal([await readText(await first), await readText(await again)], ["ran r1", "ran r1"]);
+    assert.is(refused.kind === OutcomeKind.NotRun && refused.reason, RefusalReason.WithdrawnKey);
+    assert.is(fleet.runs.length, 1);
+});
+
 test("a plain key is claimed in the store and runs once over two hosts", async () => {
     const fleet = createAccountFleet(3);
     await fleet.start();
--- a/tests/callers/CallerListener.test.ts
+++ b/tests/callers/CallerListener.test.ts
@@ -87,6 +87,20 @@
     assert.is(bench.activeRequests.getCount(), 0);
 });
 
+test("a refusal before the account host says nothing of an order that its key may name", async () => {
+    bench.membership.isHostCurrent = false;
+    const request = `POST /orders HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n`;
+    const stale = await bench.send(request);
+    bench.membership.isHostCurrent = true;
+    bench.removeKey();
+    const withdrawn = await bench.send(request);
+    assert.equal([getSummary(stale), getSummary(withdrawn)], ["503 host-not-current", "401 withdrawn-key"]);
+    assert.match(stale, /x-outcome: unknown\r\n/);
+    assert.match(stale, /retry-after: 1\r\n/);
+    assert.match(withdrawn, /x-outcome: unknown\r\n/);
+    assert.equal(bench.received, []);
+});
+
 test("a host that is not current refuses as not run", async () => {
     bench.membership.isHostCurrent = false;
     const answer = await bench.send(`GET /catalogue/1 HTTP/1.1\r\nHost: a\r\n${AUTHORIZED}\r\n`);
--- a/tests/support/createAccountFleet.ts
+++ b/tests/support/createAccountFleet.ts
@@ -1,6 +1,6 @@
 import type { CallerRequest } from "../../src/accounts/index.js";
 import { AccountHost } from "../../src/accounts/index.js";
-import type { Account, Configuration, Route, Service } from "../../src/configuration/index.js";
+import type { Account, AccountKey, Configuration, Route, Service } from "../../src/configuration/index.js";
 import { RouteAccess, RouteKind } from "../../src/configuration/index.js";
 import {
     FakeClock,
@@ -38,6 +38,8 @@
     readonly runs: ServiceRequest[];
     readonly hosts: FleetHost[];
     account: Account;
+    /** Ids of keys that have been withdrawn. */
+    readonly withdrawnKeys: Set<string>;
     start(): Promise<void>;
     addHost(id: string, zone: string, incarnation: string, view: MembershipView): FleetHost;
     applyView(view: MembershipView): void;
@@ -64,6 +66,7 @@
         runs,
         hosts,
         account: { name: "shop", rate: 100, burst: 100 },
+        withdrawnKeys: new Set(),
         start: () => clock.run(HOLD_OFF_MS),
         addHost: (id, zone, incarnation, view) => {
             const member = createMember(id, zone, incarnation);
@@ -88,7 +91,7 @@
                 },
                 serviceRunner: runner,
                 decisionLog: new DecisionHistory(hostClock),
-                getConfiguration: () => createConfiguration(fleet.account),
+                getConfiguration: () => createConfiguration(fleet.account, fleet.withdrawnKeys),
             });
             network.addHost(member.peerAddress, { handlers, serviceRunner: runner, accountRunner: host });
             const fleetHost: FleetHost = { member, membership, runner, host, clock: hostClock, isDead: false };
@@ -151,12 +154,12 @@
     return { name: kind, kind, deadlineMs: 2_000, maxBodyBytes: 1_000, ...base };
 }
 
-function createConfiguration(account: Account): Configuration {
+function createConfiguration(account: Account, withdrawnKeys: ReadonlySet<string>): Configuration {
     const service = createService();
     return {
         version: 1,
         getAccount: name => name === account.name ? account : undefined,
-        getKey: () => undefined,
+        getKey: id => withdrawnKeys.has(id) ? createWithdrawnKey(id, account.name) : undefined,
         findRoute: () => undefined,
         getRoute: () => undefined,
         getService: () => service,
@@ -165,6 +168,10 @@
     };
 }
 
+function createWithdrawnKey(id: string, account: string): AccountKey {
+    return { id, account, salt: "", hash: "", withdrawn: true };
+}
+
 function createService(): Service {
     const upstreams = ZONES.map(zone => ({
         name: `${zone}-1`,
