Bound the wait for a silent account host, and do not call a lookup not run that may have run

Cause: a request that came in at another host waited for a frozen account host until its caller left, and a lookup whose forwarding was lost everywhere was refused as not run although it may have run. Each host gets half of the time that is left; what may have run is unknown. Ruled out: sending to two hosts at once (twice the work for each silent host). Before: the new test never ends; after: hosts are asked at 0, 1000 and 1500 ms of 2000 and the lookup is unknown; tests/accounts/AccountRouter 2 passed, tests/scenario 8 passed, 0 failed.

--- a/src/accounts/AccountRouter.ts
+++ b/src/accounts/AccountRouter.ts
@@ -4,14 +4,18 @@
 import { createNotRun, createUnknown, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import type { PeerForwarder } from "../peers/index.js";
+import type { Clock } from "../time/index.js";
 import type { AccountRouterOptions } from "./AccountRouterOptions.js";
 import type { AccountRunner } from "./AccountRunner.js";
 import type { CallerRequest } from "./CallerRequest.js";
 
 const RETRY_AFTER_MS = 1000;
+/** How long an order's account host may take beyond the deadline to tell the outcome, in milliseconds. */
+const GRACE_MS = 1000;
 
 /** Runs a request on this entry host if it is an account host of the request's account, else forwards it to one. */
 export class AccountRouter implements AccountRunner {
+    readonly #clock: Clock;
     readonly #local: AccountRunner;
     readonly #membership: Membership;
     readonly #forwarder: PeerForwarder;
@@ -19,6 +23,7 @@
 
     /** @param options - This host's own account host and the way to others. */
     constructor(options: AccountRouterOptions) {
+        this.#clock = options.clock;
         this.#local = options.local;
         this.#membership = options.membership;
         this.#forwarder = options.forwarder;
@@ -50,9 +55,12 @@
 
     async #runOnOneOf(hosts: readonly Member[], request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
         const isRepeatable = request.route.kind !== RouteKind.Order;
+        const deadline = this.#clock.getTime() + request.timeoutMs;
+        let mayHaveRun = false;
         for (const host of this.#getReachableFirst(hosts)) {
             try {
-                return await this.#forwarder.runAccount(host.peerAddress, request, signal);
+                const timeoutMs = Math.max(0, deadline - this.#clock.getTime());
+                return await this.#sendToHost(host, { ...request, timeoutMs }, signal);
             }
             catch (error) {
                 const isNotSent = error instanceof PeerUnavailableError && error.isNotSent;
@@ -60,9 +68,31 @@
                     const detail = "The connection to the account host was lost; ask for the order by its key.";
                     return createUnknown(UnknownReason.ConnectionLost, detail);
                 }
+                mayHaveRun ||= !isNotSent;
             }
         }
-        return getUnreachable(request);
+        return mayHaveRun
+            ? createUnknown(UnknownReason.ConnectionLost, "The connections to the account hosts were lost.")
+            : getUnreachable(request);
+    }
+
+    /** A silent account host costs a request that may be repeated half of its time, so that another can still serve it. */
+    async #sendToHost(host: Member, request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+        const limitMs = request.route.kind === RouteKind.Order ? request.timeoutMs + GRACE_MS : request.timeoutMs / 2;
+        const controller = new AbortController();
+        const silent = new Promise<never>((_, reject) => {
+            controller.signal.addEventListener("abort", () => {
+                reject(new PeerUnavailableError(`${host.peerAddress} did not answer.`, false));
+            });
+        });
+        const timer = this.#clock.schedule(limitMs, () => controller.abort());
+        const combined = AbortSignal.any([signal, controller.signal]);
+        try {
+            return await Promise.race([this.#forwarder.runAccount(host.peerAddress, request, combined), silent]);
+        }
+        finally {
+            timer.cancel();
+        }
     }
 
     #getReachableFirst(hosts: readonly Member[]): readonly Member[] {
--- a/src/accounts/AccountRouterOptions.ts
+++ b/src/accounts/AccountRouterOptions.ts
@@ -1,9 +1,11 @@
 import type { Membership } from "../membership/index.js";
 import type { PeerForwarder } from "../peers/index.js";
+import type { Clock } from "../time/index.js";
 import type { AccountRunner } from "./AccountRunner.js";
 
 /** What the routing of requests to account hosts needs. */
 export interface AccountRouterOptions {
+    readonly clock: Clock;
     /** This entry host in its role as account host. */
     readonly local: AccountRunner;
     readonly membership: Membership;
--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -47,6 +47,7 @@
         this.serviceHost = this.#createServiceHost();
         this.accountHost = this.#createAccountHost();
         this.#router = new AccountRouter({
+            clock: options.clock,
             local: this.accountHost,
             membership: this.membership,
             forwarder: options.forwarder,
--- a/tests/accounts/AccountRouter.test.ts
+++ b/tests/accounts/AccountRouter.test.ts
@@ -13,6 +13,7 @@
     const hosts = fleet.hosts[0]!.membership.getAccountHosts("shop");
     const other = fleet.hosts.find(({ member }) => !hosts.some(host => host.id === member.id))!;
     const router = new AccountRouter({
+        clock: fleet.clock,
         local: other.host,
         membership: other.membership,
         forwarder: { runAccount: refuse, runService: refuse },
@@ -24,4 +25,25 @@
     assert.is((await run(RouteKind.Lookup)).kind, OutcomeKind.NotRun);
 });
 
+test("a silent account host costs a lookup half of its time, and a lookup that may have run is not called not run", async () => {
+    const fleet = createAccountFleet(6);
+    const hosts = fleet.hosts[0]!.membership.getAccountHosts("shop");
+    const other = fleet.hosts.find(({ member }) => !hosts.some(host => host.id === member.id))!;
+    const asked: number[] = [];
+    const hang = (): Promise<never> => {
+        asked.push(fleet.clock.getTime());
+        return new Promise(() => {});
+    };
+    const router = new AccountRouter({
+        clock: fleet.clock,
+        local: other.host,
+        membership: other.membership,
+        forwarder: { runAccount: hang, runService: hang },
+    });
+    const lookup = router.run(fleet.createRequest(RouteKind.Lookup), new AbortController().signal);
+    await fleet.clock.run(2000);
+    assert.equal(asked, [0, 1000, 1500]);
+    assert.is((await lookup).kind, OutcomeKind.Unknown);
+});
+
 test.run();
