Put the tools' parts into folders, record each decision once, and try with the example's own experiment

Cause: read as a newcomer, src/tools mixed programs with their parts, two functions measured the heap, two experiments of one example differed little, and a refusal was recorded by both the gate and the account host. An answer is recorded by the gate, a refusal by the account host, and by the host that forwarded the request. Ruled out: recording at the gate only (it lacks the account host's figures).

--- a/src/accounts/AccountRouter.ts
+++ b/src/accounts/AccountRouter.ts
@@ -1,7 +1,9 @@
 import { RouteKind } from "../configuration/index.js";
 import { PeerUnavailableError } from "../errors/index.js";
+import { Decision } from "../logging/index.js";
+import type { DecisionLog } from "../logging/index.js";
 import type { Member, Membership } from "../membership/index.js";
-import { createNotRun, createUnknown, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import type { PeerForwarder } from "../peers/index.js";
 import type { Clock } from "../time/index.js";
@@ -16,6 +18,7 @@
 /** Runs a request on this entry host if it is an account host of the request's account, else forwards it to one. */
 export class AccountRouter implements AccountRunner {
     readonly #clock: Clock;
+    readonly #decisions: DecisionLog;
     readonly #local: AccountRunner;
     readonly #membership: Membership;
     readonly #forwarder: PeerForwarder;
@@ -24,6 +27,7 @@
     /** @param options - This host's own account host and the way to others. */
     constructor(options: AccountRouterOptions) {
         this.#clock = options.clock;
+        this.#decisions = options.decisions;
         this.#local = options.local;
         this.#membership = options.membership;
         this.#forwarder = options.forwarder;
@@ -60,7 +64,9 @@
         for (const host of this.#getReachableFirst(hosts)) {
             try {
                 const timeoutMs = Math.max(0, deadline - this.#clock.getTime());
-                return await this.#sendToHost(host, { ...request, timeoutMs }, signal);
+                const outcome = await this.#sendToHost(host, { ...request, timeoutMs }, signal);
+                this.#recordForwarded(host, request, outcome);
+                return outcome;
             }
             catch (error) {
                 const isNotSent = error instanceof PeerUnavailableError && error.isNotSent;
@@ -95,6 +101,21 @@
         }
     }
 
+    /** Records at the host that a caller has asked what the account host decided. */
+    #recordForwarded(host: Member, request: CallerRequest, outcome: Outcome): void {
+        if (outcome.kind === OutcomeKind.Done) {
+            return;
+        }
+        this.#decisions.record({
+            decision: outcome.kind === OutcomeKind.NotRun ? Decision.Refused : Decision.OutcomeUnknown,
+            reason: outcome.reason,
+            requestId: request.requestId,
+            account: request.account?.name,
+            service: request.route.service,
+            member: host.id,
+        });
+    }
+
     #getReachableFirst(hosts: readonly Member[]): readonly Member[] {
         const reachable = hosts.filter(host => this.#membership.isReachable(host.id));
         const others = hosts.filter(host => !this.#membership.isReachable(host.id));
--- a/src/accounts/AccountRouterOptions.ts
+++ b/src/accounts/AccountRouterOptions.ts
@@ -1,3 +1,4 @@
+import type { DecisionLog } from "../logging/index.js";
 import type { Membership } from "../membership/index.js";
 import type { PeerForwarder } from "../peers/index.js";
 import type { Clock } from "../time/index.js";
@@ -6,6 +7,7 @@
 /** What the routing of requests to account hosts needs. */
 export interface AccountRouterOptions {
     readonly clock: Clock;
+    readonly decisions: DecisionLog;
     /** This entry host in its role as account host. */
     readonly local: AccountRunner;
     readonly membership: Membership;
--- a/src/callers/CallerGate.ts
+++ b/src/callers/CallerGate.ts
@@ -123,7 +123,7 @@
             this.#options.activeRequests.remove(active);
         };
         const outcome = await this.#runAccount(request, controller.signal);
-        this.#recordOutcome(request, outcome);
+        this.#recordAnswer(request, outcome);
         return { requestId: request.requestId, outcome, signal: controller.signal, close };
     }
 
@@ -217,15 +217,17 @@
             .map(member => `http://${member.callerAddress}`);
     }
 
-    #recordOutcome(request: CallerRequest, outcome: Outcome): void {
-        const isAnswered = outcome.kind === OutcomeKind.Done;
-        this.#options.decisions.record({
-            decision: isAnswered ? Decision.Answered : getDecision(outcome),
-            reason: isAnswered ? `status ${outcome.status}` : outcome.reason,
-            requestId: request.requestId,
-            account: request.account?.name,
-            service: request.route.service,
-        });
+    /** Account hosts record what they refuse and what stays unknown. */
+    #recordAnswer(request: CallerRequest, outcome: Outcome): void {
+        if (outcome.kind === OutcomeKind.Done) {
+            this.#options.decisions.record({
+                decision: Decision.Answered,
+                reason: `status ${outcome.status}`,
+                requestId: request.requestId,
+                account: request.account?.name,
+                service: request.route.service,
+            });
+        }
     }
 
     #createRequestId(): string {
@@ -234,10 +236,6 @@
     }
 }
 
-function getDecision(outcome: { kind: OutcomeKind.NotRun | OutcomeKind.Unknown; }): Decision {
-    return outcome.kind === OutcomeKind.NotRun ? Decision.Refused : Decision.OutcomeUnknown;
-}
-
 /** What the checks refuse has not run, but of a request with a key they can't say whether an earlier one with it has. */
 function hasIdempotencyKey(call: IncomingCall): boolean {
     return call.headers["idempotency-key"] !== undefined;
--- a/src/tools/capacity-accounts.ts
+++ b/src/tools/capacity-accounts.ts
@@ -18,7 +18,7 @@
 import type { ServiceAnswer } from "../services/index.js";
 import { SystemClock } from "../time/index.js";
 import type { Clock } from "../time/index.js";
-import { measureWork } from "./measureWork.js";
+import { measureWork } from "./capacity/measureWork.js";
 
 /*
  * Prints what an account host costs for each account, request, order record and borrowed token, at three sizes each.
--- a/src/tools/capacity-services.ts
+++ b/src/tools/capacity-services.ts
@@ -7,10 +7,10 @@
 import type { ServiceHost, UpstreamTransport } from "../services/index.js";
 import { HttpUpstreamTransport, UpstreamAnswerKind } from "../services/index.js";
 import { SystemClock } from "../time/index.js";
-import { createCapacityRequest } from "./createCapacityRequest.js";
-import { createCapacityService } from "./createCapacityService.js";
-import { createServiceHost } from "./createServiceHost.js";
-import { measureHeap } from "./measureHeap.js";
+import { createCapacityRequest } from "./capacity/createCapacityRequest.js";
+import { createCapacityService } from "./capacity/createCapacityService.js";
+import { createServiceHost } from "./capacity/createServiceHost.js";
+import { measureHeap } from "./capacity/measureHeap.js";
 
 /*
  * Prints the slopes of a service host: processor time per request, bytes per upstream and per waiting request.
--- a/src/tools/createCapacityRequest.ts
+++ b/src/tools/capacity/createCapacityRequest.ts
@@ -1,4 +1,4 @@
-import type { ServiceRequest } from "../services/index.js";
+import type { ServiceRequest } from "../../services/index.js";
 
 const TIMEOUT_MS = 60_000;
 const ACCOUNTS = 50;
--- a/src/tools/createCapacityService.ts
+++ b/src/tools/capacity/createCapacityService.ts
@@ -1,4 +1,4 @@
-import type { Service } from "../configuration/index.js";
+import type { Service } from "../../configuration/index.js";
 
 const SLOTS = 6;
 const FIRST_PORT = 1_024;
--- a/src/tools/createServiceHost.ts
+++ b/src/tools/capacity/createServiceHost.ts
@@ -1,11 +1,11 @@
-import type { Configuration, Service } from "../configuration/index.js";
-import type { Membership } from "../membership/index.js";
-import type { PeerTransport } from "../peers/index.js";
-import { PeerHandlers } from "../peers/index.js";
-import { SeededRandom } from "../random/index.js";
-import { ServiceHost } from "../services/index.js";
-import type { UpstreamTransport } from "../services/index.js";
-import { SystemClock } from "../time/index.js";
+import type { Configuration, Service } from "../../configuration/index.js";
+import type { Membership } from "../../membership/index.js";
+import type { PeerTransport } from "../../peers/index.js";
+import { PeerHandlers } from "../../peers/index.js";
+import { SeededRandom } from "../../random/index.js";
+import { ServiceHost } from "../../services/index.js";
+import type { UpstreamTransport } from "../../services/index.js";
+import { SystemClock } from "../../time/index.js";
 
 const SEED = 1;
 
--- a/src/tools/capacity/measureHeap.ts
+++ b/src/tools/capacity/measureHeap.ts
@@ -1,11 +1,12 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 
-/** Measures the heap in use after a garbage collection, in bytes. */
+/** Measures the bytes in use on the heap and in array buffers, after a full collection. */
 export function measureHeap(): number {
     setFlagsFromString("--expose-gc");
     const collect = runInNewContext("gc") as () => void;
     collect();
     collect();
-    return process.memoryUsage().heapUsed;
+    const { heapUsed, arrayBuffers } = process.memoryUsage();
+    return heapUsed + arrayBuffers;
 }
--- a/src/tools/DetectionCase.ts
+++ b/src/tools/detection/DetectionCase.ts
@@ -1,4 +1,4 @@
-import type { FakeUpstreamFaults } from "../fakes/index.js";
+import type { FakeUpstreamFaults } from "../../fakes/index.js";
 
 /** A fault of one upstream whose detection is timed. */
 export interface DetectionCase {
--- a/src/tools/MeasuredService.ts
+++ b/src/tools/detection/MeasuredService.ts
@@ -1,4 +1,4 @@
-import type { Account, DetectionSettings } from "../configuration/index.js";
+import type { Account, DetectionSettings } from "../../configuration/index.js";
 
 /** One service of a deployment as one of its service hosts sees it. */
 export interface MeasuredService {
--- a/src/tools/measureDetection.ts
+++ b/src/tools/detection/measureDetection.ts
@@ -1,7 +1,7 @@
-import { ServiceBench } from "../fakes/index.js";
-import type { FakeUpstreamFaults } from "../fakes/index.js";
-import { Decision } from "../logging/index.js";
-import type { EjectionPolicy } from "../services/index.js";
+import { ServiceBench } from "../../fakes/index.js";
+import type { FakeUpstreamFaults } from "../../fakes/index.js";
+import { Decision } from "../../logging/index.js";
+import type { EjectionPolicy } from "../../services/index.js";
 import type { DetectionFigures } from "./DetectionFigures.js";
 import type { MeasuredService } from "./MeasuredService.js";
 
--- a/src/tools/measureShares.ts
+++ b/src/tools/detection/measureShares.ts
@@ -1,7 +1,7 @@
-import type { Account } from "../configuration/index.js";
-import { ServiceBench } from "../fakes/index.js";
-import { OutcomeKind } from "../outcomes/index.js";
-import type { ServiceAnswer } from "../services/index.js";
+import type { Account } from "../../configuration/index.js";
+import { ServiceBench } from "../../fakes/index.js";
+import { OutcomeKind } from "../../outcomes/index.js";
+import type { ServiceAnswer } from "../../services/index.js";
 import type { MeasuredService } from "./MeasuredService.js";
 
 const DURATION_MS = 30_000;
--- a/src/tools/readMeasuredService.ts
+++ b/src/tools/detection/readMeasuredService.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from "node:fs";
-import { parseDocument } from "../configuration/index.js";
+import { parseDocument } from "../../configuration/index.js";
 import type { MeasuredService } from "./MeasuredService.js";
 
 /**
--- a/src/tools/measure-detection.ts
+++ b/src/tools/measure-detection.ts
@@ -1,10 +1,10 @@
 import { EjectionPolicy } from "../services/index.js";
-import type { DetectionCase } from "./DetectionCase.js";
-import type { DetectionFigures } from "./DetectionFigures.js";
-import { measureDetection } from "./measureDetection.js";
-import type { MeasuredService } from "./MeasuredService.js";
-import { measureShares } from "./measureShares.js";
-import { readMeasuredService } from "./readMeasuredService.js";
+import type { DetectionCase } from "./detection/DetectionCase.js";
+import type { DetectionFigures } from "./detection/DetectionFigures.js";
+import { measureDetection } from "./detection/measureDetection.js";
+import type { MeasuredService } from "./detection/MeasuredService.js";
+import { measureShares } from "./detection/measureShares.js";
+import { readMeasuredService } from "./detection/readMeasuredService.js";
 
 /*
  * Prints, in virtual time and for both deployments, detection time and false ejections against the baseline policy,
--- a/src/tools/run-tests.ts
+++ b/src/tools/run-tests.ts
@@ -1,9 +1,9 @@
 import { existsSync, readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
-import type { KnownRed } from "./KnownRed.js";
-import { parseKnownRed } from "./parseKnownRed.js";
-import { runTestFile } from "./runTestFile.js";
-import type { TestFileResult } from "./TestFileResult.js";
+import type { KnownRed } from "./testing/KnownRed.js";
+import { parseKnownRed } from "./testing/parseKnownRed.js";
+import { runTestFile } from "./testing/runTestFile.js";
+import type { TestFileResult } from "./testing/TestFileResult.js";
 
 /*
  * Runs all compiled test files, a few at a time, and prints what failed.
--- a/src/tools/try.ts
+++ b/src/tools/try.ts
@@ -10,7 +10,7 @@
  * upstream and one withdrawn key, prints the result and stops all that it started.
  */
 const EXAMPLE = "examples/kelom";
-const EXPERIMENT = "examples/kelom/try.json";
+const EXPERIMENT = "examples/kelom/experiment.json";
 const HOSTS_PER_ZONE = 2;
 const BASE_PORT = 26_000;
 const LOOKUP_LIFETIME_MS = 2000;
--- a/tests/accounts/AccountRouter.test.ts
+++ b/tests/accounts/AccountRouter.test.ts
@@ -3,6 +3,7 @@
 import { AccountRouter } from "../../src/accounts/index.js";
 import { RouteKind } from "../../src/configuration/index.js";
 import { PeerUnavailableError } from "../../src/errors/index.js";
+import { DecisionHistory } from "../../src/logging/index.js";
 import type { Outcome } from "../../src/outcomes/index.js";
 import { OutcomeKind } from "../../src/outcomes/index.js";
 import { createAccountFleet } from "../support/createAccountFleet.js";
@@ -14,6 +15,7 @@
     const other = fleet.hosts.find(({ member }) => !hosts.some(host => host.id === member.id))!;
     const router = new AccountRouter({
         clock: fleet.clock,
+        decisions: new DecisionHistory(fleet.clock),
         local: other.host,
         membership: other.membership,
         forwarder: { runAccount: refuse, runService: refuse },
@@ -30,15 +32,16 @@
     const hosts = fleet.hosts[0]!.membership.getAccountHosts("shop");
     const other = fleet.hosts.find(({ member }) => !hosts.some(host => host.id === member.id))!;
     const asked: number[] = [];
-    const hang = (): Promise<never> => {
+    const waitForever = (): Promise<never> => {
         asked.push(fleet.clock.getTime());
         return new Promise(() => {});
     };
     const router = new AccountRouter({
         clock: fleet.clock,
+        decisions: new DecisionHistory(fleet.clock),
         local: other.host,
         membership: other.membership,
-        forwarder: { runAccount: hang, runService: hang },
+        forwarder: { runAccount: waitForever, runService: waitForever },
     });
     const lookup = router.run(fleet.createRequest(RouteKind.Lookup), new AbortController().signal);
     await fleet.clock.run(2000);
