Send an answer's head with its first part, and log answers at level debug

A profile showed two writes for each answer at both hops, a synchronous log line and an error object for each request.

--- a/src/callers/sendCallAnswer.ts
+++ b/src/callers/sendCallAnswer.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
-import { pipeline } from "node:stream/promises";
 import { CONNECTION_FIELDS, OutcomeKind } from "../outcomes/index.js";
 import type { DoneOutcome } from "../outcomes/index.js";
+import { writeStream } from "../utils/index.js";
 import type { CallAnswer } from "./CallAnswer.js";
 import { sendProblem } from "./sendProblem.js";
 
@@ -19,9 +19,8 @@
         return;
     }
     response.writeHead(outcome.status, getHeaders(outcome, answer.requestId));
-    response.flushHeaders();
     try {
-        await pipeline(outcome.body, response, { signal: answer.signal });
+        await writeStream(outcome.body, response, answer.signal);
     }
     catch {
         response.destroy();
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -2,7 +2,8 @@
 import { CallerListener } from "../callers/index.js";
 import { AuditTrail } from "../configuration/index.js";
 import { HttpHostList } from "../hostlist/index.js";
-import { DecisionHistory } from "../logging/index.js";
+import { Decision, DecisionHistory } from "../logging/index.js";
+import type { TimedDecision } from "../logging/index.js";
 import { RequestMetrics } from "../metrics/index.js";
 import { OperatorApi } from "../operators/index.js";
 import { HttpPeerForwarder, HttpPeerTransport, PeerConnections, PeerListener } from "../peers/index.js";
@@ -43,7 +44,10 @@
      */
     constructor(settings: EntrySettings, logger: Logger) {
         this.#settings = settings;
-        this.#decisions = new DecisionHistory(this.#clock, decision => logger.info(decision, decision.reason));
+        this.#decisions = new DecisionHistory(
+            this.#clock,
+            decision => logger[getLevel(decision)](decision, decision.reason),
+        );
         this.#store = new HttpStore({ url: `http://${settings.storeAddress}`, timeoutMs: PLATFORM_TIMEOUT_MS });
         this.#upstreamTransport = new HttpUpstreamTransport(this.#clock);
         this.#host = this.#createHost();
@@ -130,3 +134,8 @@
         ]);
     }
 }
+
+/** Gets the log level of a decision: answers are too many for the usual level. */
+function getLevel(decision: TimedDecision): "debug" | "info" {
+    return decision.decision === Decision.Answered ? "debug" : "info";
+}
--- a/src/peers/PeerListener.ts
+++ b/src/peers/PeerListener.ts
@@ -2,12 +2,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
-import { pipeline } from "node:stream/promises";
 import polka from "polka";
 import { UnexpectedVariantError } from "../errors/index.js";
 import { createNotRun, getOutcomeHead, OutcomeKind, RefusalReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
-import { closeServer, decodeJson, encodeJson, isSameText, openServer, readBody } from "../utils/index.js";
+import { closeServer, decodeJson, encodeJson, isSameText, openServer, readBody, writeStream } from "../utils/index.js";
 import type { PeerAnswerHead } from "./PeerAnswerHead.js";
 import type { PeerListenerOptions } from "./PeerListenerOptions.js";
 import type { PeerMethod } from "./PeerMethod.js";
@@ -80,7 +79,11 @@
 
     async #runForwarded(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const controller = new AbortController();
-        response.once("close", () => controller.abort(new Error("The peer has closed the request.")));
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                controller.abort(new Error("The peer has closed the request."));
+            }
+        });
         try {
             const head = decodeJson(request.headers[peerProtocol.requestHeader] as string) as PeerRequestHead;
             const body = await readBody(request, peerProtocol.maxBodyBytes);
@@ -133,7 +136,6 @@
             response.end();
             return;
         }
-        response.flushHeaders();
-        await pipeline(outcome.body, response);
+        await writeStream(outcome.body, response);
     }
 }
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -10,3 +10,4 @@
 export { readBody } from "./readBody.js";
 export { readJsonFile } from "./readJsonFile.js";
 export type { SocketAddress } from "./SocketAddress.js";
+export { writeStream } from "./writeStream.js";
