--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -107,7 +107,11 @@
         this.gate.stop();
         const timeout = new AbortController();
         const timeUp = clock.wait(settings.stopTimeoutMs, timeout.signal).catch(() => {});
-        const idle = Promise.all([this.activeRequests.waitForIdle(), this.accountHost.waitForIdle()]);
+        const idle = Promise.all([
+            this.activeRequests.waitForIdle(),
+            this.accountHost.waitForIdle(),
+            this.serviceHost.drain(),
+        ]);
         await Promise.race([idle, timeUp]);
         timeout.abort();
     }
@@ -176,7 +180,7 @@
     }
 
     #createServiceHost(): ServiceHost {
-        const { clock, random, upstreamTransport, transport, decisions, settings } = this.#options;
+        const { clock, random, upstreamTransport, transport, decisions, settings, stallMeter } = this.#options;
         const isBaseline = settings.policy === Policy.Baseline;
         return new ServiceHost({
             clock,
@@ -187,6 +191,7 @@
             membership: this.membership,
             decisions,
             policy: isBaseline ? EjectionPolicy.Baseline : EjectionPolicy.Sequential,
+            stallMeter,
         });
     }
 
