--- a/src/scenario/ScenarioCaller.ts
+++ b/src/scenario/ScenarioCaller.ts
@@ -120,8 +120,7 @@
         }
         try {
             const bytes = await readAll(outcome.body);
-            const isKept = outcome.headers["fuchsiapath-body"] !== "not-kept";
-            if (isKept && bytes !== Number(outcome.headers["content-length"])) {
+            if (bytes !== Number(outcome.headers["content-length"])) {
                 return this.#createResult(call, outcome.kind, CUT_REASON);
             }
         }
