--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,9 +1,9 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**"] },
     {
-        files: ["src/**/*.ts", "tests/**/*.ts"],
+        files: ["src/**/*.ts", "platform/**/*.ts", "tests/**/*.ts"],
         extends: [...tseslint.configs.recommended],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -1,12 +1,12 @@
 import { Decision } from "../logging/index.js";
 import type { NotRunOutcome, Outcome, UnknownOutcome } from "../outcomes/index.js";
 import { closeBody, createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
+import { RetryBudget } from "../services/index.js";
 import type { DispatchCall } from "./DispatchCall.js";
 import type { DispatcherOptions } from "./DispatcherOptions.js";
 import type { HostAnswer } from "./HostAnswer.js";
 import { isRetriable } from "./isRetriable.js";
 import type { Quarantine } from "./Quarantine.js";
-import { RetryBudget } from "./RetryBudget.js";
 import { ServiceSender } from "./ServiceSender.js";
 import { ZoneSelector } from "./ZoneSelector.js";
 
@@ -55,7 +55,8 @@
                 break;
             }
             outcome = next;
-            if (!this.#isRetryAllowed(call, outcome, signal)) {
+            const isExhausted = state.excludedUpstreams.length >= (call.request.route.maxAttempts ?? MAX_ATTEMPTS);
+            if (isExhausted || !this.#isRetryAllowed(call, outcome, signal)) {
                 break;
             }
             this.#recordRetry(call, outcome, attempt);
--- a/src/accounts/DispatcherOptions.ts
+++ b/src/accounts/DispatcherOptions.ts
@@ -15,4 +15,6 @@
     /** The service host of this process. */
     readonly serviceRunner: ServiceRunner;
     readonly decisionLog: DecisionLog;
+    /** Share of its time that an idempotent request waits for a service host elsewhere; half if undefined. */
+    readonly hostWaitShare?: number;
 }
--- a/src/accounts/Quarantine.ts
+++ b/src/accounts/Quarantine.ts
@@ -6,7 +6,7 @@
 import type { RecordCrashParams } from "./RecordCrashParams.js";
 import type { RecordCrashResult } from "./RecordCrashResult.js";
 
-const CRASHES_TO_REFUSE = 2;
+const DEFAULT_CRASHES_TO_REFUSE = 2;
 const CRASH_LIFETIME_MS = 3_600_000;
 const MAX_FINGERPRINTS = 10_000;
 const MAX_SUCCESSES = 4_096;
@@ -22,12 +22,14 @@
 /** Counts, among the account hosts, the requests on which an upstream crashed, and refuses them from the second crash. */
 export class Quarantine {
     readonly #options: QuarantineOptions;
+    readonly #crashesToRefuse: number;
     readonly #crashes = new Map<string, CrashRecord>();
     readonly #successes = new Map<string, number>();
 
     /** @param options - What the quarantine works with. */
     constructor(options: QuarantineOptions) {
         this.#options = options;
+        this.#crashesToRefuse = options.crashesToRefuse ?? DEFAULT_CRASHES_TO_REFUSE;
         options.handlers.add(PeerMethod.RecordCrash, params => this.#receive(params));
     }
 
@@ -41,7 +43,7 @@
             this.#crashes.delete(fingerprint);
             return false;
         }
-        return record !== undefined && record.events.size >= CRASHES_TO_REFUSE;
+        return record !== undefined && record.events.size >= this.#crashesToRefuse;
     }
 
     /**
@@ -123,13 +125,13 @@
     #addEvents(account: string, fingerprint: string, events: readonly CrashEvent[]): void {
         const time = this.#options.clock.getTime();
         const record = this.#crashes.get(fingerprint) ?? { events: new Map<string, CrashEvent>(), time };
-        const wasRefused = record.events.size >= CRASHES_TO_REFUSE;
-        for (const event of events.slice(0, CRASHES_TO_REFUSE)) {
+        const wasRefused = record.events.size >= this.#crashesToRefuse;
+        for (const event of events.slice(0, this.#crashesToRefuse)) {
             record.events.set(event.attemptId, event);
         }
         this.#crashes.set(fingerprint, record);
         this.#removeOldest(this.#crashes, MAX_FINGERPRINTS);
-        if (!wasRefused && record.events.size >= CRASHES_TO_REFUSE) {
+        if (!wasRefused && record.events.size >= this.#crashesToRefuse) {
             const figures = { fingerprint, crashes: record.events.size };
             this.#options.decisionLog.record({
                 decision: Decision.Quarantined,
--- a/src/accounts/QuarantineOptions.ts
+++ b/src/accounts/QuarantineOptions.ts
@@ -10,4 +10,6 @@
     readonly transport: PeerTransport;
     readonly handlers: PeerHandlers;
     readonly decisionLog: DecisionLog;
+    /** Crashes of one request from which on it is refused; 2 if undefined. */
+    readonly crashesToRefuse?: number;
 }
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -79,7 +79,7 @@
             return getUnlessRefusedByHost(await serviceRunner.run(request, signal));
         }
         const waitMs = call.isIdempotent
-            ? request.timeoutMs * IDEMPOTENT_WAIT_SHARE
+            ? request.timeoutMs * (this.#options.hostWaitShare ?? IDEMPOTENT_WAIT_SHARE)
             : request.timeoutMs + ANSWER_GRACE_MS;
         const sent = { request, time: clock.getTime(), refusals: 0 };
         const controller = new AbortController();
--- a/src/callers/CallerListener.ts
+++ b/src/callers/CallerListener.ts
@@ -1,9 +1,8 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Duplex } from "node:stream";
 import polka from "polka";
 import { createNotRun, RefusalReason } from "../outcomes/index.js";
-import { openServer, readBody } from "../utils/index.js";
+import { openServer, readBody, refuseSocket } from "../utils/index.js";
 import type { CallAnswer } from "./CallAnswer.js";
 import type { CallerListenerOptions } from "./CallerListenerOptions.js";
 import { parseCredentials } from "./parseCredentials.js";
@@ -162,9 +161,3 @@
     sendProblem(outcome, LOOKUP_REQUEST_ID, response);
     return true;
 }
-
-function refuseSocket(socket: Duplex, status: string): void {
-    if (socket.writable) {
-        socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
-    }
-}
--- a/src/configuration/Account.ts
+++ b/src/configuration/Account.ts
@@ -5,4 +5,6 @@
     readonly rate: number;
     /** Requests that may come at once. */
     readonly burst: number;
+    /** Rank of its requests, 0 the highest; the route's counts if undefined. */
+    readonly priority?: number;
 }
--- a/src/configuration/Route.ts
+++ b/src/configuration/Route.ts
@@ -1,6 +1,7 @@
 import type { KeylessOrders } from "./KeylessOrders.js";
 import type { RouteAccess } from "./RouteAccess.js";
 import type { RouteKind } from "./RouteKind.js";
+import type { ServiceShare } from "./ServiceShare.js";
 
 /** A route from a path to a service. */
 export interface Route {
@@ -9,6 +10,14 @@
     readonly path: string;
     readonly methods: readonly string[];
     readonly service: string;
+    /** The caller's host name that it is for; any if undefined. */
+    readonly host?: string;
+    /** Services that share its requests by weight; "service" takes all if undefined. */
+    readonly split?: readonly ServiceShare[];
+    /** Most upstreams that one request may be sent to; the dispatcher's own limit if undefined. */
+    readonly maxAttempts?: number;
+    /** Rank of its requests, 0 the highest; all rank alike if undefined. */
+    readonly priority?: number;
     readonly kind: RouteKind;
     readonly access: RouteAccess;
     /** The accounts that may use it; all if undefined. */
--- /dev/null
+++ b/src/configuration/SuppliedContent.ts
@@ -0,0 +1,15 @@
+import type { Account } from "./Account.js";
+import type { CallerLimits } from "./CallerLimits.js";
+import type { Route } from "./Route.js";
+import type { Service } from "./Service.js";
+
+/** A whole configuration as something outside the product has written it. */
+export interface SuppliedContent {
+    readonly version: number;
+    readonly accounts: readonly Account[];
+    /** Account names by key. */
+    readonly accountsByKey: ReadonlyMap<string, string>;
+    readonly routes: readonly Route[];
+    readonly services: readonly Service[];
+    readonly limits: CallerLimits;
+}
--- a/src/configuration/Upstream.ts
+++ b/src/configuration/Upstream.ts
@@ -10,4 +10,8 @@
     readonly connections: number;
     /** Whether it is leaving and gets no new work. */
     readonly draining?: boolean;
+    /** Differs for every start of the upstream's process; undefined if starts can't be told apart. */
+    readonly incarnation?: string;
+    /** How much longer it is slow after its start, in milliseconds. */
+    readonly coldMs?: number;
 }
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,5 +1,6 @@
 export type { Account } from "./Account.js";
 export type { AccountKey } from "./AccountKey.js";
+export type { CallerLimits } from "./CallerLimits.js";
 export {
     type AuditEntry,
     type AuditRecord,
@@ -34,4 +35,7 @@
 export { checkSchema } from "./schema/index.js";
 export type { Section } from "./Section.js";
 export type { Service } from "./Service.js";
+export type { ServiceShare } from "./ServiceShare.js";
+export { SuppliedConfiguration } from "./SuppliedConfiguration.js";
+export type { SuppliedContent } from "./SuppliedContent.js";
 export type { Upstream } from "./Upstream.js";
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -13,9 +13,8 @@
 import { HttpStore } from "../store/index.js";
 import { Supervisor } from "../supervision/index.js";
 import { SystemClock, TimerStallMeter } from "../time/index.js";
-import { createIncarnation } from "./createIncarnation.js";
+import { createIncarnation, RouteListener } from "../utils/index.js";
 import { EntryHost } from "./EntryHost.js";
-import { OperatorListener } from "./OperatorListener.js";
 
 const PLATFORM_TIMEOUT_MS = 1000;
 const PEER_CONNECTIONS = 64;
@@ -107,7 +106,7 @@
         });
     }
 
-    #createOperatorListener(): OperatorListener {
+    #createRouteListener(): RouteListener {
         const api = new OperatorApi({
             operators: this.#settings.operators,
             changeService: this.#host.changes,
@@ -116,13 +115,13 @@
             decisions: this.#decisions,
             getStatus: () => ({ ...this.#host.getStatus(), requests: this.#metrics.getReport() }),
         });
-        return new OperatorListener(app => api.addRoutes(app));
+        return new RouteListener(app => api.addRoutes(app));
     }
 
     #createSupervisor(): Supervisor {
         const { callerAddress, peerAddress, operatorAddress } = this.#settings;
         const peers = this.#createPeerListener();
-        const operators = this.#createOperatorListener();
+        const operators = this.#createRouteListener();
         const callers = this.#callerListener;
         const stallMeter = this.#stallMeter;
         return new Supervisor("entry", [
--- /dev/null
+++ b/src/gateway/GATEWAY_SERVICE.ts
@@ -0,0 +1,16 @@
+/** What the product decides for every service of a gateway. */
+export const GATEWAY_SERVICE = {
+    /** Requests that may wait for each slot. */
+    queuePerSlot: 2,
+    detection: {
+        /** Failures of sound upstreams, about one in a hundred on the platform's sheets, with some room. */
+        healthyErrorRate: 0.02,
+        /** Failures in a spell, about nine in ten. */
+        failingErrorRate: 0.9,
+        /** ln(0.9 / 0.02) is 3.8, so that one failure ejects. */
+        ejectThreshold: 3,
+        slowFactor: 4,
+        /** A spell lasts several seconds. */
+        probationMs: 3_000,
+    },
+} as const;
--- /dev/null
+++ b/src/gateway/Gateway.ts
@@ -0,0 +1,223 @@
+import type { CallerRequest, DispatchCall } from "../accounts/index.js";
+import { getFingerprint } from "../accounts/index.js";
+import { RefusalError } from "../callers/index.js";
+import type { Account, Route, SuppliedConfiguration } from "../configuration/index.js";
+import { RouteAccess, RouteKind } from "../configuration/index.js";
+import { Decision } from "../logging/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { runWithTimeout } from "../time/index.js";
+import type { GatewayCall } from "./GatewayCall.js";
+import type { GatewayOptions } from "./GatewayOptions.js";
+import { selectService } from "./selectService.js";
+
+const ANONYMOUS_ACCOUNT = "anonymous";
+/** When a caller should ask a host again that has no configuration yet, in milliseconds. */
+const NO_CONFIGURATION_RETRY_MS = 500;
+/** When a caller should ask another host, since this one is stopping, in milliseconds. */
+const STOPPING_RETRY_MS = 50;
+/** When a caller should ask again for a service without an upstream, in milliseconds. */
+const NO_UPSTREAM_RETRY_MS = 1_000;
+/** Time for a service host's own timeout to arrive before this host gives the final answer, in milliseconds. */
+const FINAL_ANSWER_MS = 60;
+
+/** Checks callers' requests, admits them by their accounts' rates and sends them to service hosts. */
+export class Gateway {
+    readonly #options: GatewayOptions;
+    #running = 0;
+    #isStopping = false;
+    readonly #idleListeners: (() => void)[] = [];
+
+    /** @param options - What the gateway works with. */
+    constructor(options: GatewayOptions) {
+        this.#options = options;
+    }
+
+    /** Refuses all requests from now on; those that run go on. */
+    stop(): void {
+        this.#isStopping = true;
+    }
+
+    /** Waits until no request runs. */
+    async waitForIdle(): Promise<void> {
+        if (this.#running > 0) {
+            await new Promise<void>(resolve => this.#idleListeners.push(resolve));
+        }
+    }
+
+    /**
+     * Runs a request to its final outcome; never rejects.
+     * @param call - The request without its body.
+     * @param readBody - Reads the body; undefined if it is longer than the limit.
+     * @param signal - Aborted when the caller has left.
+     */
+    async run(
+        call: GatewayCall,
+        readBody: (maxBytes: number) => Promise<Buffer | undefined>,
+        signal: AbortSignal,
+    ): Promise<Outcome> {
+        const startTime = this.#options.clock.getTime();
+        this.#running++;
+        try {
+            const outcome = await this.#run(call, readBody, startTime, signal);
+            this.#record(call, outcome, startTime);
+            return outcome;
+        }
+        catch (error) {
+            const outcome = this.#getFailure(error);
+            this.#record(call, outcome, startTime);
+            return outcome;
+        }
+        finally {
+            this.#recordEnd();
+        }
+    }
+
+    async #run(
+        call: GatewayCall,
+        readBody: (maxBytes: number) => Promise<Buffer | undefined>,
+        startTime: number,
+        signal: AbortSignal,
+    ): Promise<Outcome> {
+        const configuration = this.#getConfiguration();
+        const route = findRoute(configuration, call);
+        const account = findAccount(configuration, route, call.key);
+        const body = await readBody(route.maxBodyBytes);
+        if (body === undefined) {
+            throw new RefusalError(RefusalReason.BodyTooLarge, `The body is longer than ${route.maxBodyBytes} bytes.`);
+        }
+        const timeoutMs = Math.min(call.timeoutMs ?? route.deadlineMs, route.deadlineMs);
+        const remainingMs = startTime + timeoutMs - this.#options.clock.getTime();
+        const request = createRequest(call, route, account, body, remainingMs);
+        return await this.#runInTime(request, remainingMs, signal);
+    }
+
+    #getConfiguration(): SuppliedConfiguration {
+        if (this.#isStopping) {
+            throw new RefusalError(RefusalReason.HostStopping, "This host is stopping.", STOPPING_RETRY_MS);
+        }
+        const configuration = this.#options.getConfiguration();
+        if (configuration === undefined) {
+            const detail = "This host has no configuration yet.";
+            throw new RefusalError(RefusalReason.HostNotCurrent, detail, NO_CONFIGURATION_RETRY_MS);
+        }
+        return configuration;
+    }
+
+    async #runInTime(request: CallerRequest, timeoutMs: number, callerSignal: AbortSignal): Promise<Outcome> {
+        const timeout = new AbortController();
+        const signal = AbortSignal.any([callerSignal, timeout.signal]);
+        const run = this.#runAdmitted(request, signal);
+        return await runWithTimeout<Outcome>(this.#options.clock, timeoutMs + FINAL_ANSWER_MS, run, () => {
+            timeout.abort(new Error("The deadline has passed."));
+            return createUnknown(UnknownReason.DeadlineExceeded, "No answer came before the deadline.");
+        });
+    }
+
+    async #runAdmitted(request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+        const account = request.account?.name ?? ANONYMOUS_ACCOUNT;
+        const deadline = this.#options.clock.getTime() + request.timeoutMs;
+        const fingerprint = getFingerprint(account, request);
+        if (request.account !== undefined) {
+            await this.#admit(request.account, fingerprint);
+        }
+        const call = this.#createCall(request, account, deadline, fingerprint);
+        return await this.#options.dispatcher.run(call, signal);
+    }
+
+    async #admit(account: Account, fingerprint: string): Promise<void> {
+        const decision = await this.#options.limiter.admit(account, fingerprint);
+        if (decision.isAdmitted) {
+            return;
+        }
+        if (decision.isQuarantined === true) {
+            throw new RefusalError(RefusalReason.RequestQuarantined, "This request has crashed upstreams.");
+        }
+        const detail = `Account ${account.name} is above its rate.`;
+        throw new RefusalError(RefusalReason.RateExceeded, detail, decision.retryAfterMs);
+    }
+
+    #createCall(request: CallerRequest, account: string, deadline: number, fingerprint: string): DispatchCall {
+        const configuration = this.#getConfiguration();
+        const name = selectService(request.route, this.#options.random);
+        const service = configuration.getService(name);
+        if (service === undefined || service.upstreams.length === 0) {
+            throw new RefusalError(RefusalReason.NoUpstream, `${name} has no upstream.`, NO_UPSTREAM_RETRY_MS);
+        }
+        const isIdempotent = request.route.kind !== RouteKind.Order;
+        return { request, account, service, isIdempotent, deadline, fingerprint };
+    }
+
+    #getFailure(error: unknown): Outcome {
+        if (error instanceof RefusalError) {
+            return error.outcome;
+        }
+        const detail = error instanceof Error ? error.message : String(error);
+        return createUnknown(UnknownReason.ConnectionLost, `The request failed inside the host: ${detail}`);
+    }
+
+    #record(call: GatewayCall, outcome: Outcome, startTime: number): void {
+        const { clock, decisions, getConfiguration } = this.#options;
+        const base = {
+            requestId: call.requestId,
+            version: getConfiguration()?.version,
+            figures: { ms: Math.round(clock.getTime() - startTime) },
+        };
+        switch (outcome.kind) {
+            case OutcomeKind.Done:
+                decisions.record({ decision: Decision.Answered, reason: `status ${outcome.status}`, ...base });
+                return;
+            case OutcomeKind.NotRun:
+                decisions.record({ decision: Decision.Refused, reason: outcome.reason, ...base });
+                return;
+            case OutcomeKind.Unknown:
+                decisions.record({ decision: Decision.OutcomeUnknown, reason: outcome.reason, ...base });
+                return;
+        }
+    }
+
+    #recordEnd(): void {
+        this.#running--;
+        if (this.#running === 0) {
+            this.#idleListeners.splice(0).forEach(listener => listener());
+        }
+    }
+}
+
+function findRoute(configuration: SuppliedConfiguration, call: GatewayCall): Route {
+    const route = configuration.findRoute(call.target.split("?", 1)[0]!, call.host);
+    if (route === undefined) {
+        throw new RefusalError(RefusalReason.UnknownRoute, "There is no route for this host and path.");
+    }
+    return route;
+}
+
+function findAccount(configuration: SuppliedConfiguration, route: Route, key: string | undefined): Account | undefined {
+    const account = key === undefined ? undefined : configuration.findAccountByKey(key);
+    if (account === undefined && route.access !== RouteAccess.Open) {
+        throw new RefusalError(RefusalReason.UnknownKey, "This route needs a valid key.");
+    }
+    return account;
+}
+
+function createRequest(
+    call: GatewayCall,
+    route: Route,
+    account: Account | undefined,
+    body: Buffer,
+    timeoutMs: number,
+): CallerRequest {
+    const { requestId, method, target, headers } = call;
+    return {
+        requestId,
+        account,
+        keyId: undefined,
+        route,
+        method,
+        path: target,
+        headers,
+        body,
+        idempotencyKey: undefined,
+        timeoutMs,
+    };
+}
--- /dev/null
+++ b/src/gateway/GatewayAnswer.ts
@@ -0,0 +1,8 @@
+import type { HeaderFields } from "../outcomes/index.js";
+
+/** The answer to a caller that no upstream has given. */
+export interface GatewayAnswer {
+    readonly status: number;
+    readonly headers: HeaderFields;
+    readonly body: string;
+}
--- /dev/null
+++ b/src/gateway/GatewayHost.ts
@@ -0,0 +1,174 @@
+import { Dispatcher, Quarantine } from "../accounts/index.js";
+import type { Configuration } from "../configuration/index.js";
+import { SuppliedConfiguration } from "../configuration/index.js";
+import { Decision } from "../logging/index.js";
+import { RegisteredMembership } from "../membership/index.js";
+import { PeerHandlers } from "../peers/index.js";
+import { OwnedRateLimiter } from "../rates/index.js";
+import { HostRegistrar } from "../registry/index.js";
+import { Replica, ReplicaKeeper } from "../replica/index.js";
+import { EjectionPolicy, ServiceHost } from "../services/index.js";
+import { Supervisor } from "../supervision/index.js";
+import type { Child } from "../supervision/index.js";
+import { Supply } from "../supply/index.js";
+import { Gateway } from "./Gateway.js";
+import type { GatewayHostOptions } from "./GatewayHostOptions.js";
+import { HostLookup } from "./HostLookup.js";
+
+/** Crashes of one request from which on it is refused: the platform's callers may send it to three upstreams. */
+const CRASHES_TO_REFUSE = 3;
+/** A service host answers when its upstream does, so a request waits for it as long as the caller waits. */
+const HOST_WAIT_SHARE = 1;
+const EMPTY_CONFIGURATION = new SuppliedConfiguration({
+    version: 0,
+    accounts: [],
+    accountsByKey: new Map(),
+    routes: [],
+    services: [],
+    limits: { maxHeaderBytes: 0, maxBodyBytes: 0, headersTimeoutMs: 0, idleTimeoutMs: 0 },
+});
+
+/** All roles of an entry host whose configuration, hosts and upstreams stand in the platform's store. */
+export class GatewayHost implements Child {
+    readonly name = "gateway-host";
+    /** Answers calls from other entry hosts. */
+    readonly handlers = new PeerHandlers();
+    readonly gateway: Gateway;
+    readonly lookup: HostLookup;
+    readonly serviceHost: ServiceHost;
+    readonly supply: Supply;
+    readonly #options: GatewayHostOptions;
+    readonly #replica = new Replica();
+    readonly #keeper: ReplicaKeeper;
+    readonly #membership: RegisteredMembership;
+    readonly #registrar: HostRegistrar;
+    readonly #supervisor: Supervisor;
+    #isLeaving = false;
+
+    /** @param options - What the host works with. */
+    constructor(options: GatewayHostOptions) {
+        this.#options = options;
+        const { clock, decisions, decoder, registry, self } = options;
+        this.#membership = new RegisteredMembership(self, memberId => this.#keeper.isUnreachable(memberId));
+        this.#keeper = this.#createKeeper();
+        this.supply = new Supply({ clock, decisions, decoder, getRegainedTime: () => this.#keeper.getRegainedTime() });
+        this.#registrar = new HostRegistrar({ clock, decisions, registry, self });
+        this.serviceHost = this.#createServiceHost();
+        this.gateway = this.#createGateway();
+        this.lookup = new HostLookup(this.#membership, options.lookupLifetimeMs);
+        this.#replica.addListener(events => this.supply.apply(events));
+        this.supply.addListener(() => this.#applySupply());
+        this.#supervisor = this.#createSupervisor();
+    }
+
+    /** Whether this host takes callers' requests. */
+    isReady(): boolean {
+        return !this.#isLeaving && this.supply.getConfiguration() !== undefined && this.#membership.isCurrent();
+    }
+
+    /** Gets the configuration in force, an empty one before the first. */
+    getConfiguration(): Configuration {
+        return this.supply.getConfiguration() ?? EMPTY_CONFIGURATION;
+    }
+
+    /** Starts all roles. */
+    async start(): Promise<void> {
+        await this.#supervisor.start();
+        const { decisions, self } = this.#options;
+        decisions.record({ decision: Decision.Started, reason: `incarnation ${self.incarnation}`, member: self.id });
+    }
+
+    /** Leaves the fleet: callers and other hosts learn that this host goes; what runs goes on. */
+    async leave(): Promise<void> {
+        const { decisions, self } = this.#options;
+        this.#isLeaving = true;
+        this.lookup.leave();
+        decisions.record({ decision: Decision.Drained, reason: "planned stop", member: self.id });
+        await this.#registrar.leave();
+    }
+
+    /** Waits until no request runs, neither a caller's here nor another host's on an upstream. */
+    async waitForIdle(): Promise<void> {
+        await Promise.all([this.gateway.waitForIdle(), this.serviceHost.drain()]);
+    }
+
+    /** Stops all roles at once. */
+    async stop(): Promise<void> {
+        this.gateway.stop();
+        await this.#supervisor.stop();
+        const { decisions, self } = this.#options;
+        decisions.record({ decision: Decision.Stopped, reason: "stopped", member: self.id });
+    }
+
+    #createKeeper(): ReplicaKeeper {
+        const { clock, decisions, source, transport, self } = this.#options;
+        return new ReplicaKeeper({
+            clock,
+            decisions,
+            replica: this.#replica,
+            source,
+            transport,
+            handlers: this.handlers,
+            selfId: self.id,
+            getOrder: () => this.#membership.getWatchOrder(),
+        });
+    }
+
+    #createServiceHost(): ServiceHost {
+        const { clock, random, upstreamTransport, transport, decisions, stallMeter } = this.#options;
+        return new ServiceHost({
+            clock,
+            random,
+            transport: upstreamTransport,
+            handlers: this.handlers,
+            peers: transport,
+            membership: this.#membership,
+            decisions,
+            policy: EjectionPolicy.Prompt,
+            ...(stallMeter === undefined ? {} : { stallMeter }),
+        });
+    }
+
+    #createGateway(): Gateway {
+        const { clock, random, decisions, transport, forwarder } = this.#options;
+        const shared = {
+            clock,
+            membership: this.#membership,
+            transport,
+            handlers: this.handlers,
+            decisionLog: decisions,
+        };
+        const quarantine = new Quarantine({ ...shared, crashesToRefuse: CRASHES_TO_REFUSE });
+        const limiter = new OwnedRateLimiter({
+            ...shared,
+            getConfiguration: () => this.getConfiguration(),
+            isQuarantined: fingerprint => quarantine.isRefused(fingerprint),
+        });
+        const dispatcher = new Dispatcher({
+            ...shared,
+            random,
+            forwarder,
+            serviceRunner: this.serviceHost,
+            hostWaitShare: HOST_WAIT_SHARE,
+        }, quarantine);
+        const getConfiguration = (): SuppliedConfiguration | undefined => this.supply.getConfiguration();
+        return new Gateway({ clock, random, decisions, limiter, dispatcher, getConfiguration });
+    }
+
+    #createSupervisor(): Supervisor {
+        const { serviceHost } = this;
+        return new Supervisor("roles", [
+            { name: "service-host", start: async () => serviceHost.start(), stop: async () => serviceHost.stop() },
+            this.#registrar,
+            this.#keeper,
+        ]);
+    }
+
+    #applySupply(): void {
+        this.#membership.applyMembers(this.supply.getHosts());
+        const configuration = this.supply.getConfiguration();
+        if (configuration !== undefined) {
+            this.serviceHost.apply(configuration);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/GatewayProcessOptions.ts
@@ -0,0 +1,26 @@
+import type Logger from "bunyan";
+import type { Polka } from "polka";
+import type { HostRegistry } from "../registry/index.js";
+import type { ReplicaSource } from "../replica/index.js";
+import type { UpstreamProtocol } from "../services/index.js";
+import type { GatewaySettings } from "../settings/index.js";
+import type { SupplyDecoder } from "../supply/index.js";
+import type { GatewayHost } from "./GatewayHost.js";
+import type { GatewayProtocol } from "./GatewayProtocol.js";
+
+/** A gateway's settings and what connects it with the platform that it runs on. */
+export interface GatewayProcessOptions {
+    readonly settings: GatewaySettings;
+    readonly logger: Logger;
+    /** The secret that entry hosts share. */
+    readonly peerSecret: string;
+    readonly source: ReplicaSource;
+    readonly registry: HostRegistry;
+    readonly decoder: SupplyDecoder;
+    readonly callerProtocol: GatewayProtocol;
+    readonly upstreamProtocol: UpstreamProtocol;
+    /** Adds the call by which callers learn where to connect. */
+    readonly addLookupRoutes: (app: Polka, host: GatewayHost) => void;
+    /** Adds the call that tells whether the host is ready. */
+    readonly addReadyRoute: (app: Polka, host: GatewayHost) => void;
+}
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,13 @@
+export { Gateway } from "./Gateway.js";
+export { GATEWAY_SERVICE } from "./GATEWAY_SERVICE.js";
+export type { GatewayAnswer } from "./GatewayAnswer.js";
+export type { GatewayCall } from "./GatewayCall.js";
+export { GatewayHost } from "./GatewayHost.js";
+export type { GatewayHostOptions } from "./GatewayHostOptions.js";
+export { GatewayListener } from "./GatewayListener.js";
+export type { GatewayOptions } from "./GatewayOptions.js";
+export { GatewayProcess } from "./GatewayProcess.js";
+export type { GatewayProcessOptions } from "./GatewayProcessOptions.js";
+export type { GatewayProtocol } from "./GatewayProtocol.js";
+export { HostLookup } from "./HostLookup.js";
+export { selectService } from "./selectService.js";
--- a/src/logging/Decision.ts
+++ b/src/logging/Decision.ts
@@ -17,5 +17,9 @@
     Started = "started",
     Stopped = "stopped",
     BecameCurrent = "became-current",
+    /** What the store tells of upstreams or hosts has changed or could not be read. */
+    SupplyChanged = "supply-changed",
+    /** Something that this process relies on was lost or is back. */
+    DependencyChanged = "dependency-changed",
     BecameStale = "became-stale",
 }
--- /dev/null
+++ b/src/membership/RegisteredMembership.ts
@@ -0,0 +1,92 @@
+import type { Member } from "./Member.js";
+import type { Membership } from "./Membership.js";
+import type { MembershipView } from "./MembershipView.js";
+import { RendezvousTable } from "./RendezvousTable.js";
+
+type ViewListener = (view: MembershipView, previous: MembershipView) => void;
+
+const ACCOUNT_HOST_CANDIDATES = 3;
+const SERVICE_HOST_CANDIDATES = 3;
+
+/** A membership whose view is read from the hosts' entries in the platform's store. */
+export class RegisteredMembership implements Membership {
+    readonly #self: Member;
+    readonly #isUnreachable: (memberId: string) => boolean;
+    readonly #listeners: ViewListener[] = [];
+    #view: MembershipView = { version: 0, members: [] };
+    #table = new RendezvousTable([]);
+
+    /**
+     * @param self - This host's own entry.
+     * @param isUnreachable - Whether a member is known not to answer.
+     */
+    constructor(self: Member, isUnreachable: (memberId: string) => boolean) {
+        this.#self = self;
+        this.#isUnreachable = isUnreachable;
+    }
+
+    /** Gets this entry host's own entry. */
+    getSelf(): Member {
+        return this.#self;
+    }
+
+    /** Gets the view in force. */
+    getView(): MembershipView {
+        return this.#view;
+    }
+
+    /** Whether this host knows any other or itself, so that duties can be found. */
+    isCurrent(): boolean {
+        return this.#view.members.length > 0;
+    }
+
+    /**
+     * Whether a member is not known to be away.
+     * @param memberId - The member's id.
+     */
+    isReachable(memberId: string): boolean {
+        return !this.#isUnreachable(memberId);
+    }
+
+    /**
+     * Gets the hosts that keep an account's rate, first choice first.
+     * @param account - The account's name.
+     */
+    getAccountHosts(account: string): readonly Member[] {
+        return this.#table.selectAcrossZones(`account ${account}`, ACCOUNT_HOST_CANDIDATES);
+    }
+
+    /**
+     * Gets the service hosts of a service in a zone, first choice first.
+     * @param service - The service's name.
+     * @param zone - The availability zone of the upstreams.
+     */
+    getServiceHosts(service: string, zone: string): readonly Member[] {
+        return this.#table.selectInZone(`service ${service} ${zone}`, zone, SERVICE_HOST_CANDIDATES);
+    }
+
+    /** Gets all members in the order in which they watch the store. */
+    getWatchOrder(): readonly Member[] {
+        return this.#table.getOrder("watch");
+    }
+
+    /**
+     * Adds a listener that runs after each change of the view in force.
+     * @param listener - Receives the new and the previous view.
+     */
+    addViewListener(listener: ViewListener): void {
+        this.#listeners.push(listener);
+    }
+
+    /**
+     * Puts the hosts that are registered now in force.
+     * @param members - The hosts.
+     */
+    applyMembers(members: readonly Member[]): void {
+        const previous = this.#view;
+        const sorted = [...members].sort((left, right) => left.id < right.id ? -1 : 1);
+        this.#view = { version: previous.version + 1, members: sorted };
+        this.#table = new RendezvousTable(sorted);
+        this.#listeners.forEach(listener => listener(this.#view, previous));
+    }
+}
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -13,6 +13,7 @@
 export type { MembershipView } from "./MembershipView.js";
 export type { ProbeAnswer } from "./ProbeAnswer.js";
 export type { ProbeRequest } from "./ProbeRequest.js";
+export { RegisteredMembership } from "./RegisteredMembership.js";
 export { RendezvousTable } from "./RendezvousTable.js";
 export type { ViewEdit } from "./ViewEdit.js";
 export type { ViewEditAnswer } from "./ViewEditAnswer.js";
--- /dev/null
+++ b/src/metrics/GatewayMetrics.ts
@@ -0,0 +1,56 @@
+import type { Polka } from "polka";
+import { Counter, Histogram, Registry } from "prom-client";
+import type { DecisionRecord } from "../logging/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { OutcomeKind } from "../outcomes/index.js";
+
+const MS_PER_SECOND = 1_000;
+const BUCKETS_S = [0.005, 0.02, 0.1, 0.25, 0.5, 1, 2, 4, 8];
+
+/** A gateway's counters and latency histogram, as text. */
+export class GatewayMetrics {
+    readonly #registry = new Registry();
+    readonly #durations = new Histogram({
+        name: "fuchsiapath_request_duration_seconds",
+        help: "Time until the first byte of the answer, by outcome.",
+        labelNames: ["outcome"],
+        buckets: BUCKETS_S,
+        registers: [this.#registry],
+    });
+    readonly #decisions = new Counter({
+        name: "fuchsiapath_decisions_total",
+        help: "Decisions by kind and service.",
+        labelNames: ["decision", "service"],
+        registers: [this.#registry],
+    });
+
+    /**
+     * Records a request.
+     * @param outcome - What became of it.
+     * @param durationMs - Until the first byte of the answer, in milliseconds.
+     */
+    recordDuration(outcome: Outcome, durationMs: number): void {
+        const label = outcome.kind === OutcomeKind.Done ? `status-${outcome.status}` : outcome.reason;
+        this.#durations.observe({ outcome: label }, durationMs / MS_PER_SECOND);
+    }
+
+    /**
+     * Records a decision.
+     * @param record - The decision.
+     */
+    recordDecision(record: DecisionRecord): void {
+        this.#decisions.inc({ decision: record.decision, service: record.service ?? "" });
+    }
+
+    /**
+     * Adds the endpoint that serves the figures.
+     * @param app - The listener's application.
+     */
+    addRoute(app: Polka): void {
+        app.get("/metrics", (_request, response) => {
+            void this.#registry.metrics().then(text => {
+                response.writeHead(200, { "content-type": this.#registry.contentType }).end(text);
+            });
+        });
+    }
+}
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -1,2 +1,3 @@
+export { GatewayMetrics } from "./GatewayMetrics.js";
 export { RequestMetrics } from "./RequestMetrics.js";
 export type { RequestMetricsReport } from "./RequestMetricsReport.js";
--- a/src/outcomes/UnknownReason.ts
+++ b/src/outcomes/UnknownReason.ts
@@ -2,6 +2,8 @@
 export enum UnknownReason {
     /** The connection to the upstream was lost after the request had been sent. */
     ConnectionLost = "connection-lost",
+    /** The upstream's answer broke off before its end. */
+    AnswerCut = "answer-cut",
     /** The deadline passed after the request had been sent. */
     DeadlineExceeded = "deadline-exceeded",
     /** The entry host that holds the order's record is gone. */
--- a/src/peers/PeerListener.ts
+++ b/src/peers/PeerListener.ts
@@ -120,14 +120,17 @@
         body: Buffer,
         signal: AbortSignal,
     ): Promise<Outcome> {
+        const { accountRunner } = this.#options;
         const configuration = this.#options.getConfiguration();
         const account = head.account === undefined ? undefined : configuration.getAccount(head.account);
         const route = configuration.getRoute(head.route);
-        if (route === undefined || (head.account !== undefined && account === undefined)) {
+        if (
+            accountRunner === undefined || route === undefined || (head.account !== undefined && account === undefined)
+        ) {
             const detail = "This entry host does not know the route or the client account yet.";
             return createNotRun(RefusalReason.HostNotCurrent, detail, RETRY_AFTER_MS);
         }
-        return await this.#options.accountRunner.run({ ...head.request, account, route, body }, signal);
+        return await accountRunner.run({ ...head.request, account, route, body }, signal);
     }
 
     async #sendAnswer(response: ServerResponse, outcome: Outcome, head: PeerAnswerHead): Promise<void> {
--- a/src/peers/PeerListenerOptions.ts
+++ b/src/peers/PeerListenerOptions.ts
@@ -6,7 +6,8 @@
 /** What an entry host answers other entry hosts with. */
 export interface PeerListenerOptions {
     readonly handlers: PeerHandlers;
-    readonly accountRunner: AccountRunner;
+    /** Runs forwarded callers' requests; undefined on a host that forwards none. */
+    readonly accountRunner?: AccountRunner;
     readonly serviceRunner: ServiceRunner;
     /** Gets the configuration in force. */
     readonly getConfiguration: () => Configuration;
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -16,4 +16,6 @@
     FindOrder = "order.find",
     ClaimOrder = "order.claim",
     RecordCrash = "quarantine.record",
+    PushReplica = "replica.push",
+    SpendToken = "rate.spend",
 }
--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -27,7 +27,10 @@
     HandOverRatesResult,
     ReceiveTokensParams,
     ReceiveTokensResult,
+    SpendTokenParams,
+    SpendTokenResult,
 } from "../rates/index.js";
+import type { PushReplicaParams, PushReplicaResult } from "../replica/index.js";
 import type {
     FindOutcomeParams,
     FindOutcomeResult,
@@ -55,5 +58,7 @@
     [PeerMethod.HandOverOrders]: { params: HandOverOrdersParams; result: HandOverOrdersResult; };
     [PeerMethod.FindOrder]: { params: FindOrderParams; result: FindOrderResult; };
     [PeerMethod.ClaimOrder]: { params: ClaimOrderParams; result: ClaimAnswer; };
+    [PeerMethod.PushReplica]: { params: PushReplicaParams; result: PushReplicaResult; };
+    [PeerMethod.SpendToken]: { params: SpendTokenParams; result: SpendTokenResult; };
     [PeerMethod.RecordCrash]: { params: RecordCrashParams; result: RecordCrashResult; };
 }
--- /dev/null
+++ b/src/rates/OwnedRateLimiter.ts
@@ -0,0 +1,139 @@
+import type { Account } from "../configuration/index.js";
+import { Decision } from "../logging/index.js";
+import type { Member } from "../membership/index.js";
+import { PeerMethod } from "../peers/index.js";
+import type { RateDecision } from "./RateDecision.js";
+import type { RateGrant } from "./RateGrant.js";
+import type { RateLimiter } from "./RateLimiter.js";
+import type { RateLimiterOptions } from "./RateLimiterOptions.js";
+import type { SpendTokenParams } from "./SpendTokenParams.js";
+import type { SpendTokenResult } from "./SpendTokenResult.js";
+import { TokenBucket } from "./TokenBucket.js";
+
+const MS_PER_SECOND = 1_000;
+/** How long an owner may take to answer; a call to another availability zone takes a few milliseconds. */
+const SPEND_TIMEOUT_MS = 250;
+/** An owner that didn't answer is asked last for this long. */
+const SUSPICION_MS = 2_000;
+/**
+ * Refill that a new bucket starts with, in milliseconds. Its owner may have taken over from one that spent the burst a
+ * moment ago, so it does not start full.
+ */
+const START_REFILL_MS = 500;
+
+/**
+ * Keeps each account's tokens at one host, the account's owner, and asks it for each request. When owners change, the
+ * next one starts with little; a host that reaches no owner has its own even part of the rate.
+ */
+export class OwnedRateLimiter implements RateLimiter {
+    readonly #options: RateLimiterOptions;
+    readonly #owned = new Map<string, TokenBucket>();
+    readonly #parts = new Map<string, TokenBucket>();
+    readonly #suspectedUntil = new Map<string, number>();
+
+    /** @param options - What the limiter works with. */
+    constructor(options: RateLimiterOptions) {
+        this.#options = options;
+        options.handlers.add(PeerMethod.SpendToken, params => this.#spendOwned(params));
+    }
+
+    /**
+     * Spends a token at the account's owner.
+     * @param account - The account; a rate of 0 is no limit.
+     * @param fingerprint - Tells the request from others, for the quarantine at the account's owner.
+     */
+    async admit(account: Account, fingerprint?: string): Promise<RateDecision> {
+        const time = this.#options.clock.getTime();
+        const { isSpent, retryAfterMs, isQuarantined } = await this.#spend(account, fingerprint);
+        return isSpent ? { isAdmitted: true, grant: { time } } : { isAdmitted: false, retryAfterMs, isQuarantined };
+    }
+
+    /**
+     * Gives back the token of a request that is known not to have run, if this host is the owner. Elsewhere the token is
+     * lost, which errs towards too few.
+     * @param account - The account.
+     * @param grant - The token.
+     */
+    restore(account: Account, grant: RateGrant): void {
+        this.#owned.get(account.name)?.restore(grant.time, this.#options.clock.getTime());
+    }
+
+    async #spend(account: Account, fingerprint: string | undefined): Promise<SpendTokenResult> {
+        const { membership, transport, clock } = this.#options;
+        const params = { account: account.name, rate: account.rate, burst: account.burst, fingerprint };
+        for (const owner of this.#getOwners(account.name)) {
+            if (owner.id === membership.getSelf().id) {
+                return this.#spendOwned(params);
+            }
+            try {
+                return await transport.send(owner.peerAddress, PeerMethod.SpendToken, params, SPEND_TIMEOUT_MS);
+            }
+            catch (error) {
+                this.#suspectedUntil.set(owner.id, clock.getTime() + SUSPICION_MS);
+                this.#recordSilent(account.name, owner, error);
+            }
+        }
+        return this.#spendPart(params);
+    }
+
+    #recordSilent(account: string, owner: Member, error: unknown): void {
+        const figures = { error: error instanceof Error ? error.message : String(error) };
+        this.#options.decisionLog.record({
+            decision: Decision.DependencyChanged,
+            reason: "rate-owner-silent",
+            account,
+            member: owner.id,
+            figures,
+        });
+    }
+
+    #getOwners(account: string): readonly Member[] {
+        const owners = this.#options.membership.getAccountHosts(account);
+        return [
+            ...owners.filter(owner => !this.#isSuspected(owner)),
+            ...owners.filter(owner => this.#isSuspected(owner)),
+        ];
+    }
+
+    #isSuspected(owner: Member): boolean {
+        const { clock, membership } = this.#options;
+        if (owner.id === membership.getSelf().id) {
+            return false;
+        }
+        return (this.#suspectedUntil.get(owner.id) ?? 0) > clock.getTime() || !membership.isReachable(owner.id);
+    }
+
+    #spendOwned(params: SpendTokenParams): SpendTokenResult {
+        if (params.fingerprint !== undefined && this.#options.isQuarantined?.(params.fingerprint) === true) {
+            return { isSpent: false, retryAfterMs: 0, isQuarantined: true };
+        }
+        const { rate, burst } = this.#options.getConfiguration().getAccount(params.account) ?? params;
+        return this.#spendFrom(this.#owned, params.account, rate, burst);
+    }
+
+    #spendPart(params: SpendTokenParams): SpendTokenResult {
+        const hosts = Math.max(1, this.#options.membership.getView().members.length);
+        return this.#spendFrom(this.#parts, params.account, params.rate / hosts, Math.max(1, params.burst / hosts));
+    }
+
+    #spendFrom(
+        buckets: Map<string, TokenBucket>,
+        account: string,
+        rate: number,
+        burst: number,
+    ): SpendTokenResult {
+        if (rate === 0) {
+            return { isSpent: true, retryAfterMs: 0, isQuarantined: false };
+        }
+        const now = this.#options.clock.getTime();
+        const share = { rate, burst: Math.max(1, burst) };
+        const startTokens = Math.max(1, rate * START_REFILL_MS / MS_PER_SECOND);
+        const bucket = buckets.get(account) ?? new TokenBucket(share, startTokens, now);
+        buckets.set(account, bucket);
+        bucket.applyShare(share, now);
+        const isSpent = bucket.spend(now);
+        const missing = Math.max(0, 1 - bucket.getTokens(now));
+        const retryAfterMs = isSpent ? 0 : Math.ceil(missing / rate * MS_PER_SECOND);
+        return { isSpent, retryAfterMs, isQuarantined: false };
+    }
+}
--- a/src/rates/RateLimiter.ts
+++ b/src/rates/RateLimiter.ts
@@ -7,8 +7,9 @@
     /**
      * Spends a token of the account, asking other account hosts for one if this host's bucket is empty.
      * @param account - The account.
+     * @param fingerprint - Tells the request from others, for the quarantine at the account's owner.
      */
-    admit(account: Account): Promise<RateDecision>;
+    admit(account: Account, fingerprint?: string): Promise<RateDecision>;
     /**
      * Gives back the token of a request that is known not to have run.
      * @param account - The account.
--- a/src/rates/RateLimiterOptions.ts
+++ b/src/rates/RateLimiterOptions.ts
@@ -13,4 +13,6 @@
     readonly decisionLog: DecisionLog;
     /** Gets the configuration in force. */
     readonly getConfiguration: () => Configuration;
+    /** Whether a request is refused for good, by its fingerprint; only an account's owner is asked. */
+    readonly isQuarantined?: (fingerprint: string) => boolean;
 }
--- /dev/null
+++ b/src/registry/HostRegistrarOptions.ts
@@ -0,0 +1,13 @@
+import type { DecisionLog } from "../logging/index.js";
+import type { Member } from "../membership/index.js";
+import type { Clock } from "../time/index.js";
+import type { HostRegistry } from "./HostRegistry.js";
+
+/** What the registrar works with. */
+export interface HostRegistrarOptions {
+    readonly clock: Clock;
+    readonly decisions: DecisionLog;
+    readonly registry: HostRegistry;
+    /** This host's entry. */
+    readonly self: Member;
+}
--- /dev/null
+++ b/src/registry/index.ts
@@ -0,0 +1,3 @@
+export { HostRegistrar } from "./HostRegistrar.js";
+export type { HostRegistrarOptions } from "./HostRegistrarOptions.js";
+export type { HostRegistry } from "./HostRegistry.js";
--- /dev/null
+++ b/src/replica/Replica.ts
@@ -0,0 +1,105 @@
+import type { ReplicaEvent } from "./ReplicaEvent.js";
+import type { ReplicaPart } from "./ReplicaPart.js";
+
+type ReplicaListener = (events: readonly ReplicaEvent[]) => void;
+
+/** How many of the newest changes are kept to pass on. */
+const MAX_CHANGES = 2_000;
+
+/** A copy of the items of a store with its revision. An item never goes back to an earlier revision. */
+export class Replica {
+    /** The newest event of each key; removed keys stay, so that an older write does not bring them back. */
+    readonly #events = new Map<string, ReplicaEvent>();
+    readonly #listeners: ReplicaListener[] = [];
+    #changes: ReplicaEvent[] = [];
+    /** The changes since this revision are kept. */
+    #changesStart = 0;
+    #revision = 0;
+
+    /** Gets the revision up to which all changes are known; 0 before the first read. */
+    getRevision(): number {
+        return this.#revision;
+    }
+
+    /** Gets all items, the removed ones too. */
+    getEvents(): readonly ReplicaEvent[] {
+        return [...this.#events.values()];
+    }
+
+    /**
+     * Finds the changes since a revision; undefined if they are no longer known.
+     * @param revision - The revision.
+     */
+    findChanges(revision: number): readonly ReplicaEvent[] | undefined {
+        return revision < this.#changesStart ? undefined : this.#changes.filter(event => event.revision > revision);
+    }
+
+    /**
+     * Adds a listener that runs after each change.
+     * @param listener - Receives the events that changed something.
+     */
+    addListener(listener: ReplicaListener): void {
+        this.#listeners.push(listener);
+    }
+
+    /**
+     * Applies all changes after the known revision, or later ones that overlap with it.
+     * @param events - The events in the order of their revisions.
+     * @param revision - The revision up to which they are complete.
+     */
+    applyEvents(events: readonly ReplicaEvent[], revision: number): void {
+        const applied = events.filter(event => this.#applyEvent(event));
+        this.#addChanges(applied, revision);
+        this.#report(applied);
+    }
+
+    /**
+     * Applies a whole reading; what it no longer holds is removed.
+     * @param parts - The items by prefix.
+     */
+    applyParts(parts: readonly ReplicaPart[]): void {
+        const applied = parts.flatMap(part => [
+            ...part.items.filter(item => this.#applyEvent(item)),
+            ...this.#findMissing(part).filter(event => this.#applyEvent(event)),
+        ]);
+        const revision = Math.min(...parts.map(part => part.revision));
+        if (revision > this.#revision) {
+            this.#changes = [];
+            this.#changesStart = revision;
+            this.#revision = revision;
+        }
+        this.#report(applied);
+    }
+
+    #findMissing(part: ReplicaPart): readonly ReplicaEvent[] {
+        const keys = new Set(part.items.map(item => item.key));
+        return [...this.#events.values()].filter(event =>
+            event.value !== undefined && event.key.startsWith(part.prefix) && !keys.has(event.key) &&
+            event.revision <= part.revision
+        ).map(event => ({ key: event.key, revision: part.revision }));
+    }
+
+    #applyEvent(event: ReplicaEvent): boolean {
+        const known = this.#events.get(event.key);
+        if (known !== undefined && known.revision >= event.revision) {
+            return false;
+        }
+        this.#events.set(event.key, event);
+        return known !== undefined || event.value !== undefined;
+    }
+
+    #addChanges(events: readonly ReplicaEvent[], revision: number): void {
+        this.#changes.push(...events);
+        if (this.#changes.length > MAX_CHANGES) {
+            const dropped = this.#changes.splice(0, this.#changes.length - MAX_CHANGES);
+            this.#changesStart = dropped.at(-1)!.revision;
+        }
+        this.#revision = Math.max(this.#revision, revision);
+    }
+
+    #report(events: readonly ReplicaEvent[]): void {
+        if (events.length > 0) {
+            this.#listeners.forEach(listener => listener(events));
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/ReplicaPart.ts
@@ -0,0 +1,8 @@
+import type { ReplicaEvent } from "./ReplicaEvent.js";
+
+/** All items whose keys begin with a prefix, as the store had them at a revision. */
+export interface ReplicaPart {
+    readonly prefix: string;
+    readonly revision: number;
+    readonly items: readonly ReplicaEvent[];
+}
--- a/src/services/AttemptRunner.ts
+++ b/src/services/AttemptRunner.ts
@@ -37,6 +37,7 @@
      * @param request - The request.
      * @param deadline - When the first byte is due, in milliseconds of the clock.
      * @param limit - The service's learned limit.
+     * @param isRepeatAllowed - Spends from the service's retry budget before the request is sent again.
      * @param signal - Aborts an idempotent request; a request that is not idempotent runs on.
      */
     async run(
@@ -44,6 +45,7 @@
         request: ServiceRequest,
         deadline: number,
         limit: FirstByteLimit,
+        isRepeatAllowed: () => boolean,
         signal: AbortSignal,
     ): Promise<UpstreamAttempt> {
         if (!request.isIdempotent) {
@@ -53,7 +55,7 @@
         const isLimited = this.#clock.getTime() + limit.getLimit() < deadline;
         const limitTime = isLimited ? this.#clock.getTime() + limit.getLimit() : deadline;
         const attempt = await this.#send(upstream, request, limitTime, limitTime, false, signal);
-        if (attempt.answer.kind !== UpstreamAnswerKind.TimedOut || !isLimited) {
+        if (attempt.answer.kind !== UpstreamAnswerKind.TimedOut || !isLimited || !isRepeatAllowed()) {
             return attempt;
         }
         limit.record(attempt.latencyMs);
--- a/src/services/HttpUpstreamTransport.ts
+++ b/src/services/HttpUpstreamTransport.ts
@@ -1,21 +1,28 @@
 import type { Upstream } from "../configuration/index.js";
 import type { Clock } from "../time/index.js";
+import { ProductUpstreamProtocol } from "./ProductUpstreamProtocol.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
 import type { UpstreamAnswer } from "./UpstreamAnswer.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import { UpstreamConnections } from "./UpstreamConnections.js";
 import { UpstreamExchange } from "./UpstreamExchange.js";
+import type { UpstreamProtocol } from "./UpstreamProtocol.js";
 import type { UpstreamSendOptions } from "./UpstreamSendOptions.js";
 import type { UpstreamTransport } from "./UpstreamTransport.js";
 
 /** Sends requests to upstreams by HTTP/1.1, one request at a time on each connection. */
 export class HttpUpstreamTransport implements UpstreamTransport {
     readonly #clock: Clock;
+    readonly #protocol: UpstreamProtocol;
     readonly #connections = new Map<string, UpstreamConnections>();
 
-    /** @param clock - The source of time. */
-    constructor(clock: Clock) {
+    /**
+     * @param clock - The source of time.
+     * @param protocol - How requests and answers look on the wire; the product's own unless it is given.
+     */
+    constructor(clock: Clock, protocol: UpstreamProtocol = new ProductUpstreamProtocol()) {
         this.#clock = clock;
+        this.#protocol = protocol;
     }
 
     /**
@@ -39,6 +46,8 @@
         }
         const exchange = new UpstreamExchange(connection, request, {
             clock: this.#clock,
+            protocol: this.#protocol,
+            upstream,
             firstByteTimeoutMs: options.firstByteTimeoutMs,
             deadlineMs: options.deadlineMs,
             signal: options.signal,
--- a/src/services/PooledUpstream.ts
+++ b/src/services/PooledUpstream.ts
@@ -3,6 +3,7 @@
 import type { Upstream } from "../configuration/index.js";
 import type { Clock } from "../time/index.js";
 import { createUpstreamMachine } from "./createUpstreamMachine.js";
+import type { PooledUpstreamOptions } from "./PooledUpstreamOptions.js";
 import { ProbationTest } from "./ProbationTest.js";
 import type { UpstreamDetector } from "./UpstreamDetector.js";
 import type { UpstreamEvent } from "./UpstreamEvent.js";
@@ -15,7 +16,7 @@
 export class PooledUpstream {
     readonly statistics = new UpstreamStatistics();
     readonly detector: UpstreamDetector;
-    probation = new ProbationTest();
+    probation: ProbationTest;
     /** Ejections of late that followed each other closely. */
     ejections = 0;
     /** When it came back last, in milliseconds. */
@@ -25,6 +26,7 @@
     /** Why it is in its state. */
     reason = "";
     readonly #clock: Clock;
+    readonly #trialsToPass: number | undefined;
     readonly #machine: MachineService<Machine>;
     #upstream: Upstream;
     #running = 0;
@@ -38,12 +40,19 @@
      * @param upstream - The upstream as configured.
      * @param initial - The state that it begins in.
      * @param detector - Judges it.
-     * @param clock - The source of time.
+     * @param options - The source of time, and how many trials bring it back.
      */
-    constructor(upstream: Upstream, initial: UpstreamState, detector: UpstreamDetector, clock: Clock) {
+    constructor(
+        upstream: Upstream,
+        initial: UpstreamState,
+        detector: UpstreamDetector,
+        { clock, trialsToPass }: PooledUpstreamOptions,
+    ) {
         this.#upstream = upstream;
         this.detector = detector;
         this.#clock = clock;
+        this.#trialsToPass = trialsToPass;
+        this.probation = new ProbationTest(trialsToPass);
         this.#since = clock.getTime();
         this.#machine = interpret(createUpstreamMachine(initial), () => {});
     }
@@ -165,7 +174,7 @@
     #startState(state: UpstreamState): void {
         switch (state) {
             case UpstreamState.Probation:
-                this.probation = new ProbationTest();
+                this.probation = new ProbationTest(this.#trialsToPass);
                 break;
             case UpstreamState.Ramping:
                 this.#rampSlots = 1;
--- a/src/services/ProbationTest.ts
+++ b/src/services/ProbationTest.ts
@@ -5,9 +5,15 @@
 
 /** Judges an upstream by a few trial lookups. */
 export class ProbationTest {
+    readonly #trialsToPass: number;
     #passed = 0;
     #slow = 0;
 
+    /** @param trialsToPass - Trials in time that are needed. */
+    constructor(trialsToPass = TRIALS_TO_PASS) {
+        this.#trialsToPass = trialsToPass;
+    }
+
     /**
      * Records a trial and returns the verdict so far.
      * @param isFailure - Whether it failed.
@@ -22,6 +28,6 @@
             return this.#slow >= MAX_SLOW_TRIALS ? ProbationVerdict.Failed : ProbationVerdict.Open;
         }
         this.#passed++;
-        return this.#passed >= TRIALS_TO_PASS ? ProbationVerdict.Passed : ProbationVerdict.Open;
+        return this.#passed >= this.#trialsToPass ? ProbationVerdict.Passed : ProbationVerdict.Open;
     }
 }
--- a/src/accounts/RetryBudget.ts
+++ b/src/services/RetryBudget.ts
@@ -1,3 +1,4 @@
+/** Retries that may come at once after a quiet time. */
 const MAX_TOKENS = 10;
 const RETRY_COST = 1;
 
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -10,7 +10,9 @@
 import { createOutcome } from "./createOutcome.js";
 import { createStatus } from "./createStatus.js";
 import { FirstByteLimit } from "./FirstByteLimit.js";
+import { openReadAhead } from "./openReadAhead.js";
 import { PooledUpstream } from "./PooledUpstream.js";
+import { RetryBudget } from "./RetryBudget.js";
 import type { ServiceAnswer } from "./ServiceAnswer.js";
 import { ServiceBaseline } from "./ServiceBaseline.js";
 import type { ServicePoolOptions } from "./ServicePoolOptions.js";
@@ -24,6 +26,8 @@
 import type { UpstreamStatus } from "./UpstreamStatus.js";
 
 const MAX_KEPT_BODY_BYTES = 64 * 1024;
+/** An idempotent request whose answer is no larger than this can be sent again if the answer is cut. */
+const READ_AHEAD_BYTES = 256 * 1024;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
 /** The upstreams of a service in one zone with their queue. */
@@ -38,6 +42,7 @@
     readonly #runner: AttemptRunner;
     readonly #recorder: AttemptRecorder;
     readonly #upstreams: UpstreamSet;
+    readonly #budget = new RetryBudget();
     #service: Service;
     #working = 0;
     #onIdle: (() => void)[] = [];
@@ -145,6 +150,12 @@
         if (!this.#selector.hasCandidate(request)) {
             return createNoUpstream();
         }
+        if (request.excludedUpstreams.length === 0) {
+            this.#budget.grant(this.#service.retryBudget);
+        }
+        else if (!this.#budget.spend()) {
+            return createNotRun(RefusalReason.RetryBudgetSpent, "The service's retry budget is spent.");
+        }
         return await this.#queue.wait(request, this.#options.getWeight(request.account), signal);
     }
 
@@ -189,7 +200,14 @@
     ): Promise<Outcome> {
         const start = this.#options.clock.getTime();
         const expectedMs = this.#queue.getSlotTime();
-        const attempt = await this.#runner.run(pooled.getUpstream(), request, deadline, this.#limit, signal);
+        const attempt = await this.#runner.run(
+            pooled.getUpstream(),
+            request,
+            deadline,
+            this.#limit,
+            () => this.#budget.spend(),
+            signal,
+        );
         const release = (): void => {
             this.#queue.recordSlotTime(request.account, expectedMs, this.#options.clock.getTime() - start);
             this.#release(pooled);
@@ -203,7 +221,8 @@
             release();
             return outcome;
         }
-        return this.#createDone(pooled, request, attempt, signal, release);
+        const outcome = this.#createDone(pooled, request, attempt, signal, release);
+        return request.isIdempotent ? await openReadAhead(outcome, READ_AHEAD_BYTES) : outcome;
     }
 
     /** Starts what can start and refuses what no upstream can run any more. */
--- a/src/services/UpstreamExchange.ts
+++ b/src/services/UpstreamExchange.ts
@@ -1,21 +1,18 @@
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import type { IncomingHttpHeaders } from "undici/types/header.js";
-import { AnswerCutError } from "../errors/index.js";
+import { AnswerCutError, UnexpectedVariantError } from "../errors/index.js";
 import { CONNECTION_FIELDS } from "../outcomes/index.js";
 import type { HeaderFields } from "../outcomes/index.js";
 import type { ScheduledCall } from "../time/index.js";
-import { createUpstreamHeaders } from "./createUpstreamHeaders.js";
+import { AnswerVerdictKind } from "./AnswerVerdictKind.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
 import type { UpstreamAnswer } from "./UpstreamAnswer.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
 import type { UpstreamExchangeOptions } from "./UpstreamExchangeOptions.js";
 
-const NOT_RUN_HEADER = "x-request-not-run";
-const SHED_STATUSES = new Set([429, 503]);
 const BODILESS_STATUSES = new Set([204, 304]);
-const MS_PER_SECOND = 1_000;
 
 /** One request and its answer on one connection. */
 export class UpstreamExchange {
@@ -52,12 +49,13 @@
     }
 
     #send(): void {
+        const { protocol, upstream } = this.#options;
         const body = this.#request.body.length > 0 ? this.#request.body : null;
         try {
             this.#connection.client.dispatch({
                 method: this.#request.method as Dispatcher.HttpMethod,
                 path: this.#request.path,
-                headers: createUpstreamHeaders(this.#request, this.#options.deadlineMs),
+                headers: protocol.createHeaders(upstream, this.#request, this.#options.deadlineMs),
                 body,
             }, this.#createHandler());
         }
@@ -91,7 +89,8 @@
 
     #receiveHead(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
         this.#timer?.cancel();
-        const isShed = SHED_STATUSES.has(status) && headers[NOT_RUN_HEADER] === "1";
+        const { protocol, upstream } = this.#options;
+        const verdict = protocol.checkAnswer(upstream, this.#request, status, headers);
         this.#isEndMarked = this.#hasMarkedEnd(status, headers);
         const body = new Readable({
             read: () => controller.resume(),
@@ -101,17 +100,36 @@
             },
         });
         this.#body = body;
-        if (isShed) {
-            body.on("error", () => {}).resume();
-            this.#resolve({ kind: UpstreamAnswerKind.Shed, retryAfterMs: parseRetryAfter(headers["retry-after"]) });
-            return;
+        switch (verdict.kind) {
+            case AnswerVerdictKind.Answered:
+                this.#resolve({
+                    kind: UpstreamAnswerKind.Answered,
+                    status,
+                    headers: createAnswerHeaders(headers),
+                    body,
+                });
+                return;
+            case AnswerVerdictKind.Shed:
+                body.on("error", () => {}).resume();
+                this.#resolve({ kind: UpstreamAnswerKind.Shed, retryAfterMs: verdict.retryAfterMs });
+                return;
+            case AnswerVerdictKind.Misdirected:
+                body.on("error", () => {}).destroy();
+                this.#resolve({ kind: UpstreamAnswerKind.ConnectFailed, detail: "another upstream has the address" });
+                return;
+            case AnswerVerdictKind.Foreign:
+                body.on("error", () => {}).destroy();
+                this.#resolve({ kind: UpstreamAnswerKind.ConnectionLost, detail: verdict.detail });
+                return;
+            default:
+                throw new UnexpectedVariantError(verdict);
         }
-        this.#resolve({ kind: UpstreamAnswerKind.Answered, status, headers: createAnswerHeaders(headers), body });
     }
 
     #hasMarkedEnd(status: number, headers: IncomingHttpHeaders): boolean {
         return this.#request.method === "HEAD" || BODILESS_STATUSES.has(status) ||
-            headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+            headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined ||
+            this.#options.protocol.hasUnmarkedEnds;
     }
 
     #receiveEnd(): void {
@@ -168,8 +186,3 @@
     );
     return Object.fromEntries(entries) as HeaderFields;
 }
-
-function parseRetryAfter(value: string | string[] | undefined): number | undefined {
-    const seconds = Number(value);
-    return value !== undefined && Number.isFinite(seconds) ? seconds * MS_PER_SECOND : undefined;
-}
--- a/src/services/UpstreamExchangeOptions.ts
+++ b/src/services/UpstreamExchangeOptions.ts
@@ -1,8 +1,12 @@
+import type { Upstream } from "../configuration/index.js";
 import type { Clock } from "../time/index.js";
+import type { UpstreamProtocol } from "./UpstreamProtocol.js";
 
 /** Limits of an exchange and what to call at its end. */
 export interface UpstreamExchangeOptions {
     readonly clock: Clock;
+    readonly protocol: UpstreamProtocol;
+    readonly upstream: Upstream;
     /** Time until the first byte of the answer, in milliseconds. */
     readonly firstByteTimeoutMs: number;
     /** Time until the caller's deadline, in milliseconds; the upstream is told. */
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -101,7 +101,7 @@
         upstream.statistics.recordLatency(latencyMs, isSlow);
         if (upstream.isConnectFailing) {
             upstream.isConnectFailing = false;
-            if (this.#isSequential()) {
+            if (!this.#isBaseline()) {
                 upstream.send(UpstreamEvent.Restart, "it had refused connections and answers again");
             }
         }
@@ -219,7 +219,7 @@
     }
 
     #startTrials(upstream: PooledUpstream): void {
-        if (this.#isSequential()) {
+        if (!this.#isBaseline()) {
             upstream.send(UpstreamEvent.Try, "its time out of work has ended");
         }
         else if (upstream.send(UpstreamEvent.Clear, "its time out of work has ended")) {
@@ -270,8 +270,8 @@
         return baseline.medianMs !== undefined && latencyMs > this.#service.detection.slowFactor * baseline.medianMs;
     }
 
-    #isSequential(): boolean {
-        return this.#options.policy === EjectionPolicy.Sequential;
+    #isBaseline(): boolean {
+        return this.#options.policy === EjectionPolicy.Baseline;
     }
 
     #recordDecision(decision: Decision, upstream: PooledUpstream, figures: Record<string, number> = {}): void {
--- a/src/services/UpstreamSelector.ts
+++ b/src/services/UpstreamSelector.ts
@@ -35,7 +35,7 @@
      * @param request - The request.
      */
     hasCandidate(request: ServiceRequest): boolean {
-        return this.#upstreams.some(upstream => isCandidate(upstream, request));
+        return this.#upstreams.some(upstream => this.#isCandidate(upstream, request));
     }
 
     /**
@@ -46,6 +46,7 @@
         const free = this.#upstreams.filter(upstream => upstream.hasFreeSlot() && !isExcluded(upstream, request));
         switch (this.#policy) {
             case EjectionPolicy.Sequential:
+            case EjectionPolicy.Prompt:
                 return this.#selectLeastLoaded(free, request);
             case EjectionPolicy.Baseline:
                 return this.#selectNext(free);
@@ -54,7 +55,7 @@
 
     #selectLeastLoaded(free: readonly PooledUpstream[], request: ServiceRequest): PooledUpstream | undefined {
         const trial = free.find(upstream => upstream.getState() === UpstreamState.Probation);
-        if (trial !== undefined && isCandidate(trial, request)) {
+        if (trial !== undefined && this.#isCandidate(trial, request)) {
             return trial;
         }
         let best: PooledUpstream | undefined;
@@ -67,6 +68,17 @@
         return best;
     }
 
+    #isCandidate(upstream: PooledUpstream, request: ServiceRequest): boolean {
+        const isTrial = upstream.getState() === UpstreamState.Probation;
+        return !isExcluded(upstream, request) && (upstream.isWorking() || (isTrial && this.#isTrialRequest(request)));
+    }
+
+    /** A repeated request has failed once already and should not be a trial again. */
+    #isTrialRequest(request: ServiceRequest): boolean {
+        return request.excludedUpstreams.length === 0 &&
+            (request.isIdempotent || this.#policy === EjectionPolicy.Prompt);
+    }
+
     #selectNext(free: readonly PooledUpstream[]): PooledUpstream | undefined {
         if (free.length === 0) {
             return undefined;
@@ -81,12 +93,6 @@
     }
 }
 
-function isCandidate(upstream: PooledUpstream, request: ServiceRequest): boolean {
-    const isTrial = upstream.getState() === UpstreamState.Probation;
-    const isTrialRequest = request.isIdempotent && request.excludedUpstreams.length === 0;
-    return !isExcluded(upstream, request) && (upstream.isWorking() || (isTrial && isTrialRequest));
-}
-
 function isExcluded(upstream: PooledUpstream, request: ServiceRequest): boolean {
     return request.excludedUpstreams.includes(upstream.getUpstream().name);
 }
--- a/src/services/UpstreamSet.ts
+++ b/src/services/UpstreamSet.ts
@@ -9,6 +9,9 @@
 import type { UpstreamSetOptions } from "./UpstreamSetOptions.js";
 import { UpstreamState } from "./UpstreamState.js";
 
+/** A spell of failures is over or not; one answer tells. */
+const PROMPT_TRIALS = 1;
+
 /** The upstreams of a pool as the configuration names them; those that leave are drained. */
 export class UpstreamSet {
     readonly #options: UpstreamSetOptions;
@@ -45,11 +48,12 @@
      */
     apply(service: Service, upstreams: readonly Upstream[]): void {
         const isFirst = this.#service === undefined;
-        const before = new Map(this.#upstreams.map(pooled => [pooled.getUpstream().address, pooled]));
+        const before = new Map(this.#upstreams.map(pooled => [getIdentity(pooled.getUpstream()), pooled]));
         this.#service = service;
         this.#upstreams = upstreams.map(upstream => {
-            const pooled = before.get(upstream.address) ?? this.#create(upstream, isFirst);
-            before.delete(upstream.address);
+            const identity = getIdentity(upstream);
+            const pooled = before.get(identity) ?? this.#create(upstream, isFirst);
+            before.delete(identity);
             this.#applyUpstream(pooled, upstream);
             return pooled;
         });
@@ -68,12 +72,16 @@
     #create(upstream: Upstream, isFirst: boolean): PooledUpstream {
         const isWarm = isFirst || this.#options.policy === EjectionPolicy.Baseline;
         const initial = isWarm ? UpstreamState.Healthy : UpstreamState.Ramping;
-        return new PooledUpstream(upstream, initial, this.#createDetector(), this.#options.clock);
+        return new PooledUpstream(upstream, initial, this.#createDetector(), {
+            clock: this.#options.clock,
+            trialsToPass: this.#options.policy === EjectionPolicy.Prompt ? PROMPT_TRIALS : undefined,
+        });
     }
 
     #createDetector(): UpstreamDetector {
         switch (this.#options.policy) {
             case EjectionPolicy.Sequential:
+            case EjectionPolicy.Prompt:
                 return new SequentialDetector(() => this.#service!.detection);
             case EjectionPolicy.Baseline:
                 return new ConsecutiveDetector();
@@ -109,3 +117,8 @@
         }
     }
 }
+
+/** An upstream that has started again, or another one at its address, has nothing in common with the one before. */
+function getIdentity(upstream: Upstream): string {
+    return `${upstream.address} ${upstream.incarnation ?? ""}`;
+}
--- a/src/settings/parseEntrySettings.ts
+++ b/src/settings/parseEntrySettings.ts
@@ -1,14 +1,14 @@
 import { FindingsError } from "../errors/index.js";
-import type { Finding } from "../errors/index.js";
 import type { EntrySettings } from "./EntrySettings.js";
 import { entrySettingsSchema } from "./entrySettingsSchema.js";
+import { parseSettingsText } from "./parseSettingsText.js";
 
 /**
  * Parses an entry host's settings; throws a FindingsError with everything that is wrong.
  * @param text - The settings file's text.
  */
 export function parseEntrySettings(text: string): EntrySettings {
-    const result = entrySettingsSchema.safeParse(parseJson(text));
+    const result = entrySettingsSchema.safeParse(parseSettingsText(text));
     if (result.success) {
         return result.data;
     }
@@ -17,13 +17,3 @@
         message: issue.message,
     })));
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch (error) {
-        const finding: Finding = { place: "settings", message: (error as Error).message };
-        throw new FindingsError([finding]);
-    }
-}
--- /dev/null
+++ b/src/supply/SupplyDecoder.ts
@@ -0,0 +1,11 @@
+import type { SupplyItem } from "./SupplyItem.js";
+
+/** Decodes the items of the platform's store. */
+export interface SupplyDecoder {
+    /**
+     * Decodes an item; never throws.
+     * @param key - The item's key.
+     * @param value - Its value.
+     */
+    decode(key: string, value: string): SupplyItem;
+}
--- a/src/entry/OperatorListener.ts
+++ b/src/utils/RouteListener.ts
@@ -1,15 +1,16 @@
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import polka from "polka";
-import { closeServer, openServer } from "../utils/index.js";
+import { closeServer } from "./closeServer.js";
+import { openServer } from "./openServer.js";
 
 const MAX_HEADER_BYTES = 16 * 1024;
 
-/** Answers operators. */
-export class OperatorListener {
+/** Serves a few endpoints that others add. */
+export class RouteListener {
     readonly #server: Server = createServer({ maxHeaderSize: MAX_HEADER_BYTES });
 
-    /** @param addRoutes - Adds the operators' endpoints. */
+    /** @param addRoutes - Adds the endpoints. */
     constructor(addRoutes: (app: polka.Polka) => void) {
         const app = polka({ server: this.#server });
         addRoutes(app);
--- a/src/entry/createIncarnation.ts
+++ b/src/utils/createIncarnation.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from "node:crypto";
 import type { Clock } from "../time/index.js";
-import { formatIncarnation } from "../utils/index.js";
+import { formatIncarnation } from "./formatIncarnation.js";
 
 const RANDOM_BYTES = 4;
 
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,4 +1,5 @@
 export { closeServer } from "./closeServer.js";
+export { createIncarnation } from "./createIncarnation.js";
 export { decodeJson } from "./decodeJson.js";
 export { encodeJson } from "./encodeJson.js";
 export { formatIncarnation } from "./formatIncarnation.js";
@@ -6,8 +7,11 @@
 export { openServer } from "./openServer.js";
 export { parseAddress } from "./parseAddress.js";
 export { parseIncarnation } from "./parseIncarnation.js";
+export { parseRetryAfter } from "./parseRetryAfter.js";
 export { parseValue } from "./parseValue.js";
 export { readBody } from "./readBody.js";
 export { readJsonFile } from "./readJsonFile.js";
+export { refuseSocket } from "./refuseSocket.js";
+export { RouteListener } from "./RouteListener.js";
 export type { SocketAddress } from "./SocketAddress.js";
 export { writeStream } from "./writeStream.js";
--- a/tests/style/exports.test.ts
+++ b/tests/style/exports.test.ts
@@ -4,7 +4,7 @@
 import * as assert from "uvu/assert";
 import { readSourceFiles } from "../support/readSourceFiles.js";
 
-const files = [...readSourceFiles("src"), ...readSourceFiles("tests/support")];
+const files = [...readSourceFiles("src"), ...readSourceFiles("platform"), ...readSourceFiles("tests/support")];
 
 test("each source file has one export and index files only re-export", () => {
     const findings = files.flatMap(file => isIndex(file) ? checkIndex(file) : checkOneExport(file));
--- a/tests/style/verbs.test.ts
+++ b/tests/style/verbs.test.ts
@@ -5,7 +5,7 @@
 import { readSourceFiles } from "../support/readSourceFiles.js";
 
 const verbs = readVerbs();
-const files = [...readSourceFiles("src"), ...readSourceFiles("tests")];
+const files = [...readSourceFiles("src"), ...readSourceFiles("platform"), ...readSourceFiles("tests")];
 
 test("each function's name begins with a verb of docs/VERBS.md", () => {
     assert.equal(files.flatMap(checkFile), []);
--- a/tests/time/TimerStallMeter.test.ts
+++ b/tests/time/TimerStallMeter.test.ts
@@ -35,7 +35,14 @@
     };
     const runner = new AttemptRunner(hostClock, transport, new DecisionHistory(hostClock), meter);
     const signal = new AbortController().signal;
-    const attempt = runner.run(createUpstream(), createRequest(), PAUSE_MS * 10, new FirstByteLimit(), signal);
+    const attempt = runner.run(
+        createUpstream(),
+        createRequest(),
+        PAUSE_MS * 10,
+        new FirstByteLimit(),
+        () => true,
+        signal,
+    );
     await clock.run(SERVICE_MS / 2);
     await runPause(clock, hostClock);
     await clock.run(SERVICE_MS);
