--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -12,6 +12,8 @@
 
 const MAX_ATTEMPTS = 4;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
+/** No upstream answers within a shorter time, so a repeated send would be in vain, in milliseconds. */
+const MIN_RETRY_TIME_MS = 50;
 
 interface DispatchState {
     readonly excludedZones: Set<string>;
@@ -20,6 +22,12 @@
     earlier: Exclude<Outcome, NotRunOutcome> | undefined;
 }
 
+interface AttemptResult {
+    readonly outcome: Outcome;
+    /** Whether an upstream was tried. */
+    readonly isSent: boolean;
+}
+
 /** Sends an admitted request to service hosts until one attempt is final, within the deadline and the retry budget. */
 export class Dispatcher {
     readonly #options: DispatcherOptions;
@@ -47,16 +55,16 @@
      */
     async run(call: DispatchCall, signal: AbortSignal): Promise<Outcome> {
         const state: DispatchState = { excludedZones: new Set(), excludedUpstreams: [], earlier: undefined };
-        this.#getBudget(call.service.name).grant(call.service.retryBudget);
+        this.#getBudget(call.service.name).grant(call.service.retryBudget, call.service.retryRate);
         let outcome = this.#getNoZone();
         for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
             const next = await this.#runAttempt(call, state, attempt, signal);
             if (next === undefined) {
                 break;
             }
-            outcome = next;
+            outcome = next.outcome;
             const isExhausted = state.excludedUpstreams.length >= (call.request.route.maxAttempts ?? MAX_ATTEMPTS);
-            if (isExhausted || !this.#isRetryAllowed(call, outcome, signal)) {
+            if (isExhausted || !this.#isRetryAllowed(call, next, signal)) {
                 break;
             }
             this.#recordRetry(call, outcome, attempt);
@@ -69,15 +77,15 @@
         state: DispatchState,
         attempt: number,
         signal: AbortSignal,
-    ): Promise<Outcome | undefined> {
+    ): Promise<AttemptResult | undefined> {
         if (this.#quarantine.isRefused(call.fingerprint)) {
-            return createNotRun(
-                RefusalReason.RequestQuarantined,
-                "This request has crashed upstreams; don't repeat it.",
-            );
+            const detail = "This request has crashed upstreams; don't repeat it.";
+            return { outcome: createNotRun(RefusalReason.RequestQuarantined, detail), isSent: false };
         }
         if (this.#options.clock.getTime() >= call.deadline) {
-            return createNotRun(RefusalReason.DeadlineExceeded, "The deadline has passed.", DEFAULT_RETRY_AFTER_MS);
+            const detail = "The deadline has passed.";
+            const refusal = createNotRun(RefusalReason.DeadlineExceeded, detail, DEFAULT_RETRY_AFTER_MS);
+            return { outcome: refusal, isSent: false };
         }
         const zone = this.#zones.select(call.service, state.excludedZones);
         if (zone === undefined) {
@@ -86,7 +94,7 @@
         this.#zones.recordSent(call.service.name, zone);
         const answer = await this.#sender.send(call, zone, attempt, state.excludedUpstreams, signal);
         await this.#recordAnswer(call, zone, answer, state);
-        return answer.outcome;
+        return { outcome: answer.outcome, isSent: answer.upstream !== undefined };
     }
 
     async #recordAnswer(call: DispatchCall, zone: string, answer: HostAnswer, state: DispatchState): Promise<void> {
@@ -113,16 +121,18 @@
         }
     }
 
-    #isRetryAllowed(call: DispatchCall, outcome: Outcome, signal: AbortSignal): boolean {
-        if (signal.aborted || !isRetriable(outcome, call.isIdempotent)) {
+    /** A refusal by a service host that sent nothing on costs the service nothing, so another zone may be asked. */
+    #isRetryAllowed(call: DispatchCall, { outcome, isSent }: AttemptResult, signal: AbortSignal): boolean {
+        const remainingMs = call.deadline - this.#options.clock.getTime();
+        if (signal.aborted || remainingMs < MIN_RETRY_TIME_MS || !isRetriable(outcome, call.isIdempotent)) {
             return false;
         }
-        const isFree = outcome.kind === OutcomeKind.NotRun && outcome.reason === RefusalReason.HostUnreachable;
+        const isFree = outcome.kind === OutcomeKind.NotRun && !isSent;
         return isFree || this.#getBudget(call.service.name).spend();
     }
 
     #getBudget(service: string): RetryBudget {
-        const budget = this.#budgets.get(service) ?? new RetryBudget();
+        const budget = this.#budgets.get(service) ?? new RetryBudget(this.#options.clock);
         this.#budgets.set(service, budget);
         return budget;
     }
--- a/src/accounts/DispatcherOptions.ts
+++ b/src/accounts/DispatcherOptions.ts
@@ -15,6 +15,9 @@
     /** The service host of this process. */
     readonly serviceRunner: ServiceRunner;
     readonly decisionLog: DecisionLog;
-    /** Share of its time that an idempotent request waits for a service host elsewhere; half if undefined. */
-    readonly hostWaitShare?: number;
+    /**
+     * Whether an idempotent request waits for a service host elsewhere until its deadline; it waits half of its time if
+     * undefined.
+     */
+    readonly waitsUntilDeadline?: boolean;
 }
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -78,8 +78,8 @@
         if (host.id === membership.getSelf().id) {
             return getUnlessRefusedByHost(await serviceRunner.run(request, signal));
         }
-        const waitMs = call.isIdempotent
-            ? request.timeoutMs * (this.#options.hostWaitShare ?? IDEMPOTENT_WAIT_SHARE)
+        const waitMs = call.isIdempotent && this.#options.waitsUntilDeadline !== true
+            ? request.timeoutMs * IDEMPOTENT_WAIT_SHARE
             : request.timeoutMs + ANSWER_GRACE_MS;
         const sent = { request, time: clock.getTime(), refusals: 0 };
         const controller = new AbortController();
@@ -95,6 +95,10 @@
             if (call.isIdempotent) {
                 controller.abort();
             }
+            if (signal.aborted) {
+                const detail = "The request was given up while a service host had it.";
+                return createAnswer(createUnknown(UnknownReason.DeadlineExceeded, detail));
+            }
             this.#suspectedUntil.set(host.peerAddress, clock.getTime() + SUSPICION_MS);
             const isNotSent = error instanceof PeerUnavailableError && error.isNotSent;
             return isNotSent ? undefined : createAnswer(await this.#findLostOutcome(host, call, sent));
--- a/src/configuration/DetectionSettings.ts
+++ b/src/configuration/DetectionSettings.ts
@@ -6,8 +6,14 @@
     readonly failingErrorRate: number;
     /** Evidence needed to eject, in natural-log units; higher means slower and fewer false ejections. */
     readonly ejectThreshold: number;
+    /** Evidence of slowness needed to eject, in the same units; ejectThreshold if undefined. */
+    readonly slowThreshold?: number;
     /** How many times the siblings' latency counts as slow. */
     readonly slowFactor: number;
+    /** A wait in vain that is shorter than this says nothing of an upstream, in milliseconds; 0 if undefined. */
+    readonly minPatienceMs?: number;
     /** First time out of work, in milliseconds; doubles with each return that fails. */
     readonly probationMs: number;
+    /** Time out of work after a failed trial, in milliseconds; doubles from probationMs if undefined. */
+    readonly retrialMs?: number;
 }
--- a/src/configuration/Service.ts
+++ b/src/configuration/Service.ts
@@ -9,6 +9,8 @@
     readonly floor: number;
     /** Retries allowed as a share of requests, from 0 to 1. */
     readonly retryBudget: number;
+    /** Retries allowed beyond that share, per second over the whole fleet; none if undefined. */
+    readonly retryRate?: number;
     /** Requests that may wait for each slot. */
     readonly queuePerSlot: number;
     readonly detection: DetectionSettings;
--- a/src/gateway/GATEWAY_SERVICE.ts
+++ b/src/gateway/GATEWAY_SERVICE.ts
@@ -9,8 +9,13 @@
         failingErrorRate: 0.9,
         /** ln(0.9 / 0.02) is 3.8, so that one failure ejects. */
         ejectThreshold: 3,
+        /** Some four slow answers: ln(0.5 / 0.02) is 3.2. */
+        slowThreshold: 10,
         slowFactor: 4,
-        /** A spell lasts several seconds. */
-        probationMs: 3_000,
+        /** Longer than the shortest deadlines that callers set. */
+        minPatienceMs: 1_200,
+        /** How long a spell of failures lasts on the platform's sheets. */
+        probationMs: 9_000,
+        retrialMs: 3_000,
     },
 } as const;
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -21,6 +21,15 @@
 /** Time for a service host's own timeout to arrive before this host gives the final answer, in milliseconds. */
 const FINAL_ANSWER_MS = 60;
 
+/** What is known of a request when its outcome is recorded. */
+interface CallContext {
+    readonly requestId: string;
+    /** In milliseconds of the clock. */
+    readonly startTime: number;
+    route?: string;
+    account?: string | undefined;
+}
+
 /** Checks callers' requests, admits them by their accounts' rates and sends them to service hosts. */
 export class Gateway {
     readonly #options: GatewayOptions;
@@ -57,15 +66,16 @@
         signal: AbortSignal,
     ): Promise<Outcome> {
         const startTime = this.#options.clock.getTime();
+        const context: CallContext = { requestId: call.requestId, startTime };
         this.#running++;
         try {
-            const outcome = await this.#run(call, readBody, startTime, signal);
-            this.#record(call, outcome, startTime);
+            const outcome = await this.#run(call, readBody, context, signal);
+            this.#record(context, outcome);
             return outcome;
         }
         catch (error) {
             const outcome = this.#getFailure(error);
-            this.#record(call, outcome, startTime);
+            this.#record(context, outcome);
             return outcome;
         }
         finally {
@@ -76,18 +86,20 @@
     async #run(
         call: GatewayCall,
         readBody: (maxBytes: number) => Promise<Buffer | undefined>,
-        startTime: number,
+        context: CallContext,
         signal: AbortSignal,
     ): Promise<Outcome> {
         const configuration = this.#getConfiguration();
         const route = findRoute(configuration, call);
+        context.route = route.name;
         const account = findAccount(configuration, route, call.key);
+        context.account = account?.name;
         const body = await readBody(route.maxBodyBytes);
         if (body === undefined) {
             throw new RefusalError(RefusalReason.BodyTooLarge, `The body is longer than ${route.maxBodyBytes} bytes.`);
         }
         const timeoutMs = Math.min(call.timeoutMs ?? route.deadlineMs, route.deadlineMs);
-        const remainingMs = startTime + timeoutMs - this.#options.clock.getTime();
+        const remainingMs = context.startTime + timeoutMs - this.#options.clock.getTime();
         const request = createRequest(call, route, account, body, remainingMs);
         return await this.#runInTime(request, remainingMs, signal);
     }
@@ -133,7 +145,8 @@
         if (decision.isQuarantined === true) {
             throw new RefusalError(RefusalReason.RequestQuarantined, "This request has crashed upstreams.");
         }
-        const detail = `Account ${account.name} is above its rate.`;
+        const detail =
+            `Account ${account.name} is above its rate of ${account.rate}/s with a burst of ${account.burst}.`;
         throw new RefusalError(RefusalReason.RateExceeded, detail, decision.retryAfterMs);
     }
 
@@ -156,22 +169,33 @@
         return createUnknown(UnknownReason.ConnectionLost, `The request failed inside the host: ${detail}`);
     }
 
-    #record(call: GatewayCall, outcome: Outcome, startTime: number): void {
+    #record(context: CallContext, outcome: Outcome): void {
         const { clock, decisions, getConfiguration } = this.#options;
         const base = {
-            requestId: call.requestId,
+            requestId: context.requestId,
+            account: context.account,
             version: getConfiguration()?.version,
-            figures: { ms: Math.round(clock.getTime() - startTime) },
+            figures: { ms: Math.round(clock.getTime() - context.startTime), route: context.route ?? "" },
         };
         switch (outcome.kind) {
             case OutcomeKind.Done:
                 decisions.record({ decision: Decision.Answered, reason: `status ${outcome.status}`, ...base });
                 return;
             case OutcomeKind.NotRun:
-                decisions.record({ decision: Decision.Refused, reason: outcome.reason, ...base });
+                decisions.record({
+                    decision: Decision.Refused,
+                    reason: outcome.reason,
+                    ...base,
+                    detail: outcome.detail,
+                });
                 return;
             case OutcomeKind.Unknown:
-                decisions.record({ decision: Decision.OutcomeUnknown, reason: outcome.reason, ...base });
+                decisions.record({
+                    decision: Decision.OutcomeUnknown,
+                    reason: outcome.reason,
+                    ...base,
+                    detail: outcome.detail,
+                });
                 return;
         }
     }
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -17,8 +17,6 @@
 
 /** Crashes of one request from which on it is refused: the platform's callers may send it to three upstreams. */
 const CRASHES_TO_REFUSE = 3;
-/** A service host answers when its upstream does, so a request waits for it as long as the caller waits. */
-const HOST_WAIT_SHARE = 1;
 const EMPTY_CONFIGURATION = new SuppliedConfiguration({
     version: 0,
     accounts: [],
@@ -149,7 +147,7 @@
             random,
             forwarder,
             serviceRunner: this.serviceHost,
-            hostWaitShare: HOST_WAIT_SHARE,
+            waitsUntilDeadline: true,
         }, quarantine);
         const getConfiguration = (): SuppliedConfiguration | undefined => this.supply.getConfiguration();
         return new Gateway({ clock, random, decisions, limiter, dispatcher, getConfiguration });
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -12,6 +12,8 @@
 
 const PEER_CONNECTIONS = 64;
 const PEER_CONNECT_TIMEOUT_MS = 500;
+/** Pauses of the process that matter beside the latencies of upstreams, some hundred milliseconds. */
+const STALL_TICK_MS = 100;
 const MS_PER_SECOND = 1_000;
 /** Decisions that are kept in memory; the log holds them all. */
 const KEPT_DECISIONS = 200;
@@ -24,7 +26,7 @@
 export class GatewayProcess {
     readonly #options: GatewayProcessOptions;
     readonly #clock = new SystemClock();
-    readonly #stallMeter = new TimerStallMeter(this.#clock);
+    readonly #stallMeter = new TimerStallMeter(this.#clock, STALL_TICK_MS);
     readonly #metrics = new GatewayMetrics();
     readonly #decisions: DecisionHistory;
     readonly #connections = new PeerConnections({
--- /dev/null
+++ b/src/gateway/createServiceDefaults.ts
@@ -0,0 +1,15 @@
+import type { Service } from "../configuration/index.js";
+import type { GatewaySettings } from "../settings/index.js";
+import { GATEWAY_SERVICE } from "./GATEWAY_SERVICE.js";
+
+/** Share of the allowed retries that is used by time; the rest covers what hosts may spend at once. */
+const RETRY_RATE_SHARE = 0.4;
+
+/**
+ * Creates what the product decides for every service.
+ * @param settings - The gateway's settings.
+ */
+export function createServiceDefaults(settings: GatewaySettings): Omit<Service, "name" | "upstreams"> {
+    const { floor, retryBudget, retrySlack, retryWindowSeconds } = settings;
+    return { ...GATEWAY_SERVICE, floor, retryBudget, retryRate: RETRY_RATE_SHARE * retrySlack / retryWindowSeconds };
+}
--- a/src/logging/DecisionRecord.ts
+++ b/src/logging/DecisionRecord.ts
@@ -11,6 +11,8 @@
     readonly upstream?: string;
     readonly member?: string;
     readonly version?: number;
+    /** One sentence more for a person who reads the log. */
+    readonly detail?: string;
     /** Figures that the decision rests on. */
     readonly figures?: Readonly<Record<string, number | string>>;
 }
--- a/src/replica/ReplicaKeeper.ts
+++ b/src/replica/ReplicaKeeper.ts
@@ -9,6 +9,8 @@
 import type { WatcherReport } from "./WatcherReport.js";
 import { WatchResultKind } from "./WatchResultKind.js";
 
+/** Time for hosts that start together to register, so that the order in which they watch is the same everywhere. */
+const SETTLE_MS = 1_500;
 /** How long a watch waits for changes, so that a watcher knows at least this often that it reaches the store. */
 const WATCH_WAIT_MS = 1_000;
 /** Pause after changes, so that those that come in quick succession share a call. */
@@ -88,10 +90,18 @@
     }
 
     #isWatching(): boolean {
+        if (this.#options.replica.getRevision() === 0) {
+            return true;
+        }
+        if (this.#getRunTime() < SETTLE_MS) {
+            return false;
+        }
+        if (this.#confirmedTime === Number.NEGATIVE_INFINITY) {
+            return true;
+        }
         const order = this.#options.getOrder();
         const rank = order.findIndex(member => member.id === this.#options.selfId);
-        const isWatching = this.#options.replica.getRevision() === 0 ||
-            this.#duty.isWatching(rank < 0 ? order.length : rank, Math.min(this.getAge(), this.#getRunTime()));
+        const isWatching = this.#duty.isWatching(rank < 0 ? order.length : rank, this.getAge());
         if (isWatching && rank >= 0) {
             this.#peers.start();
         }
--- a/src/services/BackOff.ts
+++ b/src/services/BackOff.ts
@@ -1,3 +1,4 @@
+import type { DetectionSettings } from "../configuration/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { Clock, ScheduledCall } from "../time/index.js";
 import type { PooledUpstream } from "./PooledUpstream.js";
@@ -26,15 +27,14 @@
     /**
      * Starts the time out of work of an upstream; returns it in milliseconds.
      * @param upstream - The upstream.
-     * @param firstMs - The first time out of work, in milliseconds.
+     * @param detection - The first time out of work and, for spells of failure, the time after a failed trial.
      * @param onEnd - Runs at its end.
      */
-    start(upstream: PooledUpstream, firstMs: number, onEnd: () => void): number {
+    start(upstream: PooledUpstream, detection: DetectionSettings, onEnd: () => void): number {
         const now = this.#clock.getTime();
         const lastReturn = Math.max(upstream.restoredTime, this.#ends.get(upstream) ?? Number.NEGATIVE_INFINITY);
         upstream.ejections = now - lastReturn > FLAP_WINDOW_MS ? 1 : upstream.ejections + 1;
-        const doublings = Math.min(upstream.ejections - 1, MAX_DOUBLINGS);
-        const durationMs = firstMs * 2 ** doublings * (1 + JITTER * this.#random.getNext());
+        const durationMs = getDuration(upstream, detection) * (1 + JITTER * this.#random.getNext());
         this.cancel(upstream);
         this.#ends.set(upstream, now + durationMs);
         const call = this.#clock.schedule(durationMs, () => {
@@ -60,3 +60,10 @@
         this.#calls.clear();
     }
 }
+
+function getDuration(upstream: PooledUpstream, { probationMs, retrialMs }: DetectionSettings): number {
+    if (retrialMs !== undefined) {
+        return upstream.isTrialFailed ? retrialMs : probationMs;
+    }
+    return probationMs * 2 ** Math.min(upstream.ejections - 1, MAX_DOUBLINGS);
+}
--- a/src/services/PooledUpstream.ts
+++ b/src/services/PooledUpstream.ts
@@ -23,6 +23,8 @@
     restoredTime = Number.NEGATIVE_INFINITY;
     /** Whether its last attempt could not open a connection. */
     isConnectFailing = false;
+    /** Whether the trials of its time out of work have failed so far. */
+    isTrialFailed = false;
     /** Why it is in its state. */
     reason = "";
     readonly #clock: Clock;
--- a/src/services/SequentialDetector.ts
+++ b/src/services/SequentialDetector.ts
@@ -39,7 +39,8 @@
      */
     recordLatency(isSlow: boolean, baseline: BaselineRates): void {
         const healthy = Math.max(MIN_SLOW_RATE, SIBLING_TOLERANCE * baseline.slowRate);
-        const limit = KEPT_EVIDENCE * this.#getSettings().ejectThreshold;
+        const { ejectThreshold, slowThreshold } = this.#getSettings();
+        const limit = KEPT_EVIDENCE * (slowThreshold ?? ejectThreshold);
         this.#latencies.record(isSlow, healthy, SLOW_RATE_TO_DETECT, limit);
     }
 
@@ -56,9 +57,10 @@
         return this.#errors.getEvidence();
     }
 
-    /** Gets the evidence of slowness, in natural-log units. */
+    /** Gets the evidence of slowness, in natural-log units, scaled to the threshold of failures. */
     getLatencyEvidence(): number {
-        return this.#latencies.getEvidence();
+        const { ejectThreshold, slowThreshold } = this.#getSettings();
+        return this.#latencies.getEvidence() * ejectThreshold / (slowThreshold ?? ejectThreshold);
     }
 
     /** Gets the evidence at which the upstream is ejected. */
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -42,7 +42,7 @@
     readonly #runner: AttemptRunner;
     readonly #recorder: AttemptRecorder;
     readonly #upstreams: UpstreamSet;
-    readonly #budget = new RetryBudget();
+    readonly #budget: RetryBudget;
     #service: Service;
     #working = 0;
     #onIdle: (() => void)[] = [];
@@ -56,6 +56,7 @@
         const { clock, random, decisions, policy, transport } = options;
         this.#service = service;
         this.#options = options;
+        this.#budget = new RetryBudget(clock);
         this.baseline = new ServiceBaseline(clock);
         this.#selector = new UpstreamSelector(policy);
         this.#queue = new SlotQueue({
@@ -72,7 +73,7 @@
             clock,
             judge: this.#judge,
             limit: this.#limit,
-            getPatience: pooled => this.#service.detection.slowFactor * (this.baseline.getRates(pooled).medianMs ?? 0),
+            getPatience: pooled => this.#getPatience(pooled),
             onCapacity: () => this.#runQueue(),
         });
         this.#upstreams = new UpstreamSet({ clock, decisions, transport, policy });
@@ -147,11 +148,12 @@
     }
 
     async #claimSlot(request: ServiceRequest, signal: AbortSignal): Promise<PooledUpstream | NotRunOutcome> {
+        this.#judge.startEarlyTrial(!this.#selector.hasFreeSlot());
         if (!this.#selector.hasCandidate(request)) {
             return createNoUpstream();
         }
         if (request.excludedUpstreams.length === 0) {
-            this.#budget.grant(this.#service.retryBudget);
+            this.#budget.grant(this.#service.retryBudget, this.#getRetryRate());
         }
         else if (!this.#budget.spend()) {
             return createNotRun(RefusalReason.RetryBudgetSpent, "The service's retry budget is spent.");
@@ -215,6 +217,7 @@
         if (!late.aborted) {
             this.#recorder.recordHead(pooled, request, attempt);
         }
+        this.#recordDispatched(pooled, request, attempt);
         if (attempt.answer.kind !== UpstreamAnswerKind.Answered) {
             const outcome = createOutcome(attempt.answer);
             this.#recordEnd(request, pooled, outcome, undefined);
@@ -225,6 +228,17 @@
         return request.isIdempotent ? await openReadAhead(outcome, READ_AHEAD_BYTES) : outcome;
     }
 
+    #getPatience(pooled: PooledUpstream): number {
+        const { slowFactor, minPatienceMs } = this.#service.detection;
+        return Math.max(minPatienceMs ?? 0, slowFactor * (this.baseline.getRates(pooled).medianMs ?? 0));
+    }
+
+    /** This pool's part of the retries that the service is allowed by time: the zones share them evenly. */
+    #getRetryRate(): number {
+        const zones = new Set(this.#service.upstreams.map(upstream => upstream.zone)).size;
+        return (this.#service.retryRate ?? 0) / Math.max(1, zones);
+    }
+
     /** Starts what can start and refuses what no upstream can run any more. */
     #runQueue(): void {
         this.#queue.refuse(request => !this.#selector.hasCandidate(request), createNoUpstream());
@@ -268,6 +282,20 @@
         }
     }
 
+    #recordDispatched(pooled: PooledUpstream, request: ServiceRequest, attempt: UpstreamAttempt): void {
+        const { answer, latencyMs } = attempt;
+        const { requestId, account, service } = request;
+        this.#options.decisions.record({
+            decision: Decision.Dispatched,
+            reason: answer.kind === UpstreamAnswerKind.Answered ? `status ${answer.status}` : answer.kind,
+            requestId,
+            account,
+            service,
+            upstream: pooled.getUpstream().name,
+            figures: { ms: Math.round(latencyMs), running: pooled.getRunning(), state: pooled.getState() },
+        });
+    }
+
     #refuse(request: ServiceRequest, outcome: NotRunOutcome): NotRunOutcome {
         if (!request.isIdempotent) {
             this.#options.outcomes.recordEnd(request.requestId, createKeptOutcome(outcome, undefined), undefined);
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -16,6 +16,8 @@
 const SUSPECT_SHARE = 0.5;
 const CLEAR_SHARE = 0.25;
 const MAX_RAMP_MS = 60_000;
+/** Shortest time out of work before an early trial, in milliseconds; twice as long after a failed trial. */
+const MIN_REST_MS = 1_200;
 
 /** Judges the upstreams of a pool by the outcomes of real work: ejects, tries and restores them. */
 export class UpstreamJudge {
@@ -44,6 +46,10 @@
     apply(service: Service, upstreams: readonly PooledUpstream[]): void {
         this.#service = service;
         this.#upstreams = upstreams;
+        if (this.#isPrompt()) {
+            this.startEarlyTrial();
+            return;
+        }
         this.#restoreToFloor();
     }
 
@@ -89,6 +95,32 @@
         }
     }
 
+    /**
+     * Ends the time out of work of the upstream that has been out longest, if fewer work than the floor wants or if
+     * requests wait for a slot. Only where ejections are prompt, and so may be wrong; an upstream whose trial has failed
+     * too is no healthy capacity, and the floor does not count it.
+     * @param isShort - Whether requests wait for a slot.
+     */
+    startEarlyTrial(isShort = false): void {
+        const remaining = this.#upstreams.filter(upstream => upstream.getState() !== UpstreamState.Draining);
+        const working = remaining.filter(upstream => upstream.isWorking()).length;
+        const trials = remaining.filter(upstream => upstream.getState() === UpstreamState.Probation).length;
+        const failing = remaining.filter(upstream => !upstream.isWorking() && upstream.isTrialFailed).length;
+        const required = Math.floor(this.#service.floor * (remaining.length - failing));
+        const isBelowFloor = working + trials < required;
+        if (!this.#isPrompt() || (!isBelowFloor && (!isShort || trials > 0))) {
+            return;
+        }
+        const rested = remaining.filter(upstream =>
+            upstream.getState() === UpstreamState.Ejected && hasRested(upstream)
+        );
+        rested.sort((left, right) => right.getStateAge() - left.getStateAge());
+        if (rested.length > 0) {
+            this.#backOff.cancel(rested[0]!);
+            this.#startTrials(rested[0]!);
+        }
+    }
+
     /** Stops the timers of ejected upstreams. */
     stop(): void {
         this.#backOff.stop();
@@ -163,7 +195,8 @@
                 this.#restore(upstream, "its trial lookups passed");
                 break;
             case ProbationVerdict.Failed:
-                this.#eject(upstream, `a trial lookup failed: ${detail}`);
+                upstream.isTrialFailed = true;
+                this.#eject(upstream, `a trial failed: ${detail}`);
                 break;
         }
     }
@@ -197,8 +230,9 @@
         const reason = upstream.detector.getLatencyEvidence() > upstream.detector.getErrorEvidence()
             ? "slow against its siblings"
             : `failing: ${detail}`;
-        if (hasCapacityAboveFloor(upstream, this.#upstreams, this.#service.floor)) {
+        if (this.#isPrompt() || hasCapacityAboveFloor(upstream, this.#upstreams, this.#service.floor)) {
             this.#eject(upstream, reason);
+            this.startEarlyTrial();
         }
         else if (upstream.send(UpstreamEvent.Hold, `${reason}; the floor forbids its ejection`)) {
             this.#recordDecision(Decision.EjectionWithheld, upstream);
@@ -211,7 +245,7 @@
         }
         const durationMs = this.#backOff.start(
             upstream,
-            this.#service.detection.probationMs,
+            this.#service.detection,
             () => this.#startTrials(upstream),
         );
         this.#recordDecision(Decision.Ejected, upstream, { backOffMs: Math.round(durationMs) });
@@ -231,7 +265,13 @@
 
     #restore(upstream: PooledUpstream, reason: string): void {
         this.#backOff.cancel(upstream);
-        if (upstream.send(UpstreamEvent.Restore, reason)) {
+        // Where a spell of failures has ended, the upstream is warm and takes its full share at once.
+        const event = this.#isPrompt() && upstream.getState() === UpstreamState.Probation
+            ? UpstreamEvent.Clear
+            : UpstreamEvent.Restore;
+        if (upstream.send(event, reason)) {
+            upstream.detector.restore();
+            upstream.isTrialFailed = false;
             upstream.restoredTime = this.#options.clock.getTime();
             this.#recordDecision(Decision.Restored, upstream);
             this.#ejectHeld();
@@ -274,6 +314,10 @@
         return this.#options.policy === EjectionPolicy.Baseline;
     }
 
+    #isPrompt(): boolean {
+        return this.#options.policy === EjectionPolicy.Prompt;
+    }
+
     #recordDecision(decision: Decision, upstream: PooledUpstream, figures: Record<string, number> = {}): void {
         this.#options.decisions.record({
             decision,
@@ -294,3 +338,7 @@
     const { detector } = upstream;
     return Math.max(detector.getErrorEvidence(), detector.getLatencyEvidence()) / detector.getThreshold();
 }
+
+function hasRested(upstream: PooledUpstream): boolean {
+    return upstream.getStateAge() >= (upstream.isTrialFailed ? 2 : 1) * MIN_REST_MS;
+}
--- a/src/services/createUpstreamMachine.ts
+++ b/src/services/createUpstreamMachine.ts
@@ -15,7 +15,7 @@
     [State.Suspected]: state(clear, hold, eject, restart, drain),
     [State.Held]: state(clear, eject, drain),
     [State.Ejected]: state(transition(Event.Try, State.Probation), restore, clear, drain),
-    [State.Probation]: state(eject, restore, drain),
+    [State.Probation]: state(eject, restore, clear, drain),
     [State.Ramping]: state(transition(Event.Warm, State.Healthy), hold, eject, drain),
     [State.Draining]: state(transition(Event.Return, State.Ramping)),
 };
--- a/src/settings/gatewaySettingsSchema.ts
+++ b/src/settings/gatewaySettingsSchema.ts
@@ -28,5 +28,8 @@
     floor: share,
     /** Repeated sends allowed as a share of a service's requests. */
     retryBudget: share,
+    /** Repeated sends allowed beyond that share, within each window. */
+    retrySlack: z.number().min(0),
+    retryWindowSeconds: z.number().positive(),
     logLevel: z.enum(["trace", "debug", "info", "warn", "error", "fatal"]).default("info"),
 });
--- a/src/time/TimerStallMeter.ts
+++ b/src/time/TimerStallMeter.ts
@@ -2,26 +2,31 @@
 import type { ScheduledCall } from "./ScheduledCall.js";
 import type { StallMeter } from "./StallMeter.js";
 
-const TICK_MS = 20;
+const DEFAULT_TICK_MS = 20;
 /** Lateness that timers have on a process that runs, in milliseconds. */
 const TOLERANCE_MS = 2;
 
 /** Measures by how much a timer that runs again and again comes late. */
 export class TimerStallMeter implements StallMeter {
     readonly #clock: Clock;
+    readonly #tickMs: number;
     #stalledMs = 0;
     #dueTime = Number.POSITIVE_INFINITY;
     #timer: ScheduledCall | undefined;
 
-    /** @param clock - The source of time. */
-    constructor(clock: Clock) {
+    /**
+     * @param clock - The source of time.
+     * @param tickMs - How often it looks, in milliseconds; a stand-still of less than this may be missed.
+     */
+    constructor(clock: Clock, tickMs = DEFAULT_TICK_MS) {
         this.#clock = clock;
+        this.#tickMs = tickMs;
     }
 
     /** Starts to measure. */
     start(): void {
-        this.#dueTime = this.#clock.getTime() + TICK_MS;
-        this.#timer = this.#clock.schedule(TICK_MS, () => this.#recordTick());
+        this.#dueTime = this.#clock.getTime() + this.#tickMs;
+        this.#timer = this.#clock.schedule(this.#tickMs, () => this.#recordTick());
     }
 
     /** Stops to measure. */
