Judge slowness by route, let a request wait for its account's next token

And an account that asks 8 to 10 a second at a rate of 7 with a burst of 7 was refused in one moment and idle in the next: a request now waits up to a quarter of its route's target time for its token.

--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -163,10 +163,13 @@
         const timeoutMs = Math.max(0, call.deadline - this.#options.clock.getTime());
         const { account, isIdempotent } = call;
         const service = call.service.name;
+        const priority = call.request.account?.priority ?? call.request.route.priority;
         return {
             requestId,
             account,
             service,
+            route: call.request.route.name,
+            ...(priority === undefined ? {} : { priority }),
             zone,
             method,
             path,
--- a/src/configuration/Route.ts
+++ b/src/configuration/Route.ts
@@ -16,6 +16,8 @@
     readonly split?: readonly ServiceShare[];
     /** Most upstreams that one request may be sent to; the dispatcher's own limit if undefined. */
     readonly maxAttempts?: number;
+    /** Time within which an answer is worth most to the caller, in milliseconds. */
+    readonly targetMs?: number;
     /** Rank of its requests, 0 the highest; all rank alike if undefined. */
     readonly priority?: number;
     readonly kind: RouteKind;
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -21,6 +21,9 @@
 /** Time for a service host's own timeout to arrive before this host gives the final answer, in milliseconds. */
 const FINAL_ANSWER_MS = 60;
 
+/** Share of a route's target time that a request may wait for its account's next token, rather than be refused. */
+const TOKEN_WAIT_SHARE = 0.25;
+
 /** What is known of a request when its outcome is recorded. */
 interface CallContext {
     readonly requestId: string;
@@ -131,15 +134,20 @@
         const deadline = this.#options.clock.getTime() + request.timeoutMs;
         const fingerprint = getFingerprint(account, request);
         if (request.account !== undefined) {
-            await this.#admit(request.account, fingerprint);
+            await this.#admit(request.account, request.route, fingerprint);
         }
         const call = this.#createCall(request, account, deadline, fingerprint);
         return await this.#options.dispatcher.run(call, signal);
     }
 
-    async #admit(account: Account, fingerprint: string): Promise<void> {
-        const decision = await this.#options.limiter.admit(account, fingerprint);
+    async #admit(account: Account, route: Route, fingerprint: string): Promise<void> {
+        const { clock, limiter } = this.#options;
+        const maxWaitMs = TOKEN_WAIT_SHARE * (route.targetMs ?? route.deadlineMs);
+        const decision = await limiter.admit(account, { fingerprint, maxWaitMs });
         if (decision.isAdmitted) {
+            if (decision.waitMs !== undefined && decision.waitMs > 0) {
+                await clock.wait(decision.waitMs);
+            }
             return;
         }
         if (decision.isQuarantined === true) {
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -2,10 +2,12 @@
 import { Decision } from "../logging/index.js";
 import type { Member } from "../membership/index.js";
 import { PeerMethod } from "../peers/index.js";
+import type { AdmitOptions } from "./AdmitOptions.js";
 import type { RateDecision } from "./RateDecision.js";
 import type { RateGrant } from "./RateGrant.js";
 import type { RateLimiter } from "./RateLimiter.js";
 import type { RateLimiterOptions } from "./RateLimiterOptions.js";
+import type { RateShare } from "./RateShare.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
 import type { SpendTokenResult } from "./SpendTokenResult.js";
 import { TokenBucket } from "./TokenBucket.js";
@@ -40,12 +42,14 @@
     /**
      * Spends a token at the account's owner.
      * @param account - The account; a rate of 0 is no limit.
-     * @param fingerprint - Tells the request from others, for the quarantine at the account's owner.
+     * @param options - How long the request may wait for a token, and what tells it from others.
      */
-    async admit(account: Account, fingerprint?: string): Promise<RateDecision> {
+    async admit(account: Account, options?: AdmitOptions): Promise<RateDecision> {
         const time = this.#options.clock.getTime();
-        const { isSpent, retryAfterMs, isQuarantined } = await this.#spend(account, fingerprint);
-        return isSpent ? { isAdmitted: true, grant: { time } } : { isAdmitted: false, retryAfterMs, isQuarantined };
+        const { isSpent, waitMs, retryAfterMs, isQuarantined } = await this.#spend(account, options);
+        return isSpent
+            ? { isAdmitted: true, grant: { time }, waitMs }
+            : { isAdmitted: false, retryAfterMs, isQuarantined };
     }
 
     /**
@@ -58,9 +62,15 @@
         this.#owned.get(account.name)?.restore(grant.time, this.#options.clock.getTime());
     }
 
-    async #spend(account: Account, fingerprint: string | undefined): Promise<SpendTokenResult> {
+    async #spend(account: Account, options: AdmitOptions | undefined): Promise<SpendTokenResult> {
         const { membership, transport, clock } = this.#options;
-        const params = { account: account.name, rate: account.rate, burst: account.burst, fingerprint };
+        const params = {
+            account: account.name,
+            rate: account.rate,
+            burst: account.burst,
+            fingerprint: options?.fingerprint,
+            maxWaitMs: options?.maxWaitMs ?? 0,
+        };
         for (const owner of this.#getOwners(account.name)) {
             if (owner.id === membership.getSelf().id) {
                 return this.#spendOwned(params);
@@ -105,35 +115,34 @@
 
     #spendOwned(params: SpendTokenParams): SpendTokenResult {
         if (params.fingerprint !== undefined && this.#options.isQuarantined?.(params.fingerprint) === true) {
-            return { isSpent: false, retryAfterMs: 0, isQuarantined: true };
+            return { isSpent: false, waitMs: 0, retryAfterMs: 0, isQuarantined: true };
         }
         const { rate, burst } = this.#options.getConfiguration().getAccount(params.account) ?? params;
-        return this.#spendFrom(this.#owned, params.account, rate, burst);
+        return this.#spendFrom(this.#owned, params, { rate, burst });
     }
 
     #spendPart(params: SpendTokenParams): SpendTokenResult {
         const hosts = Math.max(1, this.#options.membership.getView().members.length);
-        return this.#spendFrom(this.#parts, params.account, params.rate / hosts, Math.max(1, params.burst / hosts));
+        return this.#spendFrom(this.#parts, params, { rate: params.rate / hosts, burst: params.burst / hosts });
     }
 
     #spendFrom(
         buckets: Map<string, TokenBucket>,
-        account: string,
-        rate: number,
-        burst: number,
+        params: SpendTokenParams,
+        { rate, burst }: RateShare,
     ): SpendTokenResult {
         if (rate === 0) {
-            return { isSpent: true, retryAfterMs: 0, isQuarantined: false };
+            return { isSpent: true, waitMs: 0, retryAfterMs: 0, isQuarantined: false };
         }
         const now = this.#options.clock.getTime();
         const share = { rate, burst: Math.max(1, burst) };
         const startTokens = Math.max(1, rate * START_REFILL_MS / MS_PER_SECOND);
-        const bucket = buckets.get(account) ?? new TokenBucket(share, startTokens, now);
-        buckets.set(account, bucket);
+        const bucket = buckets.get(params.account) ?? new TokenBucket(share, startTokens, now);
+        buckets.set(params.account, bucket);
         bucket.applyShare(share, now);
-        const isSpent = bucket.spend(now);
-        const missing = Math.max(0, 1 - bucket.getTokens(now));
-        const retryAfterMs = isSpent ? 0 : Math.ceil(missing / rate * MS_PER_SECOND);
-        return { isSpent, retryAfterMs, isQuarantined: false };
+        const waitMs = bucket.spendAhead(now, params.maxWaitMs);
+        return waitMs === undefined
+            ? { isSpent: false, waitMs: 0, retryAfterMs: Math.ceil(bucket.getWait(now)), isQuarantined: false }
+            : { isSpent: true, waitMs, retryAfterMs: 0, isQuarantined: false };
     }
 }
--- a/src/rates/RateLimiter.ts
+++ b/src/rates/RateLimiter.ts
@@ -1,4 +1,5 @@
 import type { Account } from "../configuration/index.js";
+import type { AdmitOptions } from "./AdmitOptions.js";
 import type { RateDecision } from "./RateDecision.js";
 import type { RateGrant } from "./RateGrant.js";
 
@@ -7,9 +8,9 @@
     /**
      * Spends a token of the account, asking other account hosts for one if this host's bucket is empty.
      * @param account - The account.
-     * @param fingerprint - Tells the request from others, for the quarantine at the account's owner.
+     * @param options - How long the request may wait for a token, and what tells it from others.
      */
-    admit(account: Account, fingerprint?: string): Promise<RateDecision>;
+    admit(account: Account, options?: AdmitOptions): Promise<RateDecision>;
     /**
      * Gives back the token of a request that is known not to have run.
      * @param account - The account.
--- a/src/rates/SpendTokenParams.ts
+++ b/src/rates/SpendTokenParams.ts
@@ -6,4 +6,6 @@
     readonly burst: number;
     /** Tells the request from others. */
     readonly fingerprint: string | undefined;
+    /** How long the request may wait for its token, in milliseconds. */
+    readonly maxWaitMs: number;
 }
--- a/src/rates/TokenBucket.ts
+++ b/src/rates/TokenBucket.ts
@@ -70,6 +70,31 @@
         return true;
     }
 
+    /**
+     * Spends a token that may still have to come; returns how long until it is there, in milliseconds, or undefined if
+     * that is too long. Until then the bucket is in debt.
+     * @param time - The time in milliseconds.
+     * @param maxWaitMs - The longest wait.
+     */
+    spendAhead(time: number, maxWaitMs: number): number | undefined {
+        const waitMs = this.getWait(time);
+        if (waitMs > maxWaitMs) {
+            return undefined;
+        }
+        this.#tokens--;
+        this.#spendTime = time + waitMs;
+        return waitMs;
+    }
+
+    /**
+     * Gets how long until a token is there that nobody has spent yet, in milliseconds.
+     * @param time - The time in milliseconds.
+     */
+    getWait(time: number): number {
+        this.#addRefill(time);
+        return Math.max(0, 1 - this.#tokens) / this.#share.rate * MS_PER_SECOND;
+    }
+
     /** Gets when a token was spent here last, in milliseconds. */
     getSpendTime(): number {
         return this.#spendTime;
@@ -156,7 +181,7 @@
     #addRefillUntil(time: number): void {
         const elapsedMs = Math.max(0, time - this.#time);
         const refilled = this.#tokens + this.#share.rate * elapsedMs / MS_PER_SECOND;
-        this.#tokens = Math.max(0, Math.min(this.#getRoom(), refilled));
+        this.#tokens = Math.min(Math.max(0, this.#getRoom()), refilled);
         this.#time = Math.max(this.#time, time);
         if (this.#tokens > this.#getRoom() - 1) {
             this.#lastFullTime = this.#time;
--- a/src/rates/index.ts
+++ b/src/rates/index.ts
@@ -1,3 +1,4 @@
+export type { AdmitOptions } from "./AdmitOptions.js";
 export type { BorrowTokensParams } from "./BorrowTokensParams.js";
 export type { BorrowTokensResult } from "./BorrowTokensResult.js";
 export { EvenRateLimiter } from "./EvenRateLimiter.js";
--- a/src/services/AttemptRecorder.ts
+++ b/src/services/AttemptRecorder.ts
@@ -33,9 +33,9 @@
         if (answer.kind === UpstreamAnswerKind.Answered || answer.kind === UpstreamAnswerKind.TimedOut) {
             this.#options.limit.record(latencyMs);
         }
-        const observation = createObservation(attempt, request.requestId, this.#options.getPatience(upstream));
+        const observation = createObservation(attempt, request.requestId, this.#options.getPatience(upstream, request));
         if (observation !== undefined) {
-            this.#options.judge.record(upstream, observation);
+            this.#options.judge.record(upstream, { ...observation, usualMs: this.#findUsual(request) });
         }
     }
 
@@ -72,7 +72,15 @@
         const observation = error === undefined
             ? { kind: ObservationKind.Success, requestId, latencyMs, detail: "answered" }
             : { kind: ObservationKind.Failure, requestId, latencyMs, detail: "cut answer" };
-        this.#options.judge.record(upstream, observation);
+        this.#options.judge.record(upstream, { ...observation, usualMs: this.#findUsual(request) });
+        if (error === undefined && request.route !== undefined) {
+            this.#options.routeLatencies.record(request.route, latencyMs);
+        }
+    }
+
+    #findUsual(request: ServiceRequest): number | undefined {
+        const { route } = request;
+        return route === undefined ? undefined : this.#options.routeLatencies.findMedian(route) ?? Infinity;
     }
 
     #recordShed(upstream: PooledUpstream, retryAfterMs: number | undefined): void {
--- a/src/services/AttemptRecorderOptions.ts
+++ b/src/services/AttemptRecorderOptions.ts
@@ -1,6 +1,8 @@
 import type { Clock } from "../time/index.js";
 import type { FirstByteLimit } from "./FirstByteLimit.js";
 import type { PooledUpstream } from "./PooledUpstream.js";
+import type { RouteLatencies } from "./RouteLatencies.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
 import type { UpstreamJudge } from "./UpstreamJudge.js";
 
 /** What a recorder of attempts is made of. */
@@ -8,8 +10,10 @@
     readonly clock: Clock;
     readonly judge: UpstreamJudge;
     readonly limit: FirstByteLimit;
+    /** What each route usually takes. */
+    readonly routeLatencies: RouteLatencies;
     /** Gets the wait below which a timeout says nothing of the upstream, in milliseconds. */
-    readonly getPatience: (upstream: PooledUpstream) => number;
+    readonly getPatience: (upstream: PooledUpstream, request: ServiceRequest) => number;
     /** Runs after an upstream may take more work. */
     readonly onCapacity: () => void;
 }
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -13,6 +13,7 @@
 import { openReadAhead } from "./openReadAhead.js";
 import { PooledUpstream } from "./PooledUpstream.js";
 import { RetryBudget } from "./RetryBudget.js";
+import { RouteLatencies } from "./RouteLatencies.js";
 import type { ServiceAnswer } from "./ServiceAnswer.js";
 import { ServiceBaseline } from "./ServiceBaseline.js";
 import type { ServicePoolOptions } from "./ServicePoolOptions.js";
@@ -43,6 +44,7 @@
     readonly #recorder: AttemptRecorder;
     readonly #upstreams: UpstreamSet;
     readonly #budget: RetryBudget;
+    readonly #routeLatencies = new RouteLatencies();
     #service: Service;
     #working = 0;
     #onIdle: (() => void)[] = [];
@@ -73,7 +75,8 @@
             clock,
             judge: this.#judge,
             limit: this.#limit,
-            getPatience: pooled => this.#getPatience(pooled),
+            routeLatencies: this.#routeLatencies,
+            getPatience: (pooled, request) => this.#getPatience(pooled, request),
             onCapacity: () => this.#runQueue(),
         });
         this.#upstreams = new UpstreamSet({ clock, decisions, transport, policy });
@@ -228,9 +231,10 @@
         return request.isIdempotent ? await openReadAhead(outcome, READ_AHEAD_BYTES) : outcome;
     }
 
-    #getPatience(pooled: PooledUpstream): number {
+    #getPatience(pooled: PooledUpstream, request: ServiceRequest): number {
         const { slowFactor, minPatienceMs } = this.#service.detection;
-        return Math.max(minPatienceMs ?? 0, slowFactor * (this.baseline.getRates(pooled).medianMs ?? 0));
+        const usualMs = this.#routeLatencies.findMedian(request.route) ?? this.baseline.getRates(pooled).medianMs ?? 0;
+        return Math.max(minPatienceMs ?? 0, slowFactor * usualMs);
     }
 
     /** This pool's part of the retries that the service is allowed by time: the zones share them evenly. */
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -5,6 +5,10 @@
     readonly requestId: string;
     readonly account: string;
     readonly service: string;
+    /** The route that it came by, which tells how long it usually takes; undefined if latencies are not told apart. */
+    readonly route?: string;
+    /** Rank of its account or route, 0 the highest; all rank alike if undefined. */
+    readonly priority?: number;
     /** The availability zone whose upstreams shall run it. */
     readonly zone: string;
     readonly method: string;
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -128,7 +128,7 @@
 
     #recordSuccess(upstream: PooledUpstream, observation: UpstreamObservation, baseline: BaselineRates): void {
         const latencyMs = observation.latencyMs ?? 0;
-        const isSlow = this.#isSlow(latencyMs, baseline);
+        const isSlow = this.#isSlow(observation, baseline);
         upstream.statistics.recordOutcome(false);
         upstream.statistics.recordLatency(latencyMs, isSlow);
         if (upstream.isConnectFailing) {
@@ -180,7 +180,7 @@
     #recordCancelled(upstream: PooledUpstream, observation: UpstreamObservation, baseline: BaselineRates): void {
         const latencyMs = observation.latencyMs ?? 0;
         const isJudged = upstream.isWorking() && upstream.getState() !== UpstreamState.Ramping;
-        if (isJudged && this.#isSlow(latencyMs, baseline)) {
+        if (isJudged && this.#isSlow(observation, baseline)) {
             upstream.statistics.recordLatency(latencyMs, true);
             upstream.detector.recordLatency(true, baseline);
         }
@@ -306,8 +306,9 @@
         return getEvidenceShare(upstream) >= 1;
     }
 
-    #isSlow(latencyMs: number, baseline: BaselineRates): boolean {
-        return baseline.medianMs !== undefined && latencyMs > this.#service.detection.slowFactor * baseline.medianMs;
+    #isSlow({ latencyMs, usualMs }: UpstreamObservation, baseline: BaselineRates): boolean {
+        const medianMs = usualMs ?? baseline.medianMs;
+        return medianMs !== undefined && (latencyMs ?? 0) > this.#service.detection.slowFactor * medianMs;
     }
 
     #isBaseline(): boolean {
--- a/src/services/UpstreamObservation.ts
+++ b/src/services/UpstreamObservation.ts
@@ -7,4 +7,6 @@
     /** Time to the first byte, or time waited for it, in milliseconds; undefined if nothing was waited for. */
     readonly latencyMs: number | undefined;
     readonly detail: string;
+    /** What such a request usually takes, in milliseconds; the siblings' median if undefined. */
+    readonly usualMs?: number | undefined;
 }
