--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -47,7 +47,10 @@
     constructor(options: GatewayHostOptions) {
         this.#options = options;
         const { clock, decisions, decoder, registry, self } = options;
-        this.#membership = new RegisteredMembership(self, memberId => this.#keeper.isUnreachable(memberId));
+        this.#membership = new RegisteredMembership(self, {
+            isUnreachable: memberId => this.#keeper.isUnreachable(memberId),
+            isIsolated: () => this.#keeper.isIsolated(),
+        });
         this.#keeper = this.#createKeeper();
         this.supply = new Supply({ clock, decisions, decoder, getRegainedTime: () => this.#keeper.getRegainedTime() });
         this.#registrar = new HostRegistrar({ clock, decisions, registry, self });
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -14,6 +14,8 @@
      * @param memberId - The member's id.
      */
     isReachable(memberId: string): boolean;
+    /** Whether this host hears no other host of the fleet; left out where that is not known. */
+    isIsolated?(): boolean;
     /**
      * Gets the account hosts of a client account, first choice first.
      * @param account - The account's name.
--- a/src/membership/RegisteredMembership.ts
+++ b/src/membership/RegisteredMembership.ts
@@ -1,6 +1,7 @@
 import type { Member } from "./Member.js";
 import type { Membership } from "./Membership.js";
 import type { MembershipView } from "./MembershipView.js";
+import type { PeerContact } from "./PeerContact.js";
 import { RendezvousTable } from "./RendezvousTable.js";
 
 type ViewListener = (view: MembershipView, previous: MembershipView) => void;
@@ -11,18 +12,18 @@
 /** A membership whose view is read from the hosts' entries in the platform's store. */
 export class RegisteredMembership implements Membership {
     readonly #self: Member;
-    readonly #isUnreachable: (memberId: string) => boolean;
+    readonly #contact: PeerContact;
     readonly #listeners: ViewListener[] = [];
     #view: MembershipView = { version: 0, members: [] };
     #table = new RendezvousTable([]);
 
     /**
      * @param self - This host's own entry.
-     * @param isUnreachable - Whether a member is known not to answer.
+     * @param contact - Which other hosts answer.
      */
-    constructor(self: Member, isUnreachable: (memberId: string) => boolean) {
+    constructor(self: Member, contact: PeerContact) {
         this.#self = self;
-        this.#isUnreachable = isUnreachable;
+        this.#contact = contact;
     }
 
     /** Gets this entry host's own entry. */
@@ -45,7 +46,12 @@
      * @param memberId - The member's id.
      */
     isReachable(memberId: string): boolean {
-        return !this.#isUnreachable(memberId);
+        return !this.#contact.isUnreachable(memberId);
+    }
+
+    /** Whether this host hears no other host of a fleet of several. */
+    isIsolated(): boolean {
+        return this.#view.members.length > 1 && this.#contact.isIsolated();
     }
 
     /**
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -25,7 +25,8 @@
 
 /**
  * Keeps each account's tokens at one host, the account's owner, and asks it for each request. When owners change, the
- * next one starts with little; a host that reaches no owner has its own even part of the rate.
+ * next one starts with little. A host that reaches no owner, and one that is asked although a better owner may be alive,
+ * has only its own even part of the rate, so that a partition does not multiply the rate.
  */
 export class OwnedRateLimiter implements RateLimiter {
     readonly #options: RateLimiterOptions;
@@ -117,10 +118,22 @@
         if (params.fingerprint !== undefined && this.#options.isQuarantined?.(params.fingerprint) === true) {
             return { isSpent: false, waitMs: 0, retryAfterMs: 0, isQuarantined: true };
         }
+        if (!this.#isOwner(params.account)) {
+            return this.#spendPart(params);
+        }
         const { rate, burst } = this.#options.getConfiguration().getAccount(params.account) ?? params;
         return this.#spendFrom(this.#owned, params, { rate, burst });
     }
 
+    /** Whether this host is the first owner that may be alive, and not one that a partition has left alone. */
+    #isOwner(account: string): boolean {
+        const { membership } = this.#options;
+        const first = membership.getAccountHosts(account).find(owner =>
+            owner.id === membership.getSelf().id || membership.isReachable(owner.id)
+        );
+        return first?.id === membership.getSelf().id && membership.isIsolated?.() !== true;
+    }
+
     #spendPart(params: SpendTokenParams): SpendTokenResult {
         const hosts = Math.max(1, this.#options.membership.getView().members.length);
         return this.#spendFrom(this.#parts, params, { rate: params.rate / hosts, burst: params.burst / hosts });
--- a/src/replica/PushPeers.ts
+++ b/src/replica/PushPeers.ts
@@ -6,8 +6,8 @@
 
 /** How long a host may take to answer. */
 const PUSH_TIMEOUT_MS = 600;
-/** A host that has nothing new to learn hears from a watcher this often. */
-const HEARTBEAT_MS = 1_000;
+/** A host hears from a watcher this often, also while the watcher's calls to the store fail. */
+const HEARTBEAT_MS = 1_300;
 /** Pause before a host that didn't answer is tried again. */
 const RETRY_MS = 300;
 /** Failures in a row after which a host counts as unreachable. */
@@ -19,6 +19,8 @@
     /** Failures in a row. */
     failures: number;
     isStopped: boolean;
+    /** Whether something is to be passed on that the push under way may not hold. */
+    isDue: boolean;
     /** Ends the pause before the next push. */
     wake: () => void;
 }
@@ -47,6 +49,11 @@
         return this.#isActive;
     }
 
+    /** Whether any host has answered the last push to it. */
+    isAnswered(): boolean {
+        return [...this.#targets.values()].some(target => target.revision > 0 && target.failures === 0);
+    }
+
     /** Gets the ids of the hosts that don't answer. */
     getUnreachable(): ReadonlySet<string> {
         return new Set([...this.#targets].filter(([, target]) => target.failures >= FAILURES).map(([id]) => id));
@@ -67,7 +74,12 @@
 
     /** Passes on what is new. */
     send(): void {
-        [...this.#targets.values()].filter(target => target.failures === 0).forEach(target => target.wake());
+        for (const target of this.#targets.values()) {
+            target.isDue = true;
+            if (target.failures === 0) {
+                target.wake();
+            }
+        }
     }
 
     /** Stops to pass changes on. */
@@ -77,7 +89,7 @@
     }
 
     #startTarget(member: Member): void {
-        const target: PushTarget = { revision: 0, failures: 0, isStopped: false, wake: () => {} };
+        const target: PushTarget = { revision: 0, failures: 0, isStopped: false, isDue: false, wake: () => {} };
         this.#targets.set(member.id, target);
         void this.#runTarget(member, target);
     }
@@ -91,8 +103,9 @@
     async #runTarget(member: Member, target: PushTarget): Promise<void> {
         const { clock, replica } = this.#options;
         while (!target.isStopped) {
+            target.isDue = false;
             const isSent = await this.#sendTo(member, target);
-            if (isSent && target.revision < replica.getRevision()) {
+            if (isSent && (target.isDue || target.revision < replica.getRevision())) {
                 continue;
             }
             await new Promise<void>(resolve => {
--- a/src/replica/ReplicaKeeper.ts
+++ b/src/replica/ReplicaKeeper.ts
@@ -15,8 +15,9 @@
 const WATCH_WAIT_MS = 1_000;
 /** Pause after changes, so that those that come in quick succession share a call. */
 const BATCH_MS = 60;
-/** Pause after a call to the store that failed. */
-const RETRY_MS = 400;
+/** Pause after a call to the store that failed; doubles with each further one. */
+const FIRST_RETRY_MS = 250;
+const MAX_RETRY_MS = 1_000;
 /** How often a host that doesn't watch looks whether it has to. */
 const CHECK_MS = 100;
 /** A copy older than this has lost touch with the store. */
@@ -34,6 +35,7 @@
     #confirmedTime = Number.NEGATIVE_INFINITY;
     #regainedTime = Number.NEGATIVE_INFINITY;
     #isInTouch = true;
+    #retryMs = FIRST_RETRY_MS / 2;
     #startTime = Number.NEGATIVE_INFINITY;
     #controller = new AbortController();
 
@@ -80,6 +82,13 @@
         return all.length > 0 && all.every(unreachable => unreachable.has(memberId));
     }
 
+    /** Whether neither a watcher has been heard lately nor, as a watcher, any peer has answered. */
+    isIsolated(): boolean {
+        const now = this.#options.clock.getTime();
+        const isHeard = [...this.#reports.values()].some(report => now - report.time < REPORT_SPAN_MS);
+        return !isHeard && !this.#peers.isAnswered();
+    }
+
     async #run(signal: AbortSignal): Promise<void> {
         const { clock } = this.#options;
         while (!signal.aborted) {
@@ -119,11 +128,13 @@
     async #runWatch(signal: AbortSignal): Promise<number> {
         try {
             const isChanged = await this.#watch(signal);
+            this.#retryMs = FIRST_RETRY_MS / 2;
             return isChanged ? BATCH_MS : 0;
         }
         catch (error) {
             this.#record("store-call-failed", { error: error instanceof Error ? error.message : String(error) });
-            return RETRY_MS;
+            this.#retryMs = Math.min(MAX_RETRY_MS, 2 * this.#retryMs);
+            return this.#retryMs;
         }
     }
 
--- /dev/null
+++ b/tests/rates/OwnedRateLimiter.test.ts
@@ -0,0 +1,153 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { Account, Configuration } from "../../src/configuration/index.js";
+import { FakeClock, FakeMembership, FakeNetwork } from "../../src/fakes/index.js";
+import { DecisionHistory } from "../../src/logging/index.js";
+import { PeerHandlers } from "../../src/peers/index.js";
+import { SeededRandom } from "../../src/random/index.js";
+import { OwnedRateLimiter } from "../../src/rates/index.js";
+import { createMember } from "../support/createMember.js";
+
+const HOSTS = 9;
+const ACCOUNT: Account = { name: "shop", rate: 20, burst: 20 };
+/** A burst that is small against how the requests come. */
+const CLUMPY_ACCOUNT: Account = { ...ACCOUNT, burst: 5 };
+const WINDOW_MS = 5_000;
+/** How long watchers take to notice that a host does not answer. */
+const NOTICE_MS = 1_500;
+/** The platform lets an account exceed its rate and burst in a window by this much. */
+const OVERSHOOT = 0.1;
+const SLACK = 20;
+const MAX_PER_WINDOW = (ACCOUNT.rate * WINDOW_MS / 1_000 + ACCOUNT.burst) * (1 + OVERSHOOT) + SLACK;
+
+interface Fleet {
+    readonly clock: FakeClock;
+    readonly network: FakeNetwork;
+    readonly limiters: readonly OwnedRateLimiter[];
+    readonly memberships: readonly FakeMembership[];
+    readonly quarantined: Set<string>;
+    /** Numbers of the hosts that were stopped. */
+    readonly dead: Set<number>;
+}
+
+function createFleet(): Fleet {
+    const clock = new FakeClock();
+    const network = new FakeNetwork(clock);
+    const members = Array.from({ length: HOSTS }, (_, index) => createMember(index));
+    const memberships = members.map(member => new FakeMembership(member, { version: 1, members }));
+    const quarantined = new Set<string>();
+    const limiters = members.map((member, index) => {
+        const handlers = new PeerHandlers();
+        network.addHost(member.peerAddress, { handlers });
+        return new OwnedRateLimiter({
+            clock,
+            membership: memberships[index]!,
+            transport: network.createTransport(member.peerAddress),
+            handlers,
+            decisionLog: new DecisionHistory(clock),
+            getConfiguration: () => ({ getAccount: () => undefined }) as unknown as Configuration,
+            isQuarantined: fingerprint => quarantined.has(fingerprint),
+        });
+    });
+    return { clock, network, limiters, memberships, quarantined, dead: new Set() };
+}
+
+/** Sends requests from random hosts; returns the times at which admitted ones go to an upstream. */
+async function sendLoad(
+    fleet: Fleet,
+    perSecond: number,
+    durationMs: number,
+    maxWaitMs: number,
+    account = ACCOUNT,
+): Promise<{ sends: number[]; asked: number; }> {
+    const random = new SeededRandom(7);
+    const sends: number[] = [];
+    let asked = 0;
+    const start = fleet.clock.getTime();
+    const send = async (): Promise<void> => {
+        const index = Math.floor(random.getNext() * HOSTS);
+        if (fleet.dead.has(index)) {
+            return;
+        }
+        asked++;
+        const decision = await fleet.limiters[index]!.admit(account, { fingerprint: "f", maxWaitMs });
+        if (decision.isAdmitted) {
+            sends.push(fleet.clock.getTime() - start + (decision.waitMs ?? 0));
+        }
+    };
+    const end = start + durationMs;
+    while (fleet.clock.getTime() < end) {
+        void send();
+        await fleet.clock.run(-Math.log(1 - random.getNext()) * 1_000 / perSecond);
+    }
+    await fleet.clock.run(2_000);
+    return { sends: sends.sort((left, right) => left - right), asked };
+}
+
+/** Stops a host; the others are told once the watchers have noticed. */
+function stopHost(fleet: Fleet, id: string): void {
+    const index = Number(id.replace("host-", ""));
+    fleet.dead.add(index);
+    fleet.network.removeHost(createMember(index).peerAddress);
+    fleet.clock.schedule(NOTICE_MS, () => fleet.memberships.forEach(membership => membership.unreachable.add(id)));
+}
+
+function getMostInWindow(times: readonly number[]): number {
+    return Math.max(...times.map(start => times.filter(time => time >= start && time < start + WINDOW_MS).length));
+}
+
+test("an account that floods all hosts gets its rate and burst and no more", async () => {
+    const { sends } = await sendLoad(createFleet(), 8 * ACCOUNT.rate, 20_000, 500);
+    const most = ACCOUNT.rate * WINDOW_MS / 1_000 + ACCOUNT.burst + 1;
+    assert.ok(getMostInWindow(sends) <= most, `${getMostInWindow(sends)} in a window of 5 s`);
+    assert.ok(sends.length >= 0.95 * ACCOUNT.rate * 20, `${sends.length} in 20 s`);
+});
+
+test("an account below its rate that asks in clumps is refused less often if it may wait", async () => {
+    const withWait = await sendLoad(createFleet(), 0.9 * ACCOUNT.rate, 60_000, 500, CLUMPY_ACCOUNT);
+    const without = await sendLoad(createFleet(), 0.9 * ACCOUNT.rate, 60_000, 0, CLUMPY_ACCOUNT);
+    assert.ok(withWait.sends.length >= 0.99 * withWait.asked, `${withWait.sends.length} of ${withWait.asked}`);
+    assert.ok(withWait.sends.length > without.sends.length);
+});
+
+test("the rate holds within the tolerance while owners die one after another", async () => {
+    const fleet = createFleet();
+    const owners = fleet.memberships[0]!.getAccountHosts(ACCOUNT.name);
+    fleet.clock.schedule(5_000, () => stopHost(fleet, owners[0]!.id));
+    fleet.clock.schedule(8_000, () => stopHost(fleet, owners[1]!.id));
+    const { sends } = await sendLoad(fleet, 4 * ACCOUNT.rate, 15_000, 500);
+    assert.ok(getMostInWindow(sends) <= MAX_PER_WINDOW, `${getMostInWindow(sends)} of ${MAX_PER_WINDOW}`);
+    assert.ok(sends.filter(time => time > 9_500).length >= 0.9 * ACCOUNT.rate * 5.5);
+});
+
+test("owners that reach each other no more, and hosts that reach none, stay within the tolerance", async () => {
+    const fleet = createFleet();
+    for (const owner of fleet.memberships[0]!.getAccountHosts(ACCOUNT.name)) {
+        fleet.network.removeHost(owner.peerAddress);
+    }
+    const { sends } = await sendLoad(fleet, 4 * ACCOUNT.rate, 15_000, 0);
+    assert.ok(getMostInWindow(sends) <= MAX_PER_WINDOW, `${getMostInWindow(sends)} of ${MAX_PER_WINDOW}`);
+});
+
+test("a request in quarantine at the account's owner is refused at every host", async () => {
+    const fleet = createFleet();
+    fleet.quarantined.add("bad");
+    const decisions = Promise.all(
+        fleet.limiters.map(limiter => limiter.admit(ACCOUNT, { fingerprint: "bad", maxWaitMs: 0 })),
+    );
+    await fleet.clock.run(1_000);
+    for (const decision of await decisions) {
+        assert.ok(!decision.isAdmitted && decision.isQuarantined === true);
+    }
+});
+
+test("a rate of 0 is no limit", async () => {
+    const fleet = createFleet();
+    const decisions = Promise.all(
+        Array.from({ length: 100 }, () => fleet.limiters[0]!.admit({ name: "free", rate: 0, burst: 0 })),
+    );
+    await fleet.clock.run(1_000);
+    assert.ok((await decisions).every(decision => decision.isAdmitted));
+});
+
+test.run();
--- /dev/null
+++ b/tests/replica/Replica.test.ts
@@ -0,0 +1,58 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Replica } from "../../src/replica/index.js";
+import type { ReplicaEvent } from "../../src/replica/index.js";
+
+function createReplica(): { replica: Replica; seen: ReplicaEvent[]; } {
+    const replica = new Replica();
+    const seen: ReplicaEvent[] = [];
+    replica.addListener(events => seen.push(...events));
+    return { replica, seen };
+}
+
+test("a reading adds its items and removes those that it no longer holds", () => {
+    const { replica, seen } = createReplica();
+    replica.applyParts([{ prefix: "a/", revision: 5, items: [{ key: "a/1", revision: 3, value: "x" }] }]);
+    replica.applyParts([{ prefix: "a/", revision: 9, items: [{ key: "a/2", revision: 8, value: "y" }] }]);
+    assert.equal(seen, [
+        { key: "a/1", revision: 3, value: "x" },
+        { key: "a/2", revision: 8, value: "y" },
+        { key: "a/1", revision: 9 },
+    ]);
+    assert.is(replica.getRevision(), 9);
+});
+
+test("an item never goes back to an earlier revision, also after its removal", () => {
+    const { replica, seen } = createReplica();
+    replica.applyParts([{ prefix: "", revision: 1, items: [] }]);
+    replica.applyEvents([{ key: "k", revision: 4, value: "new" }], 4);
+    replica.applyEvents([{ key: "k", revision: 2, value: "old" }], 4);
+    replica.applyEvents([{ key: "k", revision: 6 }], 6);
+    replica.applyEvents([{ key: "k", revision: 5, value: "late" }], 6);
+    assert.equal(seen.map(event => event.revision), [4, 6]);
+});
+
+test("a stale reading takes nothing back that a newer event has brought", () => {
+    const { replica, seen } = createReplica();
+    replica.applyParts([{ prefix: "", revision: 1, items: [] }]);
+    replica.applyEvents([{ key: "k", revision: 7, value: "v" }], 7);
+    replica.applyParts([{ prefix: "", revision: 5, items: [] }]);
+    assert.equal(seen.map(event => event.value), ["v"]);
+    assert.is(replica.getRevision(), 7);
+});
+
+test("the revision of a reading in parts is that of the oldest part", () => {
+    const { replica } = createReplica();
+    replica.applyParts([{ prefix: "a/", revision: 9, items: [] }, { prefix: "b/", revision: 4, items: [] }]);
+    assert.is(replica.getRevision(), 4);
+});
+
+test("changes since a revision are found as long as they are kept", () => {
+    const { replica } = createReplica();
+    replica.applyParts([{ prefix: "", revision: 3, items: [] }]);
+    replica.applyEvents([{ key: "a", revision: 4, value: "1" }, { key: "b", revision: 5, value: "2" }], 5);
+    assert.equal(replica.findChanges(4)?.map(event => event.key), ["b"]);
+    assert.is(replica.findChanges(2), undefined);
+});
+
+test.run();
