--- /dev/null
+++ b/tests/platform/PlatformDecoder.test.ts
@@ -0,0 +1,44 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { PlatformDecoder } from "../../platform/supply/index.js";
+import { GATEWAY_SERVICE } from "../../src/gateway/index.js";
+import { SupplyItemKind } from "../../src/supply/index.js";
+import { checkSnapshot } from "../support/checkSnapshot.js";
+import { createDocument } from "./support/createDocument.js";
+import { createRegistration } from "./support/createRegistration.js";
+
+const decoder = new PlatformDecoder({ ...GATEWAY_SERVICE, floor: 0.7, retryBudget: 0.2 });
+
+test("the operators' configuration is decoded into the product's terms", () => {
+    const item = decoder.decode("op/config", JSON.stringify(createDocument()));
+    assert.ok(item.kind === SupplyItemKind.Configuration);
+    const { accountsByKey, ...rest } = item.document;
+    checkSnapshot("platform/document", { ...rest, accountsByKey: [...accountsByKey] });
+});
+
+test("an upstream's entry is decoded with its id, its start and what it has left of its cold time", () => {
+    const entry = createRegistration({ state: "draining", cold_left_s: 1.5, born: 1_700_000_000_000 });
+    checkSnapshot("platform/registration", decoder.decode("servers/i-1", JSON.stringify(entry)));
+});
+
+test("entries that can't be read name nothing, with a reason", () => {
+    const bad: [string, string][] = [
+        ["servers/i-1", "no json"],
+        ["servers/i-1", "{}"],
+        ["servers/i-1", JSON.stringify(createRegistration({ state: "sleeping" }))],
+        ["servers/i-1", JSON.stringify(createRegistration({ addr: "somewhere" }))],
+        ["servers/i-1", JSON.stringify(createRegistration({ slots: "6" }))],
+        ["op/config", JSON.stringify({ ...createDocument(), limits: undefined })],
+        ["fuchsiapath/hosts/a", JSON.stringify({ id: "a" })],
+    ];
+    for (const [key, value] of bad) {
+        const item = decoder.decode(key, value);
+        assert.ok(item.kind === SupplyItemKind.Invalid && item.reason !== "", `${key} ${value}`);
+    }
+});
+
+test("keys of no concern are passed over", () => {
+    assert.equal(decoder.decode("op/other", "x"), { kind: SupplyItemKind.Other });
+});
+
+test.run();
--- /dev/null
+++ b/tests/platform/protocols.test.ts
@@ -0,0 +1,111 @@
+import type { IncomingMessage } from "node:http";
+import { Readable } from "node:stream";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { PlatformCallerProtocol } from "../../platform/callers/index.js";
+import { PlatformUpstreamProtocol } from "../../platform/upstreams/index.js";
+import { RefusalError } from "../../src/callers/index.js";
+import type { Upstream } from "../../src/configuration/index.js";
+import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../../src/outcomes/index.js";
+import { AnswerVerdictKind } from "../../src/services/index.js";
+import type { ServiceRequest } from "../../src/services/index.js";
+
+const callers = new PlatformCallerProtocol();
+const upstreams = new PlatformUpstreamProtocol();
+const UPSTREAM: Upstream = { name: "i-1", address: "127.0.0.1:1", zone: "a", slots: 1, connections: 1 };
+const CALL = {
+    method: "POST",
+    url: "/order/1?x=2",
+    headers: {
+        "host": "shop.example:80",
+        "fuchsiapath-attempt-id": "a1",
+        "fuchsiapath-deadline-ms": "2500",
+        "fuchsiapath-tenant": "forged",
+        "fuchsiapath-expect-instance": "forged",
+        "authorization": "Bearer key-1",
+        "connection": "keep-alive, x-hop",
+        "x-hop": "1",
+        "accept": "text/plain",
+    },
+};
+
+function createRequest(headers: Record<string, string>, account: string): ServiceRequest {
+    return {
+        requestId: "a1",
+        account,
+        service: "orders",
+        zone: "a",
+        method: "POST",
+        path: "/",
+        headers,
+        body: Buffer.alloc(0),
+        isIdempotent: false,
+        timeoutMs: 1_000,
+        excludedUpstreams: [],
+    };
+}
+
+test("a call is decoded, and only what belongs to the upstream goes on", () => {
+    assert.equal(callers.decodeCall(CALL as unknown as IncomingMessage), {
+        requestId: "a1",
+        key: "key-1",
+        host: "shop.example",
+        method: "POST",
+        target: "/order/1?x=2",
+        headers: { "host": "shop.example:80", "fuchsiapath-attempt-id": "a1", "accept": "text/plain" },
+        timeoutMs: 2_500,
+    });
+});
+
+test("a call without an id is refused", () => {
+    const call = { ...CALL, headers: { host: "shop.example" } } as unknown as IncomingMessage;
+    assert.throws(() => callers.decodeCall(call), (error: unknown) => error instanceof RefusalError);
+});
+
+test("only what has not run is answered 429 or 503, with the time to come back", () => {
+    const over = callers.createAnswer(createNotRun(RefusalReason.RateExceeded, "", 250), "a1");
+    assert.equal([over.status, over.headers["retry-after"]], [429, "0.25"]);
+    for (const reason of [RefusalReason.Overloaded, RefusalReason.DeadlineExceeded, RefusalReason.HostStopping]) {
+        assert.is(callers.createAnswer(createNotRun(reason, "", 100), "a1").status, 503);
+    }
+    for (const reason of [UnknownReason.ConnectionLost, UnknownReason.AnswerCut, UnknownReason.HostGone]) {
+        assert.is(callers.createAnswer(createUnknown(reason, ""), "a1").status, 502);
+    }
+    assert.is(callers.createAnswer(createUnknown(UnknownReason.DeadlineExceeded, ""), "a1").status, 504);
+});
+
+test("an upstream's answer goes on without the fields of its connection", () => {
+    const headers = { "connection": "close", "keep-alive": "timeout=5", "fuchsiapath-response-seal": "s" };
+    const outcome = { kind: OutcomeKind.Done, status: 200, headers, body: Readable.from([]) } as const;
+    assert.equal(callers.createHeaders(outcome), { "fuchsiapath-response-seal": "s" });
+});
+
+test("a request to an upstream names the account, the upstream and the time left, and never the key", () => {
+    const { headers } = callers.decodeCall(CALL as unknown as IncomingMessage);
+    assert.equal(
+        upstreams.createHeaders(UPSTREAM, createRequest(headers as Record<string, string>, "clogs"), 1_234.9),
+        {
+            "host": "shop.example:80",
+            "fuchsiapath-attempt-id": "a1",
+            "accept": "text/plain",
+            "fuchsiapath-deadline-ms": "1234",
+            "fuchsiapath-expect-instance": "i-1",
+            "fuchsiapath-tenant": "clogs",
+        },
+    );
+});
+
+test("an upstream's answer is taken only for its own request and as not run only if it says so", () => {
+    const request = createRequest({ "fuchsiapath-attempt-id": "a1" }, "clogs");
+    const check = (status: number, headers: Record<string, string>): AnswerVerdictKind =>
+        upstreams.checkAnswer(UPSTREAM, request, status, headers).kind;
+    const own = { "fuchsiapath-attempt-id": "a1", "fuchsiapath-response-seal": "s" };
+    assert.is(check(200, own), AnswerVerdictKind.Answered);
+    assert.is(check(200, { ...own, "fuchsiapath-attempt-id": "a0" }), AnswerVerdictKind.Foreign);
+    assert.is(check(200, { "fuchsiapath-attempt-id": "a1" }), AnswerVerdictKind.Foreign);
+    assert.is(check(503, own), AnswerVerdictKind.Answered);
+    assert.is(check(503, { ...own, "fuchsiapath-not-executed": "1" }), AnswerVerdictKind.Shed);
+    assert.is(check(421, { "fuchsiapath-instance-id": "i-2" }), AnswerVerdictKind.Misdirected);
+});
+
+test.run();
