--- /dev/null
+++ b/tests/platform/support/EdgeProcess.ts
@@ -0,0 +1,107 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { join } from "node:path";
+
+const PROGRAM = "dist/platform/bin/fuchsiapath-edge.js";
+const GRACE_SECONDS = 3;
+
+/** An entry host of the platform as a process on loopback. */
+export class EdgeProcess {
+    readonly id: string;
+    callerAddress = "";
+    lookupAddress = "";
+    readyAddress = "";
+    metricsAddress = "";
+    readonly #folder: string;
+    readonly #storeAddress: string;
+    #child: ChildProcess | undefined;
+    #output = "";
+
+    /**
+     * @param id - The host's id.
+     * @param storeAddress - Where the platform's store is.
+     * @param folder - Where its settings file goes.
+     */
+    constructor(id: string, storeAddress: string, folder: string) {
+        this.id = id;
+        this.#storeAddress = storeAddress;
+        this.#folder = folder;
+    }
+
+    /** Starts the process on free ports. */
+    async start(): Promise<void> {
+        const ports = await Promise.all([1, 2, 3, 4, 5].map(findPort));
+        const [callers, ready, lookups, peers, metrics] = ports.map(port => `127.0.0.1:${port}`);
+        this.callerAddress = callers!;
+        this.readyAddress = ready!;
+        this.lookupAddress = lookups!;
+        this.metricsAddress = metrics!;
+        const file = join(this.#folder, `${this.id}.json`);
+        writeFileSync(file, JSON.stringify(this.#createSettings(peers!)));
+        this.#child = spawn(process.execPath, [PROGRAM], {
+            env: { ...process.env, FUCHSIAPATH_NODE_FILE: file },
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        this.#child.stdout!.on("data", (chunk: Buffer) => (this.#output += chunk.toString()));
+    }
+
+    /** Gets the log so far. */
+    getLog(): string {
+        return this.#output;
+    }
+
+    /**
+     * Sends a signal.
+     * @param signal - The signal.
+     */
+    send(signal: NodeJS.Signals): void {
+        this.#child?.kill(signal);
+    }
+
+    /** Waits for the end of the process and returns its exit code; null if a signal ended it. */
+    async waitForEnd(): Promise<number | null> {
+        const child = this.#child!;
+        if (child.exitCode === null && child.signalCode === null) {
+            await once(child, "exit");
+        }
+        return child.exitCode;
+    }
+
+    /** Kills the process if it still runs. */
+    async stop(): Promise<void> {
+        this.send("SIGKILL");
+        await this.waitForEnd();
+    }
+
+    #createSettings(peerAddress: string): object {
+        return {
+            id: this.id,
+            region: "region-1",
+            zone: "zone-a",
+            callerAddress: this.callerAddress,
+            readyAddress: this.readyAddress,
+            lookupAddress: this.lookupAddress,
+            peerAddress,
+            metricsAddress: this.metricsAddress,
+            storeAddress: this.#storeAddress,
+            graceSeconds: GRACE_SECONDS,
+            lookupSeconds: 1,
+            floor: 0.7,
+            retryBudget: 0.2,
+            retrySlack: 58,
+            retryWindowSeconds: 10,
+        };
+    }
+}
+
+async function findPort(): Promise<number> {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
--- a/tests/platform/support/StandInStore.ts
+++ b/tests/platform/support/StandInStore.ts
@@ -56,7 +56,7 @@
     /** Stops at once. */
     async stop(): Promise<void> {
         this.#leases.forEach(lease => clearTimeout(lease.timer));
-        this.#waiting.forEach(wake => wake());
+        this.#waiting.forEach(runNext => runNext());
         await closeServer(this.#server);
     }
 
@@ -95,7 +95,7 @@
     removeLeases(): void {
         this.#leases.forEach((lease, id) => {
             clearTimeout(lease.timer);
-            this.#endLease(id);
+            this.#removeLease(id);
         });
     }
 
@@ -115,7 +115,7 @@
             return;
         }
         const body = await readBody(request, MAX_BODY_BYTES);
-        const answer = await this.#answer(request.method ?? "", url, body === undefined ? "" : body.toString());
+        const answer = await this.#runCall(request.method ?? "", url, body === undefined ? "" : body.toString());
         if (this.mood === StoreMood.Lossy) {
             response.destroy();
             return;
@@ -124,7 +124,7 @@
         response.end(answer.body === undefined ? "" : JSON.stringify(answer.body));
     }
 
-    async #answer(method: string, url: URL, text: string): Promise<{ status: number; body?: unknown; }> {
+    async #runCall(method: string, url: URL, text: string): Promise<{ status: number; body?: unknown; }> {
         const [, , call, id] = url.pathname.split("/");
         switch (`${method} ${call}`) {
             case "GET kv-range":
@@ -138,7 +138,7 @@
             case "POST kv-keep":
                 return this.#renewLease(Number(id));
             case "DELETE kv-lease-end":
-                this.#endLease(Number(id));
+                this.#removeLease(Number(id));
                 return { status: 200 };
             default:
                 return { status: 404 };
@@ -175,13 +175,13 @@
 
     async #waitForChange(limitMs: number): Promise<void> {
         await new Promise<void>(resolve => {
-            const wake = (): void => {
+            const runNext = (): void => {
                 clearTimeout(timer);
-                this.#waiting.delete(wake);
+                this.#waiting.delete(runNext);
                 resolve();
             };
-            const timer = setTimeout(wake, limitMs);
-            this.#waiting.add(wake);
+            const timer = setTimeout(runNext, limitMs);
+            this.#waiting.add(runNext);
         });
     }
 
@@ -207,7 +207,7 @@
     #createLease(body: { ttl_s_time: number; }): { status: number; body: unknown; } {
         const id = this.#nextLease++;
         const ttlMs = body.ttl_s_time * 1_000;
-        this.#leases.set(id, { ttlMs, timer: setTimeout(() => this.#endLease(id), ttlMs) });
+        this.#leases.set(id, { ttlMs, timer: setTimeout(() => this.#removeLease(id), ttlMs) });
         return { status: 200, body: { lease: id, ttl_s_time: body.ttl_s_time } };
     }
 
@@ -217,11 +217,11 @@
             return { status: 404 };
         }
         clearTimeout(lease.timer);
-        lease.timer = setTimeout(() => this.#endLease(id), lease.ttlMs);
+        lease.timer = setTimeout(() => this.#removeLease(id), lease.ttlMs);
         return { status: 200, body: { ttl_s_time: lease.ttlMs / 1_000 } };
     }
 
-    #endLease(id: number): void {
+    #removeLease(id: number): void {
         clearTimeout(this.#leases.get(id)?.timer);
         this.#leases.delete(id);
         [...this.#items.values()].filter(item => item.lease === id).forEach(item => this.#removeItem(item.key));
@@ -242,6 +242,6 @@
     }
 
     #publish(): void {
-        this.#waiting.forEach(wake => wake());
+        this.#waiting.forEach(runNext => runNext());
     }
 }
--- a/tests/replica/ReplicaKeeper.test.ts
+++ b/tests/replica/ReplicaKeeper.test.ts
@@ -14,9 +14,9 @@
     const callsBefore = fleet.source.calls;
     await fleet.clock.run(10_000);
     assert.ok(fleet.source.calls - callsBefore <= 2 * 11, `${fleet.source.calls - callsBefore} calls in 10 s`);
-    fleet.source.write("op/config", "new");
+    fleet.source.write("configuration", "new");
     await fleet.clock.run(APPLY_BOUND_MS);
-    assert.equal(fleet.getHostsWithout("op/config", "new"), []);
+    assert.equal(fleet.getHostsWithout("configuration", "new"), []);
 });
 
 test("a change reaches the others within the bound after both watchers have died with it", async () => {
@@ -24,18 +24,18 @@
     await fleet.start();
     const watchers = fleet.getWatchOrder().slice(0, 2);
     watchers.forEach(id => fleet.removeHost(id));
-    fleet.source.write("op/config", "new");
+    fleet.source.write("configuration", "new");
     await fleet.clock.run(APPLY_BOUND_MS);
-    assert.equal(fleet.getHostsWithout("op/config", "new").filter(id => !watchers.includes(id)), []);
+    assert.equal(fleet.getHostsWithout("configuration", "new").filter(id => !watchers.includes(id)), []);
 });
 
 test("a change reaches hosts that the store turns away, watchers among them", async () => {
     const fleet = createReplicaFleet(HOSTS);
     await fleet.start();
     fleet.getWatchOrder().slice(0, 3).forEach(id => fleet.source.refused.add(id));
-    fleet.source.write("op/config", "new");
+    fleet.source.write("configuration", "new");
     await fleet.clock.run(APPLY_BOUND_MS);
-    assert.equal(fleet.getHostsWithout("op/config", "new"), []);
+    assert.equal(fleet.getHostsWithout("configuration", "new"), []);
 });
 
 test("a watcher that the store no longer answers but that peers reach does not hold changes back", async () => {
@@ -43,9 +43,9 @@
     await fleet.start();
     fleet.getWatchOrder().slice(0, 2).forEach(id => fleet.source.silenced.add(id));
     await fleet.clock.run(500);
-    fleet.source.write("op/config", "new");
+    fleet.source.write("configuration", "new");
     await fleet.clock.run(APPLY_BOUND_MS);
-    assert.equal(fleet.getHostsWithout("op/config", "new"), []);
+    assert.equal(fleet.getHostsWithout("configuration", "new"), []);
 });
 
 test("a store that is away for all is not stormed, and changes come soon after its return", async () => {
@@ -57,38 +57,38 @@
     const calls = fleet.source.calls - callsBefore;
     assert.ok(calls <= 4 * HOSTS, `${calls} calls in 4 s`);
     fleet.source.isAway = false;
-    fleet.source.write("op/config", "new");
+    fleet.source.write("configuration", "new");
     await fleet.clock.run(APPLY_BOUND_MS);
-    assert.equal(fleet.getHostsWithout("op/config", "new"), []);
+    assert.equal(fleet.getHostsWithout("configuration", "new"), []);
 });
 
 test("a history that is lost is made up by a reading", async () => {
     const fleet = createReplicaFleet(HOSTS);
     await fleet.start();
-    fleet.source.write("servers/a", "1");
+    fleet.source.write("upstream/a", "1");
     await fleet.clock.run(APPLY_BOUND_MS);
     fleet.source.isDeaf = true;
-    fleet.source.remove("servers/a");
-    fleet.source.write("op/config", "new");
+    fleet.source.remove("upstream/a");
+    fleet.source.write("configuration", "new");
     await fleet.clock.run(700);
     fleet.source.removeHistory();
     fleet.source.isDeaf = false;
     await fleet.clock.run(APPLY_BOUND_MS);
-    assert.equal(fleet.getHostsWithout("op/config", "new"), []);
-    assert.equal(fleet.getHostsWithout("servers/a", undefined), []);
+    assert.equal(fleet.getHostsWithout("configuration", "new"), []);
+    assert.equal(fleet.getHostsWithout("upstream/a", undefined), []);
 });
 
 test("a host that starts anew learns everything from the watchers", async () => {
     const fleet = createReplicaFleet(HOSTS);
     await fleet.start();
-    fleet.source.write("op/config", "new");
+    fleet.source.write("configuration", "new");
     await fleet.clock.run(APPLY_BOUND_MS);
     const id = fleet.getWatchOrder().at(-1)!;
     fleet.removeHost(id);
     await fleet.clock.run(1_000);
     await fleet.startHost(id);
     await fleet.clock.run(3_000);
-    assert.equal(fleet.getHostsWithout("op/config", "new"), []);
+    assert.equal(fleet.getHostsWithout("configuration", "new"), []);
 });
 
 test("a host that no watcher reaches is reported as not reachable", async () => {
--- a/tests/services/promptEjection.test.ts
+++ b/tests/services/promptEjection.test.ts
@@ -132,12 +132,12 @@
 /** Each upstream draws anew, at a phase of its own, whether it is in a spell. */
 function startSpells(bench: ServiceBench): void {
     for (let index = 0; index < UPSTREAMS; index++) {
-        const draw = (): void => {
+        const startSpell = (): void => {
             const isFailing = bench.random.getNext() < SPELL_SHARE;
             bench.upstreams.applyFaults(`u${index}`, isFailing ? { errorRate: SPELL_ERROR_RATE } : {});
-            bench.clock.schedule(SPELL_MS, draw);
+            bench.clock.schedule(SPELL_MS, startSpell);
         };
-        bench.clock.schedule(bench.random.getNext() * SPELL_MS, draw);
+        bench.clock.schedule(bench.random.getNext() * SPELL_MS, startSpell);
     }
 }
 
