--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -14,7 +14,7 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
 /** How often slow requests and idle connections are looked for, in milliseconds. */
-const CHECK_INTERVAL_MS = 1_000;
+const CHECK_INTERVAL_MS = 3_000;
 
 /** Takes callers' requests in and passes the answers on. */
 export class GatewayListener {
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -13,7 +13,7 @@
 const PEER_CONNECTIONS = 64;
 const PEER_CONNECT_TIMEOUT_MS = 500;
 /** Pauses of the process that matter beside the latencies of upstreams, some hundred milliseconds. */
-const STALL_TICK_MS = 100;
+const STALL_TICK_MS = 250;
 const MS_PER_SECOND = 1_000;
 /** Decisions that are kept in memory; the log holds them all. */
 const KEPT_DECISIONS = 200;
--- a/src/replica/ReplicaKeeper.ts
+++ b/src/replica/ReplicaKeeper.ts
@@ -19,7 +19,7 @@
 const FIRST_RETRY_MS = 250;
 const MAX_RETRY_MS = 1_000;
 /** How often a host that doesn't watch looks whether it has to. */
-const CHECK_MS = 100;
+const CHECK_MS = 250;
 /** A copy older than this has lost touch with the store. */
 const LOST_AGE_MS = 2_500;
 /** A watcher's report counts for this long. */
