--- a/src/accounts/DispatcherOptions.ts
+++ b/src/accounts/DispatcherOptions.ts
@@ -20,4 +20,6 @@
      * undefined.
      */
     readonly waitsUntilDeadline?: boolean;
+    /** Whether this host sends to the upstreams itself while it reaches no service host; refuses if undefined. */
+    readonly isSelfSufficient?: boolean;
 }
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -19,6 +19,8 @@
 /** How long after its deadline the outcome of an order is still asked for. */
 const FIND_LIMIT_MS = 60_000;
 const MAX_FIND_REFUSALS = 3;
+/** How often it is checked, while a lookup runs on another host, whether that host is known not to answer. */
+const REACHABILITY_CHECK_MS = 400;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 const HOST_REASONS: ReadonlySet<RefusalReason> = new Set([RefusalReason.HostNotCurrent, RefusalReason.HostStopping]);
 
@@ -86,10 +88,10 @@
         const attemptSignal = AbortSignal.any([signal, controller.signal]);
         try {
             const run = forwarder.runService(host.peerAddress, request, attemptSignal);
-            const answer = await runWithTimeout(clock, waitMs, run, () => {
+            const answer = runWithTimeout(clock, waitMs, run, () => {
                 throw new PeerUnavailableError(`${host.id} did not answer.`, false);
             });
-            return getUnlessRefusedByHost(answer);
+            return getUnlessRefusedByHost(await (call.isIdempotent ? this.#runWhileReachable(host, answer) : answer));
         }
         catch (error) {
             if (call.isIdempotent) {
@@ -105,6 +107,22 @@
         }
     }
 
+    /** Gives a host up as soon as it is known not to answer, so that a lookup can still be served elsewhere. */
+    async #runWhileReachable(host: Member, answer: Promise<ServiceAnswer>): Promise<ServiceAnswer> {
+        const { clock, membership } = this.#options;
+        return await new Promise((resolve, reject) => {
+            const check = (): void => {
+                if (membership.isReachable(host.id)) {
+                    timer = clock.schedule(REACHABILITY_CHECK_MS, check);
+                    return;
+                }
+                reject(new PeerUnavailableError(`${host.id} is not reachable.`, false));
+            };
+            let timer = clock.schedule(REACHABILITY_CHECK_MS, check);
+            answer.then(resolve, reject).finally(() => timer.cancel());
+        });
+    }
+
     /** Asks the host what became of an order; one that it has never seen has not run there and will not. */
     async #findLostOutcome(host: Member, call: DispatchCall, sent: SentRequest): Promise<Outcome> {
         const lost = createUnknown(UnknownReason.ConnectionLost, "The connection was lost after the request was sent.");
@@ -138,8 +156,14 @@
     }
 
     #getHosts(service: string, zone: string): readonly Member[] {
-        const hosts = this.#options.membership.getServiceHosts(service, zone).slice(0, MAX_HOSTS_PER_ZONE);
+        const { membership, isSelfSufficient } = this.#options;
+        const hosts = membership.getServiceHosts(service, zone).slice(0, MAX_HOSTS_PER_ZONE);
         const trusted = hosts.filter(host => !this.#isSuspected(host));
+        if (isSelfSufficient === true) {
+            const self = membership.getSelf();
+            const reachable = membership.isIsolated?.() === true ? [] : trusted;
+            return reachable.some(host => host.id === self.id) ? reachable : [...reachable, self];
+        }
         return [...trusted, ...hosts.filter(host => this.#isSuspected(host))];
     }
 
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -151,6 +151,7 @@
             forwarder,
             serviceRunner: this.serviceHost,
             waitsUntilDeadline: true,
+            isSelfSufficient: true,
         }, quarantine);
         const getConfiguration = (): SuppliedConfiguration | undefined => this.supply.getConfiguration();
         return new Gateway({ clock, random, decisions, limiter, dispatcher, getConfiguration });
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -15,7 +15,7 @@
 const MS_PER_SECOND = 1_000;
 /** How long an owner may take to answer; a call to another availability zone takes a few milliseconds. */
 const SPEND_TIMEOUT_MS = 250;
-/** An owner that didn't answer is asked last for this long. */
+/** An owner that didn't answer is not asked for this long. */
 const SUSPICION_MS = 2_000;
 /**
  * Refill that a new bucket starts with, in milliseconds. Its owner may have taken over from one that spent the burst a
@@ -99,11 +99,7 @@
     }
 
     #getOwners(account: string): readonly Member[] {
-        const owners = this.#options.membership.getAccountHosts(account);
-        return [
-            ...owners.filter(owner => !this.#isSuspected(owner)),
-            ...owners.filter(owner => this.#isSuspected(owner)),
-        ];
+        return this.#options.membership.getAccountHosts(account).filter(owner => !this.#isSuspected(owner));
     }
 
     #isSuspected(owner: Member): boolean {
--- /dev/null
+++ b/tests/accounts/ServiceSender.test.ts
@@ -0,0 +1,122 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import type { DispatchCall } from "../../src/accounts/index.js";
+import { ServiceSender } from "../../src/accounts/ServiceSender.js";
+import { RouteAccess, RouteKind } from "../../src/configuration/index.js";
+import { FakeClock, FakeMembership, FakeNetwork, FakeServiceRunner } from "../../src/fakes/index.js";
+import { GATEWAY_SERVICE } from "../../src/gateway/index.js";
+import { DecisionHistory } from "../../src/logging/index.js";
+import { OutcomeKind } from "../../src/outcomes/index.js";
+import { PeerHandlers } from "../../src/peers/index.js";
+import { SeededRandom } from "../../src/random/index.js";
+import { createMember } from "../support/createMember.js";
+import { runClockUntil } from "../support/runClockUntil.js";
+
+const HOSTS = 9;
+const TIMEOUT_MS = 3_000;
+const { detection: DETECTION } = GATEWAY_SERVICE;
+
+const test = suite("ServiceSender");
+let clock: FakeClock;
+let network: FakeNetwork;
+let membership: FakeMembership;
+let runners: FakeServiceRunner[];
+let sender: ServiceSender;
+let ownRunner: FakeServiceRunner;
+
+test.before.each(() => {
+    clock = new FakeClock();
+    network = new FakeNetwork(clock);
+    const members = Array.from({ length: HOSTS }, (_, index) => createMember(index));
+    const self = members[1]!;
+    membership = new FakeMembership(self, { version: 1, members });
+    runners = members.map(member => {
+        const serviceRunner = new FakeServiceRunner(clock);
+        network.addHost(member.peerAddress, { handlers: new PeerHandlers(), serviceRunner });
+        return serviceRunner;
+    });
+    ownRunner = runners[1]!;
+    sender = new ServiceSender({
+        clock,
+        random: new SeededRandom(1),
+        membership,
+        transport: network.createTransport(self.peerAddress),
+        forwarder: network.createForwarder(self.peerAddress),
+        serviceRunner: ownRunner,
+        decisionLog: new DecisionHistory(clock),
+        waitsUntilDeadline: true,
+        isSelfSufficient: true,
+    });
+});
+
+test("a host that reaches no service host of a zone sends to the upstreams itself", async () => {
+    runners.forEach((_, index) => network.removeHost(createMember(index).peerAddress));
+    const answer = await runClockUntil(clock, send(RouteKind.Order));
+    assert.is(answer!.outcome.kind, OutcomeKind.Done);
+    assert.is(ownRunner.runs.length, 1);
+});
+
+test("an isolated host does not try others first", async () => {
+    Object.assign(membership, { isIsolated: () => true });
+    runners.forEach((_, index) => network.stopAnswers(createMember(index).peerAddress));
+    const start = clock.getTime();
+    const answer = await runClockUntil(clock, send(RouteKind.Order));
+    assert.is(answer!.outcome.kind, OutcomeKind.Done);
+    assert.ok(clock.getTime() - start <= 100, `${clock.getTime() - start} ms`);
+});
+
+test("a lookup leaves a service host that is found not to answer, long before its deadline", async () => {
+    const first = membership.getServiceHosts("orders", "zone-a")[0]!;
+    network.stopAnswers(first.peerAddress);
+    clock.schedule(500, () => membership.unreachable.add(first.id));
+    const answer = await runClockUntil(clock, send(RouteKind.Lookup));
+    assert.is(answer!.outcome.kind, OutcomeKind.Unknown);
+    assert.ok(clock.getTime() < TIMEOUT_MS / 2, `${clock.getTime()} ms`);
+    assert.is((await runClockUntil(clock, send(RouteKind.Lookup)))!.outcome.kind, OutcomeKind.Done);
+});
+
+test("an order that was sent to a host that does not answer is not sent anywhere else", async () => {
+    const first = membership.getServiceHosts("orders", "zone-a")[0]!;
+    network.stopAnswers(first.peerAddress);
+    const answer = await runClockUntil(clock, send(RouteKind.Order), 120_000);
+    assert.is(answer!.outcome.kind, OutcomeKind.Unknown);
+    assert.is(runners.flatMap(runner => runner.runs).length <= 1, true);
+});
+
+test.run();
+
+async function send(kind: RouteKind): ReturnType<ServiceSender["send"]> {
+    return await sender.send(createCall(kind), "zone-a", 1, [], new AbortController().signal);
+}
+
+function createCall(kind: RouteKind): DispatchCall {
+    const route = {
+        name: "r",
+        path: "/",
+        methods: [],
+        service: "orders",
+        kind,
+        access: RouteAccess.Open,
+        deadlineMs: TIMEOUT_MS,
+        maxBodyBytes: 0,
+    };
+    return {
+        request: {
+            requestId: `r${clock.getTime()}`,
+            account: undefined,
+            keyId: undefined,
+            route,
+            method: "POST",
+            path: "/",
+            headers: {},
+            body: Buffer.alloc(0),
+            idempotencyKey: undefined,
+            timeoutMs: TIMEOUT_MS,
+        },
+        account: "shop",
+        service: { name: "orders", upstreams: [], floor: 0, retryBudget: 0, queuePerSlot: 1, detection: DETECTION },
+        isIdempotent: kind !== RouteKind.Order,
+        deadline: clock.getTime() + TIMEOUT_MS,
+        fingerprint: "f",
+    };
+}
