--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -1,3 +1,4 @@
+import { RouteKind } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import type { NotRunOutcome, Outcome, UnknownOutcome } from "../outcomes/index.js";
 import { closeBody, createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
@@ -87,7 +88,11 @@
             const refusal = createNotRun(RefusalReason.DeadlineExceeded, detail, DEFAULT_RETRY_AFTER_MS);
             return { outcome: refusal, isSent: false };
         }
-        const zone = this.#zones.select(call.service, state.excludedZones);
+        const zone = this.#zones.select(
+            call.service,
+            state.excludedZones,
+            call.request.route.kind === RouteKind.Bulk,
+        );
         if (zone === undefined) {
             return undefined;
         }
--- a/src/accounts/ZoneSelector.ts
+++ b/src/accounts/ZoneSelector.ts
@@ -6,6 +6,8 @@
 
 const LOAD_LIFETIME_MS = 2_000;
 const MIN_FREE_SHARE_OF_OWN_ZONE = 0.25;
+/** A large answer is worth a longer queue at home, as each byte between zones is paid for. */
+const MIN_FREE_SHARE_FOR_LARGE_ANSWERS = 0.01;
 const MIN_WEIGHT = 0.01;
 
 /** Chooses the availability zone that runs a request, by capacity and the load that was reported last. */
@@ -26,14 +28,16 @@
      * Selects a zone; undefined if none is left.
      * @param service - The service.
      * @param excluded - Zones that can't run this request.
+     * @param isLarge - Whether the answer is large.
      */
-    select(service: Service, excluded: ReadonlySet<string>): string | undefined {
+    select(service: Service, excluded: ReadonlySet<string>, isLarge = false): string | undefined {
         const capacities = getCapacities(service);
         const zones = [...capacities.keys()].filter(zone => !excluded.has(zone));
         const ownCapacity = capacities.get(this.#ownZone);
         if (ownCapacity !== undefined && zones.includes(this.#ownZone)) {
             const free = this.#getFreeSlots(service.name, this.#ownZone, ownCapacity);
-            if (free >= ownCapacity * MIN_FREE_SHARE_OF_OWN_ZONE) {
+            const minShare = isLarge ? MIN_FREE_SHARE_FOR_LARGE_ANSWERS : MIN_FREE_SHARE_OF_OWN_ZONE;
+            if (free >= ownCapacity * minShare) {
                 return this.#ownZone;
             }
         }
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -179,6 +179,16 @@
         return pool;
     }
 
+    /** An account without a limit, and callers without a key, weigh as much as the mean of the accounts with one. */
+    #getWeight(account: string): number {
+        const rate = this.#configuration?.getAccount(account)?.rate ?? 0;
+        if (rate > 0) {
+            return rate;
+        }
+        const rates = this.#configuration?.getAccounts?.().map(other => other.rate).filter(other => other > 0) ?? [];
+        return rates.length === 0 ? DEFAULT_WEIGHT : rates.reduce((sum, other) => sum + other, 0) / rates.length;
+    }
+
     #createPool(service: Service, zone: string): ServicePool {
         const { clock, random, transport, decisions, policy, stallMeter } = this.#options;
         return new ServicePool(service, zone, {
@@ -189,7 +199,7 @@
             policy: policy ?? EjectionPolicy.Sequential,
             outcomes: this.#outcomes,
             stallMeter,
-            getWeight: account => this.#configuration?.getAccount(account)?.rate ?? DEFAULT_WEIGHT,
+            getWeight: account => this.#getWeight(account),
         });
     }
 }
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -29,6 +29,8 @@
 const MAX_KEPT_BODY_BYTES = 64 * 1024;
 /** An idempotent request whose answer is no larger than this can be sent again if the answer is cut. */
 const READ_AHEAD_BYTES = 256 * 1024;
+/** How many times the share of the slots one rank has that the next lower has. */
+const PRIORITY_FACTOR = 2;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
 /** The upstreams of a service in one zone with their queue. */
@@ -161,7 +163,8 @@
         else if (!this.#budget.spend()) {
             return createNotRun(RefusalReason.RetryBudgetSpent, "The service's retry budget is spent.");
         }
-        return await this.#queue.wait(request, this.#options.getWeight(request.account), signal);
+        const weight = this.#options.getWeight(request.account) / PRIORITY_FACTOR ** (request.priority ?? 0);
+        return await this.#queue.wait(request, weight, signal);
     }
 
     async #runOn(
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -17,8 +17,12 @@
 const SUSPECT_SHARE = 0.5;
 const CLEAR_SHARE = 0.25;
 const MAX_RAMP_MS = 60_000;
-/** Shortest time out of work before an early trial, in milliseconds; twice as long after a failed trial. */
-const MIN_REST_MS = 1_200;
+/** Shortest time out of work before an early trial while requests wait for a slot, in milliseconds. */
+const MIN_REST_WHEN_SHORT_MS = 1_200;
+/** The same for the floor's sake alone. */
+const MIN_REST_MS = 3_000;
+/** After a failed trial these times are this many times as long. */
+const FAILED_TRIAL_FACTOR = 2;
 
 /** Judges the upstreams of a pool by the outcomes of real work: ejects, tries and restores them. */
 export class UpstreamJudge {
@@ -113,7 +117,7 @@
             return;
         }
         const rested = remaining.filter(upstream =>
-            upstream.getState() === UpstreamState.Ejected && hasRested(upstream)
+            upstream.getState() === UpstreamState.Ejected && hasRested(upstream, isShort)
         );
         rested.sort((left, right) => right.getStateAge() - left.getStateAge());
         if (rested.length > 0) {
@@ -344,6 +348,7 @@
     return Math.max(detector.getErrorEvidence(), detector.getLatencyEvidence()) / detector.getThreshold();
 }
 
-function hasRested(upstream: PooledUpstream): boolean {
-    return upstream.getStateAge() >= (upstream.isTrialFailed ? 2 : 1) * MIN_REST_MS;
+function hasRested(upstream: PooledUpstream, isShort: boolean): boolean {
+    const restMs = isShort ? MIN_REST_WHEN_SHORT_MS : MIN_REST_MS;
+    return upstream.getStateAge() >= (upstream.isTrialFailed ? FAILED_TRIAL_FACTOR : 1) * restMs;
 }
--- a/tests/platform/PlatformDecoder.test.ts
+++ b/tests/platform/PlatformDecoder.test.ts
@@ -1,13 +1,17 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { PlatformDecoder } from "../../platform/supply/index.js";
-import { GATEWAY_SERVICE } from "../../src/gateway/index.js";
 import { SupplyItemKind } from "../../src/supply/index.js";
 import { checkSnapshot } from "../support/checkSnapshot.js";
 import { createDocument } from "./support/createDocument.js";
 import { createRegistration } from "./support/createRegistration.js";
 
-const decoder = new PlatformDecoder({ ...GATEWAY_SERVICE, floor: 0.7, retryBudget: 0.2 });
+const decoder = new PlatformDecoder({
+    floor: 0.7,
+    retryBudget: 0.2,
+    queuePerSlot: 2,
+    detection: { healthyErrorRate: 0.02, failingErrorRate: 0.9, ejectThreshold: 3, slowFactor: 4, probationMs: 1_000 },
+});
 
 test("the operators' configuration is decoded into the product's terms", () => {
     const item = decoder.decode("op/config", JSON.stringify(createDocument()));
