--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -27,7 +27,7 @@
     readonly #options: GatewayProcessOptions;
     readonly #clock = new SystemClock();
     readonly #stallMeter = new TimerStallMeter(this.#clock, STALL_TICK_MS);
-    readonly #metrics = new GatewayMetrics();
+    readonly #metrics: GatewayMetrics;
     readonly #decisions: DecisionHistory;
     readonly #connections = new PeerConnections({
         maxConnections: PEER_CONNECTIONS,
@@ -41,6 +41,7 @@
     /** @param options - Settings and what connects the process with the platform. */
     constructor(options: GatewayProcessOptions) {
         this.#options = options;
+        this.#metrics = new GatewayMetrics(options.getLeftOutLines);
         this.#decisions = new DecisionHistory(this.#clock, decision => {
             this.#metrics.recordDecision(decision);
             options.logger.info(decision, decision.reason);
--- a/src/gateway/GatewayProcessOptions.ts
+++ b/src/gateway/GatewayProcessOptions.ts
@@ -12,6 +12,8 @@
 export interface GatewayProcessOptions {
     readonly settings: GatewaySettings;
     readonly logger: Logger;
+    /** Gets how many log lines were left out so far. */
+    readonly getLeftOutLines: () => number;
     /** The secret that entry hosts share. */
     readonly peerSecret: string;
     readonly source: ReplicaSource;
--- a/src/logging/createLogger.ts
+++ b/src/logging/createLogger.ts
@@ -1,15 +1,16 @@
 import bunyan from "bunyan";
+import type { LogSink } from "./LogSink.js";
 
 /**
  * Creates a logger that writes JSON lines.
  * @param name - The program's name.
  * @param level - The lowest level that is written.
- * @param stream - Where to; standard error unless it is given.
+ * @param sink - Where to; standard error unless it is given.
  */
 export function createLogger(
     name: string,
     level: bunyan.LogLevelString = "info",
-    stream: NodeJS.WritableStream = process.stderr,
+    sink: LogSink = process.stderr,
 ): bunyan {
-    return bunyan.createLogger({ name, level, stream });
+    return bunyan.createLogger({ name, streams: [{ level, stream: sink as NodeJS.WritableStream }] });
 }
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -1,7 +1,11 @@
+export { BoundedLogStream } from "./BoundedLogStream.js";
+export type { BoundedLogStreamOptions } from "./BoundedLogStreamOptions.js";
 export { createLogger } from "./createLogger.js";
 export { Decision } from "./Decision.js";
 export type { DecisionFilter } from "./DecisionFilter.js";
 export { DecisionHistory } from "./DecisionHistory.js";
 export type { DecisionLog } from "./DecisionLog.js";
 export type { DecisionRecord } from "./DecisionRecord.js";
+export { isMinorLine } from "./isMinorLine.js";
+export type { LogSink } from "./LogSink.js";
 export type { TimedDecision } from "./TimedDecision.js";
--- a/src/metrics/GatewayMetrics.ts
+++ b/src/metrics/GatewayMetrics.ts
@@ -1,5 +1,5 @@
 import type { Polka } from "polka";
-import { Counter, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { DecisionRecord } from "../logging/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { OutcomeKind } from "../outcomes/index.js";
@@ -24,6 +24,18 @@
         registers: [this.#registry],
     });
 
+    /** @param getLeftOutLines - Gets how many log lines were left out so far. */
+    constructor(getLeftOutLines: () => number) {
+        new Gauge({
+            name: "fuchsiapath_log_lines_left_out",
+            help: "Log lines that were left out since the start, by the rate limit or a slow reader.",
+            registers: [this.#registry],
+            collect() {
+                this.set(getLeftOutLines());
+            },
+        });
+    }
+
     /**
      * Records a request.
      * @param outcome - What became of it.
