--- a/src/services/UpstreamExchange.ts
+++ b/src/services/UpstreamExchange.ts
@@ -23,6 +23,8 @@
     #body: Readable | undefined;
     #isEnded = false;
     #isEndMarked = true;
+    /** Whether the answer has no length and ends with its connection. */
+    #isEndOfConnection = false;
     #timer: ScheduledCall | undefined;
     #resolve: (answer: UpstreamAnswer) => void = () => {};
 
@@ -91,7 +93,9 @@
         this.#timer?.cancel();
         const { protocol, upstream } = this.#options;
         const verdict = protocol.checkAnswer(upstream, this.#request, status, headers);
-        this.#isEndMarked = this.#hasMarkedEnd(status, headers);
+        const isFramed = this.#isFramed(status, headers);
+        this.#isEndOfConnection = !isFramed;
+        this.#isEndMarked = isFramed || protocol.hasUnmarkedEnds;
         const body = new Readable({
             read: () => controller.resume(),
             destroy: (error, callback) => {
@@ -126,14 +130,13 @@
         }
     }
 
-    #hasMarkedEnd(status: number, headers: IncomingHttpHeaders): boolean {
+    #isFramed(status: number, headers: IncomingHttpHeaders): boolean {
         return this.#request.method === "HEAD" || BODILESS_STATUSES.has(status) ||
-            headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined ||
-            this.#options.protocol.hasUnmarkedEnds;
+            headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
     }
 
     #receiveEnd(): void {
-        if (!this.#isEndMarked) {
+        if (!this.#isEndMarked || (this.#isEndOfConnection && this.#connection.isReset())) {
             this.#body?.destroy(new AnswerCutError("The end of the answer can't be told from a lost connection."));
             return;
         }
--- a/tests/services/HttpUpstreamTransport.test.ts
+++ b/tests/services/HttpUpstreamTransport.test.ts
@@ -6,7 +6,7 @@
 import * as assert from "uvu/assert";
 import type { Upstream } from "../../src/configuration/index.js";
 import { AnswerCutError } from "../../src/errors/index.js";
-import { HttpUpstreamTransport, UpstreamAnswerKind } from "../../src/services/index.js";
+import { HttpUpstreamTransport, ProductUpstreamProtocol, UpstreamAnswerKind } from "../../src/services/index.js";
 import type { ServiceRequest, UpstreamAnswer, UpstreamSendOptions } from "../../src/services/index.js";
 import { SystemClock } from "../../src/time/index.js";
 
@@ -70,6 +70,24 @@
     assert.is((await send()).kind, UpstreamAnswerKind.Answered);
 });
 
+test("where an answer may end with its connection, a reset still makes it a cut", async () => {
+    const protocol = new ProductUpstreamProtocol();
+    Object.assign(protocol, { hasUnmarkedEnds: true });
+    transport.close();
+    transport = new HttpUpstreamTransport(new SystemClock(), protocol);
+    const respond = (end: (socket: Socket) => void): RequestListener => (_, response) => {
+        const socket = response.socket!;
+        socket.write(
+            "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart",
+            () => setImmediate(() => end(socket as Socket)),
+        );
+    };
+    listener = respond(socket => socket.end());
+    assert.is(await readAnswer(await send()), "part");
+    listener = respond(socket => socket.resetAndDestroy());
+    assert.instance(await readAnswer(await send()).catch((error: unknown) => error), AnswerCutError);
+});
+
 test("a cut answer ends as a cut, however its length is given", async () => {
     const heads: Record<string, string>[] = [{ "content-length": "100" }, { "transfer-encoding": "chunked" }];
     for (const head of heads) {
