--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -1,4 +1,5 @@
 import { PeerUnavailableError } from "../errors/index.js";
+import { Decision } from "../logging/index.js";
 import type { Member } from "../membership/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
@@ -19,6 +20,10 @@
 /** How long after its deadline the outcome of an order is still asked for. */
 const FIND_LIMIT_MS = 60_000;
 const MAX_FIND_REFUSALS = 3;
+/** A host that answered within this span is taken to answer still, in milliseconds. */
+const ANSWERED_SPAN_MS = 300;
+/** How long a host of the same or the next zone may take to say whether it serves. */
+const IS_SERVING_TIMEOUT_MS = 200;
 /** How often it is checked, while a lookup runs on another host, whether that host is known not to answer. */
 const REACHABILITY_CHECK_MS = 400;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
@@ -36,6 +41,8 @@
 export class ServiceSender {
     readonly #options: DispatcherOptions;
     readonly #suspectedUntil = new Map<string, number>();
+    /** When hosts answered last, by peer address, in milliseconds of the clock. */
+    readonly #answeredTimes = new Map<string, number>();
 
     /** @param options - What the sender works with. */
     constructor(options: DispatcherOptions) {
@@ -58,6 +65,9 @@
         signal: AbortSignal,
     ): Promise<HostAnswer> {
         for (const host of this.#getHosts(call.service.name, zone)) {
+            if (!await this.#isAnswering(host, call)) {
+                continue;
+            }
             const request = this.#createRequest(call, zone, attempt, excludedUpstreams);
             const answer = await this.#sendToHost(host, call, request, signal);
             if (answer !== undefined) {
@@ -91,7 +101,9 @@
             const answer = runWithTimeout(clock, waitMs, run, () => {
                 throw new PeerUnavailableError(`${host.id} did not answer.`, false);
             });
-            return getUnlessRefusedByHost(await (call.isIdempotent ? this.#runWhileReachable(host, answer) : answer));
+            const received = await (call.isIdempotent ? this.#runWhileReachable(host, answer) : answer);
+            this.#answeredTimes.set(host.peerAddress, clock.getTime());
+            return getUnlessRefusedByHost(received);
         }
         catch (error) {
             if (call.isIdempotent) {
@@ -107,12 +119,39 @@
         }
     }
 
+    /** An order can't be sent twice, so a host that has not answered lately is asked whether it does before it gets one. */
+    async #isAnswering(host: Member, call: DispatchCall): Promise<boolean> {
+        const { clock, membership, transport, isSelfSufficient } = this.#options;
+        const answeredTime = this.#answeredTimes.get(host.peerAddress) ?? Number.NEGATIVE_INFINITY;
+        const isProven = clock.getTime() - answeredTime < ANSWERED_SPAN_MS;
+        if (isSelfSufficient !== true || call.isIdempotent || host.id === membership.getSelf().id || isProven) {
+            return true;
+        }
+        try {
+            const result = await transport.send(host.peerAddress, PeerMethod.IsServing, {}, IS_SERVING_TIMEOUT_MS);
+            this.#answeredTimes.set(host.peerAddress, clock.getTime());
+            return result.isServing;
+        }
+        catch (error) {
+            this.#suspectedUntil.set(host.peerAddress, clock.getTime() + SUSPICION_MS);
+            this.#options.decisionLog.record({
+                decision: Decision.DependencyChanged,
+                reason: "service-host-silent",
+                requestId: call.request.requestId,
+                service: call.service.name,
+                member: host.id,
+                figures: { error: error instanceof Error ? error.message : String(error) },
+            });
+            return false;
+        }
+    }
+
     /** Gives a host up as soon as it is known not to answer, so that a lookup can still be served elsewhere. */
     async #runWhileReachable(host: Member, answer: Promise<ServiceAnswer>): Promise<ServiceAnswer> {
         const { clock, membership } = this.#options;
         return await new Promise((resolve, reject) => {
             const check = (): void => {
-                if (membership.isReachable(host.id)) {
+                if (membership.isReachable(host.id) && membership.isIsolated?.() !== true) {
                     timer = clock.schedule(REACHABILITY_CHECK_MS, check);
                     return;
                 }
--- a/src/metrics/GatewayMetrics.ts
+++ b/src/metrics/GatewayMetrics.ts
@@ -26,13 +26,11 @@
 
     /** @param getLeftOutLines - Gets how many log lines were left out so far. */
     constructor(getLeftOutLines: () => number) {
-        new Gauge({
+        const gauge = new Gauge({
             name: "fuchsiapath_log_lines_left_out",
             help: "Log lines that were left out since the start, by the rate limit or a slow reader.",
             registers: [this.#registry],
-            collect() {
-                this.set(getLeftOutLines());
-            },
+            collect: () => gauge.set(getLeftOutLines()),
         });
     }
 
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -8,6 +8,7 @@
     EditView = "membership.edit",
     ShareBaseline = "service.shareBaseline",
     FindOutcome = "service.findOutcome",
+    IsServing = "service.isServing",
     RemoveCrash = "service.removeCrash",
     BorrowTokens = "rate.borrow",
     ReceiveTokens = "rate.receive",
--- a/src/peers/PeerMethods.ts
+++ b/src/peers/PeerMethods.ts
@@ -34,6 +34,7 @@
 import type {
     FindOutcomeParams,
     FindOutcomeResult,
+    IsServingResult,
     RemoveCrashParams,
     RemoveCrashResult,
     ShareBaselineParams,
@@ -51,6 +52,7 @@
     [PeerMethod.EditView]: { params: ViewEdit; result: ViewEditAnswer; };
     [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
     [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
+    [PeerMethod.IsServing]: { params: Record<string, never>; result: IsServingResult; };
     [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
     [PeerMethod.BorrowTokens]: { params: BorrowTokensParams; result: BorrowTokensResult; };
     [PeerMethod.ReceiveTokens]: { params: ReceiveTokensParams; result: ReceiveTokensResult; };
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -17,6 +17,8 @@
 const SPEND_TIMEOUT_MS = 250;
 /** An owner that didn't answer is not asked for this long. */
 const SUSPICION_MS = 2_000;
+/** Tokens that a host without an owner may spend at once: without a second one, every other request of two is refused. */
+const MIN_PART_BURST = 2;
 /**
  * Refill that a new bucket starts with, in milliseconds. Its owner may have taken over from one that spent the burst a
  * moment ago, so it does not start full.
@@ -132,7 +134,8 @@
 
     #spendPart(params: SpendTokenParams): SpendTokenResult {
         const hosts = Math.max(1, this.#options.membership.getView().members.length);
-        return this.#spendFrom(this.#parts, params, { rate: params.rate / hosts, burst: params.burst / hosts });
+        const burst = Math.max(MIN_PART_BURST, params.burst / hosts);
+        return this.#spendFrom(this.#parts, params, { rate: params.rate / hosts, burst });
     }
 
     #spendFrom(
--- /dev/null
+++ b/src/services/IsServingResult.ts
@@ -0,0 +1,4 @@
+/** Whether a service host takes requests. */
+export interface IsServingResult {
+    readonly isServing: boolean;
+}
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -42,6 +42,7 @@
         this.#sharer = new BaselineSharer(options.membership, options.peers);
         options.handlers.add(PeerMethod.ShareBaseline, params => this.#recordBaseline(params));
         options.handlers.add(PeerMethod.FindOutcome, params => this.#outcomes.claim(params));
+        options.handlers.add(PeerMethod.IsServing, () => ({ isServing: !this.#isStopping }));
         options.handlers.add(PeerMethod.RemoveCrash, ({ requestId }) => {
             this.removeCrash(requestId);
             return { requestId };
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -6,6 +6,7 @@
 export type { FindOutcomeResult } from "./FindOutcomeResult.js";
 export { FoundState } from "./FoundState.js";
 export { HttpUpstreamTransport } from "./HttpUpstreamTransport.js";
+export type { IsServingResult } from "./IsServingResult.js";
 export type { KeptOutcome } from "./KeptOutcome.js";
 export { ProductUpstreamProtocol } from "./ProductUpstreamProtocol.js";
 export type { RemoveCrashParams } from "./RemoveCrashParams.js";
