--- a/src/metrics/GatewayMetrics.ts
+++ b/src/metrics/GatewayMetrics.ts
@@ -26,7 +26,7 @@
 
     /** @param getLeftOutLines - Gets how many log lines were left out so far. */
     constructor(getLeftOutLines: () => number) {
-        const gauge = new Gauge({
+        const gauge: Gauge = new Gauge({
             name: "fuchsiapath_log_lines_left_out",
             help: "Log lines that were left out since the start, by the rate limit or a slow reader.",
             registers: [this.#registry],
