--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -3,7 +3,7 @@
 import type { Member } from "../membership/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
-import { PeerMethod } from "../peers/index.js";
+import { PeerMethod, PeerSuspicion } from "../peers/index.js";
 import type { FindOutcomeResult, ServiceAnswer, ServiceRequest } from "../services/index.js";
 import { FoundState, restoreOutcome } from "../services/index.js";
 import { runWithTimeout } from "../time/index.js";
@@ -12,7 +12,6 @@
 import type { HostAnswer } from "./HostAnswer.js";
 
 const MAX_HOSTS_PER_ZONE = 3;
-const SUSPICION_MS = 2_000;
 const IDEMPOTENT_WAIT_SHARE = 0.5;
 const ANSWER_GRACE_MS = 1_000;
 const FIND_TIMEOUT_MS = 500;
@@ -40,13 +39,12 @@
 /** Sends attempts to the service hosts of a zone, here or on other entry hosts. */
 export class ServiceSender {
     readonly #options: DispatcherOptions;
-    readonly #suspectedUntil = new Map<string, number>();
-    /** When hosts answered last, by peer address, in milliseconds of the clock. */
-    readonly #answeredTimes = new Map<string, number>();
+    readonly #suspicion: PeerSuspicion;
 
     /** @param options - What the sender works with. */
     constructor(options: DispatcherOptions) {
         this.#options = options;
+        this.#suspicion = new PeerSuspicion(options.clock);
     }
 
     /**
@@ -102,7 +100,7 @@
                 throw new PeerUnavailableError(`${host.id} did not answer.`, false);
             });
             const received = await (call.isIdempotent ? this.#runWhileReachable(host, answer) : answer);
-            this.#answeredTimes.set(host.peerAddress, clock.getTime());
+            this.#suspicion.recordAnswer(host.peerAddress);
             return getUnlessRefusedByHost(received);
         }
         catch (error) {
@@ -113,7 +111,7 @@
                 const detail = "The request was given up while a service host had it.";
                 return createAnswer(createUnknown(UnknownReason.DeadlineExceeded, detail));
             }
-            this.#suspectedUntil.set(host.peerAddress, clock.getTime() + SUSPICION_MS);
+            this.#suspicion.recordSilent(host.peerAddress);
             const isNotSent = error instanceof PeerUnavailableError && error.isNotSent;
             return isNotSent ? undefined : createAnswer(await this.#findLostOutcome(host, call, sent));
         }
@@ -121,19 +119,18 @@
 
     /** An order can't be sent twice, so a host that has not answered lately is asked whether it does before it gets one. */
     async #isAnswering(host: Member, call: DispatchCall): Promise<boolean> {
-        const { clock, membership, transport, isSelfSufficient } = this.#options;
-        const answeredTime = this.#answeredTimes.get(host.peerAddress) ?? Number.NEGATIVE_INFINITY;
-        const isProven = clock.getTime() - answeredTime < ANSWERED_SPAN_MS;
+        const { membership, transport, isSelfSufficient } = this.#options;
+        const isProven = this.#suspicion.hasAnsweredWithin(host.peerAddress, ANSWERED_SPAN_MS);
         if (isSelfSufficient !== true || call.isIdempotent || host.id === membership.getSelf().id || isProven) {
             return true;
         }
         try {
             const result = await transport.send(host.peerAddress, PeerMethod.IsServing, {}, IS_SERVING_TIMEOUT_MS);
-            this.#answeredTimes.set(host.peerAddress, clock.getTime());
+            this.#suspicion.recordAnswer(host.peerAddress);
             return result.isServing;
         }
         catch (error) {
-            this.#suspectedUntil.set(host.peerAddress, clock.getTime() + SUSPICION_MS);
+            this.#suspicion.recordSilent(host.peerAddress);
             this.#options.decisionLog.record({
                 decision: Decision.DependencyChanged,
                 reason: "service-host-silent",
@@ -207,12 +204,9 @@
     }
 
     #isSuspected(host: Member): boolean {
-        const { clock, membership } = this.#options;
-        if (host.id === membership.getSelf().id) {
-            return false;
-        }
-        const until = this.#suspectedUntil.get(host.peerAddress);
-        return (until !== undefined && until > clock.getTime()) || !membership.isReachable(host.id);
+        const { membership } = this.#options;
+        return host.id !== membership.getSelf().id &&
+            (this.#suspicion.isSuspected(host.peerAddress) || !membership.isReachable(host.id));
     }
 
     #createRequest(
--- a/src/configuration/DetectionSettings.ts
+++ b/src/configuration/DetectionSettings.ts
@@ -14,6 +14,8 @@
     readonly minPatienceMs?: number;
     /** First time out of work, in milliseconds; doubles with each return that fails. */
     readonly probationMs: number;
+    /** First time out of work while a third of the slots or more are in use, in milliseconds; probationMs if undefined. */
+    readonly busyProbationMs?: number;
     /** Time out of work after a failed trial, in milliseconds; doubles from probationMs if undefined. */
     readonly retrialMs?: number;
 }
--- a/src/gateway/GATEWAY_SERVICE.ts
+++ b/src/gateway/GATEWAY_SERVICE.ts
@@ -16,6 +16,7 @@
         minPatienceMs: 1_200,
         /** How long a spell of failures lasts on the platform's sheets. */
         probationMs: 9_000,
+        busyProbationMs: 1_000,
         /** One that has outlasted a spell is in the next, which is as long. */
         retrialMs: 9_000,
     },
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -15,4 +15,5 @@
 export { peerProtocol } from "./peerProtocol.js";
 export type { PeerRequestHead } from "./PeerRequestHead.js";
 export { PeerRequestKind } from "./PeerRequestKind.js";
+export { PeerSuspicion } from "./PeerSuspicion.js";
 export type { PeerTransport } from "./PeerTransport.js";
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -1,7 +1,7 @@
 import type { Account } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import type { Member } from "../membership/index.js";
-import { PeerMethod } from "../peers/index.js";
+import { PeerMethod, PeerSuspicion } from "../peers/index.js";
 import type { AdmitOptions } from "./AdmitOptions.js";
 import type { RateDecision } from "./RateDecision.js";
 import type { RateGrant } from "./RateGrant.js";
@@ -15,8 +15,6 @@
 const MS_PER_SECOND = 1_000;
 /** How long an owner may take to answer; a call to another availability zone takes a few milliseconds. */
 const SPEND_TIMEOUT_MS = 250;
-/** An owner that didn't answer is not asked for this long. */
-const SUSPICION_MS = 2_000;
 /** Tokens that a host without an owner may spend at once: without a second one, every other request of two is refused. */
 const MIN_PART_BURST = 2;
 /**
@@ -34,11 +32,12 @@
     readonly #options: RateLimiterOptions;
     readonly #owned = new Map<string, TokenBucket>();
     readonly #parts = new Map<string, TokenBucket>();
-    readonly #suspectedUntil = new Map<string, number>();
+    readonly #suspicion: PeerSuspicion;
 
     /** @param options - What the limiter works with. */
     constructor(options: RateLimiterOptions) {
         this.#options = options;
+        this.#suspicion = new PeerSuspicion(options.clock);
         options.handlers.add(PeerMethod.SpendToken, params => this.#spendOwned(params));
     }
 
@@ -66,7 +65,7 @@
     }
 
     async #spend(account: Account, options: AdmitOptions | undefined): Promise<SpendTokenResult> {
-        const { membership, transport, clock } = this.#options;
+        const { membership, transport } = this.#options;
         const params = {
             account: account.name,
             rate: account.rate,
@@ -79,10 +78,17 @@
                 return this.#spendOwned(params);
             }
             try {
-                return await transport.send(owner.peerAddress, PeerMethod.SpendToken, params, SPEND_TIMEOUT_MS);
+                const result = await transport.send(
+                    owner.peerAddress,
+                    PeerMethod.SpendToken,
+                    params,
+                    SPEND_TIMEOUT_MS,
+                );
+                this.#suspicion.recordAnswer(owner.peerAddress);
+                return result;
             }
             catch (error) {
-                this.#suspectedUntil.set(owner.id, clock.getTime() + SUSPICION_MS);
+                this.#suspicion.recordSilent(owner.peerAddress);
                 this.#recordSilent(account.name, owner, error);
             }
         }
@@ -105,11 +111,9 @@
     }
 
     #isSuspected(owner: Member): boolean {
-        const { clock, membership } = this.#options;
-        if (owner.id === membership.getSelf().id) {
-            return false;
-        }
-        return (this.#suspectedUntil.get(owner.id) ?? 0) > clock.getTime() || !membership.isReachable(owner.id);
+        const { membership } = this.#options;
+        return owner.id !== membership.getSelf().id &&
+            (this.#suspicion.isSuspected(owner.peerAddress) || !membership.isReachable(owner.id));
     }
 
     #spendOwned(params: SpendTokenParams): SpendTokenResult {
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -1,4 +1,4 @@
-import type { Service } from "../configuration/index.js";
+import type { DetectionSettings, Service } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import { BackOff } from "./BackOff.js";
 import type { BaselineRates } from "./BaselineRates.js";
@@ -17,6 +17,8 @@
 const SUSPECT_SHARE = 0.5;
 const CLEAR_SHARE = 0.25;
 const MAX_RAMP_MS = 60_000;
+/** Share of its slots in use from which on a pool is busy. */
+const BUSY_SHARE = 0.33;
 /** Shortest time out of work before an early trial while requests wait for a slot, in milliseconds. */
 const MIN_REST_WHEN_SHORT_MS = 1_200;
 /** The same for the floor's sake alone. */
@@ -108,7 +110,7 @@
      */
     startEarlyTrial(isShort = false): void {
         const remaining = this.#upstreams.filter(upstream => upstream.getState() !== UpstreamState.Draining);
-        const working = remaining.filter(upstream => upstream.isWorking()).length;
+        const working = remaining.filter(isTrusted).length;
         const trials = remaining.filter(upstream => upstream.getState() === UpstreamState.Probation).length;
         const failing = remaining.filter(upstream => !upstream.isWorking() && upstream.isTrialFailed).length;
         const required = Math.floor(this.#service.floor * (remaining.length - failing));
@@ -253,13 +255,28 @@
         }
         const durationMs = this.#backOff.start(
             upstream,
-            this.#service.detection,
+            this.#getDetection(upstream),
             () => this.#startTrials(upstream),
         );
         this.#recordDecision(Decision.Ejected, upstream, { backOffMs: Math.round(durationMs) });
         this.#options.onCapacity();
     }
 
+    /** A busy pool can't spare an upstream for a spell on one failure, which may be chance; a short rest tells. */
+    #getDetection(upstream: PooledUpstream): DetectionSettings {
+        const { detection } = this.#service;
+        const { busyProbationMs } = detection;
+        return busyProbationMs === undefined || upstream.isTrialFailed || !this.#isBusy()
+            ? detection
+            : { ...detection, probationMs: busyProbationMs };
+    }
+
+    #isBusy(): boolean {
+        const working = this.#upstreams.filter(upstream => upstream.isWorking());
+        const running = working.reduce((sum, upstream) => sum + upstream.getRunning(), 0);
+        return running > BUSY_SHARE * working.reduce((sum, upstream) => sum + upstream.getLimit(), 0);
+    }
+
     #startTrials(upstream: PooledUpstream): void {
         if (!this.#isBaseline()) {
             upstream.send(UpstreamEvent.Try, "its time out of work has ended");
@@ -348,6 +365,11 @@
     return Math.max(detector.getErrorEvidence(), detector.getLatencyEvidence()) / detector.getThreshold();
 }
 
+/** Held upstreams are at work only because too few others are. */
+function isTrusted(upstream: PooledUpstream): boolean {
+    return upstream.isWorking() && upstream.getState() !== UpstreamState.Held;
+}
+
 function hasRested(upstream: PooledUpstream, isShort: boolean): boolean {
     const restMs = isShort ? MIN_REST_WHEN_SHORT_MS : MIN_REST_MS;
     return upstream.getStateAge() >= (upstream.isTrialFailed ? FAILED_TRIAL_FACTOR : 1) * restMs;
--- a/src/services/UpstreamSelector.ts
+++ b/src/services/UpstreamSelector.ts
@@ -27,7 +27,7 @@
 
     /** Whether any upstream has a free slot. */
     hasFreeSlot(): boolean {
-        return this.#upstreams.some(upstream => upstream.hasFreeSlot());
+        return this.#getUsable().some(upstream => upstream.hasFreeSlot());
     }
 
     /**
@@ -43,7 +43,7 @@
      * @param request - The request.
      */
     select(request: ServiceRequest): PooledUpstream | undefined {
-        const free = this.#upstreams.filter(upstream => upstream.hasFreeSlot() && !isExcluded(upstream, request));
+        const free = this.#getUsable().filter(upstream => upstream.hasFreeSlot() && !isExcluded(upstream, request));
         switch (this.#policy) {
             case EjectionPolicy.Sequential:
             case EjectionPolicy.Prompt:
@@ -79,6 +79,16 @@
             (request.isIdempotent || this.#policy === EjectionPolicy.Prompt);
     }
 
+    /** Where ejections are prompt, a convicted upstream gets no overflow: it fails it faster than others answer. */
+    #getUsable(): readonly PooledUpstream[] {
+        if (this.#policy !== EjectionPolicy.Prompt) {
+            return this.#upstreams;
+        }
+        const isHeld = (upstream: PooledUpstream): boolean => upstream.getState() === UpstreamState.Held;
+        const hasOthers = this.#upstreams.some(upstream => upstream.isWorking() && !isHeld(upstream));
+        return hasOthers ? this.#upstreams.filter(upstream => !isHeld(upstream)) : this.#upstreams;
+    }
+
     #selectNext(free: readonly PooledUpstream[]): PooledUpstream | undefined {
         if (free.length === 0) {
             return undefined;
--- a/src/services/UpstreamSet.ts
+++ b/src/services/UpstreamSet.ts
@@ -36,7 +36,7 @@
     /** Gets the slots that are free. */
     getFreeSlots(): number {
         return this.#upstreams.reduce(
-            (sum, upstream) => sum + Math.max(0, upstream.getLimit() - upstream.getRunning()),
+            (sum, upstream) => sum + (upstream.getState() === UpstreamState.Held ? 0 : getFreeSlots(upstream)),
             0,
         );
     }
@@ -122,3 +122,7 @@
 function getIdentity(upstream: Upstream): string {
     return `${upstream.address} ${upstream.incarnation ?? ""}`;
 }
+
+function getFreeSlots(upstream: PooledUpstream): number {
+    return Math.max(0, upstream.getLimit() - upstream.getRunning());
+}
--- a/tests/services/promptEjection.test.ts
+++ b/tests/services/promptEjection.test.ts
@@ -56,6 +56,30 @@
     assert.ok(outcome.kind === OutcomeKind.NotRun && outcome.reason === RefusalReason.NoUpstream);
 });
 
+test("convicted upstreams that are kept at work get no overflow from the one that serves", async () => {
+    const bench = createBench(EjectionPolicy.Prompt, 1);
+    await runOrders(bench, 10, 5_000);
+    for (let index = 0; index < UPSTREAMS - 1; index++) {
+        bench.upstreams.applyFaults(`u${index}`, { errorRate: 1 });
+    }
+    const answers = await runOrders(bench, 16, 20_000);
+    const failed = answers.filter(answer => answer.outcome.kind !== OutcomeKind.NotRun && !isServed(answer)).length;
+    assert.ok(failed <= 0.15 * answers.length, `${failed} of ${answers.length} failed`);
+});
+
+test("in a busy pool, failures by chance leave the floor of the upstreams at work", async () => {
+    const bench = createBench(EjectionPolicy.Prompt, 4, UPSTREAMS, 0.04);
+    const load = bench.sendLoad(30, 60_000, ORDER);
+    let working = 0;
+    for (let sample = 0; sample < 120; sample++) {
+        await bench.clock.run(500);
+        working += bench.getStates().filter(state => state !== "ejected").length / UPSTREAMS;
+    }
+    await bench.clock.run(END_MS);
+    await load;
+    assert.ok(working / 120 >= 0.7, `${(working / 120).toFixed(2)} at work in the mean`);
+});
+
 test("an upstream that answers again after its spell takes its full share at once", async () => {
     const bench = createBench(EjectionPolicy.Prompt, 2, UPSTREAMS, 0);
     await runOrders(bench, 20, 5_000);
