--- a/tests/platform/support/StandInUpstream.ts
+++ b/tests/platform/support/StandInUpstream.ts
@@ -20,6 +20,8 @@
     delayMs = 0;
     /** Whether it answers all work with an error of its own. */
     isFailing = false;
+    /** Whether its answers have no length and end before they are whole. */
+    isCutting = false;
     readonly id: string;
     readonly #server: Server;
 
@@ -55,6 +57,13 @@
         });
         await new Promise(resolve => setTimeout(resolve, this.delayMs));
         const headers = { "fuchsiapath-attempt-id": id, "fuchsiapath-response-seal": `seal-${this.id}` };
+        if (this.isCutting) {
+            const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+            const { socket } = request;
+            socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\n${fields}\r\npart of an ans`);
+            setImmediate(() => socket.resetAndDestroy());
+            return;
+        }
         response.writeHead(this.isFailing ? 500 : 200, headers).end(`answer of ${this.id} to ${request.url}`);
     }
 }
