--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -4,8 +4,10 @@
 import type { BaselineRates } from "./BaselineRates.js";
 import { CrashMemory } from "./CrashMemory.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
+import { findEarlyTrial } from "./findEarlyTrial.js";
 import { hasCapacityAboveFloor } from "./hasCapacityAboveFloor.js";
 import { hasWorkingSiblings } from "./hasWorkingSiblings.js";
+import { isBusy } from "./isBusy.js";
 import { ObservationKind } from "./ObservationKind.js";
 import type { PooledUpstream } from "./PooledUpstream.js";
 import { ProbationVerdict } from "./ProbationVerdict.js";
@@ -17,14 +19,7 @@
 const SUSPECT_SHARE = 0.5;
 const CLEAR_SHARE = 0.25;
 const MAX_RAMP_MS = 60_000;
-/** Share of its slots in use from which on a pool is busy. */
-const BUSY_SHARE = 0.33;
-/** Shortest time out of work before an early trial while requests wait for a slot, in milliseconds. */
-const MIN_REST_WHEN_SHORT_MS = 1_200;
-/** The same for the floor's sake alone. */
-const MIN_REST_MS = 3_000;
-/** After a failed trial these times are this many times as long. */
-const FAILED_TRIAL_FACTOR = 2;
+const FLOOR_NOTE = "; the floor forbids its ejection";
 
 /** Judges the upstreams of a pool by the outcomes of real work: ejects, tries and restores them. */
 export class UpstreamJudge {
@@ -109,22 +104,10 @@
      * @param isShort - Whether requests wait for a slot.
      */
     startEarlyTrial(isShort = false): void {
-        const remaining = this.#upstreams.filter(upstream => upstream.getState() !== UpstreamState.Draining);
-        const working = remaining.filter(isTrusted).length;
-        const trials = remaining.filter(upstream => upstream.getState() === UpstreamState.Probation).length;
-        const failing = remaining.filter(upstream => !upstream.isWorking() && upstream.isTrialFailed).length;
-        const required = Math.floor(this.#service.floor * (remaining.length - failing));
-        const isBelowFloor = working + trials < required;
-        if (!this.#isPrompt() || (!isBelowFloor && (!isShort || working === 0 || trials > 0))) {
-            return;
-        }
-        const rested = remaining.filter(upstream =>
-            upstream.getState() === UpstreamState.Ejected && hasRested(upstream, isShort)
-        );
-        rested.sort((left, right) => right.getStateAge() - left.getStateAge());
-        if (rested.length > 0) {
-            this.#backOff.cancel(rested[0]!);
-            this.#startTrials(rested[0]!);
+        const upstream = this.#isPrompt() ? findEarlyTrial(this.#upstreams, this.#service.floor, isShort) : undefined;
+        if (upstream !== undefined) {
+            this.#backOff.cancel(upstream);
+            this.#startTrials(upstream);
         }
     }
 
@@ -234,9 +217,7 @@
     }
 
     #ejectOrHold(upstream: PooledUpstream, detail: string): void {
-        const reason = upstream.detector.getLatencyEvidence() > upstream.detector.getErrorEvidence()
-            ? "slow against its siblings"
-            : `failing: ${detail}`;
+        const reason = getReason(upstream, detail);
         const canEject = this.#isPrompt()
             ? hasWorkingSiblings(upstream, this.#upstreams)
             : hasCapacityAboveFloor(upstream, this.#upstreams, this.#service.floor);
@@ -244,7 +225,7 @@
             this.#eject(upstream, reason);
             this.startEarlyTrial();
         }
-        else if (upstream.send(UpstreamEvent.Hold, `${reason}; the floor forbids its ejection`)) {
+        else if (upstream.send(UpstreamEvent.Hold, `${reason}${FLOOR_NOTE}`)) {
             this.#recordDecision(Decision.EjectionWithheld, upstream);
         }
     }
@@ -266,17 +247,11 @@
     #getDetection(upstream: PooledUpstream): DetectionSettings {
         const { detection } = this.#service;
         const { busyProbationMs } = detection;
-        return busyProbationMs === undefined || upstream.isTrialFailed || !this.#isBusy()
+        return busyProbationMs === undefined || upstream.isTrialFailed || !isBusy(this.#upstreams)
             ? detection
             : { ...detection, probationMs: busyProbationMs };
     }
 
-    #isBusy(): boolean {
-        const working = this.#upstreams.filter(upstream => upstream.isWorking());
-        const running = working.reduce((sum, upstream) => sum + upstream.getRunning(), 0);
-        return running > BUSY_SHARE * working.reduce((sum, upstream) => sum + upstream.getLimit(), 0);
-    }
-
     #startTrials(upstream: PooledUpstream): void {
         if (!this.#isBaseline()) {
             upstream.send(UpstreamEvent.Try, "its time out of work has ended");
@@ -365,12 +340,12 @@
     return Math.max(detector.getErrorEvidence(), detector.getLatencyEvidence()) / detector.getThreshold();
 }
 
-/** Held upstreams are at work only because too few others are. */
-function isTrusted(upstream: PooledUpstream): boolean {
-    return upstream.isWorking() && upstream.getState() !== UpstreamState.Held;
-}
-
-function hasRested(upstream: PooledUpstream, isShort: boolean): boolean {
-    const restMs = isShort ? MIN_REST_WHEN_SHORT_MS : MIN_REST_MS;
-    return upstream.getStateAge() >= (upstream.isTrialFailed ? FAILED_TRIAL_FACTOR : 1) * restMs;
+/** A held upstream that is ejected later keeps the reason that it was held for. */
+function getReason(upstream: PooledUpstream, detail: string): string {
+    if (upstream.getState() === UpstreamState.Held) {
+        return detail.replace(FLOOR_NOTE, "");
+    }
+    return upstream.detector.getLatencyEvidence() > upstream.detector.getErrorEvidence()
+        ? "slow against its siblings"
+        : `failing: ${detail}`;
 }
