--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -57,7 +57,7 @@
         this.#server.headersTimeout = limits.headersTimeoutMs;
     }
 
-    /** Closes each connection with its next answer from now on, and idle ones at once. */
+    /** Closes each connection with its next answer from now on. */
     drain(): void {
         this.#isStopping = true;
     }
