--- a/src/replica/ReplicaKeeper.ts
+++ b/src/replica/ReplicaKeeper.ts
@@ -13,6 +13,8 @@
 const SETTLE_MS = 1_500;
 /** How long a watch waits for changes, so that a watcher knows at least this often that it reaches the store. */
 const WATCH_WAIT_MS = 1_000;
+/** The first watch only asks what is new since the first reading, which may be stale. */
+const FIRST_WATCH_WAIT_MS = 1;
 /** Pause after changes, so that those that come in quick succession share a call. */
 const BATCH_MS = 60;
 /** Pause after a call to the store that failed; doubles with each further one. */
@@ -82,11 +84,14 @@
         return all.length > 0 && all.every(unreachable => unreachable.has(memberId));
     }
 
-    /** Whether neither a watcher has been heard lately nor, as a watcher, any peer has answered. */
+    /**
+     * Whether neither a watcher has been heard lately nor, as a watcher, any peer has answered. A host that has just started
+     * is not isolated: the watchers reach it soon.
+     */
     isIsolated(): boolean {
         const now = this.#options.clock.getTime();
         const isHeard = [...this.#reports.values()].some(report => now - report.time < REPORT_SPAN_MS);
-        return !isHeard && !this.#peers.isAnswered();
+        return this.#getRunTime() > REPORT_SPAN_MS && !isHeard && !this.#peers.isAnswered();
     }
 
     async #run(signal: AbortSignal): Promise<void> {
@@ -146,7 +151,8 @@
             replica.applyParts(await source.readAll(true));
             return false;
         }
-        const result = await source.watch(revision, WATCH_WAIT_MS);
+        const isFirst = this.#confirmedTime === Number.NEGATIVE_INFINITY;
+        const result = await source.watch(revision, isFirst ? FIRST_WATCH_WAIT_MS : WATCH_WAIT_MS);
         if (signal.aborted) {
             return false;
         }
--- a/tests/replica/ReplicaKeeper.test.ts
+++ b/tests/replica/ReplicaKeeper.test.ts
@@ -91,6 +91,29 @@
     assert.equal(fleet.getHostsWithout("configuration", "new"), []);
 });
 
+test("hosts that start together are passed changes on within two seconds, and none takes itself for isolated", async () => {
+    const fleet = createReplicaFleet(HOSTS);
+    const start = fleet.start();
+    fleet.clock.schedule(1_600, () => fleet.source.write("configuration", "new"));
+    let isolated = 0;
+    fleet.clock.schedule(1_900, () => (isolated = fleet.getIsolatedHosts().length));
+    fleet.clock.schedule(2_100, () => {
+        assert.equal(fleet.getHostsWithout("configuration", "new"), []);
+    });
+    await start;
+    assert.equal([isolated, fleet.getIsolatedHosts()], [0, []]);
+});
+
+test("a host that a cut has left alone knows it", async () => {
+    const fleet = createReplicaFleet(HOSTS);
+    await fleet.start();
+    const id = fleet.getWatchOrder().at(-1)!;
+    fleet.source.silenced.add(id);
+    fleet.closeHost(id);
+    await fleet.clock.run(4_000);
+    assert.equal(fleet.getIsolatedHosts(), [id]);
+});
+
 test("a host that no watcher reaches is reported as not reachable", async () => {
     const fleet = createReplicaFleet(HOSTS);
     await fleet.start();
--- a/tests/support/createReplicaFleet.ts
+++ b/tests/support/createReplicaFleet.ts
@@ -27,6 +27,10 @@
     readonly startHost: (id: string) => Promise<void>;
     /** Removes a host as a crash does. */
     readonly removeHost: (id: string) => void;
+    /** Cuts a host off from all others. */
+    readonly closeHost: (id: string) => void;
+    /** Gets the ids of the hosts that take themselves for isolated. */
+    readonly getIsolatedHosts: () => readonly string[];
     /** Gets the ids of the hosts in the order in which they watch. */
     readonly getWatchOrder: () => readonly string[];
     /** Gets the ids of the hosts whose copy of an item has another value. */
@@ -66,6 +70,9 @@
             void hosts.get(id)!.keeper.stop();
             hosts.delete(id);
         },
+        closeHost: id => network.stopAnswers(hosts.get(id)!.member.peerAddress),
+        getIsolatedHosts: () =>
+            [...hosts.values()].filter(host => host.membership.isIsolated()).map(host => host.member.id),
         getWatchOrder: () => [...hosts.values()][0]!.membership.getWatchOrder().map(member => member.id),
         getHostsWithout: (key, value) =>
             [...hosts.values()].filter(host => findValue(host, key) !== value).map(host => host.member.id),
