--- /dev/null
+++ b/tests/gateway/HostLookup.test.ts
@@ -0,0 +1,35 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FakeMembership } from "../../src/fakes/index.js";
+import { HostLookup } from "../../src/gateway/index.js";
+import { createMember } from "../support/createMember.js";
+
+const LIFETIME_MS = 3_000;
+
+function createLookup(count: number): { lookup: HostLookup; membership: FakeMembership; } {
+    const members = Array.from({ length: count }, (_, index) => createMember(index));
+    const membership = new FakeMembership(members[0]!, { version: 1, members });
+    return { lookup: new HostLookup(membership, LIFETIME_MS), membership };
+}
+
+test("a caller gets the hosts of its zone, or all if there are few", () => {
+    const { lookup } = createLookup(9);
+    const inZone = [1, 4, 7].map(index => createMember(index).callerAddress);
+    assert.equal(lookup.getAddresses("zone-b"), { addresses: inZone, lifetimeMs: LIFETIME_MS });
+    assert.is(lookup.getAddresses("elsewhere").addresses.length, 9);
+    assert.is(createLookup(6).lookup.getAddresses("zone-b").addresses.length, 6);
+});
+
+test("hosts that don't answer are left out, and so is one that leaves", () => {
+    const { lookup, membership } = createLookup(12);
+    membership.unreachable.add("host-3");
+    lookup.leave();
+    assert.equal(lookup.getAddresses(undefined).addresses.length, 10);
+    assert.not(lookup.getAddresses(undefined).addresses.includes(createMember(0).callerAddress));
+});
+
+test("an answer holds no more addresses than callers take", () => {
+    assert.is(createLookup(300).lookup.getAddresses("zone-a").addresses.length, 64);
+});
+
+test.run();
--- /dev/null
+++ b/tests/services/openReadAhead.test.ts
@@ -0,0 +1,55 @@
+import { Readable } from "node:stream";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { AnswerCutError } from "../../src/errors/index.js";
+import type { Outcome } from "../../src/outcomes/index.js";
+import { createNotRun, OutcomeKind, RefusalReason, UnknownReason } from "../../src/outcomes/index.js";
+import { openReadAhead } from "../../src/services/openReadAhead.js";
+
+const LIMIT_BYTES = 10;
+
+function createOutcome(parts: readonly string[], error?: Error): Outcome {
+    async function* readParts(): AsyncGenerator<Buffer> {
+        for (const part of parts) {
+            yield Buffer.from(part);
+        }
+        if (error !== undefined) {
+            throw error;
+        }
+    }
+    return {
+        kind: OutcomeKind.Done,
+        status: 200,
+        headers: {},
+        body: Readable.from(readParts(), { objectMode: false }),
+    };
+}
+
+async function readText(outcome: Outcome): Promise<string> {
+    assert.ok(outcome.kind === OutcomeKind.Done);
+    return Buffer.concat(await outcome.body.toArray()).toString();
+}
+
+test("a small answer comes whole, also an empty one", async () => {
+    assert.is(await readText(await openReadAhead(createOutcome(["ab", "cd"]), LIMIT_BYTES)), "abcd");
+    assert.is(await readText(await openReadAhead(createOutcome([]), LIMIT_BYTES)), "");
+});
+
+test("an answer that is cut below the limit is known as cut, so that the request can be sent again", async () => {
+    const outcome = await openReadAhead(createOutcome(["ab"], new AnswerCutError("cut")), LIMIT_BYTES);
+    assert.ok(outcome.kind === OutcomeKind.Unknown && outcome.reason === UnknownReason.AnswerCut);
+});
+
+test("a large answer is streamed behind what was read ahead, and a late cut is passed on", async () => {
+    const parts = ["0123456", "789ab", "cdef"];
+    assert.is(await readText(await openReadAhead(createOutcome(parts), LIMIT_BYTES)), parts.join(""));
+    const cut = await openReadAhead(createOutcome(parts, new AnswerCutError("cut")), LIMIT_BYTES);
+    assert.instance(await readText(cut).catch((error: unknown) => error), AnswerCutError);
+});
+
+test("an outcome without an answer stays as it is", async () => {
+    const refusal = createNotRun(RefusalReason.NoUpstream, "none");
+    assert.is(await openReadAhead(refusal, LIMIT_BYTES), refusal);
+});
+
+test.run();
