--- a/src/logging/createLogger.ts
+++ b/src/logging/createLogger.ts
@@ -12,5 +12,6 @@
     level: bunyan.LogLevelString = "info",
     sink: LogSink = process.stderr,
 ): bunyan {
-    return bunyan.createLogger({ name, streams: [{ level, stream: sink as NodeJS.WritableStream }] });
+    const streams = [{ level, stream: sink as NodeJS.WritableStream }];
+    return bunyan.createLogger({ name, streams, serializers: { err: bunyan.stdSerializers.err } });
 }
