Try upstreams that fail without delay by lookups, and spare orders

A lookup whose trial fails is sent again in milliseconds; an order is lost.

Change: an upstream that answers failures without delay is tried by lookups from 0.6 s on, orders wait for the rest as before. It is back after two trials, as one request in ten is served in a spell. Failed trials don't count for the siblings' baseline any more: with one a second they hid the first failure of the next upstream (17 in the test's 240 s). A lookup that can be a trial isn't refused by a full pool. Resting upstreams so get a request within two seconds, which is the floor's rule.

Ruled out: longer rests (fewer trials, but capacity comes back later).

--- a/src/configuration/DetectionSettings.ts
+++ b/src/configuration/DetectionSettings.ts
@@ -16,6 +16,11 @@
     readonly probationMs: number;
     /** First time out of work while a third of the slots or more are in use, in milliseconds; probationMs if undefined. */
     readonly busyProbationMs?: number;
+    /**
+     * Time out of work until lookups try an upstream that fails without delay, in milliseconds; orders wait for the times
+     * above. No such trials if undefined.
+     */
+    readonly lookupTrialMs?: number;
     /** Time out of work after a failed trial, in milliseconds; doubles from probationMs if undefined. */
     readonly retrialMs?: number;
 }
--- a/src/gateway/GATEWAY_SERVICE.ts
+++ b/src/gateway/GATEWAY_SERVICE.ts
@@ -16,7 +16,9 @@
         minPatienceMs: 1_200,
         /** How long a spell of failures lasts on the platform's sheets. */
         probationMs: 9_000,
-        busyProbationMs: 1_000,
+        busyProbationMs: 1_500,
+        /** A lookup whose trial fails is sent again at once, so that a trial costs its caller milliseconds. */
+        lookupTrialMs: 600,
         /** One that has outlasted a spell is in the next, which is as long. */
         retrialMs: 9_000,
     },
--- a/src/services/BackOff.ts
+++ b/src/services/BackOff.ts
@@ -13,7 +13,7 @@
     readonly #clock: Clock;
     readonly #random: RandomSource;
     readonly #ends = new WeakMap<PooledUpstream, number>();
-    readonly #calls = new Map<PooledUpstream, ScheduledCall>();
+    readonly #calls = new Map<PooledUpstream, readonly ScheduledCall[]>();
 
     /**
      * @param clock - The source of time.
@@ -28,35 +28,35 @@
      * Starts the time out of work of an upstream; returns it in milliseconds.
      * @param upstream - The upstream.
      * @param detection - The first time out of work and, for spells of failure, the time after a failed trial.
-     * @param onEnd - Runs at its end.
+     * @param onTrial - Runs when lookups may try it, if that is before the end, and at the end.
      */
-    start(upstream: PooledUpstream, detection: DetectionSettings, onEnd: () => void): number {
+    start(upstream: PooledUpstream, detection: DetectionSettings, onTrial: () => void): number {
         const now = this.#clock.getTime();
         const lastReturn = Math.max(upstream.restoredTime, this.#ends.get(upstream) ?? Number.NEGATIVE_INFINITY);
         upstream.ejections = now - lastReturn > FLAP_WINDOW_MS ? 1 : upstream.ejections + 1;
-        const durationMs = getDuration(upstream, detection) * (1 + JITTER * this.#random.getNext());
+        const jitter = 1 + JITTER * this.#random.getNext();
+        const durationMs = getDuration(upstream, detection) * jitter;
         this.cancel(upstream);
         this.#ends.set(upstream, now + durationMs);
-        const call = this.#clock.schedule(durationMs, () => {
-            this.#calls.delete(upstream);
-            onEnd();
-        });
-        this.#calls.set(upstream, call);
+        upstream.orderTrialTime = now + durationMs;
+        const lookupTrialMs = upstream.isFailingInTime ? (detection.lookupTrialMs ?? durationMs) * jitter : durationMs;
+        const times = lookupTrialMs < durationMs ? [lookupTrialMs, durationMs] : [durationMs];
+        this.#calls.set(upstream, times.map(timeMs => this.#clock.schedule(timeMs, onTrial)));
         return durationMs;
     }
 
     /**
-     * Cancels the timer of an upstream.
+     * Cancels the timers of an upstream.
      * @param upstream - The upstream.
      */
     cancel(upstream: PooledUpstream): void {
-        this.#calls.get(upstream)?.cancel();
+        this.#calls.get(upstream)?.forEach(call => call.cancel());
         this.#calls.delete(upstream);
     }
 
     /** Cancels all timers. */
     stop(): void {
-        this.#calls.forEach(call => call.cancel());
+        this.#calls.forEach(calls => calls.forEach(call => call.cancel()));
         this.#calls.clear();
     }
 }
--- a/src/services/PooledUpstream.ts
+++ b/src/services/PooledUpstream.ts
@@ -25,6 +25,10 @@
     isConnectFailing = false;
     /** Whether the trials of its time out of work have failed so far. */
     isTrialFailed = false;
+    /** Whether its last failure came no later than an answer would have, so that a lookup can be sent again in time. */
+    isFailingInTime = false;
+    /** When orders may try it, in milliseconds; lookups may earlier. */
+    orderTrialTime = Number.NEGATIVE_INFINITY;
     /** Why it is in its state. */
     reason = "";
     readonly #clock: Clock;
@@ -34,6 +38,7 @@
     #running = 0;
     #lastClaim = Number.NEGATIVE_INFINITY;
     #since: number;
+    #ejectedTime = Number.NEGATIVE_INFINITY;
     #rampSlots = 1;
     #rampAnswers = 0;
     #shedUntil = Number.NEGATIVE_INFINITY;
@@ -134,6 +139,11 @@
             state !== UpstreamState.Probation;
     }
 
+    /** Whether it is on trial by lookups only. */
+    isReservedForLookups(): boolean {
+        return this.getState() === UpstreamState.Probation && this.#clock.getTime() < this.orderTrialTime;
+    }
+
     /** Gets when a slot of it was claimed last, in milliseconds. */
     getLastClaim(): number {
         return this.#lastClaim;
@@ -173,8 +183,16 @@
         return this.#clock.getTime() - this.#since;
     }
 
+    /** Gets how long ago it was ejected, in milliseconds. */
+    getRestTime(): number {
+        return this.#clock.getTime() - this.#ejectedTime;
+    }
+
     #startState(state: UpstreamState): void {
         switch (state) {
+            case UpstreamState.Ejected:
+                this.#ejectedTime = this.#clock.getTime();
+                break;
             case UpstreamState.Probation:
                 this.probation = new ProbationTest(this.#trialsToPass);
                 break;
@@ -186,7 +204,6 @@
             case UpstreamState.Healthy:
             case UpstreamState.Suspected:
             case UpstreamState.Held:
-            case UpstreamState.Ejected:
             case UpstreamState.Draining:
                 break;
         }
--- a/src/services/SlotQueue.ts
+++ b/src/services/SlotQueue.ts
@@ -39,7 +39,8 @@
         weight: number,
         signal: AbortSignal,
     ): Promise<PooledUpstream | NotRunOutcome> {
-        const refusal = this.#checkTime(request, weight) ?? this.#checkRoom(request, weight);
+        const isTrial = this.#options.selector.hasTrial(request);
+        const refusal = isTrial ? undefined : this.#checkTime(request, weight) ?? this.#checkRoom(request, weight);
         if (refusal !== undefined) {
             return refusal;
         }
@@ -48,7 +49,7 @@
 
     /** Starts as many waiting requests as there are free slots for. */
     run(): void {
-        while (this.#queue.getSize() > 0 && this.#options.selector.hasFreeSlot()) {
+        while (this.#hasStartable()) {
             let upstream: PooledUpstream | undefined;
             const item = this.#queue.select(candidate => {
                 upstream = this.#options.selector.select(candidate.request);
@@ -88,6 +89,12 @@
         this.#queue.getItems().filter(item => isRefused(item.request)).forEach(item => item.onRefused(refusal));
     }
 
+    #hasStartable(): boolean {
+        const { selector } = this.#options;
+        return this.#queue.getSize() > 0 &&
+            (selector.hasFreeSlot() || this.#queue.getItems().some(item => selector.hasTrial(item.request)));
+    }
+
     #add(
         request: ServiceRequest,
         weight: number,
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -19,6 +19,8 @@
 const SUSPECT_SHARE = 0.5;
 const CLEAR_SHARE = 0.25;
 const MAX_RAMP_MS = 60_000;
+/** A failure that comes within this time costs a lookup no more than that before it is sent again, in milliseconds. */
+const MAX_LOST_TIME_MS = 100;
 const FLOOR_NOTE = "; the floor forbids its ejection";
 
 /** Judges the upstreams of a pool by the outcomes of real work: ejects, tries and restores them. */
@@ -107,6 +109,7 @@
         const upstream = this.#isPrompt() ? findEarlyTrial(this.#upstreams, this.#service.floor, isShort) : undefined;
         if (upstream !== undefined) {
             this.#backOff.cancel(upstream);
+            upstream.orderTrialTime = this.#options.clock.getTime();
             this.#startTrials(upstream);
         }
     }
@@ -148,9 +151,14 @@
     }
 
     #recordFailure(upstream: PooledUpstream, observation: UpstreamObservation, baseline: BaselineRates): void {
-        upstream.statistics.recordOutcome(true);
+        const isTrial = upstream.getState() === UpstreamState.Probation;
+        if (!isTrial || !this.#isPrompt()) {
+            upstream.statistics.recordOutcome(true);
+        }
         upstream.isConnectFailing = observation.kind === ObservationKind.ConnectFailed;
-        if (upstream.getState() === UpstreamState.Probation) {
+        upstream.isFailingInTime = observation.isAnswered === true ||
+            (observation.latencyMs ?? Infinity) <= MAX_LOST_TIME_MS;
+        if (isTrial) {
             this.#recordTrial(upstream, true, false, observation.detail);
             return;
         }
--- a/src/services/UpstreamSelector.ts
+++ b/src/services/UpstreamSelector.ts
@@ -25,9 +25,19 @@
         this.#upstreams = upstreams;
     }
 
-    /** Whether any upstream has a free slot. */
+    /** Whether any upstream has a free slot for any request. */
     hasFreeSlot(): boolean {
-        return this.#getUsable().some(upstream => upstream.hasFreeSlot());
+        return this.#getUsable().some(upstream => upstream.hasFreeSlot() && !upstream.isReservedForLookups());
+    }
+
+    /**
+     * Whether an upstream that only lookups try has a free slot for a request.
+     * @param request - The request.
+     */
+    hasTrial(request: ServiceRequest): boolean {
+        return this.#upstreams.some(upstream =>
+            upstream.isReservedForLookups() && upstream.hasFreeSlot() && this.#isCandidate(upstream, request)
+        );
     }
 
     /**
@@ -54,8 +64,10 @@
     }
 
     #selectLeastLoaded(free: readonly PooledUpstream[], request: ServiceRequest): PooledUpstream | undefined {
-        const trial = free.find(upstream => upstream.getState() === UpstreamState.Probation);
-        if (trial !== undefined && this.#isCandidate(trial, request)) {
+        const trial = free.find(upstream =>
+            upstream.getState() === UpstreamState.Probation && this.#isCandidate(upstream, request)
+        );
+        if (trial !== undefined) {
             return trial;
         }
         let best: PooledUpstream | undefined;
@@ -70,13 +82,14 @@
 
     #isCandidate(upstream: PooledUpstream, request: ServiceRequest): boolean {
         const isTrial = upstream.getState() === UpstreamState.Probation;
-        return !isExcluded(upstream, request) && (upstream.isWorking() || (isTrial && this.#isTrialRequest(request)));
+        return !isExcluded(upstream, request) &&
+            (upstream.isWorking() || (isTrial && this.#isTrialRequest(upstream, request)));
     }
 
     /** A repeated request has failed once already and should not be a trial again. */
-    #isTrialRequest(request: ServiceRequest): boolean {
+    #isTrialRequest(upstream: PooledUpstream, request: ServiceRequest): boolean {
         return request.excludedUpstreams.length === 0 &&
-            (request.isIdempotent || this.#policy === EjectionPolicy.Prompt);
+            (request.isIdempotent || (this.#policy === EjectionPolicy.Prompt && !upstream.isReservedForLookups()));
     }
 
     /** Where ejections are prompt, a convicted upstream gets no overflow: it fails it faster than others answer. */
--- a/src/services/UpstreamSet.ts
+++ b/src/services/UpstreamSet.ts
@@ -9,8 +9,8 @@
 import type { UpstreamSetOptions } from "./UpstreamSetOptions.js";
 import { UpstreamState } from "./UpstreamState.js";
 
-/** A spell of failures is over or not; one answer tells. */
-const PROMPT_TRIALS = 1;
+/** In a spell of failures one request in ten may be served, so one answer does not show that the spell is over. */
+const PROMPT_TRIALS = 2;
 
 /** The upstreams of a pool as the configuration names them; those that leave are drained. */
 export class UpstreamSet {
@@ -30,7 +30,10 @@
 
     /** Gets the slots that may be used now, free or not. */
     getSlots(): number {
-        return this.#upstreams.reduce((sum, upstream) => sum + upstream.getLimit(), 0);
+        return this.#upstreams.reduce(
+            (sum, upstream) => sum + (upstream.isReservedForLookups() ? 0 : upstream.getLimit()),
+            0,
+        );
     }
 
     /** Gets the slots that are free. */
@@ -124,5 +127,5 @@
 }
 
 function getFreeSlots(upstream: PooledUpstream): number {
-    return Math.max(0, upstream.getLimit() - upstream.getRunning());
+    return upstream.isReservedForLookups() ? 0 : Math.max(0, upstream.getLimit() - upstream.getRunning());
 }
--- a/src/services/createObservation.ts
+++ b/src/services/createObservation.ts
@@ -31,7 +31,10 @@
                 return create(ObservationKind.Cancelled, "a short deadline passed");
             }
             return answer.status >= FIRST_FAILURE_STATUS
-                ? create(ObservationKind.Failure, `status ${answer.status}`)
+                ? {
+                    ...create(ObservationKind.Failure, `status ${answer.status}`),
+                    isAnswered: answer.status !== GATEWAY_TIMEOUT,
+                }
                 : undefined;
         case UpstreamAnswerKind.ConnectFailed:
             return create(ObservationKind.ConnectFailed, answer.detail);
--- a/src/services/findEarlyTrial.ts
+++ b/src/services/findEarlyTrial.ts
@@ -2,7 +2,7 @@
 import { UpstreamState } from "./UpstreamState.js";
 
 /** Shortest time out of work before an early trial while requests wait for a slot, in milliseconds. */
-const MIN_REST_WHEN_SHORT_MS = 1_200;
+const MIN_REST_WHEN_SHORT_MS = 1_500;
 /** The same for the floor's sake alone. */
 const MIN_REST_MS = 3_000;
 /** After a failed trial these times are this many times as long. */
@@ -22,16 +22,20 @@
 ): PooledUpstream | undefined {
     const remaining = upstreams.filter(upstream => upstream.getState() !== UpstreamState.Draining);
     const working = remaining.filter(isTrusted).length;
-    const trials = remaining.filter(upstream => upstream.getState() === UpstreamState.Probation).length;
+    const trials =
+        remaining.filter(upstream =>
+            upstream.getState() === UpstreamState.Probation && !upstream.isReservedForLookups()
+        ).length;
     const failing = remaining.filter(upstream => !upstream.isWorking() && upstream.isTrialFailed).length;
     const isBelowFloor = working + trials < Math.floor(floor * (remaining.length - failing));
     if (!isBelowFloor && (!isShort || working === 0 || trials > 0)) {
         return undefined;
     }
     const rested = remaining.filter(upstream =>
-        upstream.getState() === UpstreamState.Ejected && hasRested(upstream, isShort)
+        (upstream.getState() === UpstreamState.Ejected || upstream.isReservedForLookups()) &&
+        hasRested(upstream, isShort)
     );
-    rested.sort((left, right) => right.getStateAge() - left.getStateAge());
+    rested.sort((left, right) => right.getRestTime() - left.getRestTime());
     return rested[0];
 }
 
@@ -42,5 +46,5 @@
 
 function hasRested(upstream: PooledUpstream, isShort: boolean): boolean {
     const restMs = isShort ? MIN_REST_WHEN_SHORT_MS : MIN_REST_MS;
-    return upstream.getStateAge() >= (upstream.isTrialFailed ? FAILED_TRIAL_FACTOR : 1) * restMs;
+    return upstream.getRestTime() >= (upstream.isTrialFailed ? FAILED_TRIAL_FACTOR : 1) * restMs;
 }
