Try upstreams that the floor kept, and use seven in ten when a service serves too little

An answer that was under way brought its evidence below the threshold, so nothing ejected it, and no trial ever came; four of eighteen upstreams were idle so. Resting upstreams of pools with few lookups waited for the end of their rest while a tenth of the service's requests was refused.

Change: a kept upstream is tried by a lookup after 0.6 s without work, by an order after 3 s. Service hosts tell each other each second how much of a service was served in two seconds; where 7 in 100 are not, orders also try the upstream that has been idle longest, until seven in ten of those that answer had a request within 1.8 s. Trials go to the longest idle one.

The test of the sharing counts one message a second now instead of one in five, and checks what they say.

--- a/src/services/BaselineSharer.ts
+++ b/src/services/BaselineSharer.ts
@@ -35,10 +35,11 @@
         const self = this.#membership.getSelf().peerAddress;
         const addresses = [...zones].map(other => this.#membership.getServiceHosts(service, other)[0]?.peerAddress);
         const others = new Set(addresses.filter(address => address !== undefined && address !== self));
-        if (upstreams.length === 0) {
+        const served = pool.strain.getSummary();
+        if (upstreams.length === 0 && served.requests === 0) {
             return;
         }
-        const params = { service, zone, upstreams };
+        const params = { service, zone, upstreams, served };
         await Promise.all(
             [...others].map(address =>
                 this.#peers.send(address!, PeerMethod.ShareBaseline, params, SEND_TIMEOUT_MS).catch(() => {})
--- a/src/services/PooledUpstream.ts
+++ b/src/services/PooledUpstream.ts
@@ -144,11 +144,21 @@
         return this.getState() === UpstreamState.Probation && this.#clock.getTime() < this.orderTrialTime;
     }
 
+    /** Whether orders may try it and none has since. */
+    isOrderTrialDue(): boolean {
+        return this.orderTrialTime <= this.#clock.getTime() && this.orderTrialTime > this.#lastClaim;
+    }
+
     /** Gets when a slot of it was claimed last, in milliseconds. */
     getLastClaim(): number {
         return this.#lastClaim;
     }
 
+    /** Gets how long ago a slot of it was claimed last, in milliseconds. */
+    getIdleTime(): number {
+        return this.#clock.getTime() - this.#lastClaim;
+    }
+
     /** Uses a slot. */
     claim(): void {
         this.#running++;
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -15,7 +15,8 @@
 import type { ShareBaselineParams } from "./ShareBaselineParams.js";
 import type { UpstreamStatus } from "./UpstreamStatus.js";
 
-const SHARE_INTERVAL_MS = 5_000;
+/** Twice in the two seconds over which the floor is judged. */
+const SHARE_INTERVAL_MS = 1_000;
 const DEFAULT_WEIGHT = 1;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
@@ -139,6 +140,7 @@
         for (const { service, pool } of this.#pools.values()) {
             if (service === params.service) {
                 pool.baseline.recordRemote(params.zone, params.upstreams);
+                pool.strain.recordRemote(params.zone, params.served);
                 isUsed = true;
             }
         }
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -18,6 +18,7 @@
 import { ServiceBaseline } from "./ServiceBaseline.js";
 import type { ServicePoolOptions } from "./ServicePoolOptions.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
+import { ServiceStrain } from "./ServiceStrain.js";
 import { SlotQueue } from "./SlotQueue.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamAttempt } from "./UpstreamAttempt.js";
@@ -31,12 +32,15 @@
 const READ_AHEAD_BYTES = 256 * 1024;
 /** How many times the share of the slots one rank has that the next lower has. */
 const PRIORITY_FACTOR = 2;
+const FIRST_FAILURE_STATUS = 500;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
 /** The upstreams of a service in one zone with their queue. */
 export class ServicePool {
     /** How the upstreams fare, here and elsewhere. */
     readonly baseline: ServiceBaseline;
+    /** What is served of the service, here and elsewhere. */
+    readonly strain: ServiceStrain;
     readonly #options: ServicePoolOptions;
     readonly #selector: UpstreamSelector;
     readonly #limit = new FirstByteLimit();
@@ -62,11 +66,13 @@
         this.#options = options;
         this.#budget = new RetryBudget(clock);
         this.baseline = new ServiceBaseline(clock);
+        this.strain = new ServiceStrain(clock);
         this.#selector = new UpstreamSelector(policy);
         this.#queue = new SlotQueue({
             clock,
             selector: this.#selector,
-            limit: this.#limit,
+            getFastest: request => this.#routeLatencies.findFast(request.route) ?? this.#limit.getFastest(),
+            getUsual: request => this.#routeLatencies.findUsual(request.route) ?? this.#limit.getFastest(),
             getSlots: () => this.#upstreams.getSlots(),
             getCapacity: () => this.#upstreams.getSlots() * this.#service.queuePerSlot,
         });
@@ -113,9 +119,11 @@
             : await this.#claimSlot(request, signal);
         if (!(slot instanceof PooledUpstream)) {
             this.#recordFinish();
+            this.strain.record(false);
             return this.#createAnswer(this.#refuse(request, slot), undefined, false);
         }
         const outcome = await this.#runOn(slot, request, start + request.timeoutMs, signal);
+        this.#recordServed(request, outcome);
         const isLost = outcome.kind === OutcomeKind.Unknown && outcome.reason === UnknownReason.ConnectionLost;
         return this.#createAnswer(outcome, slot, isLost);
     }
@@ -153,7 +161,12 @@
     }
 
     async #claimSlot(request: ServiceRequest, signal: AbortSignal): Promise<PooledUpstream | NotRunOutcome> {
-        this.#judge.startEarlyTrial(!this.#selector.hasFreeSlot());
+        if (this.strain.isStrained()) {
+            this.#judge.startFloorTrial();
+        }
+        else {
+            this.#judge.startEarlyTrial(!this.#selector.hasFreeSlot());
+        }
         if (!this.#selector.hasCandidate(request)) {
             return createNoUpstream();
         }
@@ -195,6 +208,14 @@
         });
     }
 
+    /** A lookup that has failed here is sent again, and counts with its last attempt. */
+    #recordServed(request: ServiceRequest, outcome: Outcome): void {
+        const isServed = outcome.kind === OutcomeKind.Done && outcome.status < FIRST_FAILURE_STATUS;
+        if (isServed || !request.isIdempotent) {
+            this.strain.record(isServed);
+        }
+    }
+
     #getStalledTime(): number {
         return this.#options.stallMeter?.getStalledTime() ?? 0;
     }
--- /dev/null
+++ b/src/services/ServiceStrain.ts
@@ -0,0 +1,59 @@
+import type { Clock } from "../time/index.js";
+import { ServedMeter } from "./ServedMeter.js";
+import type { ServedSummary } from "./ServedSummary.js";
+
+/** Share of a service's requests that is not served from which on the service is strained; the platform's floor holds from a tenth on. */
+const STRAINED_SHARE = 0.07;
+/** Requests before a share says anything. */
+const MIN_REQUESTS = 10;
+/** What another zone has said counts for this long, in milliseconds: two of its reports. */
+const MAX_AGE_MS = 2_000;
+
+interface RemoteSummary extends ServedSummary {
+    readonly time: number;
+}
+
+/** Tells from what all zones of a service serve whether resting upstreams are needed. */
+export class ServiceStrain {
+    readonly #clock: Clock;
+    readonly #meter: ServedMeter;
+    readonly #remote = new Map<string, RemoteSummary>();
+
+    /** @param clock - The source of time. */
+    constructor(clock: Clock) {
+        this.#clock = clock;
+        this.#meter = new ServedMeter(clock);
+    }
+
+    /**
+     * Records the end of a request in this zone.
+     * @param isServed - Whether it was served.
+     */
+    record(isServed: boolean): void {
+        this.#meter.record(isServed);
+    }
+
+    /**
+     * Records what another zone has served lately.
+     * @param zone - The availability zone.
+     * @param summary - Its figures.
+     */
+    recordRemote(zone: string, summary: ServedSummary): void {
+        this.#remote.set(zone, { ...summary, time: this.#clock.getTime() });
+    }
+
+    /** Gets this zone's figures for the others. */
+    getSummary(): ServedSummary {
+        return { requests: this.#meter.getRequests(), unserved: this.#meter.getUnserved() };
+    }
+
+    /** Whether more of the service's requests are not served than chance explains. */
+    isStrained(): boolean {
+        const oldest = this.#clock.getTime() - MAX_AGE_MS;
+        const remote = [...this.#remote.values()].filter(summary => summary.time >= oldest);
+        const all = [this.getSummary(), ...remote];
+        const requests = all.reduce((sum, summary) => sum + summary.requests, 0);
+        const unserved = all.reduce((sum, summary) => sum + summary.unserved, 0);
+        return requests >= MIN_REQUESTS && unserved > STRAINED_SHARE * requests;
+    }
+}
--- a/src/services/ShareBaselineParams.ts
+++ b/src/services/ShareBaselineParams.ts
@@ -1,3 +1,4 @@
+import type { ServedSummary } from "./ServedSummary.js";
 import type { UpstreamSummary } from "./UpstreamSummary.js";
 
 /** A service host's summary of its part of a service. */
@@ -6,4 +7,5 @@
     /** The availability zone of the upstreams. */
     readonly zone: string;
     readonly upstreams: readonly UpstreamSummary[];
+    readonly served: ServedSummary;
 }
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -5,6 +5,7 @@
 import { CrashMemory } from "./CrashMemory.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { findEarlyTrial } from "./findEarlyTrial.js";
+import { findFloorTrial } from "./findFloorTrial.js";
 import { hasCapacityAboveFloor } from "./hasCapacityAboveFloor.js";
 import { hasWorkingSiblings } from "./hasWorkingSiblings.js";
 import { isBusy } from "./isBusy.js";
@@ -106,12 +107,14 @@
      * @param isShort - Whether requests wait for a slot.
      */
     startEarlyTrial(isShort = false): void {
-        const upstream = this.#isPrompt() ? findEarlyTrial(this.#upstreams, this.#service.floor, isShort) : undefined;
-        if (upstream !== undefined) {
-            this.#backOff.cancel(upstream);
-            upstream.orderTrialTime = this.#options.clock.getTime();
-            this.#startTrials(upstream);
-        }
+        this.#startOrderTrial(
+            this.#isPrompt() ? findEarlyTrial(this.#upstreams, this.#service.floor, isShort) : undefined,
+        );
+    }
+
+    /** Lets orders try a resting upstream, if fewer upstreams than the floor have had a request lately. */
+    startFloorTrial(): void {
+        this.#startOrderTrial(this.#isPrompt() ? findFloorTrial(this.#upstreams, this.#service.floor) : undefined);
     }
 
     /** Stops the timers of ejected upstreams. */
@@ -260,6 +263,14 @@
             : { ...detection, probationMs: busyProbationMs };
     }
 
+    #startOrderTrial(upstream: PooledUpstream | undefined): void {
+        if (upstream !== undefined) {
+            this.#backOff.cancel(upstream);
+            upstream.orderTrialTime = this.#options.clock.getTime();
+            this.#startTrials(upstream);
+        }
+    }
+
     #startTrials(upstream: PooledUpstream): void {
         if (!this.#isBaseline()) {
             upstream.send(UpstreamEvent.Try, "its time out of work has ended");
--- a/src/services/UpstreamSelector.ts
+++ b/src/services/UpstreamSelector.ts
@@ -5,6 +5,10 @@
 
 /** Load that is added to a convicted upstream's, so that it gets work last. */
 const HELD_LOAD = 1;
+/** A convicted upstream without work for this long is tried by the next lookup, in milliseconds. */
+const HELD_LOOKUP_TRIAL_MS = 600;
+/** The same for orders, which a failed trial loses. */
+const HELD_ORDER_TRIAL_MS = 3_000;
 
 /** Selects the upstream for a request among those with a free slot. */
 export class UpstreamSelector {
@@ -64,11 +68,11 @@
     }
 
     #selectLeastLoaded(free: readonly PooledUpstream[], request: ServiceRequest): PooledUpstream | undefined {
-        const trial = free.find(upstream =>
-            upstream.getState() === UpstreamState.Probation && this.#isCandidate(upstream, request)
+        const trials = this.#upstreams.filter(upstream =>
+            upstream.hasFreeSlot() && this.#isTrialDue(upstream, request)
         );
-        if (trial !== undefined) {
-            return trial;
+        if (trials.length > 0) {
+            return trials.sort((left, right) => right.getIdleTime() - left.getIdleTime())[0];
         }
         let best: PooledUpstream | undefined;
         for (const upstream of free) {
@@ -80,6 +84,28 @@
         return best;
     }
 
+    #isTrialDue(upstream: PooledUpstream, request: ServiceRequest): boolean {
+        switch (upstream.getState()) {
+            case UpstreamState.Probation:
+                return this.#isCandidate(upstream, request);
+            case UpstreamState.Held:
+                return this.#isHeldTrialDue(upstream, request);
+            case UpstreamState.Healthy:
+            case UpstreamState.Suspected:
+            case UpstreamState.Ramping:
+            case UpstreamState.Ejected:
+            case UpstreamState.Draining:
+                return false;
+        }
+    }
+
+    /** A convicted upstream gets no work beside others, so that only a trial shows that it has recovered. */
+    #isHeldTrialDue(upstream: PooledUpstream, request: ServiceRequest): boolean {
+        const gapMs = request.isIdempotent ? HELD_LOOKUP_TRIAL_MS : HELD_ORDER_TRIAL_MS;
+        const isDue = upstream.getIdleTime() >= gapMs || upstream.isOrderTrialDue();
+        return this.#policy === EjectionPolicy.Prompt && isDue && request.excludedUpstreams.length === 0;
+    }
+
     #isCandidate(upstream: PooledUpstream, request: ServiceRequest): boolean {
         const isTrial = upstream.getState() === UpstreamState.Probation;
         return !isExcluded(upstream, request) &&
--- /dev/null
+++ b/src/services/findFloorTrial.ts
@@ -0,0 +1,31 @@
+import type { PooledUpstream } from "./PooledUpstream.js";
+import { UpstreamState } from "./UpstreamState.js";
+
+/** An upstream without a request for this long is not in use, in milliseconds; the floor is judged over two seconds. */
+const MAX_IDLE_MS = 1_800;
+const RESTING: ReadonlySet<UpstreamState> = new Set([
+    UpstreamState.Ejected,
+    UpstreamState.Held,
+    UpstreamState.Probation,
+]);
+
+/**
+ * Finds the resting upstream that has had no request for longest, if fewer than the floor had one lately. Upstreams that leave
+ * requests without an answer are left out, as each trial would hold a request until its deadline.
+ * @param upstreams - The upstreams of the pool.
+ * @param floor - Share of the upstreams that should be in use, from 0 to 1.
+ */
+export function findFloorTrial(upstreams: readonly PooledUpstream[], floor: number): PooledUpstream | undefined {
+    const usable = upstreams.filter(upstream =>
+        upstream.getState() !== UpstreamState.Draining && (upstream.isWorking() || upstream.isFailingInTime)
+    );
+    const inUse = usable.filter(upstream => upstream.getIdleTime() < MAX_IDLE_MS).length;
+    if (inUse >= Math.ceil(floor * usable.length)) {
+        return undefined;
+    }
+    const idle = usable.filter(upstream =>
+        upstream.getIdleTime() >= MAX_IDLE_MS && RESTING.has(upstream.getState()) && !upstream.isOrderTrialDue()
+    );
+    idle.sort((left, right) => right.getIdleTime() - left.getIdleTime());
+    return idle[0];
+}
--- a/tests/services/baseline.test.ts
+++ b/tests/services/baseline.test.ts
@@ -6,11 +6,12 @@
 import type { ShareBaselineParams } from "../../src/services/index.js";
 
 const HEALTHY = { errorRate: 0.01, slowRate: 0.01, medianMs: 20 };
+const NOTHING = { requests: 0, unserved: 0 };
 
 test("a lone upstream that is slow is found by what the other zones' service hosts say", async () => {
     const bench = createLoneBench();
     await bench.runLoad(20, 100);
-    const params = { service: "orders", zone: "b", upstreams: [HEALTHY, HEALTHY, HEALTHY] };
+    const params = { service: "orders", zone: "b", upstreams: [HEALTHY, HEALTHY, HEALTHY], served: NOTHING };
     assert.equal(await bench.handlers.run(PeerMethod.ShareBaseline, params), { isUsed: true });
     await bench.runLoad(20, 3_000);
     assert.equal(bench.getStates(), ["ejected"]);
@@ -19,7 +20,12 @@
 test("a lone upstream is not called slow without a baseline, nor by one that is old", async () => {
     const bench = createLoneBench();
     await bench.runLoad(20, 3_000);
-    await bench.handlers.run(PeerMethod.ShareBaseline, { service: "orders", zone: "b", upstreams: [HEALTHY] });
+    await bench.handlers.run(PeerMethod.ShareBaseline, {
+        service: "orders",
+        zone: "b",
+        upstreams: [HEALTHY],
+        served: NOTHING,
+    });
     await bench.clock.run(31_000);
     await bench.runLoad(20, 3_000);
     assert.equal(bench.getStates(), ["healthy"]);
@@ -30,7 +36,7 @@
     await bench.runLoad(100, 1_000);
     const failing = { errorRate: 0.4, slowRate: 0, medianMs: 20 };
     const upstreams = [failing, failing, failing, failing, failing, failing];
-    await bench.handlers.run(PeerMethod.ShareBaseline, { service: "orders", zone: "b", upstreams });
+    await bench.handlers.run(PeerMethod.ShareBaseline, { service: "orders", zone: "b", upstreams, served: NOTHING });
     ["u0", "u1", "u2", "u3", "u4"].forEach(name => bench.upstreams.applyFaults(name, { errorRate: 0.4 }));
     await bench.runLoad(100, 20_000);
     assert.ok(bench.getStates().every(state => state !== "ejected" && state !== "probation"));
@@ -51,9 +57,10 @@
     bench.host.start();
     await bench.runLoad(100, 4_000);
     bench.host.stop();
-    assert.equal(sent.map(({ address }) => address), ["host-of-b"]);
-    assert.is(sent[0]!.params.zone, "a");
-    assert.is(sent[0]!.params.upstreams.length, 5);
+    assert.equal(sent.map(({ address }) => address), Array(6).fill("host-of-b"));
+    assert.ok(sent.every(({ params }) => params.zone === "a"));
+    assert.is(sent[3]!.params.upstreams.length, 5);
+    assert.ok(sent[3]!.params.served.requests > 100 && sent[3]!.params.served.unserved === 0);
 });
 
 test.run();
--- a/tests/services/promptEjection.test.ts
+++ b/tests/services/promptEjection.test.ts
@@ -1,8 +1,10 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import type { FakeUpstreamFaults } from "../../src/fakes/index.js";
 import { ServiceBench } from "../../src/fakes/index.js";
 import { GATEWAY_SERVICE } from "../../src/gateway/index.js";
 import { OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
+import { PeerMethod } from "../../src/peers/index.js";
 import { EjectionPolicy } from "../../src/services/index.js";
 import type { ServiceAnswer, ServiceRequest } from "../../src/services/index.js";
 
@@ -152,6 +154,48 @@
     );
 });
 
+for (const lookupsPerSecond of [0, 4]) {
+    test(`an upstream that the floor kept is tried until it has recovered, with ${lookupsPerSecond} lookups a second`, async () => {
+        for (const seed of [1, 2, 3, 4, 5, 6]) {
+            const bench = createBench(EjectionPolicy.Prompt, seed, UPSTREAMS, 0);
+            const orders = bench.sendLoad(8, 60_000, ORDER);
+            const lookups = lookupsPerSecond === 0
+                ? Promise.resolve([])
+                : bench.sendLoad(lookupsPerSecond, 60_000, { route: "public", timeoutMs: 1_100 });
+            applyToOthers(bench, FAILS_AT_ONCE);
+            while (!bench.getStates().includes("held")) {
+                await bench.clock.run(10);
+            }
+            applyToOthers(bench, {});
+            await bench.clock.run(30_000);
+            assert.equal(new Set(bench.getStates()), new Set(["healthy"]), `seed ${seed}`);
+            await bench.clock.run(30_000 + END_MS);
+            await Promise.all([orders, lookups]);
+        }
+    });
+}
+
+test("while another zone serves too little, orders too try resting upstreams, so that seven in ten are in use", async () => {
+    const bench = createBench(EjectionPolicy.Prompt, 10, UPSTREAMS, 0);
+    const orders = bench.sendLoad(40, 30_000, ORDER);
+    bench.upstreams.applyFaults("u1", FAILS_AT_ONCE);
+    bench.upstreams.applyFaults("u2", FAILS_AT_ONCE);
+    const used: Set<string>[] = [];
+    for (let second = 0; second < 30; second++) {
+        const served = { requests: 50, unserved: 20 };
+        const params = { service: "orders", zone: "b", upstreams: [], served };
+        await bench.handlers.run(PeerMethod.ShareBaseline, params);
+        const start = bench.clock.getTime();
+        await bench.clock.run(1_000);
+        const records = bench.upstreams.records.filter(record => record.time >= start - 1_000);
+        used.push(new Set(records.map(record => record.upstream)));
+    }
+    await bench.clock.run(END_MS);
+    await orders;
+    const tooFew = used.slice(2).filter(names => names.size < 0.7 * UPSTREAMS);
+    assert.is(tooFew.length, 0, `${tooFew.length} of 28 spans of two seconds`);
+});
+
 test("a new registration ends nobody's time out of work", async () => {
     const bench = createBench(EjectionPolicy.Prompt, 1);
     await runOrders(bench, 20, 2_000);
@@ -183,6 +227,13 @@
     return await load;
 }
 
+/** Applies faults to all upstreams but the first. */
+function applyToOthers(bench: ServiceBench, faults: FakeUpstreamFaults): void {
+    for (let index = 1; index < UPSTREAMS; index++) {
+        bench.upstreams.applyFaults(`u${index}`, faults);
+    }
+}
+
 interface Loss {
     failed: number;
     refused: number;
