Tell a call that found no process from one that was lost

Cause: the JSON-RPC client passes on an error's message only, so that no failed call was ever known as not sent.

Change: the transport keeps what the HTTP client threw. The log's hostname is the host's id, a refusal above the rate names the part of the rate that it rests on, and watchers log hosts that fall silent and answer again. A service host that is lost with a request is logged with the request's id.

--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -112,6 +112,7 @@
                 return createAnswer(createUnknown(UnknownReason.DeadlineExceeded, detail));
             }
             this.#suspicion.recordSilent(host.peerAddress);
+            this.#recordHostFailure(host, request, "service-host-lost", error);
             const isNotSent = error instanceof PeerUnavailableError && error.isNotSent;
             return isNotSent ? undefined : createAnswer(await this.#findLostOutcome(host, call, sent));
         }
@@ -131,18 +132,28 @@
         }
         catch (error) {
             this.#suspicion.recordSilent(host.peerAddress);
-            this.#options.decisionLog.record({
-                decision: Decision.DependencyChanged,
-                reason: "service-host-silent",
-                requestId: call.request.requestId,
-                service: call.service.name,
-                member: host.id,
-                figures: { error: error instanceof Error ? error.message : String(error) },
-            });
+            const { requestId } = call.request;
+            this.#recordHostFailure(host, { requestId, service: call.service.name }, "service-host-silent", error);
             return false;
         }
     }
 
+    #recordHostFailure(
+        host: Member,
+        { requestId, service }: Pick<ServiceRequest, "requestId" | "service">,
+        reason: string,
+        error: unknown,
+    ): void {
+        this.#options.decisionLog.record({
+            decision: Decision.DependencyChanged,
+            reason,
+            requestId,
+            service,
+            member: host.id,
+            figures: { error: error instanceof Error ? error.message : String(error) },
+        });
+    }
+
     /** Gives a host up as soon as it is known not to answer, so that a lookup can still be served elsewhere. */
     async #runWhileReachable(host: Member, answer: Promise<ServiceAnswer>): Promise<ServiceAnswer> {
         const { clock, membership } = this.#options;
--- a/src/bin/fuchsiapath-entry.ts
+++ b/src/bin/fuchsiapath-entry.ts
@@ -42,7 +42,7 @@
 }
 
 async function runEntryHost(entrySettings: EntrySettings): Promise<void> {
-    const logger = createLogger("fuchsiapath-entry", entrySettings.logLevel);
+    const logger = createLogger("fuchsiapath-entry", entrySettings.logLevel, process.stderr, entrySettings.id);
     const entry = new EntryProcess(entrySettings, logger);
     await entry.start();
     const stop = (): void => {
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -6,6 +6,7 @@
 import { Decision } from "../logging/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import type { RateBasis } from "../rates/index.js";
 import { runWithTimeout } from "../time/index.js";
 import type { GatewayCall } from "./GatewayCall.js";
 import type { GatewayOptions } from "./GatewayOptions.js";
@@ -31,6 +32,8 @@
     readonly startTime: number;
     route?: string;
     account?: string | undefined;
+    /** Which part of the account's rate it was refused by. */
+    rateBasis?: RateBasis | undefined;
 }
 
 /** Checks callers' requests, admits them by their accounts' rates and sends them to service hosts. */
@@ -104,7 +107,7 @@
         const timeoutMs = Math.min(call.timeoutMs ?? route.deadlineMs, route.deadlineMs);
         const remainingMs = context.startTime + timeoutMs - this.#options.clock.getTime();
         const request = createRequest(call, route, account, body, remainingMs);
-        return await this.#runInTime(request, remainingMs, signal);
+        return await this.#runInTime(request, remainingMs, context, signal);
     }
 
     #getConfiguration(): SuppliedConfiguration {
@@ -119,28 +122,33 @@
         return configuration;
     }
 
-    async #runInTime(request: CallerRequest, timeoutMs: number, callerSignal: AbortSignal): Promise<Outcome> {
+    async #runInTime(
+        request: CallerRequest,
+        timeoutMs: number,
+        context: CallContext,
+        callerSignal: AbortSignal,
+    ): Promise<Outcome> {
         const timeout = new AbortController();
         const signal = AbortSignal.any([callerSignal, timeout.signal]);
-        const run = this.#runAdmitted(request, signal);
+        const run = this.#runAdmitted(request, context, signal);
         return await runWithTimeout<Outcome>(this.#options.clock, timeoutMs + FINAL_ANSWER_MS, run, () => {
             timeout.abort(new Error("The deadline has passed."));
             return createUnknown(UnknownReason.DeadlineExceeded, "No answer came before the deadline.");
         });
     }
 
-    async #runAdmitted(request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+    async #runAdmitted(request: CallerRequest, context: CallContext, signal: AbortSignal): Promise<Outcome> {
         const account = request.account?.name ?? ANONYMOUS_ACCOUNT;
         const deadline = this.#options.clock.getTime() + request.timeoutMs;
         const fingerprint = getFingerprint(account, request);
         if (request.account !== undefined) {
-            await this.#admit(request.account, request.route, fingerprint);
+            await this.#admit(request.account, request.route, fingerprint, context);
         }
         const call = this.#createCall(request, account, deadline, fingerprint);
         return await this.#options.dispatcher.run(call, signal);
     }
 
-    async #admit(account: Account, route: Route, fingerprint: string): Promise<void> {
+    async #admit(account: Account, route: Route, fingerprint: string, context: CallContext): Promise<void> {
         const { clock, limiter } = this.#options;
         const maxWaitMs = TOKEN_WAIT_SHARE * (route.targetMs ?? route.deadlineMs);
         const decision = await limiter.admit(account, { fingerprint, maxWaitMs });
@@ -153,6 +161,7 @@
         if (decision.isQuarantined === true) {
             throw new RefusalError(RefusalReason.RequestQuarantined, "This request has crashed upstreams.");
         }
+        context.rateBasis = decision.basis;
         const detail =
             `Account ${account.name} is above its rate of ${account.rate}/s with a burst of ${account.burst}.`;
         throw new RefusalError(RefusalReason.RateExceeded, detail, decision.retryAfterMs);
@@ -183,7 +192,11 @@
             requestId: context.requestId,
             account: context.account,
             version: getConfiguration()?.version,
-            figures: { ms: Math.round(clock.getTime() - context.startTime), route: context.route ?? "" },
+            figures: {
+                ms: Math.round(clock.getTime() - context.startTime),
+                route: context.route ?? "",
+                ...(context.rateBasis === undefined ? {} : { rateBasis: context.rateBasis }),
+            },
         };
         switch (outcome.kind) {
             case OutcomeKind.Done:
--- a/src/logging/createLogger.ts
+++ b/src/logging/createLogger.ts
@@ -6,12 +6,15 @@
  * @param name - The program's name.
  * @param level - The lowest level that is written.
  * @param sink - Where to; standard error unless it is given.
+ * @param host - The host's id; the machine's name unless it is given.
  */
 export function createLogger(
     name: string,
     level: bunyan.LogLevelString = "info",
     sink: LogSink = process.stderr,
+    host?: string,
 ): bunyan {
     const streams = [{ level, stream: sink as NodeJS.WritableStream }];
-    return bunyan.createLogger({ name, streams, serializers: { err: bunyan.stdSerializers.err } });
+    const fields = host === undefined ? { name } : { name, hostname: host };
+    return bunyan.createLogger({ ...fields, streams, serializers: { err: bunyan.stdSerializers.err } });
 }
--- a/src/peers/HttpPeerTransport.ts
+++ b/src/peers/HttpPeerTransport.ts
@@ -11,6 +11,8 @@
 interface CallTarget {
     readonly address: string;
     readonly signal: AbortSignal;
+    /** What the HTTP client threw; the JSON-RPC client passes on its message only. */
+    error?: unknown;
 }
 
 /** Sends JSON-RPC calls to other entry hosts over kept HTTP connections. */
@@ -42,15 +44,16 @@
         timeoutMs: number,
     ): Promise<PeerMethods[M]["result"]> {
         const controller = new AbortController();
+        const target: CallTarget = { address, signal: controller.signal };
         const timer = this.#clock.schedule(timeoutMs, () => controller.abort(new Error("The call timed out.")));
         try {
-            return await this.#client.request(method, params, { address, signal: controller.signal });
+            return await this.#client.request(method, params, target);
         }
         catch (error) {
             if (controller.signal.aborted) {
                 this.#connections.remove(address);
             }
-            throw createPeerError(address, error);
+            throw createPeerError(address, target.error ?? error);
         }
         finally {
             timer.cancel();
@@ -58,13 +61,19 @@
     }
 
     async #sendPayload(payload: unknown, target: CallTarget): Promise<void> {
-        const response = await this.#connections.get(target.address).request({
-            method: "POST",
-            path: peerProtocol.callPath,
-            headers: { "content-type": "application/json", [peerProtocol.secretHeader]: this.#secret },
-            body: JSON.stringify(payload),
-            signal: target.signal,
-        });
-        this.#client.receive(await response.body.json() as never);
+        try {
+            const response = await this.#connections.get(target.address).request({
+                method: "POST",
+                path: peerProtocol.callPath,
+                headers: { "content-type": "application/json", [peerProtocol.secretHeader]: this.#secret },
+                body: JSON.stringify(payload),
+                signal: target.signal,
+            });
+            this.#client.receive(await response.body.json() as never);
+        }
+        catch (error) {
+            target.error = error;
+            throw error;
+        }
     }
 }
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -3,6 +3,7 @@
 import type { Member } from "../membership/index.js";
 import { PeerMethod, PeerSuspicion } from "../peers/index.js";
 import type { AdmitOptions } from "./AdmitOptions.js";
+import { RateBasis } from "./RateBasis.js";
 import type { RateDecision } from "./RateDecision.js";
 import type { RateGrant } from "./RateGrant.js";
 import type { RateLimiter } from "./RateLimiter.js";
@@ -32,6 +33,8 @@
     readonly #options: RateLimiterOptions;
     readonly #owned = new Map<string, TokenBucket>();
     readonly #parts = new Map<string, TokenBucket>();
+    /** When this host first spent for an account as its owner, in milliseconds of the clock. */
+    readonly #ownedSince = new Map<string, number>();
     readonly #suspicion: PeerSuspicion;
 
     /** @param options - What the limiter works with. */
@@ -48,10 +51,10 @@
      */
     async admit(account: Account, options?: AdmitOptions): Promise<RateDecision> {
         const time = this.#options.clock.getTime();
-        const { isSpent, waitMs, retryAfterMs, isQuarantined } = await this.#spend(account, options);
+        const { isSpent, waitMs, retryAfterMs, isQuarantined, basis } = await this.#spend(account, options);
         return isSpent
             ? { isAdmitted: true, grant: { time }, waitMs }
-            : { isAdmitted: false, retryAfterMs, isQuarantined };
+            : { isAdmitted: false, retryAfterMs, isQuarantined, basis };
     }
 
     /**
@@ -118,13 +121,14 @@
 
     #spendOwned(params: SpendTokenParams): SpendTokenResult {
         if (params.fingerprint !== undefined && this.#options.isQuarantined?.(params.fingerprint) === true) {
-            return { isSpent: false, waitMs: 0, retryAfterMs: 0, isQuarantined: true };
+            return { isSpent: false, waitMs: 0, retryAfterMs: 0, isQuarantined: true, basis: RateBasis.Whole };
         }
         if (!this.#isOwner(params.account)) {
             return this.#spendPart(params);
         }
         const { rate, burst } = this.#options.getConfiguration().getAccount(params.account) ?? params;
-        return this.#spendFrom(this.#owned, params, { rate, burst });
+        const result = this.#spendFrom(this.#owned, params, { rate, burst });
+        return this.#isFilling(params.account, { rate, burst }) ? { ...result, basis: RateBasis.NewOwner } : result;
     }
 
     /** Whether this host is the first owner that may be alive, and not one that a partition has left alone. */
@@ -139,7 +143,14 @@
     #spendPart(params: SpendTokenParams): SpendTokenResult {
         const hosts = Math.max(1, this.#options.membership.getView().members.length);
         const burst = Math.max(MIN_PART_BURST, params.burst / hosts);
-        return this.#spendFrom(this.#parts, params, { rate: params.rate / hosts, burst });
+        const result = this.#spendFrom(this.#parts, params, { rate: params.rate / hosts, burst });
+        return { ...result, basis: RateBasis.Part };
+    }
+
+    /** Whether this host has owned the account for less time than its burst takes to fill. */
+    #isFilling(account: string, { rate, burst }: RateShare): boolean {
+        const since = this.#ownedSince.get(account) ?? Number.NEGATIVE_INFINITY;
+        return this.#options.clock.getTime() - since < burst / rate * MS_PER_SECOND;
     }
 
     #spendFrom(
@@ -147,18 +158,22 @@
         params: SpendTokenParams,
         { rate, burst }: RateShare,
     ): SpendTokenResult {
+        const base = { waitMs: 0, retryAfterMs: 0, isQuarantined: false, basis: RateBasis.Whole };
         if (rate === 0) {
-            return { isSpent: true, waitMs: 0, retryAfterMs: 0, isQuarantined: false };
+            return { ...base, isSpent: true };
         }
         const now = this.#options.clock.getTime();
         const share = { rate, burst: Math.max(1, burst) };
         const startTokens = Math.max(1, rate * START_REFILL_MS / MS_PER_SECOND);
         const bucket = buckets.get(params.account) ?? new TokenBucket(share, startTokens, now);
+        if (buckets === this.#owned && !buckets.has(params.account)) {
+            this.#ownedSince.set(params.account, now);
+        }
         buckets.set(params.account, bucket);
         bucket.applyShare(share, now);
         const waitMs = bucket.spendAhead(now, params.maxWaitMs);
         return waitMs === undefined
-            ? { isSpent: false, waitMs: 0, retryAfterMs: Math.ceil(bucket.getWait(now)), isQuarantined: false }
-            : { isSpent: true, waitMs, retryAfterMs: 0, isQuarantined: false };
+            ? { ...base, isSpent: false, retryAfterMs: Math.ceil(bucket.getWait(now)) }
+            : { ...base, isSpent: true, waitMs };
     }
 }
--- a/src/rates/SpendTokenResult.ts
+++ b/src/rates/SpendTokenResult.ts
@@ -1,3 +1,5 @@
+import type { RateBasis } from "./RateBasis.js";
+
 /** Whether a token was spent. */
 export interface SpendTokenResult {
     readonly isSpent: boolean;
@@ -7,4 +9,5 @@
     readonly retryAfterMs: number;
     /** Whether the request is refused for good, since it crashes upstreams. */
     readonly isQuarantined: boolean;
+    readonly basis: RateBasis;
 }
--- a/src/rates/index.ts
+++ b/src/rates/index.ts
@@ -5,6 +5,7 @@
 export type { HandOverRatesParams } from "./HandOverRatesParams.js";
 export type { HandOverRatesResult } from "./HandOverRatesResult.js";
 export { OwnedRateLimiter } from "./OwnedRateLimiter.js";
+export { RateBasis } from "./RateBasis.js";
 export type { RateDecision } from "./RateDecision.js";
 export type { RateGrant } from "./RateGrant.js";
 export type { RateLimiter } from "./RateLimiter.js";
--- a/src/replica/PushPeers.ts
+++ b/src/replica/PushPeers.ts
@@ -1,3 +1,4 @@
+import { Decision } from "../logging/index.js";
 import type { Member } from "../membership/index.js";
 import { PeerMethod } from "../peers/index.js";
 import { createParts } from "./createParts.js";
@@ -135,13 +136,25 @@
                 PUSH_TIMEOUT_MS,
             );
             target.revision = result.revision;
+            if (target.failures >= FAILURES) {
+                this.#recordContact(member, "host-answers", { failures: target.failures });
+            }
             target.failures = 0;
             return true;
         }
-        catch {
-            // The failure is counted; from the second in a row on the host is reported as unreachable.
+        catch (error) {
             target.failures++;
+            if (target.failures === FAILURES && !target.isStopped) {
+                this.#recordContact(member, "host-silent", {
+                    error: error instanceof Error ? error.message : String(error),
+                });
+            }
             return false;
         }
     }
+
+    #recordContact(member: Member, reason: string, figures: Readonly<Record<string, number | string>>): void {
+        const { decisions } = this.#options;
+        decisions.record({ decision: Decision.DependencyChanged, reason, member: member.id, figures });
+    }
 }
