Explain a request from the log files of several hosts

`fuchsiapath explain REQUEST-ID FILE...` reads the logs, orders the lines by attempt and by their place in each host's file, not by clocks, and names the cause with the lines that show it; `--json` for tools. Lines that can't be read are reported with file and line.

tests/platform/explain.test.ts kills a service host, lets all upstreams of a service fail and stops an account's owner, with real processes, and checks that the cause that it made is the one that is named. The set-up of the edge processes moved to tests/platform/support/EdgeFleet.ts.

--- /dev/null
+++ b/src/explanation/index.ts
@@ -0,0 +1,10 @@
+export type { Cause } from "./Cause.js";
+export { CauseKind } from "./CauseKind.js";
+export type { Explanation } from "./Explanation.js";
+export { findCausalOrder } from "./findCausalOrder.js";
+export { findCause } from "./findCause.js";
+export { findExplanation } from "./findExplanation.js";
+export { formatExplanation } from "./formatExplanation.js";
+export type { LoggedDecision } from "./LoggedDecision.js";
+export { parseLogLine } from "./parseLogLine.js";
+export { readLogs } from "./readLogs.js";
--- a/src/operators/commands/CommandRunner.ts
+++ b/src/operators/commands/CommandRunner.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { type ChangeAnswer, ChangeAnswerKind, type ConfigurationDocument } from "../../configuration/index.js";
 import { type Finding, FindingsError, OperatorUnreachableError, UnexpectedVariantError } from "../../errors/index.js";
+import { CauseKind, findExplanation, formatExplanation } from "../../explanation/index.js";
 import { ExitCode } from "../ExitCode.js";
 import type { OperatorAnswer } from "../OperatorAnswer.js";
 import { OperatorClient } from "../OperatorClient.js";
@@ -63,6 +64,21 @@
         return ExitCode.Done;
     }
 
+    /**
+     * Explains from log files what became of a request, and writes it.
+     * @param options - The options of all commands.
+     * @param requestId - The request.
+     * @param files - Log files of the hosts.
+     */
+    async runExplanation(options: GlobalOptions, requestId: string, files: readonly string[]): Promise<ExitCode> {
+        if (files.length === 0) {
+            throw new FindingsError([{ place: "files", message: "explain needs the hosts' log files beside an id" }]);
+        }
+        const explanation = await findExplanation(requestId, files);
+        this.write(options, explanation, formatExplanation);
+        return explanation.cause.kind === CauseKind.NotFound ? ExitCode.Refused : ExitCode.Done;
+    }
+
     /**
      * Reads the document in force with its version.
      * @param options - The options of all commands.
--- a/src/operators/commands/addStateCommands.ts
+++ b/src/operators/commands/addStateCommands.ts
@@ -24,21 +24,26 @@
                 }),
         )
         .command(
-            "explain",
-            "show why an entry host took its decisions, oldest first",
+            "explain [id] [files..]",
+            "show why an entry host took its decisions; with a request's id and log files, what became of the request",
             builder =>
-                builder.option("request-id", { type: "string", describe: "decisions on this request" })
+                builder.positional("id", { type: "string", describe: "a request, as the log files name it" })
+                    .positional("files", { type: "string", array: true, describe: "log files of all hosts" })
+                    .option("request-id", { type: "string", describe: "decisions on this request" })
                     .option("account", { type: "string", describe: "decisions on this client account" })
                     .option("service", { type: "string", describe: "decisions on this service" })
                     .option("upstream", { type: "string", describe: "decisions on this upstream" })
                     .option("member", { type: "string", describe: "decisions on this entry host" }),
             options =>
-                runner.run(options, () => {
-                    const { requestId, account, service, upstream, member } = options;
+                runner.run(options, async () => {
+                    const { id, files, requestId, account, service, upstream, member } = options;
+                    if (id !== undefined) {
+                        return await runner.runExplanation(options, id, files ?? []);
+                    }
                     const fields = Object.entries({ requestId, account, service, upstream, member })
                         .filter((field): field is [string, string] => field[1] !== undefined);
                     const query = new URLSearchParams(fields).toString();
-                    return runner.writeResource(options, `/v1/explain?${query}`, formatDecisions);
+                    return await runner.writeResource(options, `/v1/explain?${query}`, formatDecisions);
                 }),
         )
         .command(
--- /dev/null
+++ b/tests/platform/explain.test.ts
@@ -0,0 +1,119 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { CauseKind, findExplanation } from "../../src/explanation/index.js";
+import type { Explanation } from "../../src/explanation/index.js";
+import { RendezvousTable } from "../../src/membership/RendezvousTable.js";
+import { createMember } from "../support/createMember.js";
+import { createDocument } from "./support/createDocument.js";
+import { EdgeFleet } from "./support/EdgeFleet.js";
+import type { EdgeProcess } from "./support/EdgeProcess.js";
+
+const HOSTS = 3;
+/** Long enough to kill a host while an order runs. */
+const ORDER_MS = 1_500;
+
+const test = suite("explaining failures of real processes");
+const fleet = new EdgeFleet();
+const { upstreams } = fleet;
+
+test.before(() => fleet.start(HOSTS, ["catalogue", "orders"]));
+
+test.after(() => fleet.stop());
+
+test("an order whose service host was killed", async () => {
+    const service = await findServiceHost("orders");
+    const entry = fleet.hosts.find(host => host !== service)!;
+    upstreams.forEach(upstream => (upstream.delayMs = ORDER_MS));
+    const answer = fleet.send(entry, "/order/1", { method: "POST", body: "x", id: "killed" });
+    await fleet.waitUntil(async () =>
+        [...upstreams.values()].some(({ seen }) => seen.some(item => item.id === "killed"))
+    );
+    service.send("SIGKILL");
+    await service.waitForEnd();
+    assert.is((await answer).status, 502);
+    upstreams.forEach(upstream => (upstream.delayMs = 0));
+    await service.start();
+    await fleet.waitUntil(() => fleet.isReady(service));
+    const { cause } = await findCause("killed");
+    assert.is(cause.kind, CauseKind.ServiceHostLost);
+    assert.match(cause.summary, service.id);
+    assert.ok(cause.evidence.some(item => item.host === service.id && item.decision === "started"));
+});
+
+test("a lookup that is refused while a service is short of sound upstreams", async () => {
+    const failing = [...upstreams.values()].filter(({ id }) => id.startsWith("i-catalogue"));
+    failing.forEach(upstream => (upstream.isFailing = true));
+    let index = 0;
+    await fleet.waitUntil(async () =>
+        (await fleet.send(fleet.hosts[0]!, "/lookup/s", { id: `s${++index}` })).status === 503
+    );
+    const { path, cause } = await findCause(`s${index}`);
+    assert.is(cause.kind, CauseKind.ServiceShort);
+    assert.equal(cause.evidence.map(item => item.upstream).sort(), failing.map(({ id }) => id));
+    assert.ok(cause.evidence.every(item => /status 500/.test(item.reason)));
+    assert.is(path.at(-1)!.decision, "refused");
+    failing.forEach(upstream => (upstream.isFailing = false));
+    await fleet.waitUntil(async () => (await fleet.send(fleet.hosts[0]!, "/lookup/s")).status === 200);
+});
+
+test("a refusal inside the rate after the account's owner was cut off", async () => {
+    const tenants = { clogs: { api_keys: ["key-1"], rate_per_s: 4, burst: 40 } };
+    fleet.store.write("op/config", createDocument({ version: 20, tenants }));
+    await fleet.waitUntil(async () =>
+        fleet.hosts.every(host => /"configuration-applied".*"version":20/.test(host.getLog()))
+    );
+    const owner = findOwner("clogs");
+    const entry = fleet.hosts.find(host => host !== owner)!;
+    owner.send("SIGSTOP");
+    const ids = Array.from({ length: 12 }, (_, index) => `r${index}`);
+    const answers = await Promise.all(ids.map(id => fleet.send(entry, "/lookup/r", { id })));
+    owner.send("SIGCONT");
+    const refused = ids.filter((_, index) => answers[index]!.status === 429);
+    assert.ok(refused.length > 0 && refused.length < 40);
+    for (const id of refused) {
+        const { cause } = await findCause(id);
+        assert.is(cause.kind, CauseKind.RateOwnerLost);
+        assert.ok(cause.evidence.some(item => item.member === owner.id), `${owner.id} is named`);
+    }
+});
+
+test("a failed order is put down to its upstream, with what was believed of it", async () => {
+    const failing = [...upstreams.values()].filter(({ id }) => id.startsWith("i-orders"));
+    failing.forEach(upstream => (upstream.isFailing = true));
+    fleet.store.write("op/config", createDocument({ version: 21 }));
+    let index = 0;
+    const send = async (): Promise<boolean> => {
+        const options = { method: "POST", body: "x", id: `o${++index}` } as const;
+        return (await fleet.send(fleet.hosts[1]!, "/order/o", options)).status === 500;
+    };
+    await fleet.waitUntil(send);
+    const { cause } = await findCause(`o${index}`);
+    assert.is(cause.kind, CauseKind.UpstreamFailed);
+    assert.match(cause.summary, /Upstream i-orders-\d of orders answered with status 500/);
+});
+
+test.run();
+
+/** Reads the logs until the host that took the request in has written its answer. */
+async function findCause(id: string): Promise<Explanation> {
+    let explanation: Explanation | undefined;
+    await fleet.waitUntil(async () => {
+        explanation = await findExplanation(id, fleet.writeLogs());
+        return ![CauseKind.NotFound, CauseKind.HostEnded].includes(explanation.cause.kind);
+    });
+    return explanation!;
+}
+
+/** Finds the host that sends the orders of a service on, by its log. */
+async function findServiceHost(service: string): Promise<EdgeProcess> {
+    const isSent = (host: EdgeProcess): boolean => new RegExp(`"dispatched".*"${service}"`).test(host.getLog());
+    await fleet.send(fleet.hosts[0]!, "/order/first", { method: "POST", body: "x" });
+    await fleet.waitUntil(async () => fleet.hosts.some(isSent));
+    return fleet.hosts.find(isSent)!;
+}
+
+function findOwner(account: string): EdgeProcess {
+    const members = fleet.hosts.map(({ id }, index) => ({ ...createMember(index), id, zone: "zone-a" }));
+    const [first] = new RendezvousTable(members).selectAcrossZones(`account ${account}`, 1);
+    return fleet.hosts.find(({ id }) => id === first!.id)!;
+}
--- /dev/null
+++ b/tests/platform/support/EdgeFleet.ts
@@ -0,0 +1,145 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as wait } from "node:timers/promises";
+import { Agent, request } from "undici";
+import * as assert from "uvu/assert";
+import { createDocument } from "./createDocument.js";
+import { createRegistration } from "./createRegistration.js";
+import type { EdgeAnswer } from "./EdgeAnswer.js";
+import { EdgeProcess } from "./EdgeProcess.js";
+import type { EdgeSendOptions } from "./EdgeSendOptions.js";
+import { StandInStore } from "./StandInStore.js";
+import { StandInUpstream } from "./StandInUpstream.js";
+
+const POLL_MS = 50;
+/** Far above all bounds, so that a busy machine does not decide. */
+const LIMIT_MS = 30_000;
+
+/** Entry hosts as processes, before a store and upstreams of the tests' own. */
+export class EdgeFleet {
+    readonly store = new StandInStore();
+    readonly upstreams = new Map<string, StandInUpstream>();
+    hosts: EdgeProcess[] = [];
+    readonly #folder = mkdtempSync(join(tmpdir(), "fuchsiapath-edge-"));
+    readonly #addresses = new Map<string, string>();
+    #nextRequest = 0;
+
+    /**
+     * Starts the hosts, and two upstreams for each service; waits until all are ready and know each other.
+     * @param hosts - How many hosts.
+     * @param services - The services.
+     */
+    async start(hosts: number, services: readonly string[]): Promise<void> {
+        const address = await this.store.start();
+        this.store.write("op/config", createDocument());
+        for (const service of services) {
+            await this.#addUpstream(`i-${service}-1`, service);
+            await this.#addUpstream(`i-${service}-2`, service);
+        }
+        this.hosts = Array.from(
+            { length: hosts },
+            (_, index) => new EdgeProcess(`edge-${index}`, address, this.#folder),
+        );
+        await Promise.all(this.hosts.map(host => host.start()));
+        await this.waitUntil(async () =>
+            (await Promise.all(this.hosts.map(host => this.isReady(host)))).every(Boolean)
+        );
+        await this.waitUntil(async () => (await this.findAddresses(this.hosts[0]!)).length === hosts);
+    }
+
+    /** Stops all at once. */
+    async stop(): Promise<void> {
+        await Promise.all(this.hosts.map(host => host.stop()));
+        await Promise.all([...this.upstreams.values()].map(upstream => upstream.stop()));
+        await this.store.stop();
+        rmSync(this.#folder, { recursive: true });
+    }
+
+    /**
+     * Publishes the entry of an upstream.
+     * @param id - The upstream.
+     * @param service - Its service.
+     * @param change - What differs from the usual entry.
+     */
+    publishUpstream(id: string, service: string, change: Record<string, unknown> = {}): void {
+        this.store.write(`servers/${id}`, createRegistration({ service, addr: this.#addresses.get(id), ...change }));
+    }
+
+    /**
+     * Sends one request on a connection of its own.
+     * @param host - Where to.
+     * @param path - The path.
+     * @param options - What differs from a lookup with a valid key.
+     */
+    async send(host: EdgeProcess, path: string, options: EdgeSendOptions = {}): Promise<EdgeAnswer> {
+        const key = "key" in options ? options.key : "key-1";
+        const dispatcher = new Agent({ pipelining: 0 });
+        const answer = await request(`http://${host.callerAddress}${path}`, {
+            dispatcher,
+            method: options.method ?? "GET",
+            body: options.method === "POST" ? options.body : null,
+            headers: {
+                "host": "shop.example",
+                "fuchsiapath-attempt-id": options.id ?? `a${this.#nextRequest++}`,
+                "fuchsiapath-deadline-ms": "2500",
+                ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
+            },
+        });
+        const body = await answer.body.text();
+        void dispatcher.close();
+        return { status: answer.statusCode, headers: answer.headers, body };
+    }
+
+    /**
+     * Whether a host says that it is ready.
+     * @param host - The host.
+     */
+    async isReady(host: EdgeProcess): Promise<boolean> {
+        return await request(`http://${host.readyAddress}/fuchsiapath/ready`).then(
+            async answer => {
+                await answer.body.dump();
+                return answer.statusCode === 200;
+            },
+            () => false,
+        );
+    }
+
+    /**
+     * Finds the addresses that a host tells callers.
+     * @param host - The host.
+     */
+    async findAddresses(host: EdgeProcess): Promise<readonly string[]> {
+        const query = "name=shop.example&region=region-1&zone=zone-a";
+        const answer = await request(`http://${host.lookupAddress}/fuchsiapath/resolve?${query}`);
+        return ((await answer.body.json()) as { addrs: string[]; }).addrs;
+    }
+
+    /** Writes what the hosts have logged so far into files and returns their paths. */
+    writeLogs(): readonly string[] {
+        return this.hosts.map(host => {
+            const file = join(this.#folder, `${host.id}.log`);
+            writeFileSync(file, host.getLog());
+            return file;
+        });
+    }
+
+    /**
+     * Waits until a condition is true.
+     * @param isDone - The condition.
+     */
+    async waitUntil(isDone: () => Promise<boolean>): Promise<void> {
+        const end = Date.now() + LIMIT_MS;
+        while (!(await isDone())) {
+            assert.ok(Date.now() < end, "the condition did not come true");
+            await wait(POLL_MS);
+        }
+    }
+
+    async #addUpstream(id: string, service: string): Promise<void> {
+        const upstream = new StandInUpstream(id);
+        this.upstreams.set(id, upstream);
+        this.#addresses.set(id, await upstream.start());
+        this.publishUpstream(id, service);
+    }
+}
--- a/tests/platform/support/EdgeProcess.ts
+++ b/tests/platform/support/EdgeProcess.ts
@@ -19,6 +19,7 @@
     readonly #storeAddress: string;
     #child: ChildProcess | undefined;
     #output = "";
+    #ports: readonly number[] | undefined;
 
     /**
      * @param id - The host's id.
@@ -31,10 +32,10 @@
         this.#folder = folder;
     }
 
-    /** Starts the process on free ports. */
+    /** Starts the process on free ports, or again on those that it had. */
     async start(): Promise<void> {
-        const ports = await Promise.all([1, 2, 3, 4, 5].map(findPort));
-        const [callers, ready, lookups, peers, metrics] = ports.map(port => `127.0.0.1:${port}`);
+        this.#ports ??= await Promise.all([1, 2, 3, 4, 5].map(findPort));
+        const [callers, ready, lookups, peers, metrics] = this.#ports.map(port => `127.0.0.1:${port}`);
         this.callerAddress = callers!;
         this.readyAddress = ready!;
         this.lookupAddress = lookups!;
--- /dev/null
+++ b/tests/platform/support/EdgeSendOptions.ts
@@ -0,0 +1,8 @@
+/** What differs from a lookup with a valid key. */
+export interface EdgeSendOptions {
+    readonly method?: "GET" | "POST";
+    readonly body?: string;
+    readonly key?: string | undefined;
+    /** The caller's id of the attempt. */
+    readonly id?: string;
+}
