Eject upstreams whose answers stay out, and leave a pool to the next host when this one is cut off

All their slots were held by orders until their deadlines of 4 s, nothing was concluded before, and the host kept the pool though its neighbours reached the upstreams. After the deadline each slot was held for another 30 s, since late answers to orders were waited for.

Change: requests under way without any answer are evidence too; at eight expected answers that did not come, and 2.5 usual times, an upstream is ejected and its kept connections are closed. A service host that reaches half of its upstreams or fewer refuses as not run for 10 s, and the next host of the zone has the pool. Late answers are waited for 1 s on the platform, where no caller can fetch them.

Ruled out: a shorter connect timeout alone (kept connections hide the cut); handing over from the second host on too (if the upstreams are dead, every entry host would take the pool).

--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -26,7 +26,11 @@
 /** How often it is checked, while a lookup runs on another host, whether that host is known not to answer. */
 const REACHABILITY_CHECK_MS = 400;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
-const HOST_REASONS: ReadonlySet<RefusalReason> = new Set([RefusalReason.HostNotCurrent, RefusalReason.HostStopping]);
+const HOST_REASONS: ReadonlySet<RefusalReason> = new Set([
+    RefusalReason.HostCutOff,
+    RefusalReason.HostNotCurrent,
+    RefusalReason.HostStopping,
+]);
 
 interface SentRequest {
     readonly request: ServiceRequest;
--- a/src/accounts/isRetriable.ts
+++ b/src/accounts/isRetriable.ts
@@ -9,6 +9,7 @@
     RefusalReason.NoUpstream,
     RefusalReason.HostNotCurrent,
     RefusalReason.HostStopping,
+    RefusalReason.HostCutOff,
     RefusalReason.HostUnreachable,
 ]);
 
--- a/src/callers/getRefusalStatus.ts
+++ b/src/callers/getRefusalStatus.ts
@@ -32,6 +32,7 @@
         case RefusalReason.NoUpstream:
         case RefusalReason.HostNotCurrent:
         case RefusalReason.HostStopping:
+        case RefusalReason.HostCutOff:
         case RefusalReason.HostUnreachable:
         case RefusalReason.StoreUnavailable:
         case RefusalReason.RetryBudgetSpent:
--- a/src/explanation/findCause.ts
+++ b/src/explanation/findCause.ts
@@ -66,6 +66,7 @@
         case RefusalReason.HostNotCurrent:
         case RefusalReason.HostStopping:
             return createCause(CauseKind.HostNotServing, detail, getBefore(final, context).filter(isStartOrStop));
+        case RefusalReason.HostCutOff:
         case RefusalReason.HostUnreachable:
             return findLostHost(path, context) ?? createCause(CauseKind.ServiceHostLost, detail);
         default:
--- a/src/explanation/readLogs.ts
+++ b/src/explanation/readLogs.ts
@@ -14,6 +14,7 @@
     Decision.Drained,
     Decision.Ejected,
     Decision.EjectionWithheld,
+    Decision.HandedOver,
     Decision.Quarantined,
     Decision.Restored,
     Decision.Started,
--- a/src/fakes/ServiceBench.ts
+++ b/src/fakes/ServiceBench.ts
@@ -65,10 +65,14 @@
             peers: options.peers ?? { send: () => Promise.reject(new Error("There are no peers.")) },
             membership: {
                 getSelf: () => ({ peerAddress: "own" }),
-                getServiceHosts: (_: string, zone: string) => [{ peerAddress: `host-of-${zone}` }],
+                getServiceHosts: (_: string, zone: string) => [
+                    ...(options.isFirstOfTwo === true ? [{ peerAddress: "own" }] : []),
+                    { peerAddress: `host-of-${zone}`, id: `host-of-${zone}` },
+                ],
             } as unknown as Membership,
             decisions: this.decisions,
             policy: options.policy,
+            lateAnswerMs: options.lateAnswerMs,
         });
         this.apply({});
     }
--- a/src/fakes/ServiceBenchOptions.ts
+++ b/src/fakes/ServiceBenchOptions.ts
@@ -12,6 +12,10 @@
     readonly fakes?: Partial<FakeUpstreamsOptions>;
     /** Sends to other service hosts; without it none answers. */
     readonly peers?: PeerTransport;
+    /** Whether the bench's host is the first of two service hosts. */
+    readonly isFirstOfTwo?: boolean;
+    /** How long the answer to an order is waited for after its deadline, in milliseconds. */
+    readonly lateAnswerMs?: number;
     /** Number of upstreams. */
     readonly upstreams?: number;
     /** Slots of each upstream. */
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -17,6 +17,8 @@
 
 /** Crashes of one request from which on it is refused: the platform's callers may send it to three upstreams. */
 const CRASHES_TO_REFUSE = 3;
+/** Upstreams are told the deadline; what they answer this long after it finds no caller. */
+const LATE_ANSWER_MS = 1_000;
 const EMPTY_CONFIGURATION = new SuppliedConfiguration({
     version: 0,
     accounts: [],
@@ -126,6 +128,7 @@
             membership: this.#membership,
             decisions,
             policy: EjectionPolicy.Prompt,
+            lateAnswerMs: LATE_ANSWER_MS,
             ...(stallMeter === undefined ? {} : { stallMeter }),
         });
     }
--- a/src/load/readAttemptEnd.ts
+++ b/src/load/readAttemptEnd.ts
@@ -14,6 +14,7 @@
 const HOST_REASONS: readonly string[] = [
     RefusalReason.HostNotCurrent,
     RefusalReason.HostStopping,
+    RefusalReason.HostCutOff,
     RefusalReason.HostUnreachable,
 ];
 
--- a/src/outcomes/RefusalReason.ts
+++ b/src/outcomes/RefusalReason.ts
@@ -15,6 +15,8 @@
     NoUpstream = "no-upstream",
     HostNotCurrent = "host-not-current",
     HostStopping = "host-stopping",
+    /** The service host reaches too few of the upstreams; another one is asked. */
+    HostCutOff = "host-cut-off",
     HostUnreachable = "host-unreachable",
     StoreUnavailable = "store-unavailable",
     DeadlineExceeded = "deadline-exceeded",
--- a/src/services/AttemptRecorder.ts
+++ b/src/services/AttemptRecorder.ts
@@ -27,6 +27,9 @@
      */
     recordHead(upstream: PooledUpstream, request: ServiceRequest, attempt: UpstreamAttempt): void {
         const { answer, latencyMs } = attempt;
+        if (answer.kind === UpstreamAnswerKind.Answered || answer.kind === UpstreamAnswerKind.Shed) {
+            upstream.recordAnswer();
+        }
         if (answer.kind === UpstreamAnswerKind.Shed) {
             this.#recordShed(upstream, answer.retryAfterMs);
         }
--- a/src/services/AttemptRunner.ts
+++ b/src/services/AttemptRunner.ts
@@ -2,14 +2,15 @@
 import { Decision } from "../logging/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { Clock, StallMeter } from "../time/index.js";
+import type { AttemptRunnerOptions } from "./AttemptRunnerOptions.js";
 import type { FirstByteLimit } from "./FirstByteLimit.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 import type { UpstreamTransport } from "./UpstreamTransport.js";
 
-/** How long the answer to a request that is not idempotent is waited for after its deadline, to keep it. */
-const LATE_ANSWER_MS = 30_000;
+/** How long the answer to a request that is not idempotent is waited for after its deadline, to keep it, unless it is given. */
+const DEFAULT_LATE_ANSWER_MS = 30_000;
 
 /** Runs attempts at upstreams with a learned first-byte limit, and again on a new connection when one is silent. */
 export class AttemptRunner {
@@ -17,18 +18,15 @@
     readonly #transport: UpstreamTransport;
     readonly #decisions: DecisionLog;
     readonly #stallMeter: StallMeter | undefined;
+    readonly #lateAnswerMs: number;
 
-    /**
-     * @param clock - The source of time.
-     * @param transport - Sends to upstreams.
-     * @param decisions - Receives the retries.
-     * @param stallMeter - Time in which this process stands still is not counted as an upstream's latency.
-     */
-    constructor(clock: Clock, transport: UpstreamTransport, decisions: DecisionLog, stallMeter?: StallMeter) {
+    /** @param options - What the runner works with. */
+    constructor({ clock, transport, decisions, stallMeter, lateAnswerMs }: AttemptRunnerOptions) {
         this.#clock = clock;
         this.#transport = transport;
         this.#decisions = decisions;
         this.#stallMeter = stallMeter;
+        this.#lateAnswerMs = lateAnswerMs ?? DEFAULT_LATE_ANSWER_MS;
     }
 
     /**
@@ -50,7 +48,7 @@
     ): Promise<UpstreamAttempt> {
         if (!request.isIdempotent) {
             const isolated = new AbortController().signal;
-            return await this.#send(upstream, request, deadline + LATE_ANSWER_MS, deadline, true, isolated);
+            return await this.#send(upstream, request, deadline + this.#lateAnswerMs, deadline, true, isolated);
         }
         const isLimited = this.#clock.getTime() + limit.getLimit() < deadline;
         const limitTime = isLimited ? this.#clock.getTime() + limit.getLimit() : deadline;
--- a/src/services/PooledUpstream.ts
+++ b/src/services/PooledUpstream.ts
@@ -5,6 +5,7 @@
 import { createUpstreamMachine } from "./createUpstreamMachine.js";
 import type { PooledUpstreamOptions } from "./PooledUpstreamOptions.js";
 import { ProbationTest } from "./ProbationTest.js";
+import { SilenceMeter } from "./SilenceMeter.js";
 import type { UpstreamDetector } from "./UpstreamDetector.js";
 import type { UpstreamEvent } from "./UpstreamEvent.js";
 import { UpstreamState } from "./UpstreamState.js";
@@ -16,6 +17,9 @@
 export class PooledUpstream {
     readonly statistics = new UpstreamStatistics();
     readonly detector: UpstreamDetector;
+    readonly silence = new SilenceMeter();
+    /** Whether answers stayed out and none has come since. */
+    isSilent = false;
     probation: ProbationTest;
     /** Ejections of late that followed each other closely. */
     ejections = 0;
@@ -159,15 +163,27 @@
         return this.#clock.getTime() - this.#lastClaim;
     }
 
-    /** Uses a slot. */
-    claim(): void {
+    /**
+     * Uses a slot.
+     * @param usualMs - How long the answer usually takes at most, in milliseconds; 0 if that is not known.
+     * @param timeoutMs - How long the answer is of use, in milliseconds.
+     */
+    claim(usualMs: number, timeoutMs: number): void {
         this.#running++;
         this.#lastClaim = this.#clock.getTime();
+        this.silence.add(this.#lastClaim, usualMs, timeoutMs);
     }
 
     /** Gives a slot back. */
     release(): void {
         this.#running--;
+        this.silence.remove();
+    }
+
+    /** Records that an answer began. */
+    recordAnswer(): void {
+        this.isSilent = false;
+        this.silence.recordAnswer(this.#clock.getTime());
     }
 
     /**
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -1,5 +1,6 @@
 import type { Configuration, Service, Upstream } from "../configuration/index.js";
-import type { Outcome } from "../outcomes/index.js";
+import { Decision } from "../logging/index.js";
+import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import { PeerMethod } from "../peers/index.js";
 import { BaselineSharer } from "./BaselineSharer.js";
@@ -20,10 +21,18 @@
 const DEFAULT_WEIGHT = 1;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
+/**
+ * How long another host has a pool whose upstreams this one doesn't reach, in milliseconds: cuts last five to twelve seconds, and
+ * taking a pool back early costs the requests that go to upstreams which are still out of reach.
+ */
+const HAND_OVER_MS = 10_000;
+
 interface HostedPool {
     readonly service: string;
     readonly zone: string;
     readonly pool: ServicePool;
+    /** Until when another host has the pool, in milliseconds of the clock. */
+    handedOverUntil: number | undefined;
 }
 
 /** An entry host in its role as service host: queues requests, selects upstreams and judges them. */
@@ -85,15 +94,18 @@
         if (this.#isStopping) {
             return createAnswer(createNotRun(RefusalReason.HostStopping, "The service host is stopping.", 0));
         }
-        const pool = this.#getPool(request);
-        if (pool === undefined) {
+        const hosted = this.#getPool(request);
+        if (hosted === undefined) {
             const detail = "The service has no upstream in this zone.";
             return createAnswer(createNotRun(RefusalReason.NoUpstream, detail, NO_UPSTREAM_RETRY_AFTER_MS));
         }
+        if (this.#isHandedOver(hosted)) {
+            return createAnswer(createCutOff());
+        }
         if (!request.isIdempotent) {
             this.#outcomes.recordStart(request.requestId);
         }
-        return await pool.run(request, signal);
+        return await hosted.pool.run(request, signal);
     }
 
     /**
@@ -167,19 +179,52 @@
         }
     }
 
-    #getPool(request: ServiceRequest): ServicePool | undefined {
+    /** Leaves a pool to the next host while this one, but not the upstreams, is cut off. */
+    #isHandedOver(hosted: HostedPool): boolean {
+        const { clock, membership, decisions } = this.#options;
+        const now = clock.getTime();
+        const { service, zone, pool, handedOverUntil } = hosted;
+        if (handedOverUntil !== undefined) {
+            if (now < handedOverUntil) {
+                return true;
+            }
+            hosted.handedOverUntil = undefined;
+            pool.restoreContact();
+        }
+        const [first, next] = pool.isCutOff() ? membership.getServiceHosts(service, zone) : [];
+        if (next === undefined || first!.peerAddress !== membership.getSelf().peerAddress) {
+            return false;
+        }
+        hosted.handedOverUntil = now + HAND_OVER_MS;
+        pool.refuseWaiting(createCutOff());
+        decisions.record({
+            decision: Decision.HandedOver,
+            reason: "its upstreams are out of reach",
+            service,
+            member: next.id,
+            figures: { zone, ms: HAND_OVER_MS },
+        });
+        return true;
+    }
+
+    #getPool(request: ServiceRequest): HostedPool | undefined {
         const key = `${request.zone}/${request.service}`;
         const hosted = this.#pools.get(key);
         if (hosted !== undefined) {
-            return hosted.pool;
+            return hosted;
         }
         const service = this.#configuration?.getService(request.service);
         if (service === undefined || findUpstreams(service, request.zone).length === 0) {
             return undefined;
         }
-        const pool = this.#createPool(service, request.zone);
-        this.#pools.set(key, { service: service.name, zone: request.zone, pool });
-        return pool;
+        const created = {
+            service: service.name,
+            zone: request.zone,
+            pool: this.#createPool(service, request.zone),
+            handedOverUntil: undefined,
+        };
+        this.#pools.set(key, created);
+        return created;
     }
 
     /** An account without a limit, and callers without a key, weigh as much as the mean of the accounts with one. */
@@ -193,7 +238,7 @@
     }
 
     #createPool(service: Service, zone: string): ServicePool {
-        const { clock, random, transport, decisions, policy, stallMeter } = this.#options;
+        const { clock, random, transport, decisions, policy, stallMeter, lateAnswerMs } = this.#options;
         return new ServicePool(service, zone, {
             clock,
             random,
@@ -202,6 +247,7 @@
             policy: policy ?? EjectionPolicy.Sequential,
             outcomes: this.#outcomes,
             stallMeter,
+            lateAnswerMs,
             getWeight: account => this.#getWeight(account),
         });
     }
@@ -211,6 +257,14 @@
     return service?.upstreams.filter(upstream => upstream.zone === zone) ?? [];
 }
 
+function createCutOff(): NotRunOutcome {
+    return createNotRun(
+        RefusalReason.HostCutOff,
+        "This host reaches too few upstreams; the next one has the service.",
+        0,
+    );
+}
+
 function createAnswer(outcome: Outcome): ServiceAnswer {
     return { outcome, upstream: undefined, isCrashSuspected: false, freeSlots: 0, queued: 0 };
 }
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -9,6 +9,7 @@
 import { createKeptOutcome } from "./createKeptOutcome.js";
 import { createOutcome } from "./createOutcome.js";
 import { createStatus } from "./createStatus.js";
+import { EjectionPolicy } from "./EjectionPolicy.js";
 import { FirstByteLimit } from "./FirstByteLimit.js";
 import { openReadAhead } from "./openReadAhead.js";
 import { PooledUpstream } from "./PooledUpstream.js";
@@ -19,12 +20,14 @@
 import type { ServicePoolOptions } from "./ServicePoolOptions.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
 import { ServiceStrain } from "./ServiceStrain.js";
+import { SilenceWatch } from "./SilenceWatch.js";
 import { SlotQueue } from "./SlotQueue.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 import { UpstreamJudge } from "./UpstreamJudge.js";
 import { UpstreamSelector } from "./UpstreamSelector.js";
 import { UpstreamSet } from "./UpstreamSet.js";
+import { UpstreamState } from "./UpstreamState.js";
 import type { UpstreamStatus } from "./UpstreamStatus.js";
 
 const MAX_KEPT_BODY_BYTES = 64 * 1024;
@@ -32,6 +35,10 @@
 const READ_AHEAD_BYTES = 256 * 1024;
 /** How many times the share of the slots one rank has that the next lower has. */
 const PRIORITY_FACTOR = 2;
+/** Fewer upstreams out of reach say nothing of this host. */
+const MIN_CUT_UPSTREAMS = 2;
+/** Share of the upstreams out of reach from which on this host counts as cut off. */
+const MIN_CUT_SHARE = 0.5;
 const FIRST_FAILURE_STATUS = 500;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
@@ -50,6 +57,7 @@
     readonly #recorder: AttemptRecorder;
     readonly #upstreams: UpstreamSet;
     readonly #budget: RetryBudget;
+    readonly #silence: SilenceWatch;
     readonly #routeLatencies = new RouteLatencies();
     #service: Service;
     #working = 0;
@@ -78,7 +86,7 @@
         });
         const judgeOptions = { clock, random, decisions, policy, baseline: this.baseline };
         this.#judge = new UpstreamJudge(service, { ...judgeOptions, onCapacity: () => this.#runQueue() });
-        this.#runner = new AttemptRunner(clock, transport, decisions, options.stallMeter);
+        this.#runner = new AttemptRunner(options);
         this.#recorder = new AttemptRecorder({
             clock,
             judge: this.#judge,
@@ -87,6 +95,11 @@
             getPatience: (pooled, request) => this.#getPatience(pooled, request),
             onCapacity: () => this.#runQueue(),
         });
+        this.#silence = new SilenceWatch(
+            clock,
+            () => this.#upstreams.getAll(),
+            upstream => this.#ejectSilent(upstream),
+        );
         this.#upstreams = new UpstreamSet({ clock, decisions, transport, policy });
         this.apply(service, service.upstreams.filter(upstream => upstream.zone === zone));
     }
@@ -151,8 +164,32 @@
 
     /** Stops the timers and refuses what waits. */
     stop(): void {
+        this.#silence.stop();
         this.#judge.stop();
-        this.#queue.refuse(() => true, createNotRun(RefusalReason.HostStopping, "The host is stopping.", 0));
+        this.refuseWaiting(createNotRun(RefusalReason.HostStopping, "The host is stopping.", 0));
+    }
+
+    /**
+     * Refuses what waits for a slot.
+     * @param refusal - What it gets.
+     */
+    refuseWaiting(refusal: NotRunOutcome): void {
+        this.#queue.refuse(() => true, refusal);
+    }
+
+    /** Whether so many upstreams are out of reach that this host rather than they is cut off. */
+    isCutOff(): boolean {
+        const upstreams = this.#upstreams.getAll().filter(pooled => pooled.getState() !== UpstreamState.Draining);
+        const away = upstreams.filter(pooled => pooled.isSilent || pooled.isConnectFailing).length;
+        return away >= Math.max(MIN_CUT_UPSTREAMS, MIN_CUT_SHARE * upstreams.length);
+    }
+
+    /** Forgets which upstreams are out of reach. */
+    restoreContact(): void {
+        this.#upstreams.getAll().forEach(pooled => {
+            pooled.isSilent = false;
+            pooled.isConnectFailing = false;
+        });
     }
 
     /** Gets what operators see. */
@@ -180,6 +217,13 @@
         return await this.#queue.wait(request, weight, signal);
     }
 
+    #ejectSilent(upstream: PooledUpstream): void {
+        if (this.#options.policy === EjectionPolicy.Prompt) {
+            this.#judge.ejectSilent(upstream);
+            this.#options.transport.closeIdle(upstream.getUpstream());
+        }
+    }
+
     async #runOn(
         pooled: PooledUpstream,
         request: ServiceRequest,
@@ -227,6 +271,7 @@
         signal: AbortSignal,
         late: AbortSignal,
     ): Promise<Outcome> {
+        this.#silence.start();
         const start = this.#options.clock.getTime();
         const expectedMs = this.#queue.getSlotTime();
         const attempt = await this.#runner.run(
--- a/src/services/ServicePoolOptions.ts
+++ b/src/services/ServicePoolOptions.ts
@@ -13,8 +13,10 @@
     readonly decisions: DecisionLog;
     readonly policy: EjectionPolicy;
     readonly outcomes: OutcomeMemory;
+    /** How long the answer to an order is waited for after its deadline, in milliseconds; half a minute if undefined. */
+    readonly lateAnswerMs?: number | undefined;
     /** Time in which this process stands still is not counted as an upstream's latency. */
-    readonly stallMeter?: StallMeter;
+    readonly stallMeter?: StallMeter | undefined;
     /** Gets an account's share of the slots relative to others, above 0. */
     readonly getWeight: (account: string) => number;
 }
--- a/src/services/SlotQueue.ts
+++ b/src/services/SlotQueue.ts
@@ -58,7 +58,7 @@
             if (item === undefined || upstream === undefined) {
                 return;
             }
-            upstream.claim();
+            upstream.claim(this.#options.getUsual(item.request), item.request.timeoutMs);
             item.onSelected(upstream);
         }
     }
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -117,6 +117,22 @@
         this.#startOrderTrial(this.#isPrompt() ? findFloorTrial(this.#upstreams, this.#service.floor) : undefined);
     }
 
+    /**
+     * Takes an upstream out of work whose answers stay out.
+     * @param upstream - The upstream.
+     */
+    ejectSilent(upstream: PooledUpstream): void {
+        upstream.isSilent = true;
+        upstream.isFailingInTime = false;
+        const reason = `silent: ${upstream.getRunning()} requests wait for an answer`;
+        if (upstream.getState() === UpstreamState.Probation) {
+            this.#eject(upstream, reason);
+        }
+        else if (upstream.isWorking()) {
+            this.#ejectOrHold(upstream, reason);
+        }
+    }
+
     /** Stops the timers of ejected upstreams. */
     stop(): void {
         this.#backOff.stop();
@@ -258,7 +274,7 @@
     #getDetection(upstream: PooledUpstream): DetectionSettings {
         const { detection } = this.#service;
         const { busyProbationMs } = detection;
-        return busyProbationMs === undefined || upstream.isTrialFailed || !isBusy(this.#upstreams)
+        return busyProbationMs === undefined || upstream.isTrialFailed || upstream.isSilent || !isBusy(this.#upstreams)
             ? detection
             : { ...detection, probationMs: busyProbationMs };
     }
--- a/tests/time/TimerStallMeter.test.ts
+++ b/tests/time/TimerStallMeter.test.ts
@@ -33,7 +33,12 @@
         },
         closeIdle: () => {},
     };
-    const runner = new AttemptRunner(hostClock, transport, new DecisionHistory(hostClock), meter);
+    const runner = new AttemptRunner({
+        clock: hostClock,
+        transport,
+        decisions: new DecisionHistory(hostClock),
+        stallMeter: meter,
+    });
     const signal = new AbortController().signal;
     const attempt = runner.run(
         createUpstream(),
