Let each concept declare its own calls between hosts, so that imports run one way

One circle of imports tied 154 files (counted by a script over src/ and platform/, types included), through PeerMethods.ts, which imported the types of every concept, through the forwarder, which imported those of accounts and services, and through Head and MembershipView.

Nothing else changes.

Ruled out: an index file that loads all calls (the circle again), and types of unknown parameters in peers (calls would not be checked).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,6 +20,8 @@
                 { selector: "variable", format: ["camelCase", "UPPER_CASE"] },
             ],
             "@typescript-eslint/no-restricted-types": "off",
+            // Each concept adds its calls to this interface.
+            "@typescript-eslint/no-empty-object-type": ["error", { allowWithName: "^PeerMethods$" }],
             eqeqeq: "error",
             curly: ["error", "all"],
             "prefer-const": "error",
--- a/src/accounts/AccountHost.ts
+++ b/src/accounts/AccountHost.ts
@@ -1,14 +1,13 @@
-import type { Service } from "../configuration/index.js";
 import { RouteKind } from "../configuration/index.js";
+import type { Service } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import { OrderRunner } from "../orders/index.js";
-import type { Outcome } from "../outcomes/index.js";
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import type { Outcome } from "../outcomes/index.js";
 import { EvenRateLimiter, RatePolicy, SharedRateLimiter } from "../rates/index.js";
 import type { RateLimiter } from "../rates/index.js";
+import type { AccountRunner, CallerRequest } from "../requests/index.js";
 import type { AccountHostOptions } from "./AccountHostOptions.js";
-import type { AccountRunner } from "./AccountRunner.js";
-import type { CallerRequest } from "./CallerRequest.js";
 import type { DispatchCall } from "./DispatchCall.js";
 import { Dispatcher } from "./Dispatcher.js";
 import { getFingerprint } from "./getFingerprint.js";
--- a/src/accounts/AccountHostOptions.ts
+++ b/src/accounts/AccountHostOptions.ts
@@ -1,7 +1,8 @@
 import type { Configuration } from "../configuration/index.js";
+import type { PeerForwarder } from "../forwarding/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { Membership } from "../membership/index.js";
-import type { PeerForwarder, PeerHandlers, PeerTransport } from "../peers/index.js";
+import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { RatePolicy } from "../rates/index.js";
 import type { ServiceRunner } from "../services/index.js";
--- a/src/accounts/AccountRouter.ts
+++ b/src/accounts/AccountRouter.ts
@@ -1,15 +1,15 @@
 import { RouteKind } from "../configuration/index.js";
 import { PeerUnavailableError } from "../errors/index.js";
+import type { PeerForwarder } from "../forwarding/index.js";
+import type { Member } from "../head/index.js";
 import { Decision } from "../logging/index.js";
 import type { DecisionLog } from "../logging/index.js";
-import type { Member, Membership } from "../membership/index.js";
+import type { Membership } from "../membership/index.js";
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
-import type { PeerForwarder } from "../peers/index.js";
+import type { AccountRunner, CallerRequest } from "../requests/index.js";
 import type { Clock } from "../time/index.js";
 import type { AccountRouterOptions } from "./AccountRouterOptions.js";
-import type { AccountRunner } from "./AccountRunner.js";
-import type { CallerRequest } from "./CallerRequest.js";
 
 const RETRY_AFTER_MS = 1000;
 /** How long an order's account host may take beyond the deadline to tell the outcome, in milliseconds. */
--- a/src/accounts/AccountRouterOptions.ts
+++ b/src/accounts/AccountRouterOptions.ts
@@ -1,8 +1,8 @@
+import type { PeerForwarder } from "../forwarding/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { Membership } from "../membership/index.js";
-import type { PeerForwarder } from "../peers/index.js";
+import type { AccountRunner } from "../requests/index.js";
 import type { Clock } from "../time/index.js";
-import type { AccountRunner } from "./AccountRunner.js";
 
 /** What the routing of requests to account hosts needs. */
 export interface AccountRouterOptions {
--- a/src/accounts/DispatchCall.ts
+++ b/src/accounts/DispatchCall.ts
@@ -1,5 +1,5 @@
 import type { Service } from "../configuration/index.js";
-import type { CallerRequest } from "./CallerRequest.js";
+import type { CallerRequest } from "../requests/index.js";
 
 /** An admitted request on its way to an upstream. */
 export interface DispatchCall {
--- a/src/accounts/HostAnswer.ts
+++ b/src/accounts/HostAnswer.ts
@@ -1,4 +1,4 @@
-import type { Member } from "../membership/index.js";
+import type { Member } from "../head/index.js";
 import type { ServiceAnswer } from "../services/index.js";
 
 /** A service host's answer with the host that gave it. */
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -1,11 +1,11 @@
 import { PeerUnavailableError } from "../errors/index.js";
+import type { Member } from "../head/index.js";
 import { Decision } from "../logging/index.js";
-import type { Member } from "../membership/index.js";
-import type { Outcome } from "../outcomes/index.js";
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import type { Outcome } from "../outcomes/index.js";
 import { PeerMethod, PeerSuspicion } from "../peers/index.js";
-import type { FindOutcomeResult, ServiceAnswer, ServiceRequest } from "../services/index.js";
 import { FoundState, restoreOutcome } from "../services/index.js";
+import type { FindOutcomeResult, ServiceAnswer, ServiceRequest } from "../services/index.js";
 import { runWithTimeout } from "../time/index.js";
 import type { DispatchCall } from "./DispatchCall.js";
 import type { DispatcherOptions } from "./DispatcherOptions.js";
--- a/src/accounts/getFingerprint.ts
+++ b/src/accounts/getFingerprint.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import type { CallerRequest } from "./CallerRequest.js";
+import type { CallerRequest } from "../requests/index.js";
 
 /**
  * Gets a digest of what a request asks for: account, method, path and body.
--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -2,8 +2,6 @@
 export type { AccountHostOptions } from "./AccountHostOptions.js";
 export { AccountRouter } from "./AccountRouter.js";
 export type { AccountRouterOptions } from "./AccountRouterOptions.js";
-export type { AccountRunner } from "./AccountRunner.js";
-export type { CallerRequest } from "./CallerRequest.js";
 export type { DispatchCall } from "./DispatchCall.js";
 export { Dispatcher } from "./Dispatcher.js";
 export { getFingerprint } from "./getFingerprint.js";
--- a/src/callers/AddressLookup.ts
+++ b/src/callers/AddressLookup.ts
@@ -1,5 +1,6 @@
 import type { Account } from "../configuration/index.js";
-import type { Member, Membership } from "../membership/index.js";
+import type { Member } from "../head/index.js";
+import type { Membership } from "../membership/index.js";
 import { createMemberPrefix } from "../orders/index.js";
 import type { Clock } from "../time/index.js";
 import type { AddressLookupOptions } from "./AddressLookupOptions.js";
--- a/src/callers/CallerGate.ts
+++ b/src/callers/CallerGate.ts
@@ -1,9 +1,9 @@
-import type { CallerRequest } from "../accounts/index.js";
 import { isKeyValid, RouteAccess } from "../configuration/index.js";
 import type { Account, Route } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import { createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
+import type { CallerRequest } from "../requests/index.js";
 import type { ActiveRequest } from "./ActiveRequest.js";
 import type { CallAnswer } from "./CallAnswer.js";
 import type { CallerGateOptions } from "./CallerGateOptions.js";
--- a/src/callers/CallerGateOptions.ts
+++ b/src/callers/CallerGateOptions.ts
@@ -1,7 +1,7 @@
-import type { AccountRunner } from "../accounts/index.js";
 import type { Configuration } from "../configuration/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { Membership } from "../membership/index.js";
+import type { AccountRunner } from "../requests/index.js";
 import type { ActiveRequests } from "./ActiveRequests.js";
 
 /** What the checks of callers' requests need. */
--- a/src/entry/EntryHostOptions.ts
+++ b/src/entry/EntryHostOptions.ts
@@ -1,6 +1,7 @@
+import type { PeerForwarder } from "../forwarding/index.js";
 import type { HostList } from "../hostlist/index.js";
 import type { DecisionHistory } from "../logging/index.js";
-import type { PeerForwarder, PeerTransport } from "../peers/index.js";
+import type { PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { UpstreamTransport } from "../services/index.js";
 import type { EntrySettings } from "../settings/index.js";
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -1,12 +1,13 @@
 import type Logger from "bunyan";
 import { CallerListener } from "../callers/index.js";
 import { AuditTrail } from "../configuration/index.js";
+import { HttpPeerForwarder, PeerListener } from "../forwarding/index.js";
 import { HttpHostList } from "../hostlist/index.js";
 import { Decision, DecisionHistory } from "../logging/index.js";
 import type { TimedDecision } from "../logging/index.js";
 import { RequestMetrics } from "../metrics/index.js";
 import { OperatorApi } from "../operators/index.js";
-import { HttpPeerForwarder, HttpPeerTransport, PeerConnections, PeerListener } from "../peers/index.js";
+import { HttpPeerTransport, PeerConnections } from "../peers/index.js";
 import { SystemRandom } from "../random/index.js";
 import { HttpUpstreamTransport } from "../services/index.js";
 import type { EntrySettings } from "../settings/index.js";
--- a/src/entry/HostStatus.ts
+++ b/src/entry/HostStatus.ts
@@ -1,4 +1,4 @@
-import type { Member } from "../membership/index.js";
+import type { Member } from "../head/index.js";
 import type { UpstreamStatus } from "../services/index.js";
 import type { HostState } from "./HostState.js";
 
--- a/src/fakes/FakeFleet.ts
+++ b/src/fakes/FakeFleet.ts
@@ -1,7 +1,8 @@
-import { type Head, StoredHeadStore } from "../head/index.js";
+import { StoredHeadStore } from "../head/index.js";
+import type { Head, Member } from "../head/index.js";
 import type { ListedHost } from "../hostlist/index.js";
 import { DecisionHistory } from "../logging/index.js";
-import { type Member, MembershipService } from "../membership/index.js";
+import { MembershipService } from "../membership/index.js";
 import { PeerHandlers } from "../peers/index.js";
 import { SeededRandom } from "../random/index.js";
 import { FakeClock } from "./FakeClock.js";
--- a/src/fakes/FakeFleetHost.ts
+++ b/src/fakes/FakeFleetHost.ts
@@ -1,5 +1,5 @@
-import type { HeadStore } from "../head/index.js";
-import type { Member, MembershipService } from "../membership/index.js";
+import type { HeadStore, Member } from "../head/index.js";
+import type { MembershipService } from "../membership/index.js";
 import type { FakeHeadInstaller } from "./FakeHeadInstaller.js";
 import type { FakeHostClock } from "./FakeHostClock.js";
 import type { FakeHostStore } from "./FakeHostStore.js";
--- a/src/fakes/FakeHost.ts
+++ b/src/fakes/FakeHost.ts
@@ -1,5 +1,5 @@
-import type { AccountRunner } from "../accounts/index.js";
 import type { PeerHandlers } from "../peers/index.js";
+import type { AccountRunner } from "../requests/index.js";
 import type { ServiceRunner } from "../services/index.js";
 
 /** What an entry host puts on the fake network. */
--- a/src/fakes/FakeMembership.ts
+++ b/src/fakes/FakeMembership.ts
@@ -1,4 +1,5 @@
-import type { Member, Membership, MembershipView } from "../membership/index.js";
+import type { Member, MembershipView } from "../head/index.js";
+import type { Membership } from "../membership/index.js";
 
 type ViewListener = (view: MembershipView, previous: MembershipView) => void;
 
--- a/src/fakes/FakeNetwork.ts
+++ b/src/fakes/FakeNetwork.ts
@@ -1,7 +1,8 @@
-import type { CallerRequest } from "../accounts/index.js";
 import { PeerUnavailableError } from "../errors/index.js";
+import type { PeerForwarder } from "../forwarding/index.js";
 import type { Outcome } from "../outcomes/index.js";
-import type { PeerForwarder, PeerMethod, PeerMethods, PeerTransport } from "../peers/index.js";
+import type { PeerMethod, PeerMethods, PeerTransport } from "../peers/index.js";
+import type { CallerRequest } from "../requests/index.js";
 import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
 import type { Clock } from "../time/index.js";
 import type { FakeHost } from "./FakeHost.js";
--- a/src/peers/HttpPeerForwarder.ts
+++ b/src/forwarding/HttpPeerForwarder.ts
@@ -1,16 +1,14 @@
 import type { Dispatcher } from "undici";
-import type { CallerRequest } from "../accounts/index.js";
 import { PeerUnavailableError } from "../errors/index.js";
 import { createOutcome } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
+import { createPeerError, peerProtocol } from "../peers/index.js";
+import type { HttpPeerOptions, PeerConnections } from "../peers/index.js";
+import type { CallerRequest } from "../requests/index.js";
 import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
 import { decodeJson, encodeJson } from "../utils/index.js";
-import { createPeerError } from "./createPeerError.js";
-import type { HttpPeerOptions } from "./HttpPeerOptions.js";
 import type { PeerAnswerHead } from "./PeerAnswerHead.js";
-import type { PeerConnections } from "./PeerConnections.js";
 import type { PeerForwarder } from "./PeerForwarder.js";
-import { peerProtocol } from "./peerProtocol.js";
 import type { PeerRequestHead } from "./PeerRequestHead.js";
 import { PeerRequestKind } from "./PeerRequestKind.js";
 
--- a/src/peers/PeerForwarder.ts
+++ b/src/forwarding/PeerForwarder.ts
@@ -1,5 +1,5 @@
-import type { CallerRequest } from "../accounts/index.js";
 import type { Outcome } from "../outcomes/index.js";
+import type { CallerRequest } from "../requests/index.js";
 import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
 
 /** Forwards requests to other entry hosts; both calls reject with a PeerUnavailableError when no answer came. */
--- a/src/peers/PeerListener.ts
+++ b/src/forwarding/PeerListener.ts
@@ -6,11 +6,11 @@
 import { UnexpectedVariantError } from "../errors/index.js";
 import { createNotRun, getOutcomeHead, OutcomeKind, RefusalReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
+import { peerProtocol } from "../peers/index.js";
+import type { PeerMethod } from "../peers/index.js";
 import { closeServer, decodeJson, encodeJson, isSameText, openServer, readBody, writeStream } from "../utils/index.js";
 import type { PeerAnswerHead } from "./PeerAnswerHead.js";
 import type { PeerListenerOptions } from "./PeerListenerOptions.js";
-import type { PeerMethod } from "./PeerMethod.js";
-import { peerProtocol } from "./peerProtocol.js";
 import type { PeerRequestHead } from "./PeerRequestHead.js";
 import { PeerRequestKind } from "./PeerRequestKind.js";
 
--- a/src/peers/PeerListenerOptions.ts
+++ b/src/forwarding/PeerListenerOptions.ts
@@ -1,7 +1,7 @@
-import type { AccountRunner } from "../accounts/index.js";
 import type { Configuration } from "../configuration/index.js";
+import type { PeerHandlers } from "../peers/index.js";
+import type { AccountRunner } from "../requests/index.js";
 import type { ServiceRunner } from "../services/index.js";
-import type { PeerHandlers } from "./PeerHandlers.js";
 
 /** What an entry host answers other entry hosts with. */
 export interface PeerListenerOptions {
--- a/src/peers/PeerRequestHead.ts
+++ b/src/forwarding/PeerRequestHead.ts
@@ -1,4 +1,4 @@
-import type { CallerRequest } from "../accounts/index.js";
+import type { CallerRequest } from "../requests/index.js";
 import type { ServiceRequest } from "../services/index.js";
 import type { PeerRequestKind } from "./PeerRequestKind.js";
 
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,12 +1,13 @@
-import type { CallerRequest, DispatchCall } from "../accounts/index.js";
 import { getFingerprint } from "../accounts/index.js";
+import type { DispatchCall } from "../accounts/index.js";
 import { RefusalError } from "../callers/index.js";
-import type { Account, Route, SuppliedConfiguration } from "../configuration/index.js";
 import { RouteAccess, RouteKind } from "../configuration/index.js";
+import type { Account, Route, SuppliedConfiguration } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
-import type { Outcome } from "../outcomes/index.js";
 import { createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import type { Outcome } from "../outcomes/index.js";
 import type { RateBasis } from "../rates/index.js";
+import type { CallerRequest } from "../requests/index.js";
 import { runWithTimeout } from "../time/index.js";
 import type { GatewayCall } from "./GatewayCall.js";
 import type { GatewayOptions } from "./GatewayOptions.js";
--- a/src/gateway/GatewayHostOptions.ts
+++ b/src/gateway/GatewayHostOptions.ts
@@ -1,6 +1,7 @@
+import type { PeerForwarder } from "../forwarding/index.js";
+import type { Member } from "../head/index.js";
 import type { DecisionLog } from "../logging/index.js";
-import type { Member } from "../membership/index.js";
-import type { PeerForwarder, PeerTransport } from "../peers/index.js";
+import type { PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { HostRegistry } from "../registry/index.js";
 import type { ReplicaSource } from "../replica/index.js";
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,6 +1,7 @@
+import { HttpPeerForwarder, PeerListener } from "../forwarding/index.js";
 import { DecisionHistory } from "../logging/index.js";
 import { GatewayMetrics } from "../metrics/index.js";
-import { HttpPeerForwarder, HttpPeerTransport, PeerConnections, PeerListener } from "../peers/index.js";
+import { HttpPeerTransport, PeerConnections } from "../peers/index.js";
 import { SystemRandom } from "../random/index.js";
 import { HttpUpstreamTransport } from "../services/index.js";
 import { Supervisor } from "../supervision/index.js";
--- a/src/head/Head.ts
+++ b/src/head/Head.ts
@@ -1,5 +1,5 @@
-import type { MembershipView } from "../membership/index.js";
 import type { HeadChange } from "./HeadChange.js";
+import type { MembershipView } from "./MembershipView.js";
 import type { SectionReference } from "./SectionReference.js";
 
 /** The one record that orders all changes: of the configuration and of the membership view. */
--- a/src/head/index.ts
+++ b/src/head/index.ts
@@ -6,6 +6,8 @@
 export type { HeadInstaller } from "./HeadInstaller.js";
 export type { HeadRecord } from "./HeadRecord.js";
 export type { HeadStore } from "./HeadStore.js";
+export type { Member } from "./Member.js";
+export type { MembershipView } from "./MembershipView.js";
 export type { SectionReference } from "./SectionReference.js";
 export { StoredHeadStore } from "./StoredHeadStore.js";
 export type { StoredHeadStoreOptions } from "./StoredHeadStoreOptions.js";
--- a/src/membership/Freshness.ts
+++ b/src/membership/Freshness.ts
@@ -1,11 +1,9 @@
-import type { Head } from "../head/index.js";
+import type { Head, Member, MembershipView } from "../head/index.js";
 import type { Clock } from "../time/index.js";
 import type { Evidence } from "./Evidence.js";
 import { FRESHNESS_BOUND_MS } from "./FRESHNESS_BOUND_MS.js";
 import { getQuorumTime } from "./getQuorumTime.js";
 import type { HeadTracker } from "./HeadTracker.js";
-import type { Member } from "./Member.js";
-import type { MembershipView } from "./MembershipView.js";
 import type { StoppedMembers } from "./StoppedMembers.js";
 
 /** Decides whether this host may serve by its head, and whether it may vouch for it to others. */
--- a/src/membership/Gossip.ts
+++ b/src/membership/Gossip.ts
@@ -1,4 +1,6 @@
-import { type PeerHandlers, PeerMethod, type PeerTransport } from "../peers/index.js";
+import type { Member } from "../head/index.js";
+import { PeerMethod } from "../peers/index.js";
+import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { Clock } from "../time/index.js";
 import { decodeAges } from "./decodeAges.js";
@@ -8,7 +10,6 @@
 import type { GossipAnswer } from "./GossipAnswer.js";
 import type { HeadTracker } from "./HeadTracker.js";
 import type { LayoutHistory } from "./LayoutHistory.js";
-import type { Member } from "./Member.js";
 import { mergeHeadDelta } from "./mergeHeadDelta.js";
 import type { PullTargets } from "./PullTargets.js";
 
--- a/src/membership/HeadTracker.ts
+++ b/src/membership/HeadTracker.ts
@@ -1,8 +1,7 @@
-import type { Head, HeadInstaller } from "../head/index.js";
+import type { Head, HeadInstaller, MembershipView } from "../head/index.js";
 import { createHeadDelta } from "./createHeadDelta.js";
 import type { HeadDelta } from "./HeadDelta.js";
 import type { HeadRequest } from "./HeadRequest.js";
-import type { MembershipView } from "./MembershipView.js";
 
 const KEPT_VIEWS = 8;
 
--- a/src/membership/MajorityPoll.ts
+++ b/src/membership/MajorityPoll.ts
@@ -1,10 +1,10 @@
-import { PeerMethod, type PeerTransport } from "../peers/index.js";
+import type { Member, MembershipView } from "../head/index.js";
+import { PeerMethod } from "../peers/index.js";
+import type { PeerTransport } from "../peers/index.js";
 import type { Clock } from "../time/index.js";
 import { FRESHNESS_BOUND_MS } from "./FRESHNESS_BOUND_MS.js";
 import { hasQuorum } from "./hasQuorum.js";
 import type { HeadTracker } from "./HeadTracker.js";
-import type { Member } from "./Member.js";
-import type { MembershipView } from "./MembershipView.js";
 import type { StoppedMembers } from "./StoppedMembers.js";
 
 const CALL_TIMEOUT_MS = 500;
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -1,5 +1,4 @@
-import type { Member } from "./Member.js";
-import type { MembershipView } from "./MembershipView.js";
+import type { Member, MembershipView } from "../head/index.js";
 
 /** What the other parts of an entry host ask of the membership. */
 export interface Membership {
--- a/src/membership/MembershipOptions.ts
+++ b/src/membership/MembershipOptions.ts
@@ -1,10 +1,9 @@
-import type { HeadInstaller, HeadStore } from "../head/index.js";
+import type { HeadInstaller, HeadStore, Member } from "../head/index.js";
 import type { HostList } from "../hostlist/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { Clock } from "../time/index.js";
-import type { Member } from "./Member.js";
 
 /** What the membership of an entry host works with. */
 export interface MembershipOptions {
--- a/src/membership/MembershipService.ts
+++ b/src/membership/MembershipService.ts
@@ -1,4 +1,4 @@
-import type { Head } from "../head/index.js";
+import type { Head, Member, MembershipView } from "../head/index.js";
 import { Decision } from "../logging/index.js";
 import { Evidence } from "./Evidence.js";
 import { Freshness } from "./Freshness.js";
@@ -6,10 +6,8 @@
 import { HeadTracker } from "./HeadTracker.js";
 import { LayoutHistory } from "./LayoutHistory.js";
 import { MajorityPoll } from "./MajorityPoll.js";
-import type { Member } from "./Member.js";
 import type { Membership } from "./Membership.js";
 import type { MembershipOptions } from "./MembershipOptions.js";
-import type { MembershipView } from "./MembershipView.js";
 import { PullTargets } from "./PullTargets.js";
 import { Reachability } from "./Reachability.js";
 import { RendezvousTable } from "./RendezvousTable.js";
--- a/src/membership/PullTargets.ts
+++ b/src/membership/PullTargets.ts
@@ -1,7 +1,7 @@
+import type { Member } from "../head/index.js";
 import type { RandomSource } from "../random/index.js";
 import { getHeadMembers } from "./getHeadMembers.js";
 import type { HeadTracker } from "./HeadTracker.js";
-import type { Member } from "./Member.js";
 import type { StoppedMembers } from "./StoppedMembers.js";
 
 const HEARD_SHARE = 0.9;
--- a/src/membership/RegisteredMembership.ts
+++ b/src/membership/RegisteredMembership.ts
@@ -1,6 +1,5 @@
-import type { Member } from "./Member.js";
+import type { Member, MembershipView } from "../head/index.js";
 import type { Membership } from "./Membership.js";
-import type { MembershipView } from "./MembershipView.js";
 import type { PeerContact } from "./PeerContact.js";
 import { RendezvousTable } from "./RendezvousTable.js";
 
--- a/src/membership/RendezvousTable.ts
+++ b/src/membership/RendezvousTable.ts
@@ -1,4 +1,4 @@
-import type { Member } from "./Member.js";
+import type { Member } from "../head/index.js";
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
--- a/src/membership/ViewDelta.ts
+++ b/src/membership/ViewDelta.ts
@@ -1,4 +1,4 @@
-import type { Member } from "./Member.js";
+import type { Member } from "../head/index.js";
 
 /** A view as its difference to another one. */
 export interface ViewDelta {
--- a/src/membership/ViewEdit.ts
+++ b/src/membership/ViewEdit.ts
@@ -1,4 +1,4 @@
-import type { Member } from "./Member.js";
+import type { Member } from "../head/index.js";
 import type { ViewEditKind } from "./ViewEditKind.js";
 
 /** A change that is wanted in the membership view; an entry is removed only while it has the same incarnation. */
--- a/src/membership/ViewWriter.ts
+++ b/src/membership/ViewWriter.ts
@@ -1,11 +1,10 @@
-import type { Head, HeadStore } from "../head/index.js";
-import { type PeerHandlers, PeerMethod, type PeerTransport } from "../peers/index.js";
+import type { Head, HeadStore, Member, MembershipView } from "../head/index.js";
+import { PeerMethod } from "../peers/index.js";
+import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { Clock } from "../time/index.js";
 import type { HeadTracker } from "./HeadTracker.js";
 import type { MajorityPoll } from "./MajorityPoll.js";
-import type { Member } from "./Member.js";
-import type { MembershipView } from "./MembershipView.js";
 import { mergeViewEdits } from "./mergeViewEdits.js";
 import { RendezvousTable } from "./RendezvousTable.js";
 import type { StoppedMembers } from "./StoppedMembers.js";
--- a/src/membership/compareMembers.ts
+++ b/src/membership/compareMembers.ts
@@ -1,4 +1,4 @@
-import type { Member } from "./Member.js";
+import type { Member } from "../head/index.js";
 
 /**
  * Compares members by id, the order in which every view holds them.
--- a/src/membership/createHeadDelta.ts
+++ b/src/membership/createHeadDelta.ts
@@ -1,8 +1,7 @@
-import type { Head } from "../head/index.js";
+import type { Head, MembershipView } from "../head/index.js";
 import { createViewDelta } from "./createViewDelta.js";
 import type { HeadDelta } from "./HeadDelta.js";
 import type { HeadRequest } from "./HeadRequest.js";
-import type { MembershipView } from "./MembershipView.js";
 import type { ViewDelta } from "./ViewDelta.js";
 
 /**
--- a/src/membership/createViewDelta.ts
+++ b/src/membership/createViewDelta.ts
@@ -1,5 +1,4 @@
-import type { Member } from "./Member.js";
-import type { MembershipView } from "./MembershipView.js";
+import type { Member, MembershipView } from "../head/index.js";
 import type { ViewDelta } from "./ViewDelta.js";
 
 /**
--- a/src/membership/getHeadMembers.ts
+++ b/src/membership/getHeadMembers.ts
@@ -1,5 +1,4 @@
-import type { Head } from "../head/index.js";
-import type { Member } from "./Member.js";
+import type { Head, Member } from "../head/index.js";
 
 /**
  * Gets the members of the view in force, then those that only the proposed view has.
--- a/src/membership/getQuorumTime.ts
+++ b/src/membership/getQuorumTime.ts
@@ -1,5 +1,4 @@
-import type { Member } from "./Member.js";
-import type { MembershipView } from "./MembershipView.js";
+import type { Member, MembershipView } from "../head/index.js";
 
 /**
  * Gets the latest time that enough members of a view reach: a majority of the view, or all that have not stopped where
--- a/src/membership/hasQuorum.ts
+++ b/src/membership/hasQuorum.ts
@@ -1,6 +1,5 @@
+import type { Member, MembershipView } from "../head/index.js";
 import { getQuorumTime } from "./getQuorumTime.js";
-import type { Member } from "./Member.js";
-import type { MembershipView } from "./MembershipView.js";
 
 /**
  * Whether enough members of a view meet a condition; see getQuorumTime.
--- a/src/membership/mergeHeadDelta.ts
+++ b/src/membership/mergeHeadDelta.ts
@@ -1,6 +1,5 @@
-import type { Head, SectionReference } from "../head/index.js";
+import type { Head, MembershipView, SectionReference } from "../head/index.js";
 import type { HeadDelta } from "./HeadDelta.js";
-import type { MembershipView } from "./MembershipView.js";
 import { mergeViewDelta } from "./mergeViewDelta.js";
 
 const KEPT_CHANGES = 200;
--- a/src/membership/mergeViewDelta.ts
+++ b/src/membership/mergeViewDelta.ts
@@ -1,5 +1,5 @@
+import type { MembershipView } from "../head/index.js";
 import { compareMembers } from "./compareMembers.js";
-import type { MembershipView } from "./MembershipView.js";
 import type { ViewDelta } from "./ViewDelta.js";
 
 /**
--- a/src/membership/mergeViewEdits.ts
+++ b/src/membership/mergeViewEdits.ts
@@ -1,6 +1,6 @@
 import { UnexpectedVariantError } from "../errors/index.js";
+import type { Member } from "../head/index.js";
 import { compareMembers } from "./compareMembers.js";
-import type { Member } from "./Member.js";
 import type { ViewEdit } from "./ViewEdit.js";
 import { ViewEditKind } from "./ViewEditKind.js";
 
--- a/src/orders/OrderCall.ts
+++ b/src/orders/OrderCall.ts
@@ -1,4 +1,4 @@
-import type { CallerRequest } from "../accounts/index.js";
+import type { CallerRequest } from "../requests/index.js";
 
 /** An order of a caller on its way through deduplication. */
 export interface OrderCall {
--- a/src/orders/OrderLocator.ts
+++ b/src/orders/OrderLocator.ts
@@ -1,7 +1,7 @@
 import { PeerUnavailableError } from "../errors/index.js";
-import type { Member } from "../membership/index.js";
-import type { Outcome } from "../outcomes/index.js";
+import type { Member } from "../head/index.js";
 import { createUnknown, UnknownReason } from "../outcomes/index.js";
+import type { Outcome } from "../outcomes/index.js";
 import { PeerMethod } from "../peers/index.js";
 import { runWithTimeout } from "../time/index.js";
 import type { FindOrderResult } from "./FindOrderResult.js";
--- a/src/orders/OrderRunnerOptions.ts
+++ b/src/orders/OrderRunnerOptions.ts
@@ -1,6 +1,7 @@
+import type { PeerForwarder } from "../forwarding/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { Membership } from "../membership/index.js";
-import type { PeerForwarder, PeerHandlers, PeerTransport } from "../peers/index.js";
+import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { Store } from "../store/index.js";
 import type { Clock } from "../time/index.js";
 
--- a/src/orders/createMemberPrefix.ts
+++ b/src/orders/createMemberPrefix.ts
@@ -1,4 +1,4 @@
-import type { Member } from "../membership/index.js";
+import type { Member } from "../head/index.js";
 import { parseIncarnation } from "../utils/index.js";
 import { encodeKeyPrefix } from "./encodeKeyPrefix.js";
 
--- a/src/orders/getSuccessors.ts
+++ b/src/orders/getSuccessors.ts
@@ -1,4 +1,5 @@
-import type { Member, Membership } from "../membership/index.js";
+import type { Member } from "../head/index.js";
+import type { Membership } from "../membership/index.js";
 import type { OrderHolder } from "./OrderHolder.js";
 
 /**
--- a/src/rates/BorrowRound.ts
+++ b/src/rates/BorrowRound.ts
@@ -1,4 +1,4 @@
-import type { Member } from "../membership/index.js";
+import type { Member } from "../head/index.js";
 import type { BorrowRoundOptions } from "./BorrowRoundOptions.js";
 import type { RateGrant } from "./RateGrant.js";
 import type { WaitingRequest } from "./WaitingRequest.js";
--- a/src/rates/InstalledView.ts
+++ b/src/rates/InstalledView.ts
@@ -1,4 +1,4 @@
-import type { MembershipView } from "../membership/index.js";
+import type { MembershipView } from "../head/index.js";
 
 /** A view with the span of time in which it was in force here. */
 export interface InstalledView {
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -1,6 +1,6 @@
 import type { Account } from "../configuration/index.js";
+import type { Member } from "../head/index.js";
 import { Decision } from "../logging/index.js";
-import type { Member } from "../membership/index.js";
 import { PeerMethod, PeerSuspicion } from "../peers/index.js";
 import type { AdmitOptions } from "./AdmitOptions.js";
 import { RateBasis } from "./RateBasis.js";
--- a/src/rates/ShareHandOver.ts
+++ b/src/rates/ShareHandOver.ts
@@ -1,5 +1,5 @@
+import type { Member, MembershipView } from "../head/index.js";
 import { Decision } from "../logging/index.js";
-import type { Member, MembershipView } from "../membership/index.js";
 import { PeerMethod } from "../peers/index.js";
 import type { AccountBucket } from "./AccountBucket.js";
 import type { BucketTable } from "./BucketTable.js";
--- a/src/rates/ShareHistory.ts
+++ b/src/rates/ShareHistory.ts
@@ -1,5 +1,6 @@
 import type { Account } from "../configuration/index.js";
-import type { Membership, MembershipView } from "../membership/index.js";
+import type { MembershipView } from "../head/index.js";
+import type { Membership } from "../membership/index.js";
 import type { Clock } from "../time/index.js";
 import { getRateShare } from "./getRateShare.js";
 import type { InstalledView } from "./InstalledView.js";
--- a/src/rates/TokenLenders.ts
+++ b/src/rates/TokenLenders.ts
@@ -1,5 +1,5 @@
 import { PeerUnavailableError } from "../errors/index.js";
-import type { Member } from "../membership/index.js";
+import type { Member } from "../head/index.js";
 import { PeerMethod } from "../peers/index.js";
 import type { BorrowTokensParams } from "./BorrowTokensParams.js";
 import type { BorrowTokensResult } from "./BorrowTokensResult.js";
--- /dev/null
+++ b/src/rates/peerMethods.ts
@@ -0,0 +1,19 @@
+import type { PeerMethod } from "../peers/index.js";
+import type { BorrowTokensParams } from "./BorrowTokensParams.js";
+import type { BorrowTokensResult } from "./BorrowTokensResult.js";
+import type { HandOverRatesParams } from "./HandOverRatesParams.js";
+import type { HandOverRatesResult } from "./HandOverRatesResult.js";
+import type { ReceiveTokensParams } from "./ReceiveTokensParams.js";
+import type { ReceiveTokensResult } from "./ReceiveTokensResult.js";
+import type { SpendTokenParams } from "./SpendTokenParams.js";
+import type { SpendTokenResult } from "./SpendTokenResult.js";
+
+declare module "../peers/PeerMethods.js" {
+    /** The calls between rate limiters. */
+    interface PeerMethods {
+        [PeerMethod.BorrowTokens]: { params: BorrowTokensParams; result: BorrowTokensResult; };
+        [PeerMethod.ReceiveTokens]: { params: ReceiveTokensParams; result: ReceiveTokensResult; };
+        [PeerMethod.HandOverRates]: { params: HandOverRatesParams; result: HandOverRatesResult; };
+        [PeerMethod.SpendToken]: { params: SpendTokenParams; result: SpendTokenResult; };
+    }
+}
--- a/src/registry/HostRegistry.ts
+++ b/src/registry/HostRegistry.ts
@@ -1,4 +1,4 @@
-import type { Member } from "../membership/index.js";
+import type { Member } from "../head/index.js";
 
 /** Where the entry hosts of a fleet register; calls reject with a StoreUnavailableError when it gives no answer. */
 export interface HostRegistry {
--- a/src/replica/PushPeers.ts
+++ b/src/replica/PushPeers.ts
@@ -1,5 +1,5 @@
+import type { Member } from "../head/index.js";
 import { Decision } from "../logging/index.js";
-import type { Member } from "../membership/index.js";
 import { PeerMethod } from "../peers/index.js";
 import { createParts } from "./createParts.js";
 import type { PushReplicaParams } from "./PushReplicaParams.js";
--- a/src/replica/ReplicaKeeperOptions.ts
+++ b/src/replica/ReplicaKeeperOptions.ts
@@ -1,5 +1,5 @@
+import type { Member } from "../head/index.js";
 import type { DecisionLog } from "../logging/index.js";
-import type { Member } from "../membership/index.js";
 import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { Clock } from "../time/index.js";
 import type { Replica } from "./Replica.js";
--- /dev/null
+++ b/src/requests/index.ts
@@ -0,0 +1,2 @@
+export type { AccountRunner } from "./AccountRunner.js";
+export type { CallerRequest } from "./CallerRequest.js";
--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -1,7 +1,7 @@
-import type { Service } from "../configuration/index.js";
 import { SuppliedConfiguration } from "../configuration/index.js";
+import type { Service } from "../configuration/index.js";
+import type { Member } from "../head/index.js";
 import { Decision } from "../logging/index.js";
-import type { Member } from "../membership/index.js";
 import type { ReplicaEvent } from "../replica/index.js";
 import type { SuppliedDocument } from "./SuppliedDocument.js";
 import type { SupplyItem } from "./SupplyItem.js";
--- a/src/supply/SupplyItem.ts
+++ b/src/supply/SupplyItem.ts
@@ -1,5 +1,5 @@
 import type { Upstream } from "../configuration/index.js";
-import type { Member } from "../membership/index.js";
+import type { Member } from "../head/index.js";
 import type { SuppliedDocument } from "./SuppliedDocument.js";
 import type { SupplyItemKind } from "./SupplyItemKind.js";
 
--- a/tests/membership/headDelta.test.ts
+++ b/tests/membership/headDelta.test.ts
@@ -1,9 +1,8 @@
 import * as fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { Head } from "../../src/head/index.js";
+import type { Head, MembershipView } from "../../src/head/index.js";
 import { createHeadDelta } from "../../src/membership/createHeadDelta.js";
-import type { MembershipView } from "../../src/membership/index.js";
 import { mergeHeadDelta } from "../../src/membership/mergeHeadDelta.js";
 import { mergeViewEdits } from "../../src/membership/mergeViewEdits.js";
 import { ViewEditKind } from "../../src/membership/ViewEditKind.js";
--- a/tests/support/CallerBench.ts
+++ b/tests/support/CallerBench.ts
@@ -1,14 +1,14 @@
 import { connect } from "node:net";
 import { Readable } from "node:stream";
-import type { AccountRunner, CallerRequest } from "../../src/accounts/index.js";
 import { ActiveRequests, AddressLookup, CallerGate, CallerListener } from "../../src/callers/index.js";
 import { createKey, IndexedConfiguration } from "../../src/configuration/index.js";
 import type { AccountKey, Configuration, ConfigurationDocument } from "../../src/configuration/index.js";
 import { FakeClock, FakeMembership } from "../../src/fakes/index.js";
+import type { Member } from "../../src/head/index.js";
 import { DecisionHistory } from "../../src/logging/index.js";
-import type { Member } from "../../src/membership/index.js";
 import { createNotRun, OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
 import type { Outcome } from "../../src/outcomes/index.js";
+import type { AccountRunner, CallerRequest } from "../../src/requests/index.js";
 import { createTestDocument } from "./createTestDocument.js";
 
 /** A caller listener on loopback before a fake account host that records what reaches it. */
--- a/tests/support/OrderTrial.ts
+++ b/tests/support/OrderTrial.ts
@@ -1,7 +1,7 @@
-import type { CallerRequest } from "../../src/accounts/index.js";
 import { RouteKind } from "../../src/configuration/index.js";
-import type { Outcome } from "../../src/outcomes/index.js";
 import { OutcomeKind } from "../../src/outcomes/index.js";
+import type { Outcome } from "../../src/outcomes/index.js";
+import type { CallerRequest } from "../../src/requests/index.js";
 import { createAccountFleet } from "./createAccountFleet.js";
 
 const HOST_COUNT = 6;
--- a/tests/support/createAccountFleet.ts
+++ b/tests/support/createAccountFleet.ts
@@ -1,7 +1,6 @@
-import type { CallerRequest } from "../../src/accounts/index.js";
 import { AccountHost } from "../../src/accounts/index.js";
-import type { Account, AccountKey, Configuration, Route, Service } from "../../src/configuration/index.js";
 import { RouteAccess, RouteKind } from "../../src/configuration/index.js";
+import type { Account, AccountKey, Configuration, Route, Service } from "../../src/configuration/index.js";
 import {
     FakeClock,
     FakeHostClock,
@@ -10,11 +9,12 @@
     FakeServiceRunner,
     FakeStore,
 } from "../../src/fakes/index.js";
+import type { Member, MembershipView } from "../../src/head/index.js";
 import { DecisionHistory } from "../../src/logging/index.js";
-import type { Member, MembershipView } from "../../src/membership/index.js";
 import type { Outcome } from "../../src/outcomes/index.js";
 import { PeerHandlers, PeerMethod } from "../../src/peers/index.js";
 import { SeededRandom } from "../../src/random/index.js";
+import type { CallerRequest } from "../../src/requests/index.js";
 import type { ServiceRequest } from "../../src/services/index.js";
 import type { Store } from "../../src/store/index.js";
 
--- a/tests/support/createMember.ts
+++ b/tests/support/createMember.ts
@@ -1,4 +1,4 @@
-import type { Member } from "../../src/membership/index.js";
+import type { Member } from "../../src/head/index.js";
 
 const ZONES = ["zone-a", "zone-b", "zone-c"];
 const PEER_PORT = 10_000;
--- a/tests/support/createRateFleet.ts
+++ b/tests/support/createRateFleet.ts
@@ -1,10 +1,10 @@
 import type { Account, Configuration } from "../../src/configuration/index.js";
 import { FakeClock, FakeHostClock, FakeMembership, FakeNetwork } from "../../src/fakes/index.js";
+import type { Member, MembershipView } from "../../src/head/index.js";
 import { DecisionHistory } from "../../src/logging/index.js";
-import type { Member, MembershipView } from "../../src/membership/index.js";
 import { PeerHandlers } from "../../src/peers/index.js";
-import type { RateGrant } from "../../src/rates/index.js";
 import { SharedRateLimiter } from "../../src/rates/index.js";
+import type { RateGrant } from "../../src/rates/index.js";
 
 interface RateHost {
     readonly member: Member;
--- a/tests/support/createReplicaFleet.ts
+++ b/tests/support/createReplicaFleet.ts
@@ -1,7 +1,7 @@
 import { FakeClock, FakeNetwork } from "../../src/fakes/index.js";
+import type { Member } from "../../src/head/index.js";
 import { DecisionHistory } from "../../src/logging/index.js";
 import { RegisteredMembership } from "../../src/membership/index.js";
-import type { Member } from "../../src/membership/index.js";
 import { PeerHandlers } from "../../src/peers/index.js";
 import { Replica, ReplicaKeeper } from "../../src/replica/index.js";
 import { createMember } from "./createMember.js";
