Split the judge and the pool, and keep retries back for failures that nobody chose

UpstreamEjector takes out, tries and brings back; UpstreamJudge weighs outcomes. SlotRunner runs requests in claimed slots; ServicePool queues, selects and refuses.

Lookups are trials now only while three retries would be left.

--- a/src/services/RetryBudget.ts
+++ b/src/services/RetryBudget.ts
@@ -3,6 +3,8 @@
 /** Retries that may come at once after a quiet time. */
 const MAX_TOKENS = 10;
 const RETRY_COST = 1;
+/** Retries that are kept for failures that nobody chose to risk. */
+const RESERVED_RETRIES = 3;
 const MS_PER_SECOND = 1_000;
 
 /** Limits the retries towards a service to a share of its requests and, if it is given, a rate beside. */
@@ -28,6 +30,11 @@
         this.#time = now;
     }
 
+    /** Whether there is a retry to spare for a lookup that is sent to an upstream which probably fails it. */
+    hasSpareRetry(): boolean {
+        return this.#tokens >= RESERVED_RETRIES + RETRY_COST;
+    }
+
     /** Spends one retry; returns false if none is left. */
     spend(): boolean {
         if (this.#tokens < RETRY_COST) {
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -1,17 +1,12 @@
-import { finished } from "node:stream";
 import type { Service, Upstream } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
-import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { createNotRun, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import { AttemptRecorder } from "./AttemptRecorder.js";
-import { AttemptRunner } from "./AttemptRunner.js";
-import { createKeptBody } from "./createKeptBody.js";
 import { createKeptOutcome } from "./createKeptOutcome.js";
-import { createOutcome } from "./createOutcome.js";
 import { createStatus } from "./createStatus.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { FirstByteLimit } from "./FirstByteLimit.js";
-import { openReadAhead } from "./openReadAhead.js";
 import { PooledUpstream } from "./PooledUpstream.js";
 import { RetryBudget } from "./RetryBudget.js";
 import { RouteLatencies } from "./RouteLatencies.js";
@@ -22,17 +17,14 @@
 import { ServiceStrain } from "./ServiceStrain.js";
 import { SilenceWatch } from "./SilenceWatch.js";
 import { SlotQueue } from "./SlotQueue.js";
-import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
-import type { UpstreamAttempt } from "./UpstreamAttempt.js";
+import { SlotRunner } from "./SlotRunner.js";
+import type { SlotUse } from "./SlotUse.js";
 import { UpstreamJudge } from "./UpstreamJudge.js";
 import { UpstreamSelector } from "./UpstreamSelector.js";
 import { UpstreamSet } from "./UpstreamSet.js";
 import { UpstreamState } from "./UpstreamState.js";
 import type { UpstreamStatus } from "./UpstreamStatus.js";
 
-const MAX_KEPT_BODY_BYTES = 64 * 1024;
-/** An idempotent request whose answer is no larger than this can be sent again if the answer is cut. */
-const READ_AHEAD_BYTES = 256 * 1024;
 /** How many times the share of the slots one rank has that the next lower has. */
 const PRIORITY_FACTOR = 2;
 /** Fewer upstreams out of reach say nothing of this host. */
@@ -53,8 +45,7 @@
     readonly #limit = new FirstByteLimit();
     readonly #queue: SlotQueue;
     readonly #judge: UpstreamJudge;
-    readonly #runner: AttemptRunner;
-    readonly #recorder: AttemptRecorder;
+    readonly #runner: SlotRunner;
     readonly #upstreams: UpstreamSet;
     readonly #budget: RetryBudget;
     readonly #silence: SilenceWatch;
@@ -75,7 +66,7 @@
         this.#budget = new RetryBudget(clock);
         this.baseline = new ServiceBaseline(clock);
         this.strain = new ServiceStrain(clock);
-        this.#selector = new UpstreamSelector(policy);
+        this.#selector = new UpstreamSelector(policy, () => this.#budget.hasSpareRetry());
         this.#queue = new SlotQueue({
             clock,
             selector: this.#selector,
@@ -86,8 +77,7 @@
         });
         const judgeOptions = { clock, random, decisions, policy, baseline: this.baseline };
         this.#judge = new UpstreamJudge(service, { ...judgeOptions, onCapacity: () => this.#runQueue() });
-        this.#runner = new AttemptRunner(options);
-        this.#recorder = new AttemptRecorder({
+        const recorder = new AttemptRecorder({
             clock,
             judge: this.#judge,
             limit: this.#limit,
@@ -95,6 +85,14 @@
             getPatience: (pooled, request) => this.#getPatience(pooled, request),
             onCapacity: () => this.#runQueue(),
         });
+        this.#runner = new SlotRunner({
+            ...options,
+            recorder,
+            limit: this.#limit,
+            budget: this.#budget,
+            getSlotTime: () => this.#queue.getSlotTime(),
+            onRelease: (pooled, request, use) => this.#release(pooled, request, use),
+        });
         this.#silence = new SilenceWatch(
             clock,
             () => this.#upstreams.getAll(),
@@ -135,7 +133,8 @@
             this.strain.record(false);
             return this.#createAnswer(this.#refuse(request, slot), undefined, false);
         }
-        const outcome = await this.#runOn(slot, request, start + request.timeoutMs, signal);
+        this.#silence.start();
+        const outcome = await this.#runner.run(slot, request, start + request.timeoutMs, signal);
         this.#recordServed(request, outcome);
         const isLost = outcome.kind === OutcomeKind.Unknown && outcome.reason === UnknownReason.ConnectionLost;
         return this.#createAnswer(outcome, slot, isLost);
@@ -198,12 +197,7 @@
     }
 
     async #claimSlot(request: ServiceRequest, signal: AbortSignal): Promise<PooledUpstream | NotRunOutcome> {
-        if (this.strain.isStrained()) {
-            this.#judge.startFloorTrial();
-        }
-        else {
-            this.#judge.startEarlyTrial(!this.#selector.hasFreeSlot());
-        }
+        this.#judge.startTrial(this.strain.isStrained(), !this.#selector.hasFreeSlot());
         if (!this.#selector.hasCandidate(request)) {
             return createNoUpstream();
         }
@@ -224,34 +218,6 @@
         }
     }
 
-    async #runOn(
-        pooled: PooledUpstream,
-        request: ServiceRequest,
-        deadline: number,
-        signal: AbortSignal,
-    ): Promise<Outcome> {
-        const { clock } = this.#options;
-        const late = new AbortController();
-        if (request.isIdempotent) {
-            return await this.#runAttempt(pooled, request, deadline, signal, late.signal);
-        }
-        const start = clock.getTime();
-        const stalledBefore = this.#getStalledTime();
-        return await new Promise(resolve => {
-            const timer = clock.schedule(Math.max(0, deadline - start), () => {
-                late.abort();
-                const stalledMs = this.#getStalledTime() - stalledBefore;
-                this.#recorder.recordLate(pooled, request, clock.getTime() - start - stalledMs);
-                resolve(createOutcome({ kind: UpstreamAnswerKind.TimedOut }));
-            });
-            const reader = AbortSignal.any([signal, late.signal]);
-            void this.#runAttempt(pooled, request, deadline, reader, late.signal).then(outcome => {
-                timer.cancel();
-                resolve(outcome);
-            });
-        });
-    }
-
     /** A lookup that has failed here is sent again, and counts with its last attempt. */
     #recordServed(request: ServiceRequest, outcome: Outcome): void {
         const isServed = outcome.kind === OutcomeKind.Done && outcome.status < FIRST_FAILURE_STATUS;
@@ -260,46 +226,6 @@
         }
     }
 
-    #getStalledTime(): number {
-        return this.#options.stallMeter?.getStalledTime() ?? 0;
-    }
-
-    async #runAttempt(
-        pooled: PooledUpstream,
-        request: ServiceRequest,
-        deadline: number,
-        signal: AbortSignal,
-        late: AbortSignal,
-    ): Promise<Outcome> {
-        this.#silence.start();
-        const start = this.#options.clock.getTime();
-        const expectedMs = this.#queue.getSlotTime();
-        const attempt = await this.#runner.run(
-            pooled.getUpstream(),
-            request,
-            deadline,
-            this.#limit,
-            () => this.#budget.spend(),
-            signal,
-        );
-        const release = (): void => {
-            this.#queue.recordSlotTime(request.account, expectedMs, this.#options.clock.getTime() - start);
-            this.#release(pooled);
-        };
-        if (!late.aborted) {
-            this.#recorder.recordHead(pooled, request, attempt);
-        }
-        this.#recordDispatched(pooled, request, attempt);
-        if (attempt.answer.kind !== UpstreamAnswerKind.Answered) {
-            const outcome = createOutcome(attempt.answer);
-            this.#recordEnd(request, pooled, outcome, undefined);
-            release();
-            return outcome;
-        }
-        const outcome = this.#createDone(pooled, request, attempt, signal, release);
-        return request.isIdempotent ? await openReadAhead(outcome, READ_AHEAD_BYTES) : outcome;
-    }
-
     #getPatience(pooled: PooledUpstream, request: ServiceRequest): number {
         const { slowFactor, minPatienceMs } = this.#service.detection;
         const usualMs = this.#routeLatencies.findMedian(request.route) ?? this.baseline.getRates(pooled).medianMs ?? 0;
@@ -318,57 +244,6 @@
         this.#queue.run();
     }
 
-    #createDone(
-        pooled: PooledUpstream,
-        request: ServiceRequest,
-        attempt: UpstreamAttempt,
-        signal: AbortSignal,
-        release: () => void,
-    ): Outcome {
-        const outcome = createOutcome(attempt.answer);
-        if (outcome.kind !== OutcomeKind.Done) {
-            return outcome;
-        }
-        finished(outcome.body, error => {
-            this.#recorder.recordBodyEnd(pooled, request, attempt, error ?? undefined);
-            release();
-        });
-        if (request.isIdempotent) {
-            return outcome;
-        }
-        const recordEnd = (body: Buffer | undefined, error: Error | undefined): void => {
-            const end = error === undefined
-                ? outcome
-                : createUnknown(UnknownReason.ConnectionLost, "The upstream's answer was cut.");
-            this.#recordEnd(request, pooled, end, body);
-        };
-        return {
-            ...outcome,
-            body: createKeptBody(outcome.body, { maxBytes: MAX_KEPT_BODY_BYTES, signal, onEnd: recordEnd }),
-        };
-    }
-
-    #recordEnd(request: ServiceRequest, pooled: PooledUpstream, outcome: Outcome, body: Buffer | undefined): void {
-        if (!request.isIdempotent) {
-            const { name } = pooled.getUpstream();
-            this.#options.outcomes.recordEnd(request.requestId, createKeptOutcome(outcome, body), name);
-        }
-    }
-
-    #recordDispatched(pooled: PooledUpstream, request: ServiceRequest, attempt: UpstreamAttempt): void {
-        const { answer, latencyMs } = attempt;
-        const { requestId, account, service } = request;
-        this.#options.decisions.record({
-            decision: Decision.Dispatched,
-            reason: answer.kind === UpstreamAnswerKind.Answered ? `status ${answer.status}` : answer.kind,
-            requestId,
-            account,
-            service,
-            upstream: pooled.getUpstream().name,
-            figures: { ms: Math.round(latencyMs), running: pooled.getRunning(), state: pooled.getState() },
-        });
-    }
-
     #refuse(request: ServiceRequest, outcome: NotRunOutcome): NotRunOutcome {
         if (!request.isIdempotent) {
             this.#options.outcomes.recordEnd(request.requestId, createKeptOutcome(outcome, undefined), undefined);
@@ -384,7 +259,8 @@
         return outcome;
     }
 
-    #release(pooled: PooledUpstream): void {
+    #release(pooled: PooledUpstream, { account }: ServiceRequest, { expectedMs, usedMs }: SlotUse): void {
+        this.#queue.recordSlotTime(account, expectedMs, usedMs);
         this.#upstreams.release(pooled);
         this.#queue.run();
         this.#recordFinish();
--- /dev/null
+++ b/src/services/SlotRunner.ts
@@ -0,0 +1,155 @@
+import { finished } from "node:stream";
+import { Decision } from "../logging/index.js";
+import type { Outcome } from "../outcomes/index.js";
+import { createUnknown, OutcomeKind, UnknownReason } from "../outcomes/index.js";
+import { AttemptRunner } from "./AttemptRunner.js";
+import { createKeptBody } from "./createKeptBody.js";
+import { createKeptOutcome } from "./createKeptOutcome.js";
+import { createOutcome } from "./createOutcome.js";
+import { openReadAhead } from "./openReadAhead.js";
+import type { PooledUpstream } from "./PooledUpstream.js";
+import type { ServiceRequest } from "./ServiceRequest.js";
+import type { SlotRunnerOptions } from "./SlotRunnerOptions.js";
+import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+import type { UpstreamAttempt } from "./UpstreamAttempt.js";
+
+const MAX_KEPT_BODY_BYTES = 64 * 1024;
+/** An idempotent request whose answer is no larger than this can be sent again if the answer is cut. */
+const READ_AHEAD_BYTES = 256 * 1024;
+
+/** Runs requests in slots that were claimed for them, and records what their upstreams showed. */
+export class SlotRunner {
+    readonly #options: SlotRunnerOptions;
+    readonly #runner: AttemptRunner;
+
+    /** @param options - What the runner works with. */
+    constructor(options: SlotRunnerOptions) {
+        this.#options = options;
+        this.#runner = new AttemptRunner(options);
+    }
+
+    /**
+     * Runs a request to its outcome; never rejects. An order goes on after its deadline, and its slot stays in use as long.
+     * @param pooled - The upstream whose slot was claimed.
+     * @param request - The request.
+     * @param deadline - When the first byte is due, in milliseconds of the clock.
+     * @param signal - Aborted when the caller has left.
+     */
+    async run(
+        pooled: PooledUpstream,
+        request: ServiceRequest,
+        deadline: number,
+        signal: AbortSignal,
+    ): Promise<Outcome> {
+        const { clock } = this.#options;
+        const late = new AbortController();
+        if (request.isIdempotent) {
+            return await this.#runAttempt(pooled, request, deadline, signal, late.signal);
+        }
+        const start = clock.getTime();
+        const stalledBefore = this.#getStalledTime();
+        return await new Promise(resolve => {
+            const timer = clock.schedule(Math.max(0, deadline - start), () => {
+                late.abort();
+                const stalledMs = this.#getStalledTime() - stalledBefore;
+                this.#options.recorder.recordLate(pooled, request, clock.getTime() - start - stalledMs);
+                resolve(createOutcome({ kind: UpstreamAnswerKind.TimedOut }));
+            });
+            const reader = AbortSignal.any([signal, late.signal]);
+            void this.#runAttempt(pooled, request, deadline, reader, late.signal).then(outcome => {
+                timer.cancel();
+                resolve(outcome);
+            });
+        });
+    }
+
+    #getStalledTime(): number {
+        return this.#options.stallMeter?.getStalledTime() ?? 0;
+    }
+
+    async #runAttempt(
+        pooled: PooledUpstream,
+        request: ServiceRequest,
+        deadline: number,
+        signal: AbortSignal,
+        late: AbortSignal,
+    ): Promise<Outcome> {
+        const start = this.#options.clock.getTime();
+        const expectedMs = this.#options.getSlotTime();
+        const attempt = await this.#runner.run(
+            pooled.getUpstream(),
+            request,
+            deadline,
+            this.#options.limit,
+            () => this.#options.budget.spend(),
+            signal,
+        );
+        const release = (): void => {
+            const usedMs = this.#options.clock.getTime() - start;
+            this.#options.onRelease(pooled, request, { expectedMs, usedMs });
+        };
+        if (!late.aborted) {
+            this.#options.recorder.recordHead(pooled, request, attempt);
+        }
+        this.#recordDispatched(pooled, request, attempt);
+        if (attempt.answer.kind !== UpstreamAnswerKind.Answered) {
+            const outcome = createOutcome(attempt.answer);
+            this.#recordEnd(request, pooled, outcome, undefined);
+            release();
+            return outcome;
+        }
+        const outcome = this.#createDone(pooled, request, attempt, signal, release);
+        return request.isIdempotent ? await openReadAhead(outcome, READ_AHEAD_BYTES) : outcome;
+    }
+
+    #createDone(
+        pooled: PooledUpstream,
+        request: ServiceRequest,
+        attempt: UpstreamAttempt,
+        signal: AbortSignal,
+        release: () => void,
+    ): Outcome {
+        const outcome = createOutcome(attempt.answer);
+        if (outcome.kind !== OutcomeKind.Done) {
+            return outcome;
+        }
+        finished(outcome.body, error => {
+            this.#options.recorder.recordBodyEnd(pooled, request, attempt, error ?? undefined);
+            release();
+        });
+        if (request.isIdempotent) {
+            return outcome;
+        }
+        const recordEnd = (body: Buffer | undefined, error: Error | undefined): void => {
+            const end = error === undefined
+                ? outcome
+                : createUnknown(UnknownReason.ConnectionLost, "The upstream's answer was cut.");
+            this.#recordEnd(request, pooled, end, body);
+        };
+        return {
+            ...outcome,
+            body: createKeptBody(outcome.body, { maxBytes: MAX_KEPT_BODY_BYTES, signal, onEnd: recordEnd }),
+        };
+    }
+
+    #recordEnd(request: ServiceRequest, pooled: PooledUpstream, outcome: Outcome, body: Buffer | undefined): void {
+        if (!request.isIdempotent) {
+            const { name } = pooled.getUpstream();
+            this.#options.outcomes.recordEnd(request.requestId, createKeptOutcome(outcome, body), name);
+        }
+    }
+
+    #recordDispatched(pooled: PooledUpstream, request: ServiceRequest, attempt: UpstreamAttempt): void {
+        const { answer, latencyMs } = attempt;
+        const { requestId, account, service } = request;
+        this.#options.decisions.record({
+            decision: Decision.Dispatched,
+            reason: answer.kind === UpstreamAnswerKind.Answered ? `status ${answer.status}` : answer.kind,
+            requestId,
+            account,
+            service,
+            upstream: pooled.getUpstream().name,
+            figures: { ms: Math.round(latencyMs), running: pooled.getRunning(), state: pooled.getState() },
+        });
+    }
+}
--- /dev/null
+++ b/src/services/UpstreamEjector.ts
@@ -0,0 +1,218 @@
+import type { DetectionSettings, Service } from "../configuration/index.js";
+import { Decision } from "../logging/index.js";
+import { BackOff } from "./BackOff.js";
+import { EjectionPolicy } from "./EjectionPolicy.js";
+import { findEarlyTrial } from "./findEarlyTrial.js";
+import { findFloorTrial } from "./findFloorTrial.js";
+import { getEvidenceShare } from "./getEvidenceShare.js";
+import { hasCapacityAboveFloor } from "./hasCapacityAboveFloor.js";
+import { hasWorkingSiblings } from "./hasWorkingSiblings.js";
+import { isBusy } from "./isBusy.js";
+import type { PooledUpstream } from "./PooledUpstream.js";
+import { UpstreamEvent } from "./UpstreamEvent.js";
+import type { UpstreamJudgeOptions } from "./UpstreamJudgeOptions.js";
+import { UpstreamState } from "./UpstreamState.js";
+
+const FLOOR_NOTE = "; the floor forbids its ejection";
+
+/** Takes convicted upstreams of a pool out of work as far as the floor allows, has them tried and brings them back. */
+export class UpstreamEjector {
+    readonly #options: UpstreamJudgeOptions;
+    readonly #backOff: BackOff;
+    #service: Service;
+    #upstreams: readonly PooledUpstream[] = [];
+
+    /**
+     * @param service - The service as configured.
+     * @param options - What the judge is made of.
+     */
+    constructor(service: Service, options: UpstreamJudgeOptions) {
+        this.#service = service;
+        this.#options = options;
+        this.#backOff = new BackOff(options.clock, options.random);
+    }
+
+    /**
+     * Applies a change of the configuration.
+     * @param service - The service as configured now.
+     * @param upstreams - The upstreams of this part.
+     */
+    apply(service: Service, upstreams: readonly PooledUpstream[]): void {
+        this.#service = service;
+        this.#upstreams = upstreams;
+        if (this.#isPrompt()) {
+            this.startEarlyTrial();
+            return;
+        }
+        this.#restoreToFloor();
+    }
+
+    /**
+     * Ends the time out of work of the upstream that has been out longest, if fewer work than the floor wants or if
+     * requests wait for a slot. Only where ejections are prompt, and so may be wrong; an upstream whose trial has failed
+     * too is no healthy capacity, and the floor does not count it.
+     * @param isShort - Whether requests wait for a slot.
+     */
+    startEarlyTrial(isShort = false): void {
+        this.#startOrderTrial(
+            this.#isPrompt() ? findEarlyTrial(this.#upstreams, this.#service.floor, isShort) : undefined,
+        );
+    }
+
+    /** Lets orders try a resting upstream, if fewer upstreams than the floor have had a request lately. */
+    startFloorTrial(): void {
+        this.#startOrderTrial(this.#isPrompt() ? findFloorTrial(this.#upstreams, this.#service.floor) : undefined);
+    }
+
+    /**
+     * Ejects an upstream, or holds it if too few others work.
+     * @param upstream - The upstream.
+     * @param detail - What has convicted it.
+     */
+    ejectOrHold(upstream: PooledUpstream, detail: string): void {
+        const reason = getReason(upstream, detail);
+        const canEject = this.#isPrompt()
+            ? hasWorkingSiblings(upstream, this.#upstreams)
+            : hasCapacityAboveFloor(upstream, this.#upstreams, this.#service.floor);
+        if (canEject) {
+            this.eject(upstream, reason);
+            this.startEarlyTrial();
+        }
+        else if (upstream.send(UpstreamEvent.Hold, `${reason}${FLOOR_NOTE}`)) {
+            this.#recordDecision(Decision.EjectionWithheld, upstream);
+        }
+    }
+
+    /**
+     * Ejects an upstream.
+     * @param upstream - The upstream.
+     * @param reason - Why.
+     */
+    eject(upstream: PooledUpstream, reason: string): void {
+        if (!upstream.send(UpstreamEvent.Eject, reason)) {
+            return;
+        }
+        const durationMs = this.#backOff.start(
+            upstream,
+            this.#getDetection(upstream),
+            () => this.#startTrials(upstream),
+        );
+        this.#recordDecision(Decision.Ejected, upstream, { backOffMs: Math.round(durationMs) });
+        this.#options.onCapacity();
+    }
+
+    /**
+     * Brings an upstream back.
+     * @param upstream - The upstream.
+     * @param reason - Why.
+     */
+    restore(upstream: PooledUpstream, reason: string): void {
+        this.#backOff.cancel(upstream);
+        // Where a spell of failures has ended, the upstream is warm and takes its full share at once.
+        const event = this.#isPrompt() && upstream.getState() === UpstreamState.Probation
+            ? UpstreamEvent.Clear
+            : UpstreamEvent.Restore;
+        if (upstream.send(event, reason)) {
+            upstream.detector.restore();
+            upstream.isTrialFailed = false;
+            upstream.restoredTime = this.#options.clock.getTime();
+            this.#recordDecision(Decision.Restored, upstream);
+            this.ejectHeld();
+            this.#options.onCapacity();
+        }
+    }
+
+    /** Ejects the held upstreams that are still convicted, as far as the floor allows now. */
+    ejectHeld(): void {
+        const held = this.#upstreams.filter(upstream => upstream.getState() === UpstreamState.Held);
+        held.sort((left, right) => getEvidenceShare(right) - getEvidenceShare(left));
+        held.filter(upstream => this.#isConvicted(upstream)).forEach(upstream =>
+            this.ejectOrHold(upstream, upstream.reason)
+        );
+    }
+
+    /** Stops the timers of ejected upstreams. */
+    stop(): void {
+        this.#backOff.stop();
+    }
+
+    /** A busy pool can't spare an upstream for a spell on one failure, which may be chance; a short rest tells. */
+    #getDetection(upstream: PooledUpstream): DetectionSettings {
+        const { detection } = this.#service;
+        const { busyProbationMs } = detection;
+        return busyProbationMs === undefined || upstream.isTrialFailed || upstream.isSilent || !isBusy(this.#upstreams)
+            ? detection
+            : { ...detection, probationMs: busyProbationMs };
+    }
+
+    #startOrderTrial(upstream: PooledUpstream | undefined): void {
+        if (upstream !== undefined) {
+            this.#backOff.cancel(upstream);
+            upstream.orderTrialTime = this.#options.clock.getTime();
+            this.#startTrials(upstream);
+        }
+    }
+
+    #startTrials(upstream: PooledUpstream): void {
+        if (!this.#isBaseline()) {
+            upstream.send(UpstreamEvent.Try, "its time out of work has ended");
+        }
+        else if (upstream.send(UpstreamEvent.Clear, "its time out of work has ended")) {
+            upstream.detector.restore();
+            this.#recordDecision(Decision.Restored, upstream);
+        }
+        this.#options.onCapacity();
+    }
+
+    #restoreToFloor(): void {
+        const out = this.#upstreams.filter(upstream =>
+            upstream.getState() === UpstreamState.Ejected || upstream.getState() === UpstreamState.Probation
+        );
+        const required = Math.ceil(this.#service.floor * this.#upstreams.length);
+        let working = this.#upstreams.filter(upstream => upstream.isWorking()).length;
+        for (const upstream of out) {
+            if (working >= required) {
+                return;
+            }
+            this.restore(upstream, "the floor needs it");
+            working++;
+        }
+    }
+
+    #isConvicted(upstream: PooledUpstream): boolean {
+        return getEvidenceShare(upstream) >= 1;
+    }
+
+    #isBaseline(): boolean {
+        return this.#options.policy === EjectionPolicy.Baseline;
+    }
+
+    #isPrompt(): boolean {
+        return this.#options.policy === EjectionPolicy.Prompt;
+    }
+
+    #recordDecision(decision: Decision, upstream: PooledUpstream, figures: Record<string, number> = {}): void {
+        this.#options.decisions.record({
+            decision,
+            reason: upstream.reason,
+            service: this.#service.name,
+            upstream: upstream.getUpstream().name,
+            figures: {
+                errorEvidence: upstream.detector.getErrorEvidence(),
+                latencyEvidence: upstream.detector.getLatencyEvidence(),
+                threshold: upstream.detector.getThreshold(),
+                ...figures,
+            },
+        });
+    }
+}
+
+/** A held upstream that is ejected later keeps the reason that it was held for. */
+function getReason(upstream: PooledUpstream, detail: string): string {
+    if (upstream.getState() === UpstreamState.Held) {
+        return detail.replace(FLOOR_NOTE, "");
+    }
+    return upstream.detector.getLatencyEvidence() > upstream.detector.getErrorEvidence()
+        ? "slow against its siblings"
+        : `failing: ${detail}`;
+}
--- a/src/services/UpstreamSelector.ts
+++ b/src/services/UpstreamSelector.ts
@@ -13,12 +13,17 @@
 /** Selects the upstream for a request among those with a free slot. */
 export class UpstreamSelector {
     readonly #policy: EjectionPolicy;
+    readonly #hasSpareRetry: () => boolean;
     #upstreams: readonly PooledUpstream[] = [];
     #next = 0;
 
-    /** @param policy - How to choose. */
-    constructor(policy: EjectionPolicy) {
+    /**
+     * @param policy - How to choose.
+     * @param hasSpareRetry - Whether a lookup whose trial fails can be sent again.
+     */
+    constructor(policy: EjectionPolicy, hasSpareRetry: () => boolean) {
         this.#policy = policy;
+        this.#hasSpareRetry = hasSpareRetry;
     }
 
     /**
@@ -103,7 +108,7 @@
     #isHeldTrialDue(upstream: PooledUpstream, request: ServiceRequest): boolean {
         const gapMs = request.isIdempotent ? HELD_LOOKUP_TRIAL_MS : HELD_ORDER_TRIAL_MS;
         const isDue = upstream.getIdleTime() >= gapMs || upstream.isOrderTrialDue();
-        return this.#policy === EjectionPolicy.Prompt && isDue && request.excludedUpstreams.length === 0;
+        return this.#policy === EjectionPolicy.Prompt && isDue && this.#isTrialRequest(upstream, request);
     }
 
     #isCandidate(upstream: PooledUpstream, request: ServiceRequest): boolean {
@@ -114,8 +119,12 @@
 
     /** A repeated request has failed once already and should not be a trial again. */
     #isTrialRequest(upstream: PooledUpstream, request: ServiceRequest): boolean {
-        return request.excludedUpstreams.length === 0 &&
-            (request.isIdempotent || (this.#policy === EjectionPolicy.Prompt && !upstream.isReservedForLookups()));
+        if (request.excludedUpstreams.length > 0) {
+            return false;
+        }
+        return request.isIdempotent
+            ? this.#policy !== EjectionPolicy.Prompt || this.#hasSpareRetry()
+            : this.#policy === EjectionPolicy.Prompt && !upstream.isReservedForLookups();
     }
 
     /** Where ejections are prompt, a convicted upstream gets no overflow: it fails it faster than others answer. */
--- a/tests/services/promptEjection.test.ts
+++ b/tests/services/promptEjection.test.ts
@@ -196,6 +196,20 @@
     assert.is(tooFew.length, 0, `${tooFew.length} of 28 spans of two seconds`);
 });
 
+test("no lookup is a trial while the retries that would follow are used up", async () => {
+    const bench = createBench(EjectionPolicy.Prompt, 11, UPSTREAMS, 0);
+    bench.apply({ retryBudget: 0 });
+    const retries = Array.from({ length: 10 }, () => bench.send({ excludedUpstreams: ["another"] }));
+    bench.upstreams.applyFaults("u1", FAILS_AT_ONCE);
+    const orders = bench.sendLoad(20, 8_000, ORDER);
+    const lookups = bench.sendLoad(6, 8_000, { route: "public", timeoutMs: 1_100 });
+    await bench.clock.run(8_000 + END_MS);
+    await Promise.all([...retries, orders, lookups]);
+    const [first, ...later] = bench.upstreams.records.filter(record => record.upstream === "u1");
+    const trials = later.filter(({ isIdempotent, time }) => isIdempotent && time > first!.time + 100 && time < 8_000);
+    assert.is(trials.length, 0);
+});
+
 test("a new registration ends nobody's time out of work", async () => {
     const bench = createBench(EjectionPolicy.Prompt, 1);
     await runOrders(bench, 20, 2_000);
