--- a/src/services/ServiceStrain.ts
+++ b/src/services/ServiceStrain.ts
@@ -34,12 +34,14 @@
     }
 
     /**
-     * Records what another zone has served lately.
+     * Records what another zone has served lately. A host that has handed its pool over serves nothing, which says nothing of the zone.
      * @param zone - The availability zone.
      * @param summary - Its figures.
      */
     recordRemote(zone: string, summary: ServedSummary): void {
-        this.#remote.set(zone, { ...summary, time: this.#clock.getTime() });
+        if (summary.requests > 0) {
+            this.#remote.set(zone, { ...summary, time: this.#clock.getTime() });
+        }
     }
 
     /** Gets this zone's figures for the others. */
