Refuse what waits beyond the room that is left when upstreams are lost

A queue admitted for all upstreams stayed as long when half of them had been ejected.

Change: when the pool's slots change, the newest requests of the longest queues beyond the room are refused at once, as not run, so that other zones are asked while there is time. Which load this answers: a full queue whose upstreams fall away. Prompt policy only.

Test: SlotQueue.test.ts, 0 refused before, 8 of 16 now.

--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -242,6 +242,9 @@
     #runQueue(): void {
         this.#queue.refuse(request => !this.#selector.hasCandidate(request), createNoUpstream());
         this.#queue.run();
+        if (this.#options.policy === EjectionPolicy.Prompt) {
+            this.#queue.refuseExcess();
+        }
     }
 
     #refuse(request: ServiceRequest, outcome: NotRunOutcome): NotRunOutcome {
--- a/src/services/SlotQueue.ts
+++ b/src/services/SlotQueue.ts
@@ -80,6 +80,15 @@
         return this.#slotTimeMs;
     }
 
+    /** Refuses what waits beyond the room that the usable slots leave, newest of the longest queue first. */
+    refuseExcess(): void {
+        const room = this.#options.getCapacity();
+        while (this.#queue.getSize() > room) {
+            const newest = this.#queue.findNewestOfLongest()!;
+            newest.onRefused(this.#createFull(newest.account, newest.weight));
+        }
+    }
+
     /**
      * Refuses the requests that wait and match.
      * @param isRefused - Which to refuse.
--- a/tests/services/SlotQueue.test.ts
+++ b/tests/services/SlotQueue.test.ts
@@ -2,7 +2,9 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { ServiceBench } from "../../src/fakes/index.js";
-import { OutcomeKind } from "../../src/outcomes/index.js";
+import { GATEWAY_SERVICE } from "../../src/gateway/index.js";
+import { OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
+import { EjectionPolicy } from "../../src/services/index.js";
 import type { ServiceAnswer } from "../../src/services/index.js";
 
 const SLOT_SECONDS = 0.02;
@@ -105,6 +107,26 @@
     assert.is(bench.upstreams.records.length, 1);
 });
 
+test("when upstreams are lost, those that wait beyond the room that is left are refused at once", async () => {
+    const bench = new ServiceBench({
+        policy: EjectionPolicy.Prompt,
+        upstreams: 4,
+        slots: 2,
+        fakes: { serviceTimeMs: 200 },
+        detection: GATEWAY_SERVICE.detection,
+        service: { queuePerSlot: 2, floor: 0.7 },
+    });
+    const answers = Array.from({ length: 24 }, () => bench.send({ isIdempotent: false, timeoutMs: 60_000 }));
+    await bench.clock.run(10);
+    bench.upstreams.stopUpstream("u0");
+    bench.upstreams.stopUpstream("u1");
+    await bench.clock.run(10);
+    const refused = bench.decisions.find({}).filter(item => item.reason === RefusalReason.Overloaded);
+    assert.is(refused.length, 8, "of 16 that wait, as many as two upstreams have room for stay");
+    await bench.clock.run(20_000);
+    await Promise.all(answers);
+});
+
 test("a slot stays in use until the answer's body has ended", async () => {
     const bench = new ServiceBench({ upstreams: 1, slots: 1, fakes: { answerTimeMs: 500 } });
     const answers = Promise.all([bench.send(), bench.send()]);
