Take no leaving host for isolated, so that it gives no lookup up

Change: a host that leaves is not isolated by silence.

Ruled out: a service host that had really gone (its upstream's run was cut by the entry host's own abort). A try to show it with real processes (a lookup of 2.2 s during a planned stop of six seconds) did not fail before the change and was dropped; the unit test does.

--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -85,6 +85,7 @@
     async leave(): Promise<void> {
         const { decisions, self } = this.#options;
         this.#isLeaving = true;
+        this.#membership.leave();
         this.lookup.leave();
         decisions.record({ decision: Decision.Drained, reason: "planned stop", member: self.id });
         await this.#registrar.leave();
--- a/src/membership/RegisteredMembership.ts
+++ b/src/membership/RegisteredMembership.ts
@@ -13,6 +13,7 @@
     readonly #self: Member;
     readonly #contact: PeerContact;
     readonly #listeners: ViewListener[] = [];
+    #isLeaving = false;
     #view: MembershipView = { version: 0, members: [] };
     #table = new RendezvousTable([]);
 
@@ -48,9 +49,17 @@
         return !this.#contact.isUnreachable(memberId);
     }
 
-    /** Whether this host hears no other host of a fleet of several. */
+    /**
+     * Whether this host hears no other host of a fleet of several. One that leaves is told nothing any more, which is no sign
+     * of a cut.
+     */
     isIsolated(): boolean {
-        return this.#view.members.length > 1 && this.#contact.isIsolated();
+        return !this.#isLeaving && this.#view.members.length > 1 && this.#contact.isIsolated();
+    }
+
+    /** Records that this host leaves the fleet. */
+    leave(): void {
+        this.#isLeaving = true;
     }
 
     /**
--- /dev/null
+++ b/tests/membership/RegisteredMembership.test.ts
@@ -0,0 +1,16 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { RegisteredMembership } from "../../src/membership/index.js";
+import { createMember } from "../support/createMember.js";
+
+test("a host that hears no other takes itself for isolated, unless it is leaving", () => {
+    const members = [createMember(0), createMember(1)];
+    const contact = { isUnreachable: () => false, isIsolated: () => true };
+    const membership = new RegisteredMembership(members[0]!, contact);
+    membership.applyMembers(members);
+    assert.is(membership.isIsolated(), true);
+    membership.leave();
+    assert.is(membership.isIsolated(), false);
+});
+
+test.run();
