Leave pools to other hosts only where silence is looked for

Cause, found in reading the change again: upstreams that refuse connections count as out of reach under any policy, so that the product's own service hosts handed a pool over when half of its upstreams were down. The hand-over was meant for the platform's gateway only.

The test fails before (1 hand-over) and passes after. The title of a test in the same file claimed a process that stood still, which it did not cause; that case has no test.

--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -180,7 +180,8 @@
     isCutOff(): boolean {
         const upstreams = this.#upstreams.getAll().filter(pooled => pooled.getState() !== UpstreamState.Draining);
         const away = upstreams.filter(pooled => pooled.isSilent || pooled.isConnectFailing).length;
-        return away >= Math.max(MIN_CUT_UPSTREAMS, MIN_CUT_SHARE * upstreams.length);
+        return this.#options.policy === EjectionPolicy.Prompt &&
+            away >= Math.max(MIN_CUT_UPSTREAMS, MIN_CUT_SHARE * upstreams.length);
     }
 
     /** Forgets which upstreams are out of reach. */
--- a/tests/services/silence.test.ts
+++ b/tests/services/silence.test.ts
@@ -33,7 +33,7 @@
     await load;
 });
 
-test("slow upstreams, lone slow requests and a process that stood still make nobody silent", async () => {
+test("a slow upstream and lone slow requests make nobody silent", async () => {
     const bench = createBench({ fakes: { serviceTimeMs: SERVICE_MS, tailRate: 0.02 } });
     const load = bench.sendLoad(8, 120_000, ORDER);
     await bench.clock.run(WARM_UP_MS);
@@ -78,6 +78,17 @@
     }
 });
 
+test("a pool whose policy does not look for silence is never left to another host", async () => {
+    const bench = createBench({ isFirstOfTwo: true, policy: EjectionPolicy.Sequential });
+    const load = bench.sendLoad(ORDERS_PER_SECOND, 6_000, ORDER);
+    await bench.clock.run(2_000);
+    ["u1", "u2", "u3", "u4"].forEach(name => bench.upstreams.applyFaults(name, { isDown: true }));
+    ["u1", "u2", "u3", "u4"].forEach(name => bench.upstreams.stopUpstream(name));
+    await bench.clock.run(20_000);
+    await load;
+    assert.is(findHandOvers(bench).length, 0);
+});
+
 test.run();
 
 function createBench(options: ServiceBenchOptions = {}): ServiceBench {
