Count an attempt whose service host was given up against the route's limit

Callers whose last allowed attempt was given up got an answer from one upstream too many, or none.

Cause: the dispatcher counted the upstreams that its answers name. A service host that was given up as out of reach names none, though it may have sent the lookup on; the service host that came next saw no earlier upstream either, so it counted the attempt as a first one, which earns retries instead of spending one, and could use it as a trial.

Change: each attempt that may have reached an upstream counts, and the service host is told how many did. What is known by name stays excluded. The last attempt that the route allows is not given up for a host that others say is away: no other upstream could take the lookup.

Resends on a new connection after a silent one are not counted here: they go to the same upstream, and spend from the service's budget as before.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -18,14 +18,17 @@
 
 interface DispatchState {
     readonly excludedZones: Set<string>;
+    /** The upstreams that it was sent to, as far as they are known. */
     readonly excludedUpstreams: string[];
+    /** How many upstreams it was, or may have been, sent to. */
+    sent: number;
     /** An answer or a doubt of an earlier attempt; "not run" can't be said any more. */
     earlier: Exclude<Outcome, NotRunOutcome> | undefined;
 }
 
 interface AttemptResult {
     readonly outcome: Outcome;
-    /** Whether an upstream was tried. */
+    /** Whether an upstream was, or may have been, tried. */
     readonly isSent: boolean;
 }
 
@@ -55,7 +58,7 @@
      * @param signal - Aborted when nobody waits for the answer any more.
      */
     async run(call: DispatchCall, signal: AbortSignal): Promise<Outcome> {
-        const state: DispatchState = { excludedZones: new Set(), excludedUpstreams: [], earlier: undefined };
+        const state: DispatchState = { excludedZones: new Set(), excludedUpstreams: [], sent: 0, earlier: undefined };
         this.#getBudget(call.service.name).grant(call.service.retryBudget, call.service.retryRate);
         let outcome = this.#getNoZone();
         for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
@@ -64,8 +67,7 @@
                 break;
             }
             outcome = next.outcome;
-            const isExhausted = state.excludedUpstreams.length >= (call.request.route.maxAttempts ?? MAX_ATTEMPTS);
-            if (isExhausted || !this.#isRetryAllowed(call, next, signal)) {
+            if (state.sent >= getMaxSent(call) || !this.#isRetryAllowed(call, next, signal)) {
                 break;
             }
             this.#recordRetry(call, outcome, attempt);
@@ -97,9 +99,17 @@
             return undefined;
         }
         this.#zones.recordSent(call.service.name, zone);
-        const answer = await this.#sender.send(call, zone, attempt, state.excludedUpstreams, signal);
+        const answer = await this.#sender.send(call, {
+            number: attempt,
+            zone,
+            sentBefore: state.sent,
+            excludedUpstreams: state.excludedUpstreams,
+            isLast: attempt === MAX_ATTEMPTS || state.sent + 1 >= getMaxSent(call),
+        }, signal);
+        const isSent = isPossiblySent(answer);
+        state.sent += isSent ? 1 : 0;
         await this.#recordAnswer(call, zone, answer, state);
-        return { outcome: answer.outcome, isSent: answer.upstream !== undefined };
+        return { outcome: answer.outcome, isSent };
     }
 
     async #recordAnswer(call: DispatchCall, zone: string, answer: HostAnswer, state: DispatchState): Promise<void> {
@@ -162,6 +172,16 @@
     }
 }
 
+/** How many upstreams a request may be sent to. */
+function getMaxSent(call: DispatchCall): number {
+    return call.request.route.maxAttempts ?? MAX_ATTEMPTS;
+}
+
+/** A service host that was given up names no upstream, but may have sent the request to one. */
+function isPossiblySent({ outcome, upstream }: HostAnswer): boolean {
+    return upstream !== undefined || outcome.kind !== OutcomeKind.NotRun;
+}
+
 /** Chooses between the last attempt's outcome and an earlier one that may have run. */
 function mergeOutcomes(last: Outcome, earlier: Exclude<Outcome, NotRunOutcome> | undefined): Outcome {
     if (last.kind === OutcomeKind.NotRun) {
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -7,6 +7,7 @@
 import { FoundState, restoreOutcome } from "../services/index.js";
 import type { FindOutcomeResult, ServiceAnswer, ServiceRequest } from "../services/index.js";
 import { runWithTimeout } from "../time/index.js";
+import type { DispatchAttempt } from "./DispatchAttempt.js";
 import type { DispatchCall } from "./DispatchCall.js";
 import type { DispatcherOptions } from "./DispatcherOptions.js";
 import type { HostAnswer } from "./HostAnswer.js";
@@ -54,29 +55,21 @@
     /**
      * Sends one attempt to the first service host of the zone that takes it; never rejects.
      * @param call - The request.
-     * @param zone - The availability zone.
-     * @param attempt - The attempt's number, from 1.
-     * @param excludedUpstreams - Upstreams that have failed this request.
+     * @param attempt - The attempt.
      * @param signal - Aborts the attempt.
      */
-    async send(
-        call: DispatchCall,
-        zone: string,
-        attempt: number,
-        excludedUpstreams: readonly string[],
-        signal: AbortSignal,
-    ): Promise<HostAnswer> {
-        for (const host of this.#getHosts(call.service.name, zone)) {
+    async send(call: DispatchCall, attempt: DispatchAttempt, signal: AbortSignal): Promise<HostAnswer> {
+        for (const host of this.#getHosts(call.service.name, attempt.zone)) {
             if (!await this.#isAnswering(host, call)) {
                 continue;
             }
-            const request = this.#createRequest(call, zone, attempt, excludedUpstreams);
-            const answer = await this.#sendToHost(host, call, request, signal);
+            const request = this.#createRequest(call, attempt);
+            const answer = await this.#sendToHost(host, call, request, attempt.isLast, signal);
             if (answer !== undefined) {
                 return { ...answer, host, attemptId: request.requestId };
             }
         }
-        const detail = `No service host of zone ${zone} could be reached.`;
+        const detail = `No service host of zone ${attempt.zone} could be reached.`;
         const outcome = createNotRun(RefusalReason.HostUnreachable, detail, DEFAULT_RETRY_AFTER_MS);
         return { ...createAnswer(outcome), host: undefined };
     }
@@ -86,6 +79,7 @@
         host: Member,
         call: DispatchCall,
         request: ServiceRequest,
+        isLast: boolean,
         signal: AbortSignal,
     ): Promise<ServiceAnswer | undefined> {
         const { clock, membership, forwarder, serviceRunner } = this.#options;
@@ -103,7 +97,7 @@
             const answer = runWithTimeout(clock, waitMs, run, () => {
                 throw new PeerUnavailableError(`${host.id} did not answer.`, false);
             });
-            const received = await (call.isIdempotent ? this.#runWhileReachable(host, answer) : answer);
+            const received = await (call.isIdempotent && !isLast ? this.#runWhileReachable(host, answer) : answer);
             this.#suspicion.recordAnswer(host.peerAddress);
             return getUnlessRefusedByHost(received);
         }
@@ -158,7 +152,7 @@
         });
     }
 
-    /** Gives a host up as soon as it is known not to answer, so that a lookup can still be served elsewhere. */
+    /** Gives a host up as soon as it is known not to answer, so that a lookup can still go to another upstream. */
     async #runWhileReachable(host: Member, answer: Promise<ServiceAnswer>): Promise<ServiceAnswer> {
         const { clock, membership } = this.#options;
         return await new Promise((resolve, reject) => {
@@ -224,14 +218,10 @@
             (this.#suspicion.isSuspected(host.peerAddress) || !membership.isReachable(host.id));
     }
 
-    #createRequest(
-        call: DispatchCall,
-        zone: string,
-        attempt: number,
-        excludedUpstreams: readonly string[],
-    ): ServiceRequest {
+    #createRequest(call: DispatchCall, attempt: DispatchAttempt): ServiceRequest {
         const { method, path, headers, body } = call.request;
-        const requestId = attempt === 1 ? call.request.requestId : `${call.request.requestId}.${attempt}`;
+        const { number, zone, sentBefore, excludedUpstreams } = attempt;
+        const requestId = number === 1 ? call.request.requestId : `${call.request.requestId}.${number}`;
         const timeoutMs = Math.max(0, call.deadline - this.#options.clock.getTime());
         const { account, isIdempotent } = call;
         const service = call.service.name;
@@ -249,6 +239,7 @@
             body,
             isIdempotent,
             timeoutMs,
+            sentBefore,
             excludedUpstreams: [...excludedUpstreams],
         };
     }
--- a/src/fakes/ServiceBench.ts
+++ b/src/fakes/ServiceBench.ts
@@ -106,6 +106,7 @@
             body: Buffer.alloc(0),
             isIdempotent: true,
             timeoutMs: 1_000,
+            sentBefore: 0,
             excludedUpstreams: [],
             ...request,
         }, signal);
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -202,7 +202,7 @@
         if (!this.#selector.hasCandidate(request)) {
             return createNoUpstream();
         }
-        if (request.excludedUpstreams.length === 0) {
+        if (request.sentBefore === 0) {
             this.#budget.grant(this.#service.retryBudget, this.#getRetryRate());
         }
         else if (!this.#budget.spend()) {
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -20,6 +20,8 @@
     readonly isIdempotent: boolean;
     /** Time left until the first byte of the answer, in milliseconds. */
     readonly timeoutMs: number;
-    /** Upstreams that have failed this request already. */
+    /** How many upstreams it was, or may have been, sent to before. */
+    readonly sentBefore: number;
+    /** The upstreams among them that are known. */
     readonly excludedUpstreams: readonly string[];
 }
--- a/src/services/UpstreamSelector.ts
+++ b/src/services/UpstreamSelector.ts
@@ -119,7 +119,7 @@
 
     /** A repeated request has failed once already and should not be a trial again. */
     #isTrialRequest(upstream: PooledUpstream, request: ServiceRequest): boolean {
-        if (request.excludedUpstreams.length > 0) {
+        if (request.sentBefore > 0) {
             return false;
         }
         return request.isIdempotent
--- a/src/tools/capacity/createCapacityRequest.ts
+++ b/src/tools/capacity/createCapacityRequest.ts
@@ -20,6 +20,7 @@
         body: Buffer.alloc(0),
         isIdempotent: true,
         timeoutMs: TIMEOUT_MS,
+        sentBefore: 0,
         excludedUpstreams: [],
     };
 }
--- a/tests/accounts/ServiceSender.test.ts
+++ b/tests/accounts/ServiceSender.test.ts
@@ -15,6 +15,7 @@
 const HOSTS = 9;
 const TIMEOUT_MS = 3_000;
 const { detection: DETECTION } = GATEWAY_SERVICE;
+const ATTEMPT = { number: 1, zone: "zone-a", sentBefore: 0, excludedUpstreams: [], isLast: false };
 
 const test = suite("ServiceSender");
 let clock: FakeClock;
@@ -99,7 +100,7 @@
 test.run();
 
 async function send(kind: RouteKind): ReturnType<ServiceSender["send"]> {
-    return await sender.send(createCall(kind), "zone-a", 1, [], new AbortController().signal);
+    return await sender.send(createCall(kind), ATTEMPT, new AbortController().signal);
 }
 
 function createCall(kind: RouteKind): DispatchCall {
--- a/tests/accounts/upstreamLimit.test.ts
+++ b/tests/accounts/upstreamLimit.test.ts
@@ -69,6 +69,14 @@
     assert.ok(findUpstreamsRun().length <= MAX_ATTEMPTS, findUpstreamsRun().join(", "));
 });
 
+test("a lookup that may go to no further upstream is not given up while its service host runs it", async () => {
+    SERVICE.upstreams.forEach(({ name }) => upstreams.applyFaults(name, { slowFactor: 6 }));
+    const outcome = run(1);
+    await clock.run(SERVICE_TIME_MS / 4);
+    membership.getServiceHosts(SERVICE.name, "zone-b").forEach(({ id }) => membership.unreachable.add(id));
+    assert.is((await runClockUntil(clock, outcome))!.kind, OutcomeKind.Done);
+});
+
 test.run();
 
 function addServiceHost(member: Member, members: readonly Member[]): ServiceHost {
@@ -119,15 +127,15 @@
     return [...new Set(upstreams.records.filter(({ isRun }) => isRun).map(({ upstream }) => upstream))];
 }
 
-async function run(): Promise<Outcome> {
-    const outcome = await dispatcher.run(createCall(), new AbortController().signal);
+async function run(maxAttempts = MAX_ATTEMPTS): Promise<Outcome> {
+    const outcome = await dispatcher.run(createCall(maxAttempts), new AbortController().signal);
     if (outcome.kind === OutcomeKind.Done) {
         outcome.body.resume();
     }
     return outcome;
 }
 
-function createCall(): DispatchCall {
+function createCall(maxAttempts: number): DispatchCall {
     const route = {
         name: "r",
         path: "/",
@@ -137,7 +145,7 @@
         access: RouteAccess.Open,
         deadlineMs: TIMEOUT_MS,
         maxBodyBytes: 0,
-        maxAttempts: MAX_ATTEMPTS,
+        maxAttempts,
     };
     const request = {
         requestId: `r${clock.getTime()}`,
--- a/tests/platform/protocols.test.ts
+++ b/tests/platform/protocols.test.ts
@@ -41,6 +41,7 @@
         body: Buffer.alloc(0),
         isIdempotent: false,
         timeoutMs: 1_000,
+        sentBefore: 0,
         excludedUpstreams: [],
     };
 }
--- a/tests/services/HttpUpstreamTransport.test.ts
+++ b/tests/services/HttpUpstreamTransport.test.ts
@@ -232,6 +232,7 @@
         body: Buffer.alloc(0),
         isIdempotent: true,
         timeoutMs: 1_000,
+        sentBefore: 0,
         excludedUpstreams: [],
         ...request,
     }, {
--- a/tests/services/promptEjection.test.ts
+++ b/tests/services/promptEjection.test.ts
@@ -199,7 +199,7 @@
 test("no lookup is a trial while the retries that would follow are used up", async () => {
     const bench = createBench(EjectionPolicy.Prompt, 11, UPSTREAMS, 0);
     bench.apply({ retryBudget: 0 });
-    const retries = Array.from({ length: 10 }, () => bench.send({ excludedUpstreams: ["another"] }));
+    const retries = Array.from({ length: 10 }, () => bench.send({ sentBefore: 1, excludedUpstreams: ["another"] }));
     bench.upstreams.applyFaults("u1", FAILS_AT_ONCE);
     const orders = bench.sendLoad(20, 8_000, ORDER);
     const lookups = bench.sendLoad(6, 8_000, { route: "public", timeoutMs: 1_100 });
--- a/tests/time/TimerStallMeter.test.ts
+++ b/tests/time/TimerStallMeter.test.ts
@@ -87,6 +87,7 @@
         body: Buffer.alloc(0),
         isIdempotent: true,
         timeoutMs: PAUSE_MS,
+        sentBefore: 0,
         excludedUpstreams: [],
     };
 }
