Share the retries that no request has earned among the pools of a service

Upstreams get at most the service's allowance of retries in sum, also while entry hosts run their requests themselves.

Cause: each pool had ten retries at once and its zone's whole rate beside what its requests earn; a fleet has one such pool a zone while all is well, and one a host and zone when hosts don't reach their service hosts.

Change: the first service host of a zone has all of that, each next one in rank half of it, and hosts that are none of them one part in as many as there are hosts. What requests earn stays with the pool that ran them; a pool with a small part saves one retry up at most.

Ruled out as the place: the entry hosts' own budgets. They see a fourteenth of a request rate that a pool sees whole, so equal parts there would refuse retries that the service's budget allows.

Not covered: if all three service hosts of all three zones spend all they may in one window, the sum is above the platform's slack by a few.

--- a/src/fakes/ServiceBench.ts
+++ b/src/fakes/ServiceBench.ts
@@ -65,6 +65,7 @@
             peers: options.peers ?? { send: () => Promise.reject(new Error("There are no peers.")) },
             membership: {
                 getSelf: () => ({ peerAddress: "own" }),
+                getView: () => ({ version: 1, members: [] }),
                 getServiceHosts: (_: string, zone: string) => [
                     ...(options.isFirstOfTwo === true ? [{ peerAddress: "own" }] : []),
                     { peerAddress: `host-of-${zone}`, id: `host-of-${zone}` },
--- a/src/services/RetryBudget.ts
+++ b/src/services/RetryBudget.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "../time/index.js";
 
-/** Retries that may come at once after a quiet time. */
+/** Retries that may come at once after a quiet time, from a budget that is not shared. */
 const MAX_TOKENS = 10;
 const RETRY_COST = 1;
 /** Retries that are kept for failures that nobody chose to risk. */
@@ -10,23 +10,31 @@
 /** Limits the retries towards a service to a share of its requests and, if it is given, a rate beside. */
 export class RetryBudget {
     readonly #clock: Clock;
-    #tokens = MAX_TOKENS;
+    readonly #getPart: () => number;
+    #tokens: number;
     #time: number;
 
-    /** @param clock - The source of time. */
-    constructor(clock: Clock) {
+    /**
+     * @param clock - The source of time.
+     * @param getPart - Gets this budget's part of what the service is allowed beside its requests, from 0 to 1.
+     */
+    constructor(clock: Clock, getPart: () => number = () => 1) {
         this.#clock = clock;
+        this.#getPart = getPart;
+        this.#tokens = MAX_TOKENS * getPart();
         this.#time = clock.getTime();
     }
 
     /**
      * Adds what a new request earns, and what the time since the last one has brought.
      * @param share - Retries allowed for each request, from 0 to 1.
-     * @param rate - Retries allowed beside, per second.
+     * @param rate - Retries that all who share the budget are allowed beside, per second.
      */
     grant(share: number, rate = 0): void {
         const now = this.#clock.getTime();
-        this.#tokens = Math.min(MAX_TOKENS, this.#tokens + share + rate * (now - this.#time) / MS_PER_SECOND);
+        const part = this.#getPart();
+        const added = share + part * rate * (now - this.#time) / MS_PER_SECOND;
+        this.#tokens = Math.min(Math.max(RETRY_COST, MAX_TOKENS * part), this.#tokens + added);
         this.#time = now;
     }
 
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -20,6 +20,10 @@
 const SHARE_INTERVAL_MS = 1_000;
 const DEFAULT_WEIGHT = 1;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
+/** Hosts of a zone that entry hosts ask, one after the other. */
+const SERVICE_HOST_RANKS = 3;
+/** Part of the retries of the service host before it in rank that one may spend. */
+const RANK_FACTOR = 0.5;
 
 /**
  * How long another host has a pool whose upstreams this one doesn't reach, in milliseconds: cuts last five to twelve seconds, and
@@ -249,8 +253,18 @@
             stallMeter,
             lateAnswerMs,
             getWeight: account => this.#getWeight(account),
+            getRetryPart: () => this.#getRetryPart(service.name, zone),
         });
     }
+
+    /** The first service host of a zone may spend all, the next ones less, and hosts that aren't any share the least. */
+    #getRetryPart(service: string, zone: string): number {
+        const { membership } = this.#options;
+        const { peerAddress } = membership.getSelf();
+        const rank = membership.getServiceHosts(service, zone).slice(0, SERVICE_HOST_RANKS)
+            .findIndex(host => host.peerAddress === peerAddress);
+        return rank < 0 ? 1 / Math.max(1, membership.getView().members.length) : RANK_FACTOR ** rank;
+    }
 }
 
 function findUpstreams(service: Service | undefined, zone: string): readonly Upstream[] {
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -63,7 +63,7 @@
         const { clock, random, decisions, policy, transport } = options;
         this.#service = service;
         this.#options = options;
-        this.#budget = new RetryBudget(clock);
+        this.#budget = new RetryBudget(clock, options.getRetryPart);
         this.baseline = new ServiceBaseline(clock);
         this.strain = new ServiceStrain(clock);
         this.#selector = new UpstreamSelector(policy, () => this.#budget.hasSpareRetry());
@@ -233,7 +233,7 @@
         return Math.max(minPatienceMs ?? 0, slowFactor * usualMs);
     }
 
-    /** This pool's part of the retries that the service is allowed by time: the zones share them evenly. */
+    /** The zone's part of the retries that the service is allowed by time: the zones share them evenly. */
     #getRetryRate(): number {
         const zones = new Set(this.#service.upstreams.map(upstream => upstream.zone)).size;
         return (this.#service.retryRate ?? 0) / Math.max(1, zones);
