Log the age of the copy with each refusal, and each host's load every five seconds

- A refusal has `copyAgeMs`.
- `load-reported` every 5 s: oldest copy since the last line, lateness of the process's timers, calls to other hosts, their bytes and the slowest one.
- The gauge `fuchsiapath_store_copy_age_seconds`.

The added cost was not measured yet.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -26,6 +26,9 @@
 /** Share of a route's target time that a request may wait for its account's next token, rather than be refused. */
 const TOKEN_WAIT_SHARE = 0.25;
 
+/** An age that is told of a copy that never was current. */
+const MAX_AGE_MS = 1e9;
+
 /** What is known of a request when its outcome is recorded. */
 interface CallContext {
     readonly requestId: string;
@@ -188,7 +191,7 @@
     }
 
     #record(context: CallContext, outcome: Outcome): void {
-        const { clock, decisions, getConfiguration } = this.#options;
+        const { clock, decisions, getConfiguration, getCopyAge } = this.#options;
         const base = {
             requestId: context.requestId,
             account: context.account,
@@ -208,6 +211,7 @@
                     decision: Decision.Refused,
                     reason: outcome.reason,
                     ...base,
+                    figures: { ...base.figures, copyAgeMs: Math.round(Math.min(getCopyAge(), MAX_AGE_MS)) },
                     detail: outcome.detail,
                 });
                 return;
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -74,6 +74,11 @@
         return this.supply.getConfiguration() ?? EMPTY_CONFIGURATION;
     }
 
+    /** Gets how long ago the copy of the store is known to have been current, in milliseconds. */
+    getCopyAge(): number {
+        return this.#keeper.getAge();
+    }
+
     /** Starts all roles. */
     async start(): Promise<void> {
         await this.#supervisor.start();
@@ -158,7 +163,8 @@
             isSelfSufficient: true,
         }, quarantine);
         const getConfiguration = (): SuppliedConfiguration | undefined => this.supply.getConfiguration();
-        return new Gateway({ clock, random, decisions, limiter, dispatcher, getConfiguration });
+        const getCopyAge = (): number => this.getCopyAge();
+        return new Gateway({ clock, random, decisions, limiter, dispatcher, getConfiguration, getCopyAge });
     }
 
     #createSupervisor(): Supervisor {
--- a/src/gateway/GatewayOptions.ts
+++ b/src/gateway/GatewayOptions.ts
@@ -14,4 +14,6 @@
     readonly dispatcher: Dispatcher;
     /** Gets the configuration in force; undefined before the first. */
     readonly getConfiguration: () => SuppliedConfiguration | undefined;
+    /** Gets how long ago the configuration is known to have been current, in milliseconds. */
+    readonly getCopyAge: () => number;
 }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,7 +1,7 @@
 import { HttpPeerForwarder, PeerListener } from "../forwarding/index.js";
 import { DecisionHistory } from "../logging/index.js";
 import { GatewayMetrics } from "../metrics/index.js";
-import { HttpPeerTransport, PeerConnections } from "../peers/index.js";
+import { HttpPeerTransport, PeerConnections, PeerTraffic } from "../peers/index.js";
 import { SystemRandom } from "../random/index.js";
 import { HttpUpstreamTransport } from "../services/index.js";
 import { Supervisor } from "../supervision/index.js";
@@ -10,6 +10,7 @@
 import { GatewayHost } from "./GatewayHost.js";
 import { GatewayListener } from "./GatewayListener.js";
 import type { GatewayProcessOptions } from "./GatewayProcessOptions.js";
+import { LoadReporter } from "./LoadReporter.js";
 
 const PEER_CONNECTIONS = 64;
 const PEER_CONNECT_TIMEOUT_MS = 500;
@@ -34,6 +35,7 @@
         maxConnections: PEER_CONNECTIONS,
         connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     });
+    readonly #traffic = new PeerTraffic();
     readonly #upstreamTransport: HttpUpstreamTransport;
     readonly #host: GatewayHost;
     readonly #callers: GatewayListener;
@@ -42,7 +44,7 @@
     /** @param options - Settings and what connects the process with the platform. */
     constructor(options: GatewayProcessOptions) {
         this.#options = options;
-        this.#metrics = new GatewayMetrics(options.getLeftOutLines);
+        this.#metrics = new GatewayMetrics(options.getLeftOutLines, () => this.#host.getCopyAge());
         this.#decisions = new DecisionHistory(this.#clock, decision => {
             this.#metrics.recordDecision(decision);
             options.logger.info(decision, decision.reason);
@@ -88,7 +90,7 @@
             clock: this.#clock,
             random: new SystemRandom(),
             decisions: this.#decisions,
-            transport: new HttpPeerTransport(peerOptions),
+            transport: new HttpPeerTransport({ ...peerOptions, traffic: this.#traffic }),
             forwarder: new HttpPeerForwarder(peerOptions),
             upstreamTransport: this.#upstreamTransport,
             source,
@@ -119,6 +121,7 @@
             { name: "peers", start: () => peers.start(settings.peerAddress), stop: () => peers.stop() },
             { name: "metrics", start: () => metrics.start(settings.metricsAddress), stop: () => metrics.stop() },
             host,
+            this.#createReporter(),
             { name: "ready", start: () => ready.start(settings.readyAddress), stop: () => ready.stop() },
             {
                 name: "callers",
@@ -129,6 +132,17 @@
         ]);
     }
 
+    #createReporter(): LoadReporter {
+        return new LoadReporter({
+            clock: this.#clock,
+            decisions: this.#decisions,
+            memberId: this.#options.settings.id,
+            traffic: this.#traffic,
+            getCopyAge: () => this.#host.getCopyAge(),
+            getStalledTime: () => this.#stallMeter.getStalledTime(),
+        });
+    }
+
     #applyLimits(): void {
         const configuration = this.#host.supply.getConfiguration();
         if (configuration !== undefined) {
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -11,4 +11,6 @@
 export type { GatewayProcessOptions } from "./GatewayProcessOptions.js";
 export type { GatewayProtocol } from "./GatewayProtocol.js";
 export { HostLookup } from "./HostLookup.js";
+export { LoadReporter } from "./LoadReporter.js";
+export type { LoadReporterOptions } from "./LoadReporterOptions.js";
 export { selectService } from "./selectService.js";
--- a/src/peers/HttpPeerTransport.ts
+++ b/src/peers/HttpPeerTransport.ts
@@ -6,6 +6,7 @@
 import type { PeerMethod } from "./PeerMethod.js";
 import type { PeerMethods } from "./PeerMethods.js";
 import { peerProtocol } from "./peerProtocol.js";
+import type { PeerTraffic } from "./PeerTraffic.js";
 import type { PeerTransport } from "./PeerTransport.js";
 
 interface CallTarget {
@@ -20,6 +21,7 @@
     readonly #connections: PeerConnections;
     readonly #clock: Clock;
     readonly #secret: string;
+    readonly #traffic: PeerTraffic | undefined;
     readonly #client: JSONRPCClient<CallTarget>;
 
     /** @param options - Connections, time and the secret that entry hosts share. */
@@ -27,6 +29,7 @@
         this.#connections = options.connections;
         this.#clock = options.clock;
         this.#secret = options.secret;
+        this.#traffic = options.traffic;
         this.#client = new JSONRPCClient<CallTarget>((payload, target) => this.#sendPayload(payload, target));
     }
 
@@ -43,11 +46,15 @@
         params: PeerMethods[M]["params"],
         timeoutMs: number,
     ): Promise<PeerMethods[M]["result"]> {
+        const start = this.#clock.getTime();
+        let isAnswered = false;
         const controller = new AbortController();
         const target: CallTarget = { address, signal: controller.signal };
         const timer = this.#clock.schedule(timeoutMs, () => controller.abort(new Error("The call timed out.")));
         try {
-            return await this.#client.request(method, params, target);
+            const result = await this.#client.request(method, params, target);
+            isAnswered = true;
+            return result;
         }
         catch (error) {
             if (controller.signal.aborted) {
@@ -57,16 +64,19 @@
         }
         finally {
             timer.cancel();
+            this.#traffic?.recordEnd(this.#clock.getTime() - start, isAnswered);
         }
     }
 
     async #sendPayload(payload: unknown, target: CallTarget): Promise<void> {
+        const body = JSON.stringify(payload);
+        this.#traffic?.recordSent(Buffer.byteLength(body));
         try {
             const response = await this.#connections.get(target.address).request({
                 method: "POST",
                 path: peerProtocol.callPath,
                 headers: { "content-type": "application/json", [peerProtocol.secretHeader]: this.#secret },
-                body: JSON.stringify(payload),
+                body,
                 signal: target.signal,
             });
             this.#client.receive(await response.body.json() as never);
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -9,4 +9,6 @@
 export type { PeerMethods } from "./PeerMethods.js";
 export { peerProtocol } from "./peerProtocol.js";
 export { PeerSuspicion } from "./PeerSuspicion.js";
+export { PeerTraffic } from "./PeerTraffic.js";
+export type { PeerTrafficSummary } from "./PeerTrafficSummary.js";
 export type { PeerTransport } from "./PeerTransport.js";
