Put nothing in force again when upstreams only renew their entries

Callers of the grown deployments waited for hosts of a quarter of a core that were late at everything.

Cause: each change that a watcher passed on, renewals of upstreams' entries among them (200 upstreams every 1.5 s, in about 15 batches a second from each of two watchers), made every host build the whole configuration anew, apply it to all pools, and build the membership's hash table anew, which also dropped all selections that it had cached. The work at every host grew with upstreams times hosts.

Now only a change of the configuration, of an upstream beyond its sequence number and the time until it is warm, or of a host is put in force. A host's entry that is written again unchanged keeps the view.

Test: Supply.test.ts "renewals of upstreams' entries, which change nothing else, cost no rebuild of what is in force" failed before with 3 rebuilds instead of 0; RegisteredMembership.test.ts holds the view.

--- a/src/membership/RegisteredMembership.ts
+++ b/src/membership/RegisteredMembership.ts
@@ -1,4 +1,6 @@
+import { isDeepStrictEqual } from "node:util";
 import type { Member, MembershipView } from "../head/index.js";
+import { compareMembers } from "./compareMembers.js";
 import type { Membership } from "./Membership.js";
 import type { PeerContact } from "./PeerContact.js";
 import { RendezvousTable } from "./RendezvousTable.js";
@@ -98,7 +100,10 @@
      */
     applyMembers(members: readonly Member[]): void {
         const previous = this.#view;
-        const sorted = [...members].sort((left, right) => left.id < right.id ? -1 : 1);
+        const sorted = [...members].sort(compareMembers);
+        if (isDeepStrictEqual(sorted, previous.members)) {
+            return;
+        }
         this.#view = { version: previous.version + 1, members: sorted };
         this.#table = new RendezvousTable(sorted);
         this.#listeners.forEach(listener => listener(this.#view, previous));
--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import { SuppliedConfiguration } from "../configuration/index.js";
 import type { Service } from "../configuration/index.js";
 import type { Member } from "../head/index.js";
@@ -25,6 +26,9 @@
     readonly #missing = new Set<string>();
     readonly #listeners: (() => void)[] = [];
     #document: SuppliedDocument | undefined;
+    #hostList: readonly Member[] = [];
+    /** Whether something has changed that is not in force yet. */
+    #isChanged = false;
     #configuration: SuppliedConfiguration | undefined;
 
     /** @param options - What the supply works with. */
@@ -39,7 +43,7 @@
 
     /** Gets the entry hosts that are registered. */
     getHosts(): readonly Member[] {
-        return [...this.#hosts.values()];
+        return this.#hostList;
     }
 
     /**
@@ -78,7 +82,7 @@
                 this.#applyUpstream(event.key, item);
                 break;
             case SupplyItemKind.Host:
-                this.#hosts.set(event.key, item.member);
+                this.#applyHost(event.key, item.member);
                 break;
             case SupplyItemKind.Other:
                 break;
@@ -99,6 +103,12 @@
             return;
         }
         this.#upstreams.set(key, item);
+        this.#isChanged ||= known === undefined || !isRenewal(known, item);
+    }
+
+    #applyHost(key: string, member: Member): void {
+        this.#isChanged ||= !isDeepStrictEqual(this.#hosts.get(key), member);
+        this.#hosts.set(key, member);
     }
 
     /** A version in force never goes back to an older one. */
@@ -107,6 +117,7 @@
             return;
         }
         this.#document = document;
+        this.#isChanged = true;
         this.#options.decisions.record({
             decision: Decision.ConfigurationApplied,
             reason: "a newer version was read",
@@ -133,14 +144,21 @@
 
     #remove(key: string): void {
         if (this.#upstreams.delete(key)) {
+            this.#isChanged = true;
             this.#record("upstream-removed", { key });
         }
         if (this.#hosts.delete(key)) {
+            this.#isChanged = true;
             this.#record("host-removed", { key });
         }
     }
 
     #publish(): void {
+        if (!this.#isChanged) {
+            return;
+        }
+        this.#isChanged = false;
+        this.#hostList = [...this.#hosts.values()];
         if (this.#document !== undefined) {
             this.#configuration = createConfiguration(this.#document, [...this.#upstreams.values()]);
         }
@@ -152,6 +170,14 @@
     }
 }
 
+/** Whether an upstream only says once more what is known of it; its time until it is warm runs down by itself. */
+function isRenewal(known: RegisteredUpstream, item: RegisteredUpstream): boolean {
+    const { coldMs: knownColdMs = 0, ...knownUpstream } = known.upstream;
+    const { coldMs = 0, ...upstream } = item.upstream;
+    return known.service === item.service && known.startTime === item.startTime && coldMs <= knownColdMs &&
+        isDeepStrictEqual(knownUpstream, upstream);
+}
+
 function createConfiguration(
     document: SuppliedDocument,
     registered: readonly RegisteredUpstream[],
--- a/tests/membership/RegisteredMembership.test.ts
+++ b/tests/membership/RegisteredMembership.test.ts
@@ -13,4 +13,16 @@
     assert.is(membership.isIsolated(), false);
 });
 
+test("hosts that are the same as before keep the view and what was selected from it", () => {
+    const members = [createMember(0), createMember(1)];
+    const membership = new RegisteredMembership(members[0]!, { isUnreachable: () => false, isIsolated: () => false });
+    let changes = 0;
+    membership.addViewListener(() => changes++);
+    membership.applyMembers(members);
+    membership.applyMembers([createMember(1), createMember(0)]);
+    assert.is(changes, 1);
+    membership.applyMembers([createMember(1)]);
+    assert.is(changes, 2);
+});
+
 test.run();
--- a/tests/supply/Supply.test.ts
+++ b/tests/supply/Supply.test.ts
@@ -91,6 +91,23 @@
     assert.equal(getUpstreams(), []);
 });
 
+test("renewals of upstreams' entries, which change nothing else, cost no rebuild of what is in force", () => {
+    write("u1", createUpstream({ coldMs: 3_000 }));
+    write("h1", createHost("h1"));
+    const before = [supply.getConfiguration(), supply.getHosts()];
+    let changes = 0;
+    supply.addListener(() => changes++);
+    write("u1", createUpstream({ coldMs: 1_500 }, 2));
+    write("u1", createUpstream({ coldMs: 0 }, 3));
+    write("h1", createHost("h1"));
+    assert.is(changes, 0);
+    assert.ok(supply.getConfiguration() === before[0]);
+    assert.ok(supply.getHosts() === before[1]);
+    write("u1", createUpstream({ draining: true }, 4));
+    write("u1", createUpstream({}, 3));
+    assert.equal([changes, getUpstreams()], [1, [["i-1", true]]]);
+});
+
 test.run();
 
 type UpstreamItem = Extract<SupplyItem, { kind: SupplyItemKind.Upstream; }>;
