Refuse no request for good from a configuration that may be out of date

Cause: the gateway answered from whatever copy of the store it had, however old. How copies get old is a fault of its own; this one is that a final answer did not depend on the age of what it rests on.

Now a host whose copy was not confirmed within 1.5 s asks the store once before it refuses a key, a route or a body's length for good, decides again by what it learns, and answers 503 "not run" with a time to come back if nobody confirms. Requests that the copy allows wait for nothing.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -26,6 +26,11 @@
 /** Share of a route's target time that a request may wait for its account's next token, rather than be refused. */
 const TOKEN_WAIT_SHARE = 0.25;
 
+/** A configuration older than this refuses no request for good: changes are in force everywhere within two seconds. */
+const MAX_FINAL_REFUSAL_AGE_MS = 1_500;
+/** Refusals that a caller does not repeat. */
+const FINAL_REASONS: ReadonlySet<RefusalReason> = new Set([RefusalReason.UnknownKey, RefusalReason.UnknownRoute]);
+
 /** An age that is told of a copy that never was current. */
 const MAX_AGE_MS = 1e9;
 
@@ -40,6 +45,13 @@
     rateBasis?: RateBasis | undefined;
 }
 
+/** What a request is for. */
+interface CallTarget {
+    readonly route: Route;
+    /** Undefined on a route open to all. */
+    readonly account: Account | undefined;
+}
+
 /** Checks callers' requests, admits them by their accounts' rates and sends them to service hosts. */
 export class Gateway {
     readonly #options: GatewayOptions;
@@ -99,15 +111,10 @@
         context: CallContext,
         signal: AbortSignal,
     ): Promise<Outcome> {
-        const configuration = this.#getConfiguration();
-        const route = findRoute(configuration, call);
+        const { route, account } = await this.#findTarget(call);
         context.route = route.name;
-        const account = findAccount(configuration, route, call.key);
         context.account = account?.name;
-        const body = await readBody(route.maxBodyBytes);
-        if (body === undefined) {
-            throw new RefusalError(RefusalReason.BodyTooLarge, `The body is longer than ${route.maxBodyBytes} bytes.`);
-        }
+        const body = await readBody(route.maxBodyBytes) ?? await this.#refuseBody(route);
         const timeoutMs = Math.min(call.timeoutMs ?? route.deadlineMs, route.deadlineMs);
         const remainingMs = context.startTime + timeoutMs - this.#options.clock.getTime();
         const request = createRequest(call, route, account, body, remainingMs);
@@ -126,6 +133,37 @@
         return configuration;
     }
 
+    /** Finds the route and the account; an old copy refuses nothing for good that a newer configuration may allow. */
+    async #findTarget(call: GatewayCall): Promise<CallTarget> {
+        try {
+            return findTarget(this.#getConfiguration(), call);
+        }
+        catch (error) {
+            if (error instanceof RefusalError && FINAL_REASONS.has(error.outcome.reason)) {
+                await this.#confirmConfiguration();
+                return findTarget(this.#getConfiguration(), call);
+            }
+            throw error;
+        }
+    }
+
+    /** The body that was too long is not kept, so that a newer limit helps only the next try. */
+    async #refuseBody(route: Route): Promise<never> {
+        const { version } = this.#getConfiguration();
+        await this.#confirmConfiguration();
+        if (this.#getConfiguration().version !== version) {
+            throw new RefusalError(RefusalReason.HostNotCurrent, "The configuration has changed.", 0);
+        }
+        throw new RefusalError(RefusalReason.BodyTooLarge, `The body is longer than ${route.maxBodyBytes} bytes.`);
+    }
+
+    async #confirmConfiguration(): Promise<void> {
+        if (!await this.#options.confirmCopy(MAX_FINAL_REFUSAL_AGE_MS)) {
+            const detail = "This host can't make sure that its configuration is current.";
+            throw new RefusalError(RefusalReason.HostNotCurrent, detail, NO_CONFIGURATION_RETRY_MS);
+        }
+    }
+
     async #runInTime(
         request: CallerRequest,
         timeoutMs: number,
@@ -234,6 +272,11 @@
     }
 }
 
+function findTarget(configuration: SuppliedConfiguration, call: GatewayCall): CallTarget {
+    const route = findRoute(configuration, call);
+    return { route, account: findAccount(configuration, route, call.key) };
+}
+
 function findRoute(configuration: SuppliedConfiguration, call: GatewayCall): Route {
     const route = configuration.findRoute(call.target.split("?", 1)[0]!, call.host);
     if (route === undefined) {
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -164,7 +164,17 @@
         }, quarantine);
         const getConfiguration = (): SuppliedConfiguration | undefined => this.supply.getConfiguration();
         const getCopyAge = (): number => this.getCopyAge();
-        return new Gateway({ clock, random, decisions, limiter, dispatcher, getConfiguration, getCopyAge });
+        const confirmCopy = (maxAgeMs: number): Promise<boolean> => this.#keeper.confirm(maxAgeMs);
+        return new Gateway({
+            clock,
+            random,
+            decisions,
+            limiter,
+            dispatcher,
+            getConfiguration,
+            getCopyAge,
+            confirmCopy,
+        });
     }
 
     #createSupervisor(): Supervisor {
--- a/src/gateway/GatewayOptions.ts
+++ b/src/gateway/GatewayOptions.ts
@@ -11,9 +11,14 @@
     readonly random: RandomSource;
     readonly decisions: DecisionLog;
     readonly limiter: RateLimiter;
-    readonly dispatcher: Dispatcher;
+    readonly dispatcher: Pick<Dispatcher, "run">;
     /** Gets the configuration in force; undefined before the first. */
     readonly getConfiguration: () => SuppliedConfiguration | undefined;
     /** Gets how long ago the configuration is known to have been current, in milliseconds. */
     readonly getCopyAge: () => number;
+    /**
+     * Makes the configuration known to have been current at most so many milliseconds ago; false if that is not to be had
+     * at once.
+     */
+    readonly confirmCopy: (maxAgeMs: number) => Promise<boolean>;
 }
--- a/src/replica/ReplicaKeeper.ts
+++ b/src/replica/ReplicaKeeper.ts
@@ -37,6 +37,9 @@
     #confirmedTime = Number.NEGATIVE_INFINITY;
     #regainedTime = Number.NEGATIVE_INFINITY;
     #isInTouch = true;
+    #confirmation: Promise<void> | undefined;
+    /** The store is not asked for a confirmation before this time, in milliseconds of the clock. */
+    #nextConfirmTime = Number.NEGATIVE_INFINITY;
     #retryMs = FIRST_RETRY_MS / 2;
     #startTime = Number.NEGATIVE_INFINITY;
     #controller = new AbortController();
@@ -67,6 +70,20 @@
         return this.#options.clock.getTime() - this.#confirmedTime;
     }
 
+    /**
+     * Asks the store whether the replica is current, unless that is known; one question serves all that ask meanwhile.
+     * @param maxAgeMs - How long ago the replica may have been current, in milliseconds.
+     * @returns Whether the replica is known to be as current as that.
+     */
+    async confirm(maxAgeMs: number): Promise<boolean> {
+        const { clock, replica } = this.#options;
+        if (this.getAge() > maxAgeMs && replica.getRevision() > 0 && clock.getTime() >= this.#nextConfirmTime) {
+            this.#confirmation ??= this.#askStore().finally(() => this.#confirmation = undefined);
+            await this.#confirmation;
+        }
+        return this.getAge() <= maxAgeMs;
+    }
+
     /** Gets when touch with the store was regained last, in milliseconds of the clock; -Infinity if it was never lost. */
     getRegainedTime(): number {
         return this.#regainedTime;
@@ -143,6 +160,26 @@
         }
     }
 
+    async #askStore(): Promise<void> {
+        const { clock, replica, source } = this.#options;
+        const start = clock.getTime();
+        try {
+            const result = await source.watch(replica.getRevision(), FIRST_WATCH_WAIT_MS);
+            if (result.kind === WatchResultKind.Events) {
+                this.#recordCurrent(start);
+                replica.applyEvents(result.events, result.revision);
+                return;
+            }
+            const parts = await source.readAll(false);
+            this.#recordCurrent(start);
+            replica.applyParts(parts);
+        }
+        catch (error) {
+            this.#nextConfirmTime = clock.getTime() + MAX_RETRY_MS;
+            this.#record("store-call-failed", { error: error instanceof Error ? error.message : String(error) });
+        }
+    }
+
     async #watch(signal: AbortSignal): Promise<boolean> {
         const { replica, source, clock } = this.#options;
         const start = clock.getTime();
