Log what each pool of upstreams carries every two seconds

Each service host now writes one line a pool and two seconds, with upstreams, those that work, are held, rest, are away and had a request, slots, queue, and requests that ended and were not served. A pool without requests writes none.

--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -11,6 +11,7 @@
 import { GatewayListener } from "./GatewayListener.js";
 import type { GatewayProcessOptions } from "./GatewayProcessOptions.js";
 import { LoadReporter } from "./LoadReporter.js";
+import { PoolReporter } from "./PoolReporter.js";
 
 const PEER_CONNECTIONS = 64;
 const PEER_CONNECT_TIMEOUT_MS = 500;
@@ -122,6 +123,7 @@
             { name: "metrics", start: () => metrics.start(settings.metricsAddress), stop: () => metrics.stop() },
             host,
             this.#createReporter(),
+            this.#createPoolReporter(),
             { name: "ready", start: () => ready.start(settings.readyAddress), stop: () => ready.stop() },
             {
                 name: "callers",
@@ -143,6 +145,15 @@
         });
     }
 
+    #createPoolReporter(): PoolReporter {
+        return new PoolReporter({
+            clock: this.#clock,
+            decisions: this.#decisions,
+            memberId: this.#options.settings.id,
+            getLoads: () => this.#host.serviceHost.getLoads(),
+        });
+    }
+
     #applyLimits(): void {
         const configuration = this.#host.supply.getConfiguration();
         if (configuration !== undefined) {
--- /dev/null
+++ b/src/gateway/PoolReporter.ts
@@ -0,0 +1,52 @@
+import { Decision } from "../logging/index.js";
+import type { Child } from "../supervision/index.js";
+import type { PoolReporterOptions } from "./PoolReporterOptions.js";
+
+/** How often the pools are told, in milliseconds; as long as the span that a line is about. */
+const REPORT_INTERVAL_MS = 2_000;
+
+/** Writes a line to the log for each pool of upstreams that this host had requests for lately. */
+export class PoolReporter implements Child {
+    readonly name = "pool-reporter";
+    readonly #options: PoolReporterOptions;
+    #controller = new AbortController();
+
+    /** @param options - Where the figures come from. */
+    constructor(options: PoolReporterOptions) {
+        this.#options = options;
+    }
+
+    /** Starts to report. */
+    async start(): Promise<void> {
+        this.#controller = new AbortController();
+        void this.#run(this.#controller.signal);
+    }
+
+    /** Stops to report. */
+    async stop(): Promise<void> {
+        this.#controller.abort();
+    }
+
+    async #run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.#options.clock.wait(REPORT_INTERVAL_MS, signal).catch(() => undefined);
+            if (!signal.aborted) {
+                this.#record();
+            }
+        }
+    }
+
+    #record(): void {
+        const { decisions, memberId, getLoads } = this.#options;
+        const loads = getLoads().filter(({ requests, used }) => requests > 0 || used > 0);
+        for (const { service, isStrained, ...figures } of loads) {
+            decisions.record({
+                decision: Decision.LoadReported,
+                reason: "pool",
+                member: memberId,
+                service,
+                figures: { ...figures, strained: Number(isStrained) },
+            });
+        }
+    }
+}
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -13,4 +13,6 @@
 export { HostLookup } from "./HostLookup.js";
 export { LoadReporter } from "./LoadReporter.js";
 export type { LoadReporterOptions } from "./LoadReporterOptions.js";
+export { PoolReporter } from "./PoolReporter.js";
+export type { PoolReporterOptions } from "./PoolReporterOptions.js";
 export { selectService } from "./selectService.js";
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -7,6 +7,7 @@
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { FoundState } from "./FoundState.js";
 import { OutcomeMemory } from "./OutcomeMemory.js";
+import type { PoolLoad } from "./PoolLoad.js";
 import { restoreOutcome } from "./restoreOutcome.js";
 import type { ServiceAnswer } from "./ServiceAnswer.js";
 import type { ServiceHostOptions } from "./ServiceHostOptions.js";
@@ -134,6 +135,11 @@
         return [...this.#pools.values()].flatMap(({ pool }) => pool.getStatus());
     }
 
+    /** Gets what the pools of this host had to carry lately. */
+    getLoads(): readonly PoolLoad[] {
+        return [...this.#pools.values()].map(({ pool }) => pool.getLoad());
+    }
+
     async #runSharing(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             await this.#options.clock.wait(SHARE_INTERVAL_MS, signal).catch(() => {});
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -8,6 +8,7 @@
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { FirstByteLimit } from "./FirstByteLimit.js";
 import { PooledUpstream } from "./PooledUpstream.js";
+import type { PoolLoad } from "./PoolLoad.js";
 import { RetryBudget } from "./RetryBudget.js";
 import { RouteLatencies } from "./RouteLatencies.js";
 import type { ServiceAnswer } from "./ServiceAnswer.js";
@@ -32,6 +33,8 @@
 /** Share of the upstreams out of reach from which on this host counts as cut off. */
 const MIN_CUT_SHARE = 0.5;
 const FIRST_FAILURE_STATUS = 500;
+/** An upstream with a request within this span is in use, in milliseconds. */
+const USE_SPAN_MS = 2_000;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
 /** The upstreams of a service in one zone with their queue. */
@@ -41,6 +44,7 @@
     /** What is served of the service, here and elsewhere. */
     readonly strain: ServiceStrain;
     readonly #options: ServicePoolOptions;
+    readonly #zone: string;
     readonly #selector: UpstreamSelector;
     readonly #limit = new FirstByteLimit();
     readonly #queue: SlotQueue;
@@ -62,6 +66,7 @@
     constructor(service: Service, zone: string, options: ServicePoolOptions) {
         const { clock, random, decisions, policy, transport } = options;
         this.#service = service;
+        this.#zone = zone;
         this.#options = options;
         this.#budget = new RetryBudget(clock);
         this.baseline = new ServiceBaseline(clock);
@@ -192,6 +197,27 @@
         });
     }
 
+    /** Gets what the pool had to carry lately. */
+    getLoad(): PoolLoad {
+        const upstreams = this.#upstreams.getAll().filter(pooled => pooled.getState() !== UpstreamState.Draining);
+        const count = (isCounted: (pooled: PooledUpstream) => boolean): number => upstreams.filter(isCounted).length;
+        return {
+            service: this.#service.name,
+            zone: this.#zone,
+            upstreams: upstreams.length,
+            working: count(pooled => pooled.isWorking()),
+            held: count(pooled => pooled.getState() === UpstreamState.Held),
+            resting: count(pooled => !pooled.isWorking() && pooled.isFailingInTime),
+            away: count(pooled => pooled.isSilent || pooled.isConnectFailing),
+            used: count(pooled => pooled.getIdleTime() < USE_SPAN_MS),
+            slots: this.#upstreams.getSlots(),
+            freeSlots: this.#upstreams.getFreeSlots(),
+            queued: this.#queue.getSize(),
+            ...this.strain.getSummary(),
+            isStrained: this.strain.isStrained(),
+        };
+    }
+
     /** Gets what operators see. */
     getStatus(): readonly UpstreamStatus[] {
         return this.#upstreams.getAll().map(pooled => createStatus(pooled, this.#service.name));
