--- a/tests/replica/Replica.test.ts
+++ b/tests/replica/Replica.test.ts
@@ -55,4 +55,16 @@
     assert.is(replica.findChanges(2), undefined);
 });
 
+test("what a reading brought beyond its own revision is kept to pass on", () => {
+    const { replica } = createReplica();
+    const early = { key: "a/1", revision: 8, value: "x" };
+    const late = { key: "b/1", revision: 9, value: "y" };
+    replica.applyParts([
+        { prefix: "a/", revision: 8, items: [early] },
+        { prefix: "b/", revision: 4, items: [] },
+    ]);
+    replica.applyEvents([early, late], 9);
+    assert.equal(replica.findChanges(4), [early, late]);
+});
+
 test.run();
