Take no push without content for all that the store has written

A watcher whose first push to a host failed repeated it without its content, to save bytes, but with its revision. The host took that for 'no change since 0' and noted the watcher's revision as its own: what it had missed it never got. On fleets of 94 hosts six hosts were late for the first push. When one of them stepped in as a watcher later, or had to send its copy whole, every other host removed the entries that it lacked.

Ruled out: lost leases (the upstreams answered again after the restart of all hosts, and the report counts one that left), ejections (the upstreams' entries were removed), stale readings (they remove nothing newer than themselves).

--- a/src/replica/PushReplicaParams.ts
+++ b/src/replica/PushReplicaParams.ts
@@ -5,7 +5,7 @@
 export interface PushReplicaParams {
     /** The watcher's member id. */
     readonly sender: string;
-    /** The events are all changes after this revision. */
+    /** The events are all changes after this revision; 0 if they are none, as what the host knows is not known to the sender. */
     readonly from: number;
     /** The revision up to which the sender knows all changes. */
     readonly revision: number;
--- a/src/replica/ReplicaKeeper.ts
+++ b/src/replica/ReplicaKeeper.ts
@@ -181,7 +181,7 @@
             this.#recordCurrent(now - params.ageMs);
             replica.applyParts(params.parts);
         }
-        else if (replica.getRevision() >= params.from && replica.getRevision() > 0) {
+        else if (params.from > 0 && replica.getRevision() >= params.from) {
             this.#recordCurrent(now - params.ageMs);
             replica.applyEvents(params.events, params.revision);
         }
