Keep what a reading brought beyond its own revision to pass it on

A reading in three parts counts as current up to its oldest part. The changes between that and the newest part come again with the next watch; since the items were known already, they were left out of the changes that are kept, and a host at the reading's revision was passed the newer revision without them.

All changes beyond the known revision are kept now, known items or not. Found while looking for gaps of copies; no trace shows that it happened.

--- a/src/replica/Replica.ts
+++ b/src/replica/Replica.ts
@@ -48,9 +48,8 @@
      * @param revision - The revision up to which they are complete.
      */
     applyEvents(events: readonly ReplicaEvent[], revision: number): void {
-        const applied = events.filter(event => this.#applyEvent(event));
-        this.#addChanges(applied, revision);
-        this.#report(applied);
+        this.#addChanges(events.filter(event => event.revision > this.#revision), revision);
+        this.#report(events.filter(event => this.#applyEvent(event)));
     }
 
     /**
