--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -140,7 +140,7 @@
         }
         catch (error) {
             if (error instanceof RefusalError && FINAL_REASONS.has(error.outcome.reason)) {
-                await this.#confirmConfiguration();
+                await this.#checkConfiguration();
                 return findTarget(this.#getConfiguration(), call);
             }
             throw error;
@@ -150,15 +150,15 @@
     /** The body that was too long is not kept, so that a newer limit helps only the next try. */
     async #refuseBody(route: Route): Promise<never> {
         const { version } = this.#getConfiguration();
-        await this.#confirmConfiguration();
+        await this.#checkConfiguration();
         if (this.#getConfiguration().version !== version) {
             throw new RefusalError(RefusalReason.HostNotCurrent, "The configuration has changed.", 0);
         }
         throw new RefusalError(RefusalReason.BodyTooLarge, `The body is longer than ${route.maxBodyBytes} bytes.`);
     }
 
-    async #confirmConfiguration(): Promise<void> {
-        if (!await this.#options.confirmCopy(MAX_FINAL_REFUSAL_AGE_MS)) {
+    async #checkConfiguration(): Promise<void> {
+        if (!await this.#options.checkCopy(MAX_FINAL_REFUSAL_AGE_MS)) {
             const detail = "This host can't make sure that its configuration is current.";
             throw new RefusalError(RefusalReason.HostNotCurrent, detail, NO_CONFIGURATION_RETRY_MS);
         }
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -164,7 +164,7 @@
         }, quarantine);
         const getConfiguration = (): SuppliedConfiguration | undefined => this.supply.getConfiguration();
         const getCopyAge = (): number => this.getCopyAge();
-        const confirmCopy = (maxAgeMs: number): Promise<boolean> => this.#keeper.confirm(maxAgeMs);
+        const checkCopy = (maxAgeMs: number): Promise<boolean> => this.#keeper.checkAge(maxAgeMs);
         return new Gateway({
             clock,
             random,
@@ -173,7 +173,7 @@
             dispatcher,
             getConfiguration,
             getCopyAge,
-            confirmCopy,
+            checkCopy,
         });
     }
 
--- a/src/gateway/LoadReporter.ts
+++ b/src/gateway/LoadReporter.ts
@@ -53,7 +53,7 @@
 
     #record(maxAgeMs: number, stalledMs: number): void {
         const { decisions, memberId, traffic, getCopyAge } = this.#options;
-        const { calls, failures, bytes, slowestMs } = traffic.takeSummary();
+        const { calls, failures, bytes, slowestMs } = traffic.readSummary();
         decisions.record({
             decision: Decision.LoadReported,
             reason: "load",
--- a/src/peers/PeerTraffic.ts
+++ b/src/peers/PeerTraffic.ts
@@ -27,7 +27,7 @@
     }
 
     /** Gets the figures since the last summary and starts anew. */
-    takeSummary(): PeerTrafficSummary {
+    readSummary(): PeerTrafficSummary {
         const summary = {
             calls: this.#calls,
             failures: this.#failures,
--- a/src/replica/ReplicaKeeper.ts
+++ b/src/replica/ReplicaKeeper.ts
@@ -75,10 +75,10 @@
      * @param maxAgeMs - How long ago the replica may have been current, in milliseconds.
      * @returns Whether the replica is known to be as current as that.
      */
-    async confirm(maxAgeMs: number): Promise<boolean> {
+    async checkAge(maxAgeMs: number): Promise<boolean> {
         const { clock, replica } = this.#options;
         if (this.getAge() > maxAgeMs && replica.getRevision() > 0 && clock.getTime() >= this.#nextConfirmTime) {
-            this.#confirmation ??= this.#askStore().finally(() => this.#confirmation = undefined);
+            this.#confirmation ??= this.#readChanges().finally(() => this.#confirmation = undefined);
             await this.#confirmation;
         }
         return this.getAge() <= maxAgeMs;
@@ -160,7 +160,7 @@
         }
     }
 
-    async #askStore(): Promise<void> {
+    async #readChanges(): Promise<void> {
         const { clock, replica, source } = this.#options;
         const start = clock.getTime();
         try {
--- a/tests/gateway/staleCopy.test.ts
+++ b/tests/gateway/staleCopy.test.ts
@@ -38,7 +38,7 @@
         dispatcher: { run: async () => createNotRun(RefusalReason.Overloaded, "reached the dispatcher") },
         getConfiguration: () => configuration,
         getCopyAge: () => copyAgeMs,
-        confirmCopy: async maxAgeMs => {
+        checkCopy: async maxAgeMs => {
             if (copyAgeMs <= maxAgeMs) {
                 return true;
             }
--- a/tests/support/createServiceRequest.ts
+++ b/tests/support/createServiceRequest.ts
@@ -16,6 +16,7 @@
         body: Buffer.alloc(0),
         isIdempotent: true,
         timeoutMs: 1_000,
+        sentBefore: 0,
         excludedUpstreams: [],
         ...change,
     };
