End no process by a reset while an answer waits for its reader

What callers saw: all requests of a process lost, as it ended by itself.

Cause: undici takes a reset of a connection that bears "Connection: close" for the end of the answer and finishes its parser, which asserts that it is not paused; that was thrown in a callback of the socket.

The connector now gives resets a code of their own before undici sees them, so that they take the way of any other error: the request of that connection fails, and the answer ends as a cut. An answer without a length that ends with a reset is a cut by the same means, so the flag for that case goes.

--- a/src/services/UpstreamConnection.ts
+++ b/src/services/UpstreamConnection.ts
@@ -4,13 +4,14 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
 const BODY_IDLE_TIMEOUT_MS = 30_000;
+/** The code of a reset, so that undici does not take it for the end of an answer. */
+const RESET_CODE = "ERR_CONNECTION_RESET";
 
 /** One connection to an upstream; it carries one request at a time. */
 export class UpstreamConnection {
     readonly client: Client;
     readonly #clock: Clock;
     #provenTime = Number.NEGATIVE_INFINITY;
-    #isReset = false;
 
     /**
      * @param address - The upstream's address, as "ip:port".
@@ -27,11 +28,6 @@
         });
     }
 
-    /** Whether the connection has ended with an error, so that an answer that ends with it is not whole. */
-    isReset(): boolean {
-        return this.#isReset;
-    }
-
     /** Records that a whole answer has come over this connection just now. */
     recordAnswer(): void {
         this.#provenTime = this.#clock.getTime();
@@ -45,13 +41,16 @@
         return this.#clock.getTime() - this.#provenTime <= spanMs;
     }
 
-    /** Notes errors before undici does, which takes a reset for the end of an answer without a length. */
+    /**
+     * Marks resets before undici sees them: where an answer may end with its connection, it takes a reset for that end,
+     * and throws if the answer waits for its reader.
+     */
     #createConnector(): buildConnector.connector {
         const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
         return (options, callback) =>
             connect(options, (...result) => {
-                result[1]?.once("error", () => {
-                    this.#isReset = true;
+                result[1]?.once("error", (error: NodeJS.ErrnoException) => {
+                    error.code = RESET_CODE;
                 });
                 callback(...result);
             });
--- a/src/services/UpstreamExchange.ts
+++ b/src/services/UpstreamExchange.ts
@@ -23,8 +23,6 @@
     #body: Readable | undefined;
     #isEnded = false;
     #isEndMarked = true;
-    /** Whether the answer has no length and ends with its connection. */
-    #isEndOfConnection = false;
     #timer: ScheduledCall | undefined;
     #resolve: (answer: UpstreamAnswer) => void = () => {};
 
@@ -93,9 +91,7 @@
         this.#timer?.cancel();
         const { protocol, upstream } = this.#options;
         const verdict = protocol.checkAnswer(upstream, this.#request, status, headers);
-        const isFramed = this.#isFramed(status, headers);
-        this.#isEndOfConnection = !isFramed;
-        this.#isEndMarked = isFramed || protocol.hasUnmarkedEnds;
+        this.#isEndMarked = this.#isFramed(status, headers) || protocol.hasUnmarkedEnds;
         const body = new Readable({
             read: () => controller.resume(),
             destroy: (error, callback) => {
@@ -136,7 +132,7 @@
     }
 
     #receiveEnd(): void {
-        if (!this.#isEndMarked || (this.#isEndOfConnection && this.#connection.isReset())) {
+        if (!this.#isEndMarked) {
             this.#body?.destroy(new AnswerCutError("The end of the answer can't be told from a lost connection."));
             return;
         }
