End no process by an upstream's end while an answer waits for its reader

Cause: the same assertion as with a reset, out of the end callback: an answer that bears "Connection: close" is paused for its reader at the last byte that was received, and the upstream ends the connection. It takes no fault of the upstream: a whole answer of over 16 KB that its reader has not begun to read does it, as an upstream that is leaving sends it.

When the other side has ended the connection, all bytes have been read from the socket, so the exchange now lets the parser go on before undici finishes it. Nothing more can come, so that no memory is taken by it, and undici tells a whole answer from a cut one as for any other reader. Taking each such end for a cut was ruled out: it would lose whole answers. undici hands an empty piece over on the way, which no longer pauses the parser again.

--- a/src/services/UpstreamConnection.ts
+++ b/src/services/UpstreamConnection.ts
@@ -12,6 +12,7 @@
     readonly client: Client;
     readonly #clock: Clock;
     #provenTime = Number.NEGATIVE_INFINITY;
+    #resume: () => void = () => {};
 
     /**
      * @param address - The upstream's address, as "ip:port".
@@ -28,6 +29,14 @@
         });
     }
 
+    /**
+     * Sets how an answer that waits for its reader goes on when the other side has ended the connection.
+     * @param resume - Parses what is left; it has all been received.
+     */
+    setResume(resume: () => void): void {
+        this.#resume = resume;
+    }
+
     /** Records that a whole answer has come over this connection just now. */
     recordAnswer(): void {
         this.#provenTime = this.#clock.getTime();
@@ -42,8 +51,8 @@
     }
 
     /**
-     * Marks resets before undici sees them: where an answer may end with its connection, it takes a reset for that end,
-     * and throws if the answer waits for its reader.
+     * Prepares the ends of the connection before undici sees them: where an answer may end with its connection, it takes a
+     * reset for that end, and throws if the answer waits for its reader.
      */
     #createConnector(): buildConnector.connector {
         const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -52,6 +61,7 @@
                 result[1]?.once("error", (error: NodeJS.ErrnoException) => {
                     error.code = RESET_CODE;
                 });
+                result[1]?.once("end", () => this.#resume());
                 callback(...result);
             });
     }
--- a/src/services/UpstreamExchange.ts
+++ b/src/services/UpstreamExchange.ts
@@ -68,6 +68,7 @@
         return {
             onRequestStart: controller => {
                 this.#controller = controller;
+                this.#connection.setResume(() => controller.resume());
                 if (this.#isEnded) {
                     controller.abort(new AnswerCutError("The exchange has ended."));
                 }
@@ -78,7 +79,7 @@
                 }
             },
             onResponseData: (controller, chunk) => {
-                if (this.#body !== undefined && !this.#body.push(chunk)) {
+                if (chunk.length > 0 && this.#body !== undefined && !this.#body.push(chunk)) {
                     controller.pause();
                 }
             },
