--- a/src/services/UpstreamConnection.ts
+++ b/src/services/UpstreamConnection.ts
@@ -4,13 +4,15 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
 const BODY_IDLE_TIMEOUT_MS = 30_000;
+/** The code of a reset, so that undici does not take it for the end of an answer. */
+const RESET_CODE = "ERR_CONNECTION_RESET";
 
 /** One connection to an upstream; it carries one request at a time. */
 export class UpstreamConnection {
     readonly client: Client;
     readonly #clock: Clock;
     #provenTime = Number.NEGATIVE_INFINITY;
-    #isReset = false;
+    #resume: () => void = () => {};
 
     /**
      * @param address - The upstream's address, as "ip:port".
@@ -27,9 +29,12 @@
         });
     }
 
-    /** Whether the connection has ended with an error, so that an answer that ends with it is not whole. */
-    isReset(): boolean {
-        return this.#isReset;
+    /**
+     * Sets how an answer that waits for its reader goes on when the other side has ended the connection.
+     * @param resume - Parses what is left; it has all been received.
+     */
+    setResume(resume: () => void): void {
+        this.#resume = resume;
     }
 
     /** Records that a whole answer has come over this connection just now. */
@@ -45,14 +50,18 @@
         return this.#clock.getTime() - this.#provenTime <= spanMs;
     }
 
-    /** Notes errors before undici does, which takes a reset for the end of an answer without a length. */
+    /**
+     * Prepares the ends of the connection before undici sees them: where an answer may end with its connection, it takes a
+     * reset for that end, and throws if the answer waits for its reader.
+     */
     #createConnector(): buildConnector.connector {
         const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
         return (options, callback) =>
             connect(options, (...result) => {
-                result[1]?.once("error", () => {
-                    this.#isReset = true;
+                result[1]?.once("error", (error: NodeJS.ErrnoException) => {
+                    error.code = RESET_CODE;
                 });
+                result[1]?.once("end", () => this.#resume());
                 callback(...result);
             });
     }
--- a/src/services/UpstreamExchange.ts
+++ b/src/services/UpstreamExchange.ts
@@ -23,8 +23,6 @@
     #body: Readable | undefined;
     #isEnded = false;
     #isEndMarked = true;
-    /** Whether the answer has no length and ends with its connection. */
-    #isEndOfConnection = false;
     #timer: ScheduledCall | undefined;
     #resolve: (answer: UpstreamAnswer) => void = () => {};
 
@@ -70,6 +68,7 @@
         return {
             onRequestStart: controller => {
                 this.#controller = controller;
+                this.#connection.setResume(() => controller.resume());
                 if (this.#isEnded) {
                     controller.abort(new AnswerCutError("The exchange has ended."));
                 }
@@ -80,7 +79,7 @@
                 }
             },
             onResponseData: (controller, chunk) => {
-                if (this.#body !== undefined && !this.#body.push(chunk)) {
+                if (chunk.length > 0 && this.#body !== undefined && !this.#body.push(chunk)) {
                     controller.pause();
                 }
             },
@@ -93,9 +92,7 @@
         this.#timer?.cancel();
         const { protocol, upstream } = this.#options;
         const verdict = protocol.checkAnswer(upstream, this.#request, status, headers);
-        const isFramed = this.#isFramed(status, headers);
-        this.#isEndOfConnection = !isFramed;
-        this.#isEndMarked = isFramed || protocol.hasUnmarkedEnds;
+        this.#isEndMarked = this.#isFramed(status, headers) || protocol.hasUnmarkedEnds;
         const body = new Readable({
             read: () => controller.resume(),
             destroy: (error, callback) => {
@@ -136,7 +133,7 @@
     }
 
     #receiveEnd(): void {
-        if (!this.#isEndMarked || (this.#isEndOfConnection && this.#connection.isReset())) {
+        if (!this.#isEndMarked) {
             this.#body?.destroy(new AnswerCutError("The end of the answer can't be told from a lost connection."));
             return;
         }
