Believe own answers of a service host before watchers that say it is away

Callers' lookups are given up while a sound service host runs them, and the next ones go past it to hosts that know less of the upstreams' slots.

Cause: a host counts as away when every watcher that was heard lately failed to reach it twice.

Change: a service host that has answered this host within the last second is not away for it. A cut is noticed no later: the watchers need longer than that to see one.

Evidence: the new test of ServiceSender.test.ts fails before with the outcome unknown.

--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -22,6 +22,8 @@
 const MAX_FIND_REFUSALS = 3;
 /** A host that answered within this span is taken to answer still, in milliseconds. */
 const ANSWERED_SPAN_MS = 300;
+/** A host that answered this one within this span is not taken for away on the word of others, in milliseconds. */
+const OWN_CONTACT_SPAN_MS = 1_000;
 /** How long a host of the same or the next zone may take to say whether it serves. */
 const IS_SERVING_TIMEOUT_MS = 200;
 /** How often it is checked, while a lookup runs on another host, whether that host is known not to answer. */
@@ -154,10 +156,10 @@
 
     /** Gives a host up as soon as it is known not to answer, so that a lookup can still go to another upstream. */
     async #runWhileReachable(host: Member, answer: Promise<ServiceAnswer>): Promise<ServiceAnswer> {
-        const { clock, membership } = this.#options;
+        const { clock } = this.#options;
         return await new Promise((resolve, reject) => {
             const check = (): void => {
-                if (membership.isReachable(host.id) && membership.isIsolated?.() !== true) {
+                if (!this.#isAway(host)) {
                     timer = clock.schedule(REACHABILITY_CHECK_MS, check);
                     return;
                 }
@@ -206,8 +208,7 @@
         const trusted = hosts.filter(host => !this.#isSuspected(host));
         if (isSelfSufficient === true) {
             const self = membership.getSelf();
-            const reachable = membership.isIsolated?.() === true ? [] : trusted;
-            return reachable.some(host => host.id === self.id) ? reachable : [...reachable, self];
+            return trusted.some(host => host.id === self.id) ? trusted : [...trusted, self];
         }
         return [...trusted, ...hosts.filter(host => this.#isSuspected(host))];
     }
@@ -215,7 +216,14 @@
     #isSuspected(host: Member): boolean {
         const { membership } = this.#options;
         return host.id !== membership.getSelf().id &&
-            (this.#suspicion.isSuspected(host.peerAddress) || !membership.isReachable(host.id));
+            (this.#suspicion.isSuspected(host.peerAddress) || this.#isAway(host));
+    }
+
+    /** Whether the watchers say that a host, or this one, is cut off, and nothing that this host has seen speaks against it. */
+    #isAway(host: Member): boolean {
+        const { membership } = this.#options;
+        return (!membership.isReachable(host.id) || membership.isIsolated?.() === true) &&
+            !this.#suspicion.hasAnsweredWithin(host.peerAddress, OWN_CONTACT_SPAN_MS);
     }
 
     #createRequest(call: DispatchCall, attempt: DispatchAttempt): ServiceRequest {
--- a/tests/accounts/ServiceSender.test.ts
+++ b/tests/accounts/ServiceSender.test.ts
@@ -15,6 +15,7 @@
 const HOSTS = 9;
 const TIMEOUT_MS = 3_000;
 const { detection: DETECTION } = GATEWAY_SERVICE;
+const HOST_IDS = Array.from({ length: HOSTS }, (_, index) => createMember(index).id);
 const ATTEMPT = { number: 1, zone: "zone-a", sentBefore: 0, excludedUpstreams: [], isLast: false };
 
 const test = suite("ServiceSender");
@@ -78,6 +79,19 @@
     assert.is((await runClockUntil(clock, send(RouteKind.Lookup)))!.outcome.kind, OutcomeKind.Done);
 });
 
+test("a lookup stays with a service host that answers others of this host's requests, though watchers say that it is away", async () => {
+    const first = membership.getServiceHosts("orders", "zone-a")[0]!;
+    const runner = runners[HOST_IDS.indexOf(first.id)]!;
+    runner.delayMs = 1_000;
+    const lookup = send(RouteKind.Lookup);
+    await clock.run(300);
+    runner.delayMs = 50;
+    await runClockUntil(clock, send(RouteKind.Lookup));
+    membership.unreachable.add(first.id);
+    assert.is((await runClockUntil(clock, lookup))!.outcome.kind, OutcomeKind.Done);
+    assert.is(runner.runs.length, 2);
+});
+
 test("an order is not given to a service host that does not answer, but to the next", async () => {
     const first = membership.getServiceHosts("orders", "zone-a")[0]!;
     network.stopAnswers(first.peerAddress);
