Choose service hosts by their processors and links

Two hosts of each zone have five times the processor and twenty times the link, and none of the largest pools was theirs.

A host's entry now says its capacity, the product of processor and link, and the rendezvous for service hosts is weighted by it: -capacity / ln(u) for a hash u. Equal capacities keep the order that they had, so fleets of equal hosts choose as before; entries of earlier versions count as 1. Accounts and the order in which hosts watch stay unweighted.

--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -83,11 +83,13 @@
 
     #createHost(): GatewayHost {
         const { settings, peerSecret: secret, source, registry, decoder } = this.#options;
-        const { id, region, zone, peerAddress, callerAddress } = settings;
+        const { id, region, zone, peerAddress, callerAddress, cpuShare, cores, linkMbps } = settings;
+        // A service host needs both for each request, so one that lacks either can't make it up with the other.
+        const capacity = cpuShare * cores * linkMbps;
         const peerOptions = { connections: this.#connections, clock: this.#clock, secret };
         const incarnation = createIncarnation(this.#clock);
         return new GatewayHost({
-            self: { id, region, zone, peerAddress, callerAddress, incarnation },
+            self: { id, region, zone, peerAddress, callerAddress, incarnation, capacity },
             clock: this.#clock,
             random: new SystemRandom(),
             decisions: this.#decisions,
--- a/src/head/Member.ts
+++ b/src/head/Member.ts
@@ -10,4 +10,6 @@
     readonly callerAddress: string;
     /** Differs for every start of the process. */
     readonly incarnation: string;
+    /** How much work it can do beside other hosts, above 0; 1 if left out. */
+    readonly capacity?: number;
 }
--- a/src/membership/RendezvousTable.ts
+++ b/src/membership/RendezvousTable.ts
@@ -4,6 +4,9 @@
 const FNV_PRIME = 0x01000193;
 const MAX_CACHED_KEYS = 20_000;
 
+/** Number of different hashes. */
+const HASHES = 2 ** 32;
+
 /** Selects members for keys by rendezvous hashing, so that a change of view moves few keys. */
 export class RendezvousTable {
     readonly #members: readonly Member[];
@@ -22,11 +25,14 @@
      * @param count - How many to select.
      */
     selectAcrossZones(key: string, count: number): readonly Member[] {
-        return this.#getCached(`${count} across ${key}`, () => this.#select(key, count, true, () => true));
+        return this.#getCached(`${count} across ${key}`, () => {
+            return this.#select(this.#getScores(key), count, true, () => true);
+        });
     }
 
     /**
-     * Selects members of one availability zone for a key, first choice first; of any zone if it has none.
+     * Selects members of one availability zone for a key, first choice first; of any zone if it has none. The first choice
+     * of as many keys as a member's share of the capacity is that member.
      * @param key - The key.
      * @param zone - The availability zone.
      * @param count - How many to select.
@@ -35,7 +41,8 @@
         return this.#getCached(`${count} in ${zone} ${key}`, () => {
             const isInZone = (member: Member): boolean => member.zone === zone;
             const hasZone = this.#members.some(isInZone);
-            return this.#select(key, count, false, hasZone ? isInZone : () => true);
+            const scores = this.#getWeightedScores(key);
+            return this.#select(scores, count, false, hasZone ? isInZone : () => true);
         });
     }
 
@@ -52,8 +59,12 @@
         });
     }
 
-    #select(key: string, count: number, spreads: boolean, isAllowed: (member: Member) => boolean): readonly Member[] {
-        const scores = this.#getScores(key);
+    #select(
+        scores: ArrayLike<number>,
+        count: number,
+        spreads: boolean,
+        isAllowed: (member: Member) => boolean,
+    ): readonly Member[] {
         const selected = new Set<Member>();
         const zones = new Set<string>();
         while (selected.size < count) {
@@ -70,7 +81,7 @@
         return [...selected];
     }
 
-    #findBest(scores: Uint32Array, isAllowed: (member: Member) => boolean): Member | undefined {
+    #findBest(scores: ArrayLike<number>, isAllowed: (member: Member) => boolean): Member | undefined {
         let best: Member | undefined;
         let bestScore = -1;
         for (let index = 0; index < scores.length; index++) {
@@ -87,6 +98,15 @@
         return this.#hashes.map(hash => getMixedHash(hash ^ keyHash));
     }
 
+    /** Of members with equal capacity the one with the greater hash has the greater score. */
+    #getWeightedScores(key: string): Float64Array {
+        const scores = this.#getScores(key);
+        return Float64Array.from(this.#members, ({ capacity = 1 }, index) => {
+            const fraction = (scores[index]! + 0.5) / HASHES;
+            return -capacity / Math.log(fraction);
+        });
+    }
+
     #getCached(cacheKey: string, create: () => readonly Member[]): readonly Member[] {
         let members = this.#cache.get(cacheKey);
         if (members === undefined) {
--- a/src/settings/gatewaySettingsSchema.ts
+++ b/src/settings/gatewaySettingsSchema.ts
@@ -24,6 +24,12 @@
     graceSeconds: seconds,
     /** The longest time that callers keep a lookup's answer. */
     lookupSeconds: seconds,
+    /** Share of a core that the process may use. */
+    cpuShare: z.number().positive().default(1),
+    /** How many times as fast that core is. */
+    cores: z.number().positive().default(1),
+    /** Rate of the host's own link, in megabits per second. */
+    linkMbps: z.number().positive().default(1),
     /** Share of a service's upstreams that ejection leaves at work. */
     floor: share,
     /** Repeated sends allowed as a share of a service's requests. */
--- a/tests/membership/RendezvousTable.test.ts
+++ b/tests/membership/RendezvousTable.test.ts
@@ -36,4 +36,29 @@
     assert.is(table.selectInZone("orders", "zone-x", COUNT).length, COUNT);
 });
 
+test("most service hosts stand on the few large hosts of a zone, not on small ones that their load exceeds", () => {
+    const members = MEMBERS.map((member, index) => ({ ...member, zone: "zone-a", capacity: index < 2 ? 270 : 2.7 }));
+    const table = new RendezvousTable(members);
+    const first = KEYS.map(key => table.selectInZone(key, "zone-a", COUNT)[0]!.id);
+    const onLarge = first.filter(id => id === "host-0" || id === "host-1").length;
+    assert.ok(onLarge > 0.8 * KEYS.length, `${onLarge} of ${KEYS.length}`);
+    const onFirst = first.filter(id => id === "host-0").length;
+    assert.ok(onFirst > 0.4 * onLarge && onFirst < 0.6 * onLarge, `${onFirst} of ${onLarge}`);
+});
+
+test("hosts of equal capacity are chosen as if none were known, and only the keys of a removed one move", () => {
+    const equal = new RendezvousTable(MEMBERS.map(member => ({ ...member, capacity: 540 })));
+    const unknown = new RendezvousTable(MEMBERS);
+    const weighted = MEMBERS.map((member, index) => ({ ...member, capacity: 1 + index }));
+    const table = new RendezvousTable(weighted);
+    const smaller = new RendezvousTable(weighted.slice(1));
+    const getIds = (from: RendezvousTable, key: string): readonly string[] =>
+        from.selectInZone(key, "zone-a", COUNT).map(member => member.id);
+    for (const key of KEYS) {
+        assert.equal(getIds(equal, key), getIds(unknown, key));
+        const before = getIds(table, key);
+        assert.equal(before.filter(id => !getIds(smaller, key).includes(id) && id !== "host-0"), []);
+    }
+});
+
 test.run();
--- a/tests/platform/PlatformDecoder.test.ts
+++ b/tests/platform/PlatformDecoder.test.ts
@@ -3,6 +3,7 @@
 import { PlatformDecoder } from "../../platform/supply/index.js";
 import { SupplyItemKind } from "../../src/supply/index.js";
 import { checkSnapshot } from "../support/checkSnapshot.js";
+import { createMember } from "../support/createMember.js";
 import { createDocument } from "./support/createDocument.js";
 import { createRegistration } from "./support/createRegistration.js";
 
@@ -41,6 +42,16 @@
     }
 });
 
+test("a host's entry is read with its capacity and, from an earlier version, without", () => {
+    const entry = createMember(0);
+    for (const member of [entry, { ...entry, capacity: 54 }]) {
+        assert.equal(decoder.decode("fuchsiapath/hosts/host-0", JSON.stringify(member)), {
+            kind: SupplyItemKind.Host,
+            member,
+        });
+    }
+});
+
 test("keys of no concern are passed over", () => {
     assert.equal(decoder.decode("op/other", "x"), { kind: SupplyItemKind.Other });
 });
