Let lookups keep the floor of a strained service in use

While a service serves too little, resting upstreams are tried so that the floor's share is in use. Only orders took such a trial; a lookup did so only with a retry to spare, and in a service that fails much there is none. A lookup may now also take a trial that the floor asks for. An upstream whose rest has ended, which orders might try, was no candidate for the floor; now it is until the floor has asked for it.

The test fails before: too few upstreams in use in 17 of 17 spans of two seconds.

Not mended: a lookup that fails and that its entry host doesn't send again is not counted as unserved by the service host, so it sees less strain than there is.

--- a/src/services/PooledUpstream.ts
+++ b/src/services/PooledUpstream.ts
@@ -33,6 +33,8 @@
     isFailingInTime = false;
     /** When orders may try it, in milliseconds; lookups may earlier. */
     orderTrialTime = Number.NEGATIVE_INFINITY;
+    /** When the floor asked for a trial of it last, in milliseconds. */
+    floorTrialTime = Number.NEGATIVE_INFINITY;
     /** Why it is in its state. */
     reason = "";
     readonly #clock: Clock;
@@ -153,6 +155,11 @@
         return this.orderTrialTime <= this.#clock.getTime() && this.orderTrialTime > this.#lastClaim;
     }
 
+    /** Whether the floor has asked for a trial of it and none has come since. */
+    isFloorTrialDue(): boolean {
+        return this.floorTrialTime > this.#lastClaim;
+    }
+
     /** Gets when a slot of it was claimed last, in milliseconds. */
     getLastClaim(): number {
         return this.#lastClaim;
--- a/src/services/UpstreamEjector.ts
+++ b/src/services/UpstreamEjector.ts
@@ -59,9 +59,13 @@
         );
     }
 
-    /** Lets orders try a resting upstream, if fewer upstreams than the floor have had a request lately. */
+    /** Lets any request try a resting upstream, if fewer upstreams than the floor have had a request lately. */
     startFloorTrial(): void {
-        this.#startOrderTrial(this.#isPrompt() ? findFloorTrial(this.#upstreams, this.#service.floor) : undefined);
+        const upstream = this.#isPrompt() ? findFloorTrial(this.#upstreams, this.#service.floor) : undefined;
+        if (upstream !== undefined) {
+            upstream.floorTrialTime = this.#options.clock.getTime();
+        }
+        this.#startOrderTrial(upstream);
     }
 
     /**
--- a/src/services/UpstreamSelector.ts
+++ b/src/services/UpstreamSelector.ts
@@ -117,13 +117,16 @@
             (upstream.isWorking() || (isTrial && this.#isTrialRequest(upstream, request)));
     }
 
-    /** A repeated request has failed once already and should not be a trial again. */
+    /**
+     * A repeated request has failed once already and should not be a trial again. A lookup is one if it can be sent again, or
+     * if the floor needs the trial: a service may have lookups only.
+     */
     #isTrialRequest(upstream: PooledUpstream, request: ServiceRequest): boolean {
         if (request.excludedUpstreams.length > 0) {
             return false;
         }
         return request.isIdempotent
-            ? this.#policy !== EjectionPolicy.Prompt || this.#hasSpareRetry()
+            ? this.#policy !== EjectionPolicy.Prompt || this.#hasSpareRetry() || upstream.isFloorTrialDue()
             : this.#policy === EjectionPolicy.Prompt && !upstream.isReservedForLookups();
     }
 
--- a/src/services/findFloorTrial.ts
+++ b/src/services/findFloorTrial.ts
@@ -24,7 +24,7 @@
         return undefined;
     }
     const idle = usable.filter(upstream =>
-        upstream.getIdleTime() >= MAX_IDLE_MS && RESTING.has(upstream.getState()) && !upstream.isOrderTrialDue()
+        upstream.getIdleTime() >= MAX_IDLE_MS && RESTING.has(upstream.getState()) && !upstream.isFloorTrialDue()
     );
     idle.sort((left, right) => right.getIdleTime() - left.getIdleTime());
     return idle[0];
--- a/tests/services/promptEjection.test.ts
+++ b/tests/services/promptEjection.test.ts
@@ -210,6 +210,28 @@
     assert.is(trials.length, 0);
 });
 
+test("in a strained service that only lookups use, seven in ten upstreams are in use, though no retry is to spare", async () => {
+    const bench = createBench(EjectionPolicy.Prompt, 12, UPSTREAMS, 0);
+    bench.apply({ retryBudget: 0 });
+    const retries = Array.from({ length: 10 }, () => bench.send({ excludedUpstreams: ["another"] }));
+    const lookups = bench.sendLoad(30, 20_000, { route: "lookups", timeoutMs: 2_000 });
+    bench.upstreams.applyFaults("u1", FAILS_AT_ONCE);
+    bench.upstreams.applyFaults("u2", FAILS_AT_ONCE);
+    let tooFew = 0;
+    for (let second = 0; second < 20; second++) {
+        const params = { service: "orders", zone: "b", upstreams: [], served: { requests: 50, unserved: 20 } };
+        await bench.handlers.run(PeerMethod.ShareBaseline, params);
+        const start = bench.clock.getTime();
+        await bench.clock.run(1_000);
+        const records = bench.upstreams.records.filter(record => record.time >= start - 1_000);
+        const inUse = new Set(records.map(record => record.upstream)).size;
+        tooFew += Number(second >= 3 && inUse < 0.7 * UPSTREAMS);
+    }
+    await bench.clock.run(END_MS);
+    await Promise.all([...retries, lookups]);
+    assert.is(tooFew, 0, `${tooFew} of 17 spans of two seconds`);
+});
+
 test("a new registration ends nobody's time out of work", async () => {
     const bench = createBench(EjectionPolicy.Prompt, 1);
     await runOrders(bench, 20, 2_000);
