--- a/src/services/UpstreamConnection.ts
+++ b/src/services/UpstreamConnection.ts
@@ -30,10 +30,10 @@
     }
 
     /**
-     * Sets how an answer that waits for its reader goes on when the other side has ended the connection.
+     * Adds how an answer that waits for its reader goes on when the other side has ended the connection.
      * @param resume - Parses what is left; it has all been received.
      */
-    setResume(resume: () => void): void {
+    addResume(resume: () => void): void {
         this.#resume = resume;
     }
 
