--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -200,16 +200,16 @@
     /** Gets what the pool had to carry lately. */
     getLoad(): PoolLoad {
         const upstreams = this.#upstreams.getAll().filter(pooled => pooled.getState() !== UpstreamState.Draining);
-        const count = (isCounted: (pooled: PooledUpstream) => boolean): number => upstreams.filter(isCounted).length;
+        const measure = (isCounted: (pooled: PooledUpstream) => boolean): number => upstreams.filter(isCounted).length;
         return {
             service: this.#service.name,
             zone: this.#zone,
             upstreams: upstreams.length,
-            working: count(pooled => pooled.isWorking()),
-            held: count(pooled => pooled.getState() === UpstreamState.Held),
-            resting: count(pooled => !pooled.isWorking() && pooled.isFailingInTime),
-            away: count(pooled => pooled.isSilent || pooled.isConnectFailing),
-            used: count(pooled => pooled.getIdleTime() < USE_SPAN_MS),
+            working: measure(pooled => pooled.isWorking()),
+            held: measure(pooled => pooled.getState() === UpstreamState.Held),
+            resting: measure(pooled => !pooled.isWorking() && pooled.isFailingInTime),
+            away: measure(pooled => pooled.isSilent || pooled.isConnectFailing),
+            used: measure(pooled => pooled.getIdleTime() < USE_SPAN_MS),
             slots: this.#upstreams.getSlots(),
             freeSlots: this.#upstreams.getFreeSlots(),
             queued: this.#queue.getSize(),
