Test answers of upstreams that come without end

An upstream sends, fast and slowly, bytes that are no HTTP, a status line, a header field, its name, header fields, interim answers, bytes beyond the length, chunks, a body without a length, a chunk's size or extension, trailer fields or the body of a refusal, all without end; to lookups and orders; to a caller that reads to the end, reads nothing or leaves.

--- /dev/null
+++ b/tests/services/endlessAnswers.test.ts
@@ -0,0 +1,159 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { OutcomeKind } from "../../src/outcomes/index.js";
+import type { Outcome } from "../../src/outcomes/index.js";
+import { RawBench } from "../support/RawBench.js";
+
+const TIMEOUT_MS = 400;
+const LEAVE_MS = 150;
+/** A few bytes a second. */
+const SLOW_MS = 50;
+/** Far above all bounds, so that a busy machine does not decide. */
+const LIMIT_MS = 4_000;
+/** Beyond what a connection and its reader may hold, in bytes. */
+const MAX_HELD_BYTES = 64 * 1024 * 1024;
+const FILL = "x".repeat(16 * 1024);
+
+interface EndlessAnswer {
+    readonly what: string;
+    readonly start: string;
+    /** What follows without end. */
+    readonly fast: string;
+    readonly slow: string;
+    /** What a caller may get; an answer that is cut or none unless it is given. */
+    readonly body?: string;
+}
+
+const HEAD = "HTTP/1.1 200 OK\r\n";
+const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
+const ANSWERS: readonly EndlessAnswer[] = [
+    { what: "bytes that are no HTTP", start: "", fast: `\u0001${FILL}`, slow: "\u0001" },
+    { what: "empty lines", start: "", fast: "\r\n".repeat(8_000), slow: "\r\n" },
+    { what: "a status line", start: "HTTP/1.1 200 O", fast: FILL, slow: "K" },
+    { what: "a header field", start: `${HEAD}x-a: `, fast: FILL, slow: "x" },
+    { what: "a header field's name", start: HEAD, fast: FILL, slow: "x" },
+    { what: "header fields", start: HEAD, fast: "x-a: b\r\n".repeat(2_000), slow: "x-a: b\r\n" },
+    {
+        what: "interim answers",
+        start: "",
+        fast: "HTTP/1.1 103 Early Hints\r\nx-a: b\r\n\r\n".repeat(500),
+        slow: "HTTP/1.1 103 Early Hints\r\n\r\n",
+    },
+    {
+        what: "bytes beyond the length",
+        start: `${HEAD}content-length: 4\r\n\r\nbody`,
+        fast: FILL,
+        slow: "x",
+        body: "body",
+    },
+    {
+        what: "empty lines beyond the length",
+        start: `${HEAD}content-length: 4\r\n\r\nbody`,
+        fast: "\r\n".repeat(8_000),
+        slow: "\r\n",
+        body: "body",
+    },
+    {
+        what: "answers beyond the length",
+        start: `${HEAD}content-length: 4\r\n\r\nbody`,
+        fast: `${HEAD}content-length: 5\r\n\r\nextra`.repeat(300),
+        slow: `${HEAD}content-length: 5\r\n\r\nextra`,
+        body: "body",
+    },
+    { what: "chunks", start: CHUNKED, fast: `4000\r\n${FILL}\r\n`, slow: "1\r\nx\r\n" },
+    { what: "a body without a length", start: `${HEAD}\r\n`, fast: FILL, slow: "x" },
+    { what: "a body with a huge length", start: `${HEAD}content-length: 99999999999\r\n\r\n`, fast: FILL, slow: "x" },
+    { what: "a chunk's size", start: CHUNKED, fast: "0".repeat(16_384), slow: "0" },
+    { what: "a chunk's extension", start: `${CHUNKED}4;a=`, fast: FILL, slow: "x" },
+    {
+        what: "trailer fields",
+        start: `${CHUNKED}4\r\nbody\r\n0\r\n`,
+        fast: "x-a: b\r\n".repeat(2_000),
+        slow: "x-a: b\r\n",
+    },
+    {
+        what: "the body of a refusal",
+        start: "HTTP/1.1 503 Busy\r\nx-request-not-run: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        fast: `4000\r\n${FILL}\r\n`,
+        slow: "1\r\nx\r\n",
+    },
+];
+
+const test = suite("answers without end");
+
+for (const answer of ANSWERS) {
+    for (const isSlow of [false, true]) {
+        test(`${answer.what} without end, ${isSlow ? "slow" : "fast"}: no success, and nothing is left behind`, async () => {
+            const cases = [true, false].flatMap(isIdempotent => [
+                runCase(answer, isSlow, bench => readToEnd(bench, answer, isIdempotent)),
+                runCase(answer, isSlow, bench => leaveUnread(bench, isIdempotent)),
+                runCase(answer, isSlow, bench => leaveEarly(bench, isIdempotent)),
+            ]);
+            const findings = await Promise.all(cases);
+            assert.equal(findings, findings.map(() => ({ running: 0, open: 0 })));
+        });
+    }
+}
+
+test.run();
+
+/** Runs a case; returns the slots and the connections that are still in use afterwards. */
+async function runCase(
+    answer: EndlessAnswer,
+    isSlow: boolean,
+    run: (bench: RawBench) => Promise<void>,
+): Promise<{ running: number; open: number; }> {
+    const bench = new RawBench();
+    try {
+        await bench.start();
+        const [upstream] = bench.upstreams;
+        upstream!.listener = socket => {
+            socket.write(answer.start, "latin1");
+            upstream!.sendEndless(socket, isSlow ? answer.slow : answer.fast, isSlow ? SLOW_MS : 0);
+        };
+        await Promise.race([run(bench), bench.clock.wait(LIMIT_MS)]);
+        return await bench.waitForEnd();
+    }
+    finally {
+        bench.stop();
+    }
+}
+
+async function readToEnd(bench: RawBench, answer: EndlessAnswer, isIdempotent: boolean): Promise<void> {
+    const { outcome } = await bench.run({ isIdempotent, timeoutMs: TIMEOUT_MS });
+    const text = await readOutcome(outcome);
+    assert.ok(["cut", "unknown", "not-run", answer.body].includes(text), text.slice(0, 100));
+    assert.ok(bench.upstreams[0]!.requests.length <= (isIdempotent ? 2 : 1));
+}
+
+async function leaveUnread(bench: RawBench, isIdempotent: boolean): Promise<void> {
+    const { outcome } = await bench.run({ isIdempotent, timeoutMs: TIMEOUT_MS });
+    if (outcome.kind === OutcomeKind.Done) {
+        outcome.body.on("error", () => {});
+    }
+    await bench.clock.wait(TIMEOUT_MS);
+    const held = process.memoryUsage().arrayBuffers;
+    assert.ok(held < MAX_HELD_BYTES, `${held} bytes are held`);
+    if (outcome.kind === OutcomeKind.Done) {
+        outcome.body.destroy();
+    }
+}
+
+async function leaveEarly(bench: RawBench, isIdempotent: boolean): Promise<void> {
+    const controller = new AbortController();
+    const run = bench.run({ isIdempotent, timeoutMs: TIMEOUT_MS }, controller.signal);
+    await bench.clock.wait(LEAVE_MS);
+    controller.abort();
+    const { outcome } = await run;
+    if (outcome.kind === OutcomeKind.Done) {
+        outcome.body.on("error", () => {}).destroy();
+    }
+}
+
+/** Reads the body of an outcome; returns its text, or what it is if it is not whole. */
+async function readOutcome(outcome: Outcome): Promise<string> {
+    if (outcome.kind !== OutcomeKind.Done) {
+        return outcome.kind;
+    }
+    return await outcome.body.toArray().then(parts => Buffer.concat(parts as Buffer[]).toString(), () => "cut");
+}
