Close an upstream's answer at once when its caller leaves

What callers saw: nothing; upstreams stayed at work, and slots and connections in use, after callers of lookups and downloads had left.

Causes: an answer that is read ahead did not heed the caller's leaving, and so ran on as long as bytes came. Behind what was read ahead, the rest came out of a generator, whose end waits for the part that it asked for: while the upstream was silent, leaving closed nothing for up to 30 s.

--- a/src/services/SlotRunner.ts
+++ b/src/services/SlotRunner.ts
@@ -99,7 +99,7 @@
             return outcome;
         }
         const outcome = this.#createDone(pooled, request, attempt, signal, release);
-        return request.isIdempotent ? await openReadAhead(outcome, READ_AHEAD_BYTES) : outcome;
+        return request.isIdempotent ? await openReadAhead(outcome, READ_AHEAD_BYTES, signal) : outcome;
     }
 
     #createDone(
--- a/tests/services/openReadAhead.test.ts
+++ b/tests/services/openReadAhead.test.ts
@@ -47,6 +47,30 @@
     assert.instance(await readText(cut).catch((error: unknown) => error), AnswerCutError);
 });
 
+test("a caller that leaves while the next part is waited for closes the upstream's answer at once", async () => {
+    const body = new Readable({ read: () => {} });
+    body.push("0123456789ab");
+    const outcome = await openReadAhead({ ...createOutcome([]), body } as Outcome, LIMIT_BYTES);
+    assert.ok(outcome.kind === OutcomeKind.Done);
+    outcome.body.on("error", () => {}).resume();
+    await new Promise(resolve => setImmediate(resolve));
+    outcome.body.destroy();
+    await new Promise(resolve => setImmediate(resolve));
+    assert.ok(body.destroyed);
+});
+
+test("a caller that leaves while an answer without end is read ahead closes it", async () => {
+    const body = new Readable({ read: () => {} });
+    const controller = new AbortController();
+    const opened = openReadAhead({ ...createOutcome([]), body } as Outcome, LIMIT_BYTES, controller.signal);
+    body.push("01");
+    await new Promise(resolve => setImmediate(resolve));
+    controller.abort();
+    await new Promise(resolve => setImmediate(resolve));
+    assert.ok(body.destroyed);
+    assert.is((await opened).kind, OutcomeKind.Unknown);
+});
+
 test("an outcome without an answer stays as it is", async () => {
     const refusal = createNotRun(RefusalReason.NoUpstream, "none");
     assert.is(await openReadAhead(refusal, LIMIT_BYTES), refusal);
