--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -68,7 +68,7 @@
         this.#service = service;
         this.#zone = zone;
         this.#options = options;
-        this.#budget = new RetryBudget(clock);
+        this.#budget = new RetryBudget(clock, options.getRetryPart);
         this.baseline = new ServiceBaseline(clock);
         this.strain = new ServiceStrain(clock);
         this.#selector = new UpstreamSelector(policy, () => this.#budget.hasSpareRetry());
@@ -200,16 +200,16 @@
     /** Gets what the pool had to carry lately. */
     getLoad(): PoolLoad {
         const upstreams = this.#upstreams.getAll().filter(pooled => pooled.getState() !== UpstreamState.Draining);
-        const measure = (isCounted: (pooled: PooledUpstream) => boolean): number => upstreams.filter(isCounted).length;
+        const getCount = (isCounted: (pooled: PooledUpstream) => boolean): number => upstreams.filter(isCounted).length;
         return {
             service: this.#service.name,
             zone: this.#zone,
             upstreams: upstreams.length,
-            working: measure(pooled => pooled.isWorking()),
-            held: measure(pooled => pooled.getState() === UpstreamState.Held),
-            resting: measure(pooled => !pooled.isWorking() && pooled.isFailingInTime),
-            away: measure(pooled => pooled.isSilent || pooled.isConnectFailing),
-            used: measure(pooled => pooled.getIdleTime() < USE_SPAN_MS),
+            working: getCount(pooled => pooled.isWorking()),
+            held: getCount(pooled => pooled.getState() === UpstreamState.Held),
+            resting: getCount(pooled => !pooled.isWorking() && pooled.isFailingInTime),
+            away: getCount(pooled => pooled.isSilent || pooled.isConnectFailing),
+            used: getCount(pooled => pooled.getIdleTime() < USE_SPAN_MS),
             slots: this.#upstreams.getSlots(),
             freeSlots: this.#upstreams.getFreeSlots(),
             queued: this.#queue.getSize(),
@@ -228,7 +228,7 @@
         if (!this.#selector.hasCandidate(request)) {
             return createNoUpstream();
         }
-        if (request.excludedUpstreams.length === 0) {
+        if (request.sentBefore === 0) {
             this.#budget.grant(this.#service.retryBudget, this.#getRetryRate());
         }
         else if (!this.#budget.spend()) {
@@ -259,7 +259,7 @@
         return Math.max(minPatienceMs ?? 0, slowFactor * usualMs);
     }
 
-    /** This pool's part of the retries that the service is allowed by time: the zones share them evenly. */
+    /** The zone's part of the retries that the service is allowed by time: the zones share them evenly. */
     #getRetryRate(): number {
         const zones = new Set(this.#service.upstreams.map(upstream => upstream.zone)).size;
         return (this.#service.retryRate ?? 0) / Math.max(1, zones);
