--- a/src/fakes/FakeNetwork.ts
+++ b/src/fakes/FakeNetwork.ts
@@ -6,8 +6,16 @@
 import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
 import type { Clock } from "../time/index.js";
 import type { FakeHost } from "./FakeHost.js";
+import { FakeLink } from "./FakeLink.js";
 
 const DATA_TIMEOUT_MS = 30_000;
+/** Headers of a call and of its answer, in bytes. */
+const HEADER_BYTES = 300;
+
+interface FakeLinks {
+    readonly up: FakeLink;
+    readonly down: FakeLink;
+}
 
 /** A network between entry hosts in memory, whose directions can be cut one by one. */
 export class FakeNetwork {
@@ -17,10 +25,33 @@
     readonly #hosts = new Map<string, FakeHost>();
     readonly #cuts = new Set<string>();
     readonly #frozen = new Set<string>();
+    readonly #links = new Map<string, FakeLinks>();
+    readonly #bytesPerMs: number;
 
-    /** @param clock - The source of time. */
-    constructor(clock: Clock) {
+    /**
+     * @param clock - The source of time.
+     * @param bytesPerMs - The rate of each host's link, each direction for itself; unlimited if left out.
+     */
+    constructor(clock: Clock, bytesPerMs = Number.POSITIVE_INFINITY) {
         this.#clock = clock;
+        this.#bytesPerMs = bytesPerMs;
+    }
+
+    /**
+     * Gets the links of a host; calls and their answers pass over them.
+     * @param address - The host's address.
+     */
+    getLinks(address: string): FakeLinks {
+        const known = this.#links.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const links = {
+            up: new FakeLink(this.#clock, this.#bytesPerMs),
+            down: new FakeLink(this.#clock, this.#bytesPerMs),
+        };
+        this.#links.set(address, links);
+        return links;
     }
 
     /**
@@ -86,10 +117,15 @@
                 params: PeerMethods[M]["params"],
                 timeoutMs: number,
             ) => {
-                const run = (host: FakeHost): Promise<PeerMethods[M]["result"]> =>
-                    host.handlers.run(method, JSON.parse(JSON.stringify(params)));
-                const result = await this.#send(from, to, timeoutMs, run);
-                return JSON.parse(JSON.stringify(result ?? null));
+                const body = JSON.stringify(params);
+                const run = async (host: FakeHost): Promise<string> => {
+                    const result = await host.handlers.run(method, JSON.parse(body) as PeerMethods[M]["params"]);
+                    const answer = JSON.stringify(result ?? null);
+                    await this.#sendBytes(to, from, answer.length);
+                    return answer;
+                };
+                const answer = await this.#send(from, to, timeoutMs, run, body.length);
+                return JSON.parse(answer) as PeerMethods[M]["result"];
             },
         };
     }
@@ -107,8 +143,25 @@
         };
     }
 
-    async #send<R>(from: string, to: string, timeoutMs: number, run: (host: FakeHost) => Promise<R>): Promise<R> {
+    /** Waits until a call or an answer has passed both hosts' links. */
+    async #sendBytes(from: string, to: string, bytes: number): Promise<void> {
+        await this.getLinks(from).up.send(bytes + HEADER_BYTES);
+        if (!this.#isCut(from, to)) {
+            await this.getLinks(to).down.send(bytes + HEADER_BYTES);
+        }
+    }
+
+    async #send<R>(
+        from: string,
+        to: string,
+        timeoutMs: number,
+        run: (host: FakeHost) => Promise<R>,
+        bytes?: number,
+    ): Promise<R> {
         const deadline = this.#clock.getTime() + timeoutMs;
+        if (bytes !== undefined) {
+            await this.#sendBytes(from, to, bytes);
+        }
         await this.#clock.wait(this.delayMs);
         if (this.#isCut(from, to)) {
             return await this.#refuseAfter(deadline, to);
--- a/src/fakes/index.ts
+++ b/src/fakes/index.ts
@@ -6,6 +6,7 @@
 export { FakeHostClock } from "./FakeHostClock.js";
 export { FakeHostStore } from "./FakeHostStore.js";
 export { FakeHostTransport } from "./FakeHostTransport.js";
+export { FakeLink } from "./FakeLink.js";
 export { FakeMembership } from "./FakeMembership.js";
 export { FakeNetwork } from "./FakeNetwork.js";
 export { FakeServiceRunner } from "./FakeServiceRunner.js";
--- /dev/null
+++ b/tests/replica/largeFleet.test.ts
@@ -0,0 +1,135 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { SeededRandom } from "../../src/random/index.js";
+import { createReplicaFleet } from "../support/createReplicaFleet.js";
+
+/** A link of 7 Mbit/s. */
+const LINK_BYTES_PER_MS = 875;
+const UPSTREAMS = 200;
+const CONFIGURATION_BYTES = 30_000;
+/** Time within which a change has to be in force everywhere, by the number of hosts. */
+const BOUNDS_MS = new Map([[36, 2_000], [94, 2_500]]);
+const CALM_MS = 20_000;
+const SAMPLE_MS = 100;
+const ROOTS = 3;
+
+type Fleet = ReturnType<typeof createReplicaFleet>;
+
+const test = suite("replicas of a large fleet");
+
+for (const [hosts, boundMs] of BOUNDS_MS) {
+    test(`a configuration reaches ${hosts} hosts on narrow links while upstreams renew their entries`, async () => {
+        const fleet = await startFleet(hosts);
+        writeConfiguration(fleet);
+        await fleet.clock.run(boundMs);
+        checkConfigured(fleet);
+    });
+
+    test(`no copy of ${hosts} hosts grows old in calm time`, async () => {
+        const fleet = await startFleet(hosts);
+        let oldestMs = 0;
+        for (let elapsedMs = 0; elapsedMs < CALM_MS; elapsedMs += SAMPLE_MS) {
+            await fleet.clock.run(SAMPLE_MS);
+            oldestMs = Math.max(oldestMs, ...fleet.getAges().values());
+        }
+        assert.ok(oldestMs <= boundMs, `a copy was ${Math.round(oldestMs)} ms old`);
+    });
+
+    for (const seed of [1, 2, 3]) {
+        test(`a change reaches ${hosts} hosts while the store turns a third away, seed ${seed}`, async () => {
+            const fleet = await startFleet(hosts);
+            const refused = selectHosts(fleet, 1 / 3, seed);
+            [...fleet.getWatchOrder().slice(0, ROOTS), ...refused].forEach(id => fleet.source.refused.add(id));
+            writeConfiguration(fleet);
+            await fleet.clock.run(boundMs);
+            checkConfigured(fleet);
+        });
+
+        test(`a change reaches the living of ${hosts} hosts as more than half die with it, seed ${seed}`, async () => {
+            const fleet = await startFleet(hosts);
+            selectHosts(fleet, 0.55, seed).forEach(id => fleet.removeHost(id));
+            writeConfiguration(fleet);
+            await fleet.clock.run(boundMs);
+            checkConfigured(fleet);
+        });
+
+        test(`a change reaches ${hosts} hosts of which three in ten hear no other host, seed ${seed}`, async () => {
+            const fleet = await startFleet(hosts);
+            selectHosts(fleet, 0.3, seed).forEach(id => fleet.closeHost(id));
+            writeConfiguration(fleet);
+            await fleet.clock.run(boundMs);
+            checkConfigured(fleet);
+        });
+
+        test(`a change reaches ${hosts} hosts as half go silent and a third of the rest is refused, seed ${seed}`, async () => {
+            const fleet = await startFleet(hosts);
+            const silent = selectHosts(fleet, 0.55, seed);
+            const refused = selectHosts(fleet, 1 / 3, seed + 100);
+            silent.forEach(id => fleet.closeHost(id));
+            [...silent, ...refused].forEach(id => fleet.source.refused.add(id));
+            writeConfiguration(fleet);
+            await fleet.clock.run(boundMs);
+            checkConfigured(fleet, new Set(silent));
+        });
+    }
+}
+
+test("what a host sends does not grow with the fleet", async () => {
+    const small = await measureSent(36);
+    for (const hosts of [94, 200]) {
+        const large = await measureSent(hosts);
+        assert.ok(
+            large.messages <= 1.5 * small.messages,
+            `${hosts} hosts: ${large.messages} to ${small.messages} messages`,
+        );
+        assert.ok(large.bytes <= 1.5 * small.bytes, `${hosts} hosts: ${large.bytes} to ${small.bytes} bytes`);
+    }
+});
+
+test("what is long on the way makes no old copy look current", async () => {
+    const fleet = await startFleet(36);
+    fleet.network.delayMs = 400;
+    await fleet.clock.run(3_000);
+    const start = fleet.clock.getTime();
+    fleet.source.isAway = true;
+    for (let sample = 0; sample < 40; sample++) {
+        await fleet.clock.run(SAMPLE_MS);
+        const elapsedMs = fleet.clock.getTime() - start;
+        const youngestMs = Math.min(...fleet.getAges().values());
+        assert.ok(youngestMs >= elapsedMs, `a copy looked ${youngestMs} ms old ${elapsedMs} ms after the last answer`);
+    }
+});
+
+test.run();
+
+async function startFleet(hosts: number): Promise<Fleet> {
+    const fleet = createReplicaFleet(hosts, { linkBytesPerMs: LINK_BYTES_PER_MS, upstreams: UPSTREAMS });
+    await fleet.start();
+    return fleet;
+}
+
+function writeConfiguration(fleet: Fleet): void {
+    fleet.source.write("configuration", "x".repeat(CONFIGURATION_BYTES));
+}
+
+function checkConfigured(fleet: Fleet, excepted: ReadonlySet<string> = new Set()): void {
+    const late = fleet.getHostsWithout("configuration", "x".repeat(CONFIGURATION_BYTES)).filter(id =>
+        !excepted.has(id)
+    );
+    assert.equal(late, [], `${late.length} hosts have no configuration: ${late.join(" ")}`);
+}
+
+function selectHosts(fleet: Fleet, share: number, seed: number): readonly string[] {
+    const random = new SeededRandom(seed);
+    return fleet.getWatchOrder().map(id => ({ id, draw: random.getNext() })).filter(({ draw }) => draw < share)
+        .map(({ id }) => id);
+}
+
+async function measureSent(hosts: number): Promise<{ readonly messages: number; readonly bytes: number; }> {
+    const fleet = await startFleet(hosts);
+    const before = fleet.getMostSent();
+    writeConfiguration(fleet);
+    await fleet.clock.run(10_000);
+    const after = fleet.getMostSent();
+    return { messages: after.messages - before.messages, bytes: after.bytes - before.bytes };
+}
--- a/tests/support/FakeReplicaSource.ts
+++ b/tests/support/FakeReplicaSource.ts
@@ -1,11 +1,13 @@
 import { StoreUnavailableError } from "../../src/errors/index.js";
-import type { FakeClock } from "../../src/fakes/index.js";
+import type { FakeClock, FakeLink } from "../../src/fakes/index.js";
 import { WatchResultKind } from "../../src/replica/index.js";
 import type { ReplicaEvent, ReplicaPart, ReplicaSource, WatchResult } from "../../src/replica/index.js";
 
 const CALL_MS = 4;
 const SILENCE_MS = 1_500;
 const STEP_MS = 10;
+/** Values travel as base64. */
+const ENCODED_SHARE = 4 / 3;
 
 /** A store in memory whose answers can be refused or held back for some hosts. */
 export class FakeReplicaSource {
@@ -55,15 +57,16 @@
     /**
      * Creates the source as one host sees it.
      * @param hostId - The host.
+     * @param link - What the answers pass over.
      */
-    createSource(hostId: string): ReplicaSource {
+    createSource(hostId: string, link?: FakeLink): ReplicaSource {
         return {
-            readAll: () => this.#run(hostId, () => this.#read()),
-            watch: (revision, waitMs) => this.#run(hostId, () => this.#watch(revision, waitMs)),
+            readAll: () => this.#run(hostId, () => this.#read(), link),
+            watch: (revision, waitMs) => this.#run(hostId, () => this.#watch(revision, waitMs), link),
         };
     }
 
-    async #run<T>(hostId: string, call: () => Promise<T>): Promise<T> {
+    async #run<T>(hostId: string, call: () => Promise<T>, link: FakeLink | undefined): Promise<T> {
         this.calls++;
         await this.#clock.wait(CALL_MS);
         if (this.silenced.has(hostId)) {
@@ -77,6 +80,7 @@
         if (this.isAway || this.refused.has(hostId) || this.silenced.has(hostId)) {
             throw new StoreUnavailableError("cut");
         }
+        await link?.send(Math.ceil(JSON.stringify(result).length * ENCODED_SHARE));
         return result;
     }
 
--- a/tests/support/createReplicaFleet.ts
+++ b/tests/support/createReplicaFleet.ts
@@ -5,12 +5,23 @@
 import { PeerHandlers } from "../../src/peers/index.js";
 import { Replica, ReplicaKeeper } from "../../src/replica/index.js";
 import { createMember } from "./createMember.js";
+import { createUpstreamValue } from "./createUpstreamValue.js";
 import { FakeReplicaSource } from "./FakeReplicaSource.js";
 
 const HOST_PREFIX = "hosts/";
+const UPSTREAM_PREFIX = "upstreams/";
+/** Time between two renewals of an upstream's entry. */
+const RENEWAL_MS = 1_500;
 /** Until the hosts have found their order. */
 const START_MS = 6_000;
 
+interface ReplicaFleetOptions {
+    /** Rate of each host's link, in bytes per millisecond; unlimited if left out. */
+    readonly linkBytesPerMs?: number;
+    /** Upstreams that renew their entries; none if left out. */
+    readonly upstreams?: number;
+}
+
 interface ReplicaHost {
     readonly member: Member;
     readonly replica: Replica;
@@ -20,6 +31,7 @@
 
 interface ReplicaFleet {
     readonly clock: FakeClock;
+    readonly network: FakeNetwork;
     readonly source: FakeReplicaSource;
     /** Starts all hosts and waits until they have settled. */
     readonly start: () => Promise<void>;
@@ -37,16 +49,21 @@
     readonly getHostsWithout: (key: string, value: string | undefined) => readonly string[];
     /** Gets the ids of the hosts that take another one for reachable. */
     readonly getHostsThatReach: (id: string) => readonly string[];
+    /** Gets how old the copy of each living host is, by its id, in milliseconds. */
+    readonly getAges: () => ReadonlyMap<string, number>;
+    /** Gets the most that any host has sent so far. */
+    readonly getMostSent: () => { readonly messages: number; readonly bytes: number; };
 }
 
 /**
  * Creates hosts that replicate a store in memory.
  * @param count - How many.
+ * @param options - Their links and the upstreams in the store.
  */
-export function createReplicaFleet(count: number): ReplicaFleet {
+export function createReplicaFleet(count: number, options: ReplicaFleetOptions = {}): ReplicaFleet {
     const clock = new FakeClock();
     const source = new FakeReplicaSource(clock);
-    const network = new FakeNetwork(clock);
+    const network = new FakeNetwork(clock, options.linkBytesPerMs);
     const hosts = new Map<string, ReplicaHost>();
     const startHost = async (id: string): Promise<void> => {
         const host = createHost(createMember(Number(id.replace("host-", ""))), clock, source, network);
@@ -57,9 +74,11 @@
         host.replica.getEvents().find(event => event.key === key)?.value;
     return {
         clock,
+        network,
         source,
         start: async () => {
             const ids = Array.from({ length: count }, (_, index) => `host-${index}`);
+            startRenewals(clock, source, options.upstreams ?? 0);
             ids.forEach(id => source.write(`${HOST_PREFIX}${id}`, id));
             await Promise.all(ids.map(startHost));
             await clock.run(START_MS);
@@ -78,9 +97,29 @@
             [...hosts.values()].filter(host => findValue(host, key) !== value).map(host => host.member.id),
         getHostsThatReach: id =>
             [...hosts.values()].filter(host => host.membership.isReachable(id)).map(host => host.member.id),
+        getAges: () => new Map([...hosts.values()].map(host => [host.member.id, host.keeper.getAge()])),
+        getMostSent: () => {
+            const links = [...hosts.values()].map(host => network.getLinks(host.member.peerAddress).up);
+            return {
+                messages: Math.max(...links.map(link => link.messages)),
+                bytes: Math.max(...links.map(link => link.bytes)),
+            };
+        },
     };
 }
 
+/** Lets upstreams renew their entries, evenly spread over the time between two renewals of each. */
+function startRenewals(clock: FakeClock, source: FakeReplicaSource, upstreams: number): void {
+    for (let index = 0; index < upstreams; index++) {
+        let sequence = 0;
+        const renew = (): void => {
+            source.write(`${UPSTREAM_PREFIX}${index}`, createUpstreamValue("ready", ++sequence));
+            clock.schedule(RENEWAL_MS, renew);
+        };
+        clock.schedule(index * RENEWAL_MS / upstreams, renew);
+    }
+}
+
 function createHost(member: Member, clock: FakeClock, source: FakeReplicaSource, network: FakeNetwork): ReplicaHost {
     const replica = new Replica();
     const handlers = new PeerHandlers();
@@ -92,7 +131,7 @@
         clock,
         decisions: new DecisionHistory(clock),
         replica,
-        source: source.createSource(member.id),
+        source: source.createSource(member.id, network.getLinks(member.peerAddress).down),
         transport: network.createTransport(member.peerAddress),
         handlers,
         selfId: member.id,
