Pass the store's changes down a tree in each zone, pulled from below

Each zone orders its hosts by rendezvous hashing; a host takes its copy from the one above it, six from one. The first of each zone watches the store and asks the first of the next zone too. A call waits at the source until something matters, and the answer says how the source's confirmation relates to the arrival of the call, so that nothing on the way makes a copy look younger. A host whose source doesn't help asks two others every 300 ms, and one whose copy is 1.15 s old asks the store once. Renewals of upstreams' entries that say nothing new are not passed on. A host looks after those that take their copies from it, and reports of silent hosts go up and down the tree.

WatchDuty and the pushes are gone. The test of two watchers is one of a watcher in each zone now, with the same bound of calls for each.

--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -10,7 +10,7 @@
 import { EjectionPolicy, ServiceHost } from "../services/index.js";
 import { Supervisor } from "../supervision/index.js";
 import type { Child } from "../supervision/index.js";
-import { Supply } from "../supply/index.js";
+import { isRenewal, Supply } from "../supply/index.js";
 import { Gateway } from "./Gateway.js";
 import type { GatewayHostOptions } from "./GatewayHostOptions.js";
 import { HostLookup } from "./HostLookup.js";
@@ -38,7 +38,7 @@
     readonly serviceHost: ServiceHost;
     readonly supply: Supply;
     readonly #options: GatewayHostOptions;
-    readonly #replica = new Replica();
+    readonly #replica: Replica;
     readonly #keeper: ReplicaKeeper;
     readonly #membership: RegisteredMembership;
     readonly #registrar: HostRegistrar;
@@ -49,6 +49,9 @@
     constructor(options: GatewayHostOptions) {
         this.#options = options;
         const { clock, decisions, decoder, registry, self } = options;
+        this.#replica = new Replica((key, previous, next) =>
+            isRenewal(decoder.decode(key, previous), decoder.decode(key, next))
+        );
         this.#membership = new RegisteredMembership(self, {
             isUnreachable: memberId => this.#keeper.isUnreachable(memberId),
             isIsolated: () => this.#keeper.isIsolated(),
@@ -110,7 +113,7 @@
     }
 
     #createKeeper(): ReplicaKeeper {
-        const { clock, decisions, source, transport, self } = this.#options;
+        const { clock, decisions, random, source, transport, self } = this.#options;
         return new ReplicaKeeper({
             clock,
             decisions,
@@ -118,8 +121,9 @@
             source,
             transport,
             handlers: this.handlers,
-            selfId: self.id,
-            getOrder: () => this.#membership.getWatchOrder(),
+            random,
+            self,
+            getOrders: () => this.#membership.getWatchOrders(),
         });
     }
 
--- a/src/membership/RegisteredMembership.ts
+++ b/src/membership/RegisteredMembership.ts
@@ -79,9 +79,9 @@
         return this.#table.selectInZone(`service ${service} ${zone}`, zone, SERVICE_HOST_CANDIDATES);
     }
 
-    /** Gets all members in the order in which they watch the store. */
-    getWatchOrder(): readonly Member[] {
-        return this.#table.getOrder("watch");
+    /** Gets the members of each availability zone in the order in which they take their copies of the store. */
+    getWatchOrders(): readonly (readonly Member[])[] {
+        return this.#table.getZoneOrders("watch");
     }
 
     /**
--- a/src/membership/RendezvousTable.ts
+++ b/src/membership/RendezvousTable.ts
@@ -9,6 +9,7 @@
     readonly #members: readonly Member[];
     readonly #hashes: Uint32Array;
     readonly #cache = new Map<string, readonly Member[]>();
+    readonly #zoneOrders = new Map<string, readonly (readonly Member[])[]>();
 
     /** @param members - The members to select from. */
     constructor(members: readonly Member[]) {
@@ -52,6 +53,21 @@
         });
     }
 
+    /**
+     * Gets the members of each availability zone in the order of a key, the zones by name.
+     * @param key - The key.
+     */
+    getZoneOrders(key: string): readonly (readonly Member[])[] {
+        let orders = this.#zoneOrders.get(key);
+        if (orders === undefined) {
+            const members = this.getOrder(key);
+            const zones = [...new Set(members.map(member => member.zone))].sort();
+            orders = zones.map(zone => members.filter(member => member.zone === zone));
+            this.#zoneOrders.set(key, orders);
+        }
+        return orders;
+    }
+
     #select(key: string, count: number, spreads: boolean, isAllowed: (member: Member) => boolean): readonly Member[] {
         const scores = this.#getScores(key);
         const selected = new Set<Member>();
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -17,6 +17,7 @@
     FindOrder = "order.find",
     ClaimOrder = "order.claim",
     RecordCrash = "quarantine.record",
-    PushReplica = "replica.push",
+    PullReplica = "replica.pull",
+    CheckHost = "replica.check",
     SpendToken = "rate.spend",
 }
--- /dev/null
+++ b/src/replica/PullReplicaResult.ts
@@ -0,0 +1,18 @@
+import type { HostReport } from "./HostReport.js";
+import type { ReplicaEvent } from "./ReplicaEvent.js";
+import type { ReplicaPart } from "./ReplicaPart.js";
+
+/** What a host's copy of the store has beyond that of the host that asked. */
+export interface PullReplicaResult {
+    /** The revision up to which the events are complete. */
+    readonly revision: number;
+    readonly events: readonly ReplicaEvent[];
+    /** All items instead of events, for a host that is too far behind. */
+    readonly parts?: readonly ReplicaPart[];
+    /**
+     * When the copy is known to have been current, in milliseconds after the arrival of the call, so that no time on the way
+     * makes it look younger; left out if it never was.
+     */
+    readonly confirmedMs?: number;
+    readonly reports: readonly HostReport[];
+}
--- a/src/replica/Replica.ts
+++ b/src/replica/Replica.ts
@@ -2,6 +2,8 @@
 import type { ReplicaPart } from "./ReplicaPart.js";
 
 type ReplicaListener = (events: readonly ReplicaEvent[]) => void;
+/** Whether a value differs from the one before in nothing that matters. */
+type MinorCheck = (key: string, previous: string, next: string) => boolean;
 
 /** How many of the newest changes are kept to pass on. */
 const MAX_CHANGES = 2_000;
@@ -11,10 +13,16 @@
     /** The newest event of each key; removed keys stay, so that an older write does not bring them back. */
     readonly #events = new Map<string, ReplicaEvent>();
     readonly #listeners: ReplicaListener[] = [];
-    #changes: ReplicaEvent[] = [];
+    readonly #changes: ReplicaEvent[] = [];
     /** The changes since this revision are kept. */
     #changesStart = 0;
     #revision = 0;
+    readonly #isMinor: MinorCheck;
+
+    /** @param isMinor - Whether a value differs from the one before in nothing that matters; such changes aren't passed on. */
+    constructor(isMinor: MinorCheck = () => false) {
+        this.#isMinor = isMinor;
+    }
 
     /** Gets the revision up to which all changes are known; 0 before the first read. */
     getRevision(): number {
@@ -26,6 +34,14 @@
         return [...this.#events.values()];
     }
 
+    /**
+     * Whether anything that matters has changed since a revision, as far as is known.
+     * @param revision - The revision.
+     */
+    hasChanges(revision: number): boolean {
+        return revision < this.#changesStart || this.#changes.some(event => event.revision > revision);
+    }
+
     /**
      * Finds the changes since a revision; undefined if they are no longer known.
      * @param revision - The revision.
@@ -63,11 +79,10 @@
             ...this.#findMissing(part).filter(event => this.#applyEvent(event)),
         ]);
         const revision = Math.min(...parts.map(part => part.revision));
-        if (revision > this.#revision) {
-            this.#changes = [];
+        if (this.#revision === 0) {
             this.#changesStart = revision;
-            this.#revision = revision;
         }
+        this.#addChanges(applied, revision);
         this.#report(applied);
     }
 
@@ -85,14 +100,17 @@
             return false;
         }
         this.#events.set(event.key, event);
-        return known !== undefined || event.value !== undefined;
+        if (known === undefined || known.value === undefined || event.value === undefined) {
+            return known?.value !== event.value;
+        }
+        return !this.#isMinor(event.key, known.value, event.value);
     }
 
     #addChanges(events: readonly ReplicaEvent[], revision: number): void {
         this.#changes.push(...events);
         if (this.#changes.length > MAX_CHANGES) {
             const dropped = this.#changes.splice(0, this.#changes.length - MAX_CHANGES);
-            this.#changesStart = dropped.at(-1)!.revision;
+            this.#changesStart = Math.max(...dropped.map(event => event.revision));
         }
         this.#revision = Math.max(this.#revision, revision);
     }
--- a/src/replica/ReplicaKeeper.ts
+++ b/src/replica/ReplicaKeeper.ts
@@ -1,225 +1,143 @@
 import { Decision } from "../logging/index.js";
 import { PeerMethod } from "../peers/index.js";
 import type { Child } from "../supervision/index.js";
-import { PushPeers } from "./PushPeers.js";
-import type { PushReplicaParams } from "./PushReplicaParams.js";
-import type { PushReplicaResult } from "./PushReplicaResult.js";
+import { CopyAge } from "./CopyAge.js";
+import { HostChecker } from "./HostChecker.js";
+import { HostReports } from "./HostReports.js";
+import { PullAnswerer } from "./PullAnswerer.js";
+import type { PullReplicaParams } from "./PullReplicaParams.js";
+import type { PullReplicaResult } from "./PullReplicaResult.js";
 import type { ReplicaKeeperOptions } from "./ReplicaKeeperOptions.js";
-import { WatchDuty } from "./WatchDuty.js";
-import type { WatcherReport } from "./WatcherReport.js";
-import { WatchResultKind } from "./WatchResultKind.js";
+import { ReplicaTree } from "./ReplicaTree.js";
+import { SourcePuller } from "./SourcePuller.js";
+import { StoreReader } from "./StoreReader.js";
 
-/** Time for hosts that start together to register, so that the order in which they watch is the same everywhere. */
-const SETTLE_MS = 1_500;
-/** How long a watch waits for changes, so that a watcher knows at least this often that it reaches the store. */
-const WATCH_WAIT_MS = 1_000;
-/** The first watch only asks what is new since the first reading, which may be stale. */
-const FIRST_WATCH_WAIT_MS = 1;
-/** Pause after changes, so that those that come in quick succession share a call. */
-const BATCH_MS = 60;
-/** Pause after a call to the store that failed; doubles with each further one. */
-const FIRST_RETRY_MS = 250;
-const MAX_RETRY_MS = 1_000;
-/** How often a host that doesn't watch looks whether it has to. */
-const CHECK_MS = 250;
-/** A copy older than this has lost touch with the store. */
-const LOST_AGE_MS = 2_500;
-/** A watcher's report counts for this long. */
-const REPORT_SPAN_MS = 2_500;
+/** How often a host looks whether its source helps, its copy is old or others are silent, in milliseconds. */
+const CHECK_MS = 100;
+/** A host that has heard no other for this long is isolated, in milliseconds. */
+const ISOLATED_MS = 2_500;
 
-/** Keeps the replica current: watches the store or takes what the hosts that watch it pass on. */
+/** Keeps the replica current: takes changes from another host, or from the store if it is its turn. */
 export class ReplicaKeeper implements Child {
     readonly name = "replica-keeper";
     readonly #options: ReplicaKeeperOptions;
-    readonly #duty: WatchDuty;
-    readonly #peers: PushPeers;
-    readonly #reports = new Map<string, WatcherReport>();
-    #confirmedTime = Number.NEGATIVE_INFINITY;
-    #regainedTime = Number.NEGATIVE_INFINITY;
+    readonly #age: CopyAge;
+    readonly #reports: HostReports;
+    readonly #checker: HostChecker;
+    readonly #answerer: PullAnswerer;
+    readonly #puller: SourcePuller;
+    readonly #reader: StoreReader;
+    #orders: ReturnType<ReplicaKeeperOptions["getOrders"]> | undefined;
+    #tree: ReplicaTree;
     #isInTouch = true;
-    #retryMs = FIRST_RETRY_MS / 2;
     #startTime = Number.NEGATIVE_INFINITY;
     #controller = new AbortController();
 
     /** @param options - What the keeper works with. */
     constructor(options: ReplicaKeeperOptions) {
         this.#options = options;
-        this.#duty = new WatchDuty(options.clock);
-        this.#peers = new PushPeers(options, () => this.#createPush());
-        options.handlers.add(PeerMethod.PushReplica, params => this.#receive(params));
+        const { clock, handlers, replica, self } = options;
+        const getTree = (): ReplicaTree => this.#getTree();
+        this.#age = new CopyAge(clock);
+        this.#reports = new HostReports(clock, self.id);
+        this.#tree = this.#createTree([]);
+        this.#checker = new HostChecker(options, this.#reports);
+        this.#answerer = new PullAnswerer(clock, replica, this.#age, this.#reports);
+        this.#puller = new SourcePuller(options, this.#age, this.#reports, this.#checker, getTree);
+        this.#reader = new StoreReader(options, this.#age, getTree);
+        this.#reports.addListener(() => this.#puller.sendReports(this.#controller.signal));
+        handlers.add(PeerMethod.PullReplica, params => this.#runPull(params));
+        handlers.add(PeerMethod.CheckHost, ({ sender }) => {
+            this.#checker.recordHeard(sender);
+            return { id: self.id };
+        });
     }
 
     /** Starts to keep the replica. */
     async start(): Promise<void> {
         this.#controller = new AbortController();
+        const { signal } = this.#controller;
         this.#startTime = this.#options.clock.getTime();
-        void this.#run(this.#controller.signal);
+        this.#reader.start();
+        void this.#run(signal);
+        void this.#puller.run(signal);
     }
 
     /** Stops; the replica stays as it is. */
     async stop(): Promise<void> {
         this.#controller.abort();
-        this.#peers.stop();
     }
 
     /** Gets how long ago the replica is known to have been current, in milliseconds. */
     getAge(): number {
-        return this.#options.clock.getTime() - this.#confirmedTime;
+        return this.#age.getAge();
     }
 
     /** Gets when touch with the store was regained last, in milliseconds of the clock; -Infinity if it was never lost. */
     getRegainedTime(): number {
-        return this.#regainedTime;
+        return this.#age.getRegainedTime();
     }
 
     /**
-     * Whether every watcher that was heard lately says that a member doesn't answer it.
+     * Whether the hosts that look after a member say that it doesn't answer them.
      * @param memberId - The member's id.
      */
     isUnreachable(memberId: string): boolean {
-        const now = this.#options.clock.getTime();
-        const reports = [...this.#reports.values()].filter(report => now - report.time < REPORT_SPAN_MS);
-        const views = this.#peers.isActive() ? [this.#peers.getUnreachable()] : [];
-        const all = [...reports.map(report => report.unreachable), ...views];
-        return all.length > 0 && all.every(unreachable => unreachable.has(memberId));
+        return this.#reports.isSilent(memberId);
     }
 
-    /**
-     * Whether neither a watcher has been heard lately nor, as a watcher, any peer has answered. A host that has just started
-     * is not isolated: the watchers reach it soon.
-     */
+    /** Whether no other host has called or answered lately. A host that has just started is not isolated. */
     isIsolated(): boolean {
         const now = this.#options.clock.getTime();
-        const isHeard = [...this.#reports.values()].some(report => now - report.time < REPORT_SPAN_MS);
-        return this.#getRunTime() > REPORT_SPAN_MS && !isHeard && !this.#peers.isAnswered();
+        return now - this.#startTime > ISOLATED_MS && now - this.#checker.getContactTime() > ISOLATED_MS;
     }
 
     async #run(signal: AbortSignal): Promise<void> {
-        const { clock } = this.#options;
         while (!signal.aborted) {
-            const pauseMs = this.#isWatching() ? await this.#runWatch(signal) : CHECK_MS;
+            this.#reader.check(signal);
+            if (this.#reader.hasStarted()) {
+                this.#puller.check(signal);
+                this.#checker.check(this.#getTree());
+            }
             this.#checkTouch();
-            await clock.wait(pauseMs, signal).catch(() => undefined);
-        }
-    }
-
-    #isWatching(): boolean {
-        if (this.#options.replica.getRevision() === 0) {
-            return true;
-        }
-        if (this.#getRunTime() < SETTLE_MS) {
-            return false;
-        }
-        if (this.#confirmedTime === Number.NEGATIVE_INFINITY) {
-            return true;
-        }
-        const order = this.#options.getOrder();
-        const rank = order.findIndex(member => member.id === this.#options.selfId);
-        const isWatching = this.#duty.isWatching(rank < 0 ? order.length : rank, this.getAge());
-        if (isWatching && rank >= 0) {
-            this.#peers.start();
-        }
-        else {
-            this.#peers.stop();
-        }
-        return isWatching;
-    }
-
-    #getRunTime(): number {
-        return this.#options.clock.getTime() - this.#startTime;
-    }
-
-    /** Watches once; returns how long to pause, in milliseconds. */
-    async #runWatch(signal: AbortSignal): Promise<number> {
-        try {
-            const isChanged = await this.#watch(signal);
-            this.#retryMs = FIRST_RETRY_MS / 2;
-            return isChanged ? BATCH_MS : 0;
-        }
-        catch (error) {
-            this.#record("store-call-failed", { error: error instanceof Error ? error.message : String(error) });
-            this.#retryMs = Math.min(MAX_RETRY_MS, 2 * this.#retryMs);
-            return this.#retryMs;
+            await this.#options.clock.wait(CHECK_MS, signal).catch(() => undefined);
         }
     }
 
-    async #watch(signal: AbortSignal): Promise<boolean> {
-        const { replica, source, clock } = this.#options;
-        const start = clock.getTime();
-        const revision = replica.getRevision();
-        if (revision === 0) {
-            replica.applyParts(await source.readAll(true));
-            return false;
-        }
-        const isFirst = this.#confirmedTime === Number.NEGATIVE_INFINITY;
-        const result = await source.watch(revision, isFirst ? FIRST_WATCH_WAIT_MS : WATCH_WAIT_MS);
-        if (signal.aborted) {
-            return false;
-        }
-        switch (result.kind) {
-            case WatchResultKind.Events:
-                this.#recordCurrent(clock.getTime());
-                replica.applyEvents(result.events, result.revision);
-                break;
-            case WatchResultKind.HistoryLost: {
-                const parts = await source.readAll(false);
-                this.#recordCurrent(start);
-                replica.applyParts(parts);
-                break;
-            }
-        }
-        this.#peers.send();
-        return replica.getRevision() > revision;
+    async #runPull(params: PullReplicaParams): Promise<PullReplicaResult> {
+        this.#checker.recordHeard(params.sender);
+        this.#reports.merge(params.reports, this.#options.clock.getTime());
+        return await this.#answerer.run(params);
     }
 
-    #receive(params: PushReplicaParams): PushReplicaResult {
-        const { clock, replica } = this.#options;
-        const now = clock.getTime();
-        this.#duty.recordHeard();
-        this.#reports.set(params.sender, { time: now, unreachable: new Set(params.unreachable) });
-        if (params.parts !== undefined) {
-            this.#recordCurrent(now - params.ageMs);
-            replica.applyParts(params.parts);
-        }
-        else if (replica.getRevision() >= params.from && replica.getRevision() > 0) {
-            this.#recordCurrent(now - params.ageMs);
-            replica.applyEvents(params.events, params.revision);
+    #getTree(): ReplicaTree {
+        const orders = this.#options.getOrders();
+        if (orders !== this.#orders) {
+            this.#orders = orders;
+            this.#tree = this.#createTree(orders);
         }
-        return { revision: replica.getRevision() };
+        return this.#tree;
     }
 
-    #recordCurrent(time: number): void {
-        const { clock } = this.#options;
-        if (clock.getTime() - this.#confirmedTime > LOST_AGE_MS && clock.getTime() - time < LOST_AGE_MS) {
-            this.#regainedTime = clock.getTime();
-        }
-        this.#confirmedTime = Math.max(this.#confirmedTime, time);
+    #createTree(orders: ReturnType<ReplicaKeeperOptions["getOrders"]>): ReplicaTree {
+        return new ReplicaTree(orders, this.#options.self, id => this.#reports.isSilent(id));
     }
 
     #checkTouch(): void {
-        const isInTouch = this.getAge() < LOST_AGE_MS;
+        const isInTouch = this.#age.isInTouch();
         if (isInTouch !== this.#isInTouch) {
             this.#isInTouch = isInTouch;
-            this.#record(isInTouch ? "store-regained" : "store-lost", {});
+            this.#record(isInTouch ? "store-regained" : "store-lost");
         }
     }
 
-    #createPush(): Omit<PushReplicaParams, "from" | "events" | "parts"> {
-        return {
-            sender: this.#options.selfId,
-            revision: this.#options.replica.getRevision(),
-            ageMs: Math.round(Math.min(this.getAge(), Number.MAX_SAFE_INTEGER)),
-            unreachable: [...this.#peers.getUnreachable()],
-        };
-    }
-
-    #record(reason: string, figures: Record<string, string | number>): void {
-        const { decisions, replica, selfId } = this.#options;
+    #record(reason: string): void {
+        const { decisions, replica, self } = this.#options;
         decisions.record({
             decision: Decision.DependencyChanged,
             reason,
-            member: selfId,
-            figures: { revision: replica.getRevision(), ageMs: Math.round(Math.min(this.getAge(), 1e9)), ...figures },
+            member: self.id,
+            figures: { revision: replica.getRevision(), ageMs: Math.round(Math.min(this.getAge(), 1e9)) },
         });
     }
 }
--- a/src/replica/ReplicaKeeperOptions.ts
+++ b/src/replica/ReplicaKeeperOptions.ts
@@ -1,6 +1,7 @@
 import type { Member } from "../head/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { PeerHandlers, PeerTransport } from "../peers/index.js";
+import type { RandomSource } from "../random/index.js";
 import type { Clock } from "../time/index.js";
 import type { Replica } from "./Replica.js";
 import type { ReplicaSource } from "./ReplicaSource.js";
@@ -13,8 +14,12 @@
     readonly source: ReplicaSource;
     readonly transport: PeerTransport;
     readonly handlers: PeerHandlers;
-    /** This host's member id. */
-    readonly selfId: string;
-    /** Gets all hosts of the fleet in the order in which they watch the store, this one too if it is known. */
-    readonly getOrder: () => readonly Member[];
+    readonly random: RandomSource;
+    /** This host's entry. */
+    readonly self: Member;
+    /**
+     * Gets the hosts of each availability zone in the order in which they take their copies, this one too if it is known; the
+     * same array until something changes.
+     */
+    readonly getOrders: () => readonly (readonly Member[])[];
 }
--- /dev/null
+++ b/src/replica/SourcePuller.ts
@@ -0,0 +1,209 @@
+import type { Member } from "../head/index.js";
+import { Decision } from "../logging/index.js";
+import { PeerMethod } from "../peers/index.js";
+import type { CopyAge } from "./CopyAge.js";
+import type { HostChecker } from "./HostChecker.js";
+import type { HostReports } from "./HostReports.js";
+import type { ReplicaKeeperOptions } from "./ReplicaKeeperOptions.js";
+import type { ReplicaTree } from "./ReplicaTree.js";
+import { SourceSearch } from "./SourceSearch.js";
+
+/** How long a source may wait for something new, in milliseconds. */
+const PULL_WAIT_MS = 600;
+/** How long a source's answer may take beyond that, in milliseconds; a configuration for all its children takes a third. */
+const PULL_GRACE_MS = 600;
+/** A source that is later than this beyond its wait is looked for another one, in milliseconds. */
+const LATE_MS = 150;
+/** How long another host may take that is asked without a wait, in milliseconds. */
+const SEARCH_TIMEOUT_MS = 600;
+/** A copy older than this doesn't help, in milliseconds. */
+const HELP_AGE_MS = 1_080;
+/** Between two calls to a source at least, so that changes in quick succession share an answer. */
+const BATCH_MS = 100;
+/** Pause while there is no source, in milliseconds. */
+const NO_SOURCE_MS = 200;
+/** A source that has failed is left out for this long, in milliseconds. */
+const FAILED_MS = 4_000;
+/** A host that was found by a search stays the source for this long, in milliseconds. */
+const FOUND_MS = 3_000;
+
+/** Why a host takes its copy from another source now. */
+enum SourceReason {
+    Order = "order",
+    Failed = "failed",
+    Found = "found",
+}
+
+/** Takes changes from other hosts: from its source in the tree, and from any that helps while that one doesn't. */
+export class SourcePuller {
+    readonly #options: ReplicaKeeperOptions;
+    readonly #age: CopyAge;
+    readonly #reports: HostReports;
+    readonly #checker: HostChecker;
+    readonly #getTree: () => ReplicaTree;
+    readonly #search: SourceSearch;
+    readonly #failedUntil = new Map<string, number>();
+    #helpTime = Number.NEGATIVE_INFINITY;
+    #source: Member | undefined;
+    #found: { readonly member: Member; readonly until: number; } | undefined;
+    #interrupt = (): void => {};
+
+    /**
+     * @param options - What the keeper works with.
+     * @param age - When the copy was current.
+     * @param reports - Which hosts answer.
+     * @param checker - Finds out which hosts answer.
+     * @param getTree - Gets the order in which hosts take their copies from one another.
+     */
+    constructor(
+        options: ReplicaKeeperOptions,
+        age: CopyAge,
+        reports: HostReports,
+        checker: HostChecker,
+        getTree: () => ReplicaTree,
+    ) {
+        this.#options = options;
+        this.#age = age;
+        this.#reports = reports;
+        this.#checker = checker;
+        this.#getTree = getTree;
+        this.#search = new SourceSearch(options.clock, options.self);
+    }
+
+    /**
+     * Runs until the signal is aborted.
+     * @param signal - Ends it.
+     */
+    async run(signal: AbortSignal): Promise<void> {
+        const { clock } = this.#options;
+        this.#helpTime = clock.getTime();
+        while (!signal.aborted) {
+            const start = clock.getTime();
+            const source = this.#selectSource();
+            if (source === undefined) {
+                await clock.wait(NO_SOURCE_MS, signal).catch(() => undefined);
+                continue;
+            }
+            this.#recordSource(source);
+            const interrupted = new Promise<void>(resolve => this.#interrupt = resolve);
+            await Promise.race([this.#sendPull(source, PULL_WAIT_MS, PULL_GRACE_MS, signal), interrupted]);
+            const pauseMs = start + BATCH_MS - clock.getTime();
+            await clock.wait(Math.max(0, pauseMs), signal).catch(() => undefined);
+        }
+    }
+
+    /**
+     * Looks for another host while the source doesn't help.
+     * @param signal - Ends what runs.
+     */
+    check(signal: AbortSignal): void {
+        if (this.#isHelped()) {
+            this.#search.stop();
+            return;
+        }
+        const tree = this.#getTree();
+        const candidates = tree.getOthers().filter(member =>
+            member.id !== this.#source?.id && !this.#reports.isSilent(member.id) && !this.#hasFailed(member)
+        );
+        this.#search.selectNext(candidates).forEach(member => void this.#runSearchPull(member, signal));
+    }
+
+    /**
+     * Tells the source at once what is new of the hosts that don't answer.
+     * @param signal - Ends it.
+     */
+    sendReports(signal: AbortSignal): void {
+        if (this.#source !== undefined && !this.#hasFailed(this.#source)) {
+            void this.#sendPull(this.#source, 0, SEARCH_TIMEOUT_MS, signal);
+        }
+    }
+
+    #isHelped(): boolean {
+        const now = this.#options.clock.getTime();
+        return this.#age.getAge() < HELP_AGE_MS && now - this.#helpTime < PULL_WAIT_MS + LATE_MS;
+    }
+
+    #selectSource(): Member | undefined {
+        const now = this.#options.clock.getTime();
+        if (this.#found !== undefined && now < this.#found.until && !this.#hasFailed(this.#found.member)) {
+            return this.#found.member;
+        }
+        this.#found = undefined;
+        return this.#getTree().getSources().find(member => !this.#hasFailed(member));
+    }
+
+    #hasFailed(member: Member): boolean {
+        return (this.#failedUntil.get(member.id) ?? Number.NEGATIVE_INFINITY) > this.#options.clock.getTime();
+    }
+
+    #recordSource(source: Member): void {
+        const before = this.#source;
+        this.#source = source;
+        if (before === undefined || before.id === source.id) {
+            return;
+        }
+        const reason = this.#found !== undefined
+            ? SourceReason.Found
+            : this.#hasFailed(before)
+            ? SourceReason.Failed
+            : SourceReason.Order;
+        const { decisions, self } = this.#options;
+        decisions.record({
+            decision: Decision.DependencyChanged,
+            reason: "source-changed",
+            member: self.id,
+            figures: { old: before.id, new: source.id, why: reason },
+        });
+    }
+
+    async #runSearchPull(member: Member, signal: AbortSignal): Promise<void> {
+        const isHelpful = await this.#sendPull(member, 0, SEARCH_TIMEOUT_MS, signal);
+        if (isHelpful && this.#search.isRunning()) {
+            this.#search.stop();
+            this.#found = { member, until: this.#options.clock.getTime() + FOUND_MS };
+            this.#interrupt();
+        }
+    }
+
+    /** Asks one host; returns whether it had a copy that is current. */
+    async #sendPull(member: Member, waitMs: number, graceMs: number, signal: AbortSignal): Promise<boolean> {
+        const { clock, replica, self, transport } = this.#options;
+        const sent = clock.getTime();
+        const params = {
+            sender: self.id,
+            revision: replica.getRevision(),
+            waitMs,
+            reports: this.#reports.createReports(sent),
+        };
+        try {
+            const result = await transport.send(member.peerAddress, PeerMethod.PullReplica, params, waitMs + graceMs);
+            if (signal.aborted) {
+                return false;
+            }
+            this.#checker.recordHeard(member.id);
+            this.#reports.merge(result.reports, sent);
+            this.#age.recordCurrent(sent + (result.confirmedMs ?? Number.NEGATIVE_INFINITY));
+            if (result.parts !== undefined) {
+                replica.applyParts(result.parts);
+            }
+            else {
+                replica.applyEvents(result.events, result.revision);
+            }
+            return this.#recordHelp(sent + (result.confirmedMs ?? Number.NEGATIVE_INFINITY));
+        }
+        catch {
+            if (!signal.aborted) {
+                this.#failedUntil.set(member.id, clock.getTime() + FAILED_MS);
+                this.#checker.recordFailure(member);
+            }
+            return false;
+        }
+    }
+
+    #recordHelp(confirmedTime: number): boolean {
+        const now = this.#options.clock.getTime();
+        const isHelpful = now - confirmedTime < HELP_AGE_MS;
+        this.#helpTime = isHelpful ? now : this.#helpTime;
+        return isHelpful;
+    }
+}
--- a/src/replica/index.ts
+++ b/src/replica/index.ts
@@ -1,11 +1,10 @@
-export type { PushReplicaParams } from "./PushReplicaParams.js";
-export type { PushReplicaResult } from "./PushReplicaResult.js";
+export type { PullReplicaParams } from "./PullReplicaParams.js";
+export type { PullReplicaResult } from "./PullReplicaResult.js";
 export { Replica } from "./Replica.js";
 export type { ReplicaEvent } from "./ReplicaEvent.js";
 export { ReplicaKeeper } from "./ReplicaKeeper.js";
 export type { ReplicaKeeperOptions } from "./ReplicaKeeperOptions.js";
 export type { ReplicaPart } from "./ReplicaPart.js";
 export type { ReplicaSource } from "./ReplicaSource.js";
-export { WatchDuty } from "./WatchDuty.js";
 export type { WatchResult } from "./WatchResult.js";
 export { WatchResultKind } from "./WatchResultKind.js";
--- a/src/replica/peerMethods.ts
+++ b/src/replica/peerMethods.ts
@@ -1,10 +1,13 @@
 import type { PeerMethod } from "../peers/index.js";
-import type { PushReplicaParams } from "./PushReplicaParams.js";
-import type { PushReplicaResult } from "./PushReplicaResult.js";
+import type { CheckHostParams } from "./CheckHostParams.js";
+import type { CheckHostResult } from "./CheckHostResult.js";
+import type { PullReplicaParams } from "./PullReplicaParams.js";
+import type { PullReplicaResult } from "./PullReplicaResult.js";
 
 declare module "../peers/PeerMethods.js" {
     /** The calls between replica keepers. */
     interface PeerMethods {
-        [PeerMethod.PushReplica]: { params: PushReplicaParams; result: PushReplicaResult; };
+        [PeerMethod.PullReplica]: { params: PullReplicaParams; result: PullReplicaResult; };
+        [PeerMethod.CheckHost]: { params: CheckHostParams; result: CheckHostResult; };
     }
 }
--- a/src/supply/index.ts
+++ b/src/supply/index.ts
@@ -1,3 +1,4 @@
+export { isRenewal } from "./isRenewal.js";
 export type { SuppliedDocument } from "./SuppliedDocument.js";
 export { Supply } from "./Supply.js";
 export type { SupplyDecoder } from "./SupplyDecoder.js";
