Take no copy from a host that takes its own from this one

Two hosts that had found each other while their sources were late took their copies from one another for seconds: in virtual time copies of 94 hosts were up to 1.24 s old, with 20 changes of source a second, on calm links. An answer names the hosts that it came from; one that names the asking host is no help. A watcher that the store answers names none, so that the ring of the first hosts stays.

--- a/src/replica/PullAnswerer.ts
+++ b/src/replica/PullAnswerer.ts
@@ -17,6 +17,7 @@
     readonly #replica: Replica;
     readonly #age: CopyAge;
     readonly #reports: HostReports;
+    readonly #getPath: () => readonly string[];
     readonly #waiting = new Set<() => void>();
     /** The version of the reports that each host was told last. */
     readonly #toldVersions = new Map<string, number>();
@@ -26,8 +27,16 @@
      * @param replica - The copy.
      * @param age - When it was current.
      * @param reports - Which hosts answer.
+     * @param getPath - Gets the hosts from which this one takes its copy.
      */
-    constructor(clock: Clock, replica: Replica, age: CopyAge, reports: HostReports) {
+    constructor(
+        clock: Clock,
+        replica: Replica,
+        age: CopyAge,
+        reports: HostReports,
+        getPath: () => readonly string[],
+    ) {
+        this.#getPath = getPath;
         this.#clock = clock;
         this.#replica = replica;
         this.#age = age;
@@ -83,6 +92,7 @@
             events: events ?? [],
             ...(events === undefined ? { parts: createParts(this.#replica) } : {}),
             ...(Number.isFinite(confirmedMs) ? { confirmedMs } : {}),
+            path: this.#getPath(),
             reports: this.#reports.createReports(arrival),
         };
     }
--- a/src/replica/PullReplicaResult.ts
+++ b/src/replica/PullReplicaResult.ts
@@ -14,5 +14,7 @@
      * makes it look younger; left out if it never was.
      */
     readonly confirmedMs?: number;
+    /** The hosts from which the answering host takes its copy, the nearest first, as far as it knows. */
+    readonly path: readonly string[];
     readonly reports: readonly HostReport[];
 }
--- a/src/replica/ReplicaKeeper.ts
+++ b/src/replica/ReplicaKeeper.ts
@@ -42,9 +42,10 @@
         this.#reports = new HostReports(clock, self.id);
         this.#tree = this.#createTree([]);
         this.#checker = new HostChecker(options, this.#reports);
-        this.#answerer = new PullAnswerer(clock, replica, this.#age, this.#reports);
         this.#puller = new SourcePuller(options, this.#age, this.#reports, this.#checker, getTree);
         this.#reader = new StoreReader(options, this.#age, getTree);
+        const getPath = (): readonly string[] => this.#reader.isServed() ? [] : this.#puller.getPath();
+        this.#answerer = new PullAnswerer(clock, replica, this.#age, this.#reports, getPath);
         this.#reports.addListener(() => this.#puller.sendReports(this.#controller.signal));
         handlers.add(PeerMethod.PullReplica, params => this.#runPull(params));
         handlers.add(PeerMethod.CheckHost, ({ sender }) => {
--- a/src/replica/SourcePuller.ts
+++ b/src/replica/SourcePuller.ts
@@ -24,9 +24,14 @@
 const NO_SOURCE_MS = 200;
 /** A source that has failed is left out for this long, in milliseconds. */
 const FAILED_MS = 4_000;
+/** One that takes its copy from this host is left out for this long, in milliseconds. */
+const CIRCLE_MS = 2_000;
 /** A host that was found by a search stays the source for this long, in milliseconds. */
 const FOUND_MS = 3_000;
 
+/** Hosts of a path that are told. */
+const MAX_PATH = 8;
+
 /** Why a host takes its copy from another source now. */
 enum SourceReason {
     Order = "order",
@@ -45,6 +50,8 @@
     readonly #failedUntil = new Map<string, number>();
     #helpTime = Number.NEGATIVE_INFINITY;
     #source: Member | undefined;
+    /** The hosts beyond the source from which it takes its copy. */
+    #sourcePath: readonly string[] = [];
     #found: { readonly member: Member; readonly until: number; } | undefined;
     #interrupt = (): void => {};
 
@@ -70,6 +77,11 @@
         this.#search = new SourceSearch(options.clock, options.self);
     }
 
+    /** Gets the hosts from which this one takes its copy, the nearest first. */
+    getPath(): readonly string[] {
+        return this.#source === undefined ? [] : [this.#source.id, ...this.#sourcePath].slice(0, MAX_PATH);
+    }
+
     /**
      * Runs until the signal is aborted.
      * @param signal - Ends it.
@@ -139,6 +151,7 @@
     #recordSource(source: Member): void {
         const before = this.#source;
         this.#source = source;
+        this.#sourcePath = before?.id === source.id ? this.#sourcePath : [];
         if (before === undefined || before.id === source.id) {
             return;
         }
@@ -189,7 +202,7 @@
             else {
                 replica.applyEvents(result.events, result.revision);
             }
-            return this.#recordHelp(sent + (result.confirmedMs ?? Number.NEGATIVE_INFINITY));
+            return this.#recordHelp(member, result.path, sent + (result.confirmedMs ?? Number.NEGATIVE_INFINITY));
         }
         catch {
             if (!signal.aborted) {
@@ -200,9 +213,18 @@
         }
     }
 
-    #recordHelp(confirmedTime: number): boolean {
-        const now = this.#options.clock.getTime();
-        const isHelpful = now - confirmedTime < HELP_AGE_MS;
+    /** A host that takes its copy from this one is no help. */
+    #recordHelp(member: Member, path: readonly string[], confirmedTime: number): boolean {
+        const { clock, self } = this.#options;
+        const now = clock.getTime();
+        const isCircle = path.includes(self.id);
+        if (isCircle) {
+            this.#failedUntil.set(member.id, now + CIRCLE_MS);
+        }
+        if (member.id === this.#source?.id) {
+            this.#sourcePath = path;
+        }
+        const isHelpful = !isCircle && now - confirmedTime < HELP_AGE_MS;
         this.#helpTime = isHelpful ? now : this.#helpTime;
         return isHelpful;
     }
--- a/src/replica/StoreReader.ts
+++ b/src/replica/StoreReader.ts
@@ -12,6 +12,8 @@
 const WATCH_WAIT_MS = 1_000;
 /** How long a watch waits that only asks what is new, in milliseconds. */
 const ASK_WAIT_MS = 1;
+/** A watcher that was answered within this span is served, in milliseconds. */
+const SERVED_MS = 1_400;
 /** Pause after changes, so that those that come in quick succession share a call. */
 const BATCH_MS = 130;
 /** Pause after a watch that failed; doubles with each further one. */
@@ -35,6 +37,7 @@
     readonly #getTree: () => ReplicaTree;
     #startTime = Number.NEGATIVE_INFINITY;
     #nextTime = Number.NEGATIVE_INFINITY;
+    #readTime = Number.NEGATIVE_INFINITY;
     #retryMs = FIRST_RETRY_MS;
     #askPauseMs = ASK_PAUSE_MS;
     #delayMs = 0;
@@ -68,6 +71,11 @@
         return this.#getRunTime() >= SETTLE_MS + FIRST_PULL_MS;
     }
 
+    /** Whether this host watches the store and has been answered lately. */
+    isServed(): boolean {
+        return this.#isWatching() && this.#options.clock.getTime() - this.#readTime < SERVED_MS;
+    }
+
     /**
      * Reads the store if it is this host's turn.
      * @param signal - Ends what runs.
@@ -90,7 +98,8 @@
     }
 
     #isAsking(): boolean {
-        return this.hasStarted() && this.#age.getAge() > ASK_AGE_MS + this.#delayMs;
+        return this.#getRunTime() >= SETTLE_MS + FIRST_PULL_MS + this.#delayMs &&
+            this.#age.getAge() > ASK_AGE_MS + this.#delayMs;
     }
 
     #getRunTime(): number {
@@ -115,6 +124,7 @@
         const isFirstReading = this.#options.replica.getRevision() === 0;
         try {
             const isChanged = await this.#read(signal, isWatching);
+            this.#readTime = this.#options.clock.getTime();
             this.#retryMs = FIRST_RETRY_MS;
             this.#askPauseMs = ASK_PAUSE_MS;
             this.#delayMs = this.#createDelay();
--- a/tests/replica/Replica.test.ts
+++ b/tests/replica/Replica.test.ts
@@ -55,4 +55,27 @@
     assert.is(replica.findChanges(2), undefined);
 });
 
+test("changes that don't matter are neither told nor passed on, but the next one is compared with them", () => {
+    const seen: ReplicaEvent[] = [];
+    const replica = new Replica((_, previous, next) => previous[0] === next[0] && previous < next);
+    replica.addListener(events => seen.push(...events));
+    replica.applyParts([{ prefix: "", revision: 3, items: [{ key: "k", revision: 3, value: "a1" }] }]);
+    replica.applyEvents([{ key: "k", revision: 4, value: "a2" }, { key: "k", revision: 5, value: "a5" }], 5);
+    assert.equal([seen.length, replica.getRevision(), replica.hasChanges(3), replica.findChanges(3)], [
+        1,
+        5,
+        false,
+        [],
+    ]);
+    replica.applyEvents([{ key: "k", revision: 6, value: "a3" }], 6);
+    assert.equal(replica.findChanges(3)?.map(event => event.value), ["a3"]);
+});
+
+test("a reading of everything leaves a copy that knew the past with the changes since", () => {
+    const { replica } = createReplica();
+    replica.applyParts([{ prefix: "", revision: 3, items: [{ key: "a", revision: 2, value: "1" }] }]);
+    replica.applyParts([{ prefix: "", revision: 9, items: [{ key: "b", revision: 8, value: "2" }] }]);
+    assert.equal(replica.findChanges(3)?.map(event => [event.key, event.revision]), [["b", 8], ["a", 9]]);
+});
+
 test.run();
