Vouch for no change that a whole reading has jumped over

Found by reading, not seen in a trace: a host that took over a whole reading knows the difference between two states, not what came and went between them. It passed that difference on to a host that knew a state in between, from another source, as if it were complete: an entry that was removed and came back unchanged stayed away there, and one that came and went stayed for good.

A copy now keeps the ranges that it has jumped over and passes them on with changes; a host whose revision lies inside one gets the whole copy.

Test: Replica.test.ts "changes that a reading has jumped over are not vouched for to a copy that knows some of them" failed before ([] instead of undefined).

--- a/src/replica/PullAnswerer.ts
+++ b/src/replica/PullAnswerer.ts
@@ -90,6 +90,7 @@
         return {
             revision: this.#replica.getRevision(),
             events: events ?? [],
+            jumps: this.#replica.findJumps(params.revision),
             ...(events === undefined ? { parts: createParts(this.#replica) } : {}),
             ...(Number.isFinite(confirmedMs) ? { confirmedMs } : {}),
             path: this.#getPath(),
--- a/src/replica/PullReplicaResult.ts
+++ b/src/replica/PullReplicaResult.ts
@@ -1,5 +1,6 @@
 import type { HostReport } from "./HostReport.js";
 import type { ReplicaEvent } from "./ReplicaEvent.js";
+import type { ReplicaJump } from "./ReplicaJump.js";
 import type { ReplicaPart } from "./ReplicaPart.js";
 
 /** What a host's copy of the store has beyond that of the host that asked. */
@@ -7,6 +8,7 @@
     /** The revision up to which the events are complete. */
     readonly revision: number;
     readonly events: readonly ReplicaEvent[];
+    readonly jumps: readonly ReplicaJump[];
     /** All items instead of events, for a host that is too far behind. */
     readonly parts?: readonly ReplicaPart[];
     /**
--- a/src/replica/Replica.ts
+++ b/src/replica/Replica.ts
@@ -1,4 +1,5 @@
 import type { ReplicaEvent } from "./ReplicaEvent.js";
+import type { ReplicaJump } from "./ReplicaJump.js";
 import type { ReplicaPart } from "./ReplicaPart.js";
 
 type ReplicaListener = (events: readonly ReplicaEvent[]) => void;
@@ -14,6 +15,8 @@
     readonly #events = new Map<string, ReplicaEvent>();
     readonly #listeners: ReplicaListener[] = [];
     readonly #changes: ReplicaEvent[] = [];
+    /** Where a whole reading may hide changes that came and went. */
+    #jumps: ReplicaJump[] = [];
     /** The changes since this revision are kept. */
     #changesStart = 0;
     #revision = 0;
@@ -47,7 +50,18 @@
      * @param revision - The revision.
      */
     findChanges(revision: number): readonly ReplicaEvent[] | undefined {
-        return revision < this.#changesStart ? undefined : this.#changes.filter(event => event.revision > revision);
+        const isJumpedOver = this.#jumps.some(({ from, to }) => from < revision && revision < to);
+        return revision < this.#changesStart || isJumpedOver
+            ? undefined
+            : this.#changes.filter(event => event.revision > revision);
+    }
+
+    /**
+     * Finds the jumps among the changes since a revision, for those that take the changes from here.
+     * @param revision - The revision.
+     */
+    findJumps(revision: number): readonly ReplicaJump[] {
+        return this.#jumps.filter(jump => jump.to > revision);
     }
 
     /**
@@ -62,8 +76,10 @@
      * Applies all changes after the known revision, or later ones that overlap with it.
      * @param events - The events in the order of their revisions.
      * @param revision - The revision up to which they are complete.
+     * @param jumps - Between which revisions changes that came and went are not among them.
      */
-    applyEvents(events: readonly ReplicaEvent[], revision: number): void {
+    applyEvents(events: readonly ReplicaEvent[], revision: number, jumps: readonly ReplicaJump[] = []): void {
+        this.#jumps.push(...jumps.filter(jump => jump.to > this.#revision));
         const applied = events.filter(event => this.#applyEvent(event));
         this.#addChanges(applied, revision);
         this.#report(applied);
@@ -82,6 +98,9 @@
         if (this.#revision === 0) {
             this.#changesStart = revision;
         }
+        else if (revision > this.#revision) {
+            this.#jumps.push({ from: this.#revision, to: revision });
+        }
         this.#addChanges(applied, revision);
         this.#report(applied);
     }
@@ -113,6 +132,7 @@
             this.#changesStart = Math.max(...dropped.map(event => event.revision));
         }
         this.#revision = Math.max(this.#revision, revision);
+        this.#jumps = this.#jumps.filter(jump => jump.to > this.#changesStart);
     }
 
     #report(events: readonly ReplicaEvent[]): void {
--- a/src/replica/SourcePuller.ts
+++ b/src/replica/SourcePuller.ts
@@ -200,7 +200,7 @@
                 replica.applyParts(result.parts);
             }
             else {
-                replica.applyEvents(result.events, result.revision);
+                replica.applyEvents(result.events, result.revision, result.jumps);
             }
             return this.#recordHelp(member, result.path, sent + (result.confirmedMs ?? Number.NEGATIVE_INFINITY));
         }
--- a/tests/replica/Replica.test.ts
+++ b/tests/replica/Replica.test.ts
@@ -90,4 +90,16 @@
     assert.equal(replica.findChanges(3)?.map(event => [event.key, event.revision]), [["b", 8], ["a", 9]]);
 });
 
+test("changes that a reading has jumped over are not vouched for to a copy that knows some of them", () => {
+    const replica = new Replica((_, previous, next) => previous === next);
+    replica.applyParts([{ prefix: "", revision: 3, items: [{ key: "a", revision: 2, value: "1" }] }]);
+    // Meanwhile the store removed "a", added "b", removed it again and took "a" back as it was.
+    replica.applyParts([{ prefix: "", revision: 9, items: [{ key: "a", revision: 8, value: "1" }] }]);
+    assert.equal([replica.findChanges(3), replica.findChanges(5), replica.findChanges(9)], [[], undefined, []]);
+    const next = new Replica((_, previous, next) => previous === next);
+    next.applyParts([{ prefix: "", revision: 3, items: [{ key: "a", revision: 2, value: "1" }] }]);
+    next.applyEvents(replica.findChanges(3)!, replica.getRevision(), replica.findJumps(3));
+    assert.equal([next.findChanges(3), next.findChanges(5), next.findChanges(9)], [[], undefined, []]);
+});
+
 test.run();
