Let a new pool send one request again, however small its part of the retries

Cause: a pool of a host that is no service host of the zone begins with its part of ten retries, a tenth of one in a fleet of 94, and the first request that it gets is often a repeated one.

Change: the least part is one retry at the start too, as it was already the most that such a pool saves up.

Evidence: fleetRetries.test.ts, the new test fails before with the outcome unknown; 446 retries of 1,800 requests in the other one, 526 allowed (225 before).

--- a/src/services/RetryBudget.ts
+++ b/src/services/RetryBudget.ts
@@ -21,7 +21,7 @@
     constructor(clock: Clock, getPart: () => number = () => 1) {
         this.#clock = clock;
         this.#getPart = getPart;
-        this.#tokens = MAX_TOKENS * getPart();
+        this.#tokens = this.#getMost();
         this.#time = clock.getTime();
     }
 
@@ -32,12 +32,16 @@
      */
     grant(share: number, rate = 0): void {
         const now = this.#clock.getTime();
-        const part = this.#getPart();
-        const added = share + part * rate * (now - this.#time) / MS_PER_SECOND;
-        this.#tokens = Math.min(Math.max(RETRY_COST, MAX_TOKENS * part), this.#tokens + added);
+        const added = share + this.#getPart() * rate * (now - this.#time) / MS_PER_SECOND;
+        this.#tokens = Math.min(this.#getMost(), this.#tokens + added);
         this.#time = now;
     }
 
+    /** A part that is too small for a whole retry allows one at once. */
+    #getMost(): number {
+        return Math.max(RETRY_COST, MAX_TOKENS * this.#getPart());
+    }
+
     /** Whether there is a retry to spare for a lookup that is sent to an upstream which probably fails it. */
     hasSpareRetry(): boolean {
         return this.#tokens >= RESERVED_RETRIES + RETRY_COST;
--- a/tests/accounts/fleetRetries.test.ts
+++ b/tests/accounts/fleetRetries.test.ts
@@ -1,9 +1,12 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { OutcomeKind } from "../../src/outcomes/index.js";
 import { DispatchBench } from "../support/DispatchBench.js";
+import { runClockUntil } from "../support/runClockUntil.js";
 
 const HOSTS = 90;
 const MAX_ATTEMPTS = 2;
+const SERVICE_TIME_MS = 200;
 const WINDOW_MS = 10_000;
 const GAP_MS = 500;
 const END_MS = 5_000;
@@ -31,4 +34,18 @@
     assert.ok(retries <= RETRY_SHARE * requests + RETRY_SLACK, `${retries} retries of ${requests} requests`);
 });
 
+test("a lookup whose service host is lost is sent again by the host that took it in, whose own pool is new", async () => {
+    const bench = new DispatchBench({ hosts: HOSTS, serviceTimeMs: SERVICE_TIME_MS });
+    const { zone } = bench.hosts[0]!.membership.getSelf();
+    const order = bench.hosts[0]!.membership.getServiceHosts(bench.service.name, zone);
+    const last = bench.hosts.findIndex(({ membership }) => membership.getSelf().id === order.at(-1)!.id);
+    const lookup = bench.run(last, MAX_ATTEMPTS);
+    await bench.clock.run(SERVICE_TIME_MS / 4);
+    order.slice(0, -1).forEach(({ id, peerAddress }) => {
+        bench.network.removeHost(peerAddress);
+        bench.hosts[last]!.membership.unreachable.add(id);
+    });
+    assert.is((await runClockUntil(bench.clock, lookup))!.kind, OutcomeKind.Done);
+});
+
 test.run();
