Let no upstream hold a slot with an answer without end

What callers saw: lookups whose answers never end got no answer of the upstream's, and the slots were lost for good, one a request, until a pool had none; orders that their callers had left were read on for ever.

Cause: the limits of an attempt ended with the first byte. A body was bounded only by 30 s without any byte, which never come to pass if bytes come without end. The body of a refusal had no bound at all.

An attempt now has a time for the whole answer too: for orders the time that late answers are waited for; for idempotent requests the deadline, where the host is told so (the platform's hosts are, whose callers' limit is for the whole answer; without it large answers may still take their time). The body of a refusal is dropped at the limit for the first byte. What is not whole by then ends as a cut, its connection is closed, and the upstream is judged for it, unless the answer waits for its reader.

--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -1,4 +1,5 @@
 export { AnswerCutError } from "./AnswerCutError.js";
+export { AnswerUnreadError } from "./AnswerUnreadError.js";
 export { AuditTrailBrokenError } from "./AuditTrailBrokenError.js";
 export { ChunksMissingError } from "./ChunksMissingError.js";
 export type { Finding } from "./Finding.js";
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -130,6 +130,7 @@
             decisions,
             policy: EjectionPolicy.Prompt,
             lateAnswerMs: LATE_ANSWER_MS,
+            endsByDeadline: true,
             ...(stallMeter === undefined ? {} : { stallMeter }),
         });
     }
--- a/src/services/AttemptRunner.ts
+++ b/src/services/AttemptRunner.ts
@@ -12,6 +12,16 @@
 /** How long the answer to a request that is not idempotent is waited for after its deadline, to keep it, unless it is given. */
 const DEFAULT_LATE_ANSWER_MS = 30_000;
 
+/** When parts of an attempt are due, in milliseconds of the clock. */
+interface AttemptTimes {
+    /** The first byte of the answer. */
+    readonly first: number;
+    /** The whole answer; without a limit if undefined. */
+    readonly whole: number | undefined;
+    /** What the upstream is told. */
+    readonly deadline: number;
+}
+
 /** Runs attempts at upstreams with a learned first-byte limit, and again on a new connection when one is silent. */
 export class AttemptRunner {
     readonly #clock: Clock;
@@ -19,14 +29,16 @@
     readonly #decisions: DecisionLog;
     readonly #stallMeter: StallMeter | undefined;
     readonly #lateAnswerMs: number;
+    readonly #endsByDeadline: boolean;
 
     /** @param options - What the runner works with. */
-    constructor({ clock, transport, decisions, stallMeter, lateAnswerMs }: AttemptRunnerOptions) {
+    constructor({ clock, transport, decisions, stallMeter, lateAnswerMs, endsByDeadline }: AttemptRunnerOptions) {
         this.#clock = clock;
         this.#transport = transport;
         this.#decisions = decisions;
         this.#stallMeter = stallMeter;
         this.#lateAnswerMs = lateAnswerMs ?? DEFAULT_LATE_ANSWER_MS;
+        this.#endsByDeadline = endsByDeadline ?? false;
     }
 
     /**
@@ -48,11 +60,12 @@
     ): Promise<UpstreamAttempt> {
         if (!request.isIdempotent) {
             const isolated = new AbortController().signal;
-            return await this.#send(upstream, request, deadline + this.#lateAnswerMs, deadline, true, isolated);
+            const end = deadline + this.#lateAnswerMs;
+            return await this.#send(upstream, request, { first: end, whole: end, deadline }, true, isolated);
         }
         const isLimited = this.#clock.getTime() + limit.getLimit() < deadline;
         const limitTime = isLimited ? this.#clock.getTime() + limit.getLimit() : deadline;
-        const attempt = await this.#send(upstream, request, limitTime, limitTime, false, signal);
+        const attempt = await this.#send(upstream, request, this.#createTimes(limitTime, deadline), false, signal);
         if (attempt.answer.kind !== UpstreamAnswerKind.TimedOut || !isLimited || !isRepeatAllowed()) {
             return attempt;
         }
@@ -60,7 +73,7 @@
         return await this.#retry(
             upstream,
             request,
-            Math.min(deadline, this.#clock.getTime() + limit.getLimit()),
+            this.#createTimes(Math.min(deadline, this.#clock.getTime() + limit.getLimit()), deadline),
             signal,
         );
     }
@@ -68,7 +81,7 @@
     async #retry(
         upstream: Upstream,
         request: ServiceRequest,
-        deadline: number,
+        times: AttemptTimes,
         signal: AbortSignal,
     ): Promise<UpstreamAttempt> {
         this.#transport.closeIdle(upstream);
@@ -80,21 +93,25 @@
             service: request.service,
             upstream: upstream.name,
         });
-        return await this.#send(upstream, request, deadline, deadline, true, signal);
+        return await this.#send(upstream, request, times, true, signal);
+    }
+
+    #createTimes(first: number, deadline: number): AttemptTimes {
+        return { first, whole: this.#endsByDeadline ? deadline : undefined, deadline: first };
     }
 
     async #send(
         upstream: Upstream,
         request: ServiceRequest,
-        end: number,
-        deadline: number,
+        { first, whole, deadline }: AttemptTimes,
         freshConnection: boolean,
         signal: AbortSignal,
     ): Promise<UpstreamAttempt> {
         const start = this.#clock.getTime();
         const stalledBefore = this.#getStalledTime();
         const answer = await this.#transport.send(upstream, request, {
-            firstByteTimeoutMs: Math.max(0, end - start),
+            firstByteTimeoutMs: Math.max(0, first - start),
+            answerTimeoutMs: whole === undefined ? undefined : Math.max(0, whole - start),
             deadlineMs: Math.max(0, deadline - start),
             freshConnection,
             signal,
--- a/src/services/AttemptRunnerOptions.ts
+++ b/src/services/AttemptRunnerOptions.ts
@@ -10,6 +10,8 @@
     readonly decisions: DecisionLog;
     /** Time in which this process stands still is not counted as an upstream's latency. */
     readonly stallMeter?: StallMeter | undefined;
+    /** Whether whole answers are due by the deadline, rather than their first bytes. */
+    readonly endsByDeadline?: boolean | undefined;
     /** How long the answer to an order is waited for after its deadline, in milliseconds. */
     readonly lateAnswerMs?: number | undefined;
 }
--- a/src/services/HttpUpstreamTransport.ts
+++ b/src/services/HttpUpstreamTransport.ts
@@ -49,6 +49,7 @@
             protocol: this.#protocol,
             upstream,
             firstByteTimeoutMs: options.firstByteTimeoutMs,
+            answerTimeoutMs: options.answerTimeoutMs,
             deadlineMs: options.deadlineMs,
             signal: options.signal,
             onEnd: isWhole => isWhole ? connections.release(connection) : connections.remove(connection),
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -238,7 +238,7 @@
     }
 
     #createPool(service: Service, zone: string): ServicePool {
-        const { clock, random, transport, decisions, policy, stallMeter, lateAnswerMs } = this.#options;
+        const { clock, random, transport, decisions, policy, stallMeter, lateAnswerMs, endsByDeadline } = this.#options;
         return new ServicePool(service, zone, {
             clock,
             random,
@@ -248,6 +248,7 @@
             outcomes: this.#outcomes,
             stallMeter,
             lateAnswerMs,
+            endsByDeadline,
             getWeight: account => this.#getWeight(account),
         });
     }
--- a/src/services/ServiceHostOptions.ts
+++ b/src/services/ServiceHostOptions.ts
@@ -17,6 +17,8 @@
     readonly decisions: DecisionLog;
     /** How upstreams are chosen and judged; sequential unless it is given. */
     readonly policy?: EjectionPolicy;
+    /** Whether whole answers to idempotent requests are due by the deadline, rather than their first bytes. */
+    readonly endsByDeadline?: boolean | undefined;
     /** How long the answer to an order is waited for after its deadline, in milliseconds; half a minute if undefined. */
     readonly lateAnswerMs?: number | undefined;
     /** Time in which this process stands still is not counted as an upstream's latency. */
--- a/src/services/UpstreamExchange.ts
+++ b/src/services/UpstreamExchange.ts
@@ -1,7 +1,7 @@
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import type { IncomingHttpHeaders } from "undici/types/header.js";
-import { AnswerCutError, UnexpectedVariantError } from "../errors/index.js";
+import { AnswerCutError, AnswerUnreadError, UnexpectedVariantError } from "../errors/index.js";
 import { CONNECTION_FIELDS } from "../outcomes/index.js";
 import type { HeaderFields } from "../outcomes/index.js";
 import type { ScheduledCall } from "../time/index.js";
@@ -21,6 +21,7 @@
     readonly #options: UpstreamExchangeOptions;
     #controller: Dispatcher.DispatchController | undefined;
     #body: Readable | undefined;
+    #startTime = 0;
     #isEnded = false;
     #isEndMarked = true;
     #timer: ScheduledCall | undefined;
@@ -42,6 +43,7 @@
         return new Promise(resolve => {
             this.#resolve = resolve;
             const { clock, firstByteTimeoutMs, signal } = this.#options;
+            this.#startTime = clock.getTime();
             this.#timer = clock.schedule(firstByteTimeoutMs, () => this.#stop(this.#createTimeout()));
             signal.addEventListener("abort", this.#onAbort, { once: true });
             this.#send();
@@ -103,6 +105,7 @@
         this.#body = body;
         switch (verdict.kind) {
             case AnswerVerdictKind.Answered:
+                this.#startBodyTimer(body, this.#options.answerTimeoutMs);
                 this.#resolve({
                     kind: UpstreamAnswerKind.Answered,
                     status,
@@ -111,7 +114,7 @@
                 });
                 return;
             case AnswerVerdictKind.Shed:
-                body.on("error", () => {}).resume();
+                this.#startBodyTimer(body.on("error", () => {}).resume(), this.#options.firstByteTimeoutMs);
                 this.#resolve({ kind: UpstreamAnswerKind.Shed, retryAfterMs: verdict.retryAfterMs });
                 return;
             case AnswerVerdictKind.Misdirected:
@@ -127,6 +130,22 @@
         }
     }
 
+    /** An upstream may send a body without end. */
+    #startBodyTimer(body: Readable, timeoutMs: number | undefined): void {
+        if (timeoutMs === undefined) {
+            return;
+        }
+        const { clock } = this.#options;
+        const remainingMs = Math.max(0, this.#startTime + timeoutMs - clock.getTime());
+        this.#timer = clock.schedule(remainingMs, () => {
+            body.destroy(
+                this.#controller?.paused === true
+                    ? new AnswerUnreadError("The answer was not read in time.")
+                    : new AnswerCutError("The answer did not end in time."),
+            );
+        });
+    }
+
     #isFramed(status: number, headers: IncomingHttpHeaders): boolean {
         return this.#request.method === "HEAD" || BODILESS_STATUSES.has(status) ||
             headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
--- a/src/services/UpstreamExchangeOptions.ts
+++ b/src/services/UpstreamExchangeOptions.ts
@@ -9,6 +9,8 @@
     readonly upstream: Upstream;
     /** Time until the first byte of the answer, in milliseconds. */
     readonly firstByteTimeoutMs: number;
+    /** Time until the whole answer, in milliseconds; without a limit if undefined. */
+    readonly answerTimeoutMs: number | undefined;
     /** Time until the caller's deadline, in milliseconds; the upstream is told. */
     readonly deadlineMs: number;
     readonly signal: AbortSignal;
--- a/tests/services/HttpUpstreamTransport.test.ts
+++ b/tests/services/HttpUpstreamTransport.test.ts
@@ -5,7 +5,7 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import type { Upstream } from "../../src/configuration/index.js";
-import { AnswerCutError } from "../../src/errors/index.js";
+import { AnswerCutError, AnswerUnreadError } from "../../src/errors/index.js";
 import { HttpUpstreamTransport, ProductUpstreamProtocol, UpstreamAnswerKind } from "../../src/services/index.js";
 import type { ServiceRequest, UpstreamAnswer, UpstreamSendOptions } from "../../src/services/index.js";
 import { SystemClock } from "../../src/time/index.js";
@@ -191,6 +191,17 @@
     assert.is(bytes, LARGE_BYTES);
 });
 
+test("an answer that is not whole in time ends as a cut, or as unread if it waits for its reader", async () => {
+    listener = (_, response) => response.writeHead(200, { "content-length": "9" }).write("part");
+    const slow = await send({}, { answerTimeoutMs: 200 });
+    assert.instance(await readAnswer(slow).catch((error: unknown) => error), AnswerCutError);
+    listener = (_, response) => response.writeHead(200, { "content-length": String(LARGE_BYTES) }).write(CHUNK);
+    const unread = await send({}, { answerTimeoutMs: 200 });
+    assert.ok(unread.kind === UpstreamAnswerKind.Answered);
+    const [error] = await once(unread.body, "error") as [Error];
+    assert.instance(error, AnswerUnreadError);
+});
+
 test("no more connections are opened than the upstream accepts", async () => {
     listener = () => {};
     const waiting = [send(), send(), send()];
--- a/tests/support/RawBench.ts
+++ b/tests/support/RawBench.ts
@@ -37,6 +37,7 @@
             decisions: new DecisionHistory(this.clock),
             policy: EjectionPolicy.Prompt,
             lateAnswerMs: LATE_ANSWER_MS,
+            endsByDeadline: true,
         });
     }
 
