Cut what a caller still gets of an answer after its deadline

What callers saw: connections on which an answer went on for as long as bytes came: a host gave its final answer at the deadline only if no head had been passed on.

The connection ends, so that the answer does not look complete, and the cut closes the answer at its source; an order's is still read for its outcome.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,8 +1,10 @@
+import { finished } from "node:stream";
 import { getFingerprint } from "../accounts/index.js";
 import type { DispatchCall } from "../accounts/index.js";
 import { RefusalError } from "../callers/index.js";
 import { RouteAccess, RouteKind } from "../configuration/index.js";
 import type { Account, Route, SuppliedConfiguration } from "../configuration/index.js";
+import { AnswerCutError } from "../errors/index.js";
 import { Decision } from "../logging/index.js";
 import { createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
@@ -108,7 +110,9 @@
         const timeoutMs = Math.min(call.timeoutMs ?? route.deadlineMs, route.deadlineMs);
         const remainingMs = context.startTime + timeoutMs - this.#options.clock.getTime();
         const request = createRequest(call, route, account, body, remainingMs);
-        return await this.#runInTime(request, remainingMs, context, signal);
+        const outcome = await this.#runInTime(request, remainingMs, context, signal);
+        this.#endInTime(outcome, context.startTime + timeoutMs + FINAL_ANSWER_MS);
+        return outcome;
     }
 
     #getConfiguration(): SuppliedConfiguration {
@@ -138,6 +142,18 @@
         });
     }
 
+    /** Cuts an answer that is not whole when its caller waits no longer; an upstream or a host may send one without end. */
+    #endInTime(outcome: Outcome, endTime: number): void {
+        if (outcome.kind !== OutcomeKind.Done) {
+            return;
+        }
+        const { clock } = this.#options;
+        const timer = clock.schedule(Math.max(0, endTime - clock.getTime()), () => {
+            outcome.body.destroy(new AnswerCutError("The answer did not end before the deadline."));
+        });
+        finished(outcome.body, () => timer.cancel());
+    }
+
     async #runAdmitted(request: CallerRequest, context: CallContext, signal: AbortSignal): Promise<Outcome> {
         const account = request.account?.name ?? ANONYMOUS_ACCOUNT;
         const deadline = this.#options.clock.getTime() + request.timeoutMs;
--- a/tests/platform/support/StandInUpstream.ts
+++ b/tests/platform/support/StandInUpstream.ts
@@ -3,6 +3,7 @@
 import { closeServer, openServer, readBody } from "../../../src/utils/index.js";
 
 const MAX_BODY_BYTES = 1024 * 1024;
+const ENDLESS_PIECE = Buffer.alloc(16 * 1024);
 
 interface SeenRequest {
     readonly id: string;
@@ -22,6 +23,10 @@
     isFailing = false;
     /** Whether its answers have no length and end before they are whole. */
     isCutting = false;
+    /** Whether its answers have no end; undefined if they have one, else the time between two pieces, in milliseconds. */
+    endlessPauseMs: number | undefined;
+    /** Answers without an end that are still being sent. */
+    endless = 0;
     readonly id: string;
     readonly #server: Server;
 
@@ -57,6 +62,11 @@
         });
         await new Promise(resolve => setTimeout(resolve, this.delayMs));
         const headers = { "fuchsiapath-attempt-id": id, "fuchsiapath-response-seal": `seal-${this.id}` };
+        if (this.endlessPauseMs !== undefined) {
+            response.writeHead(200, headers);
+            this.#sendEndless(response, this.endlessPauseMs);
+            return;
+        }
         if (this.isCutting) {
             const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
             const { socket } = request;
@@ -66,4 +76,25 @@
         }
         response.writeHead(this.isFailing ? 500 : 200, headers).end(`answer of ${this.id} to ${request.url}`);
     }
+
+    #sendEndless(response: ServerResponse, pauseMs: number): void {
+        this.endless++;
+        let isClosed = false;
+        response.once("close", () => {
+            isClosed = true;
+            this.endless--;
+        });
+        const sendMore = (): void => {
+            if (isClosed) {
+                return;
+            }
+            const isTaken = response.write(pauseMs > 0 ? "x" : ENDLESS_PIECE);
+            if (pauseMs > 0 || isTaken) {
+                setTimeout(sendMore, pauseMs);
+                return;
+            }
+            response.once("drain", sendMore);
+        };
+        sendMore();
+    }
 }
