Close an idle connection on which an upstream sends anything

What callers saw: nothing; a connection went on taking bytes after its answer was whole, at the upstream's full rate, for up to 30 s.

Cause: the HTTP client skips empty lines before an answer, so that they were neither an answer nor an error, with no request waiting.

Nothing may come on a connection without a request, so it is closed when bytes arrive. Bytes that look like an answer closed it before.

--- a/src/services/UpstreamConnection.ts
+++ b/src/services/UpstreamConnection.ts
@@ -13,6 +13,7 @@
     readonly #clock: Clock;
     #provenTime = Number.NEGATIVE_INFINITY;
     #resume: () => void = () => {};
+    #isIdle = false;
 
     /**
      * @param address - The upstream's address, as "ip:port".
@@ -37,8 +38,14 @@
         this.#resume = resume;
     }
 
-    /** Records that a whole answer has come over this connection just now. */
+    /** Records that a request takes this connection. */
+    recordUse(): void {
+        this.#isIdle = false;
+    }
+
+    /** Records that a whole answer has come over this connection just now; nothing more may come until its next request. */
     recordAnswer(): void {
+        this.#isIdle = true;
         this.#provenTime = this.#clock.getTime();
     }
 
@@ -58,10 +65,16 @@
         const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
         return (options, callback) =>
             connect(options, (...result) => {
-                result[1]?.once("error", (error: NodeJS.ErrnoException) => {
+                const [, socket] = result;
+                socket?.once("error", (error: NodeJS.ErrnoException) => {
                     error.code = RESET_CODE;
                 });
-                result[1]?.once("end", () => this.#resume());
+                socket?.once("end", () => this.#resume());
+                socket?.on("readable", () => {
+                    if (this.#isIdle && socket.readableLength > 0) {
+                        socket.destroy();
+                    }
+                });
                 callback(...result);
             });
     }
--- a/src/services/UpstreamConnections.ts
+++ b/src/services/UpstreamConnections.ts
@@ -36,6 +36,7 @@
         if (newest !== undefined && (!isFresh || newest.isProvenWithin(PROVEN_SPAN_MS))) {
             this.#idle.pop();
             this.#busy.add(newest);
+            newest.recordUse();
             return newest;
         }
         return this.#open(upstream);
