--- a/tests/platform/support/EdgeProcess.ts
+++ b/tests/platform/support/EdgeProcess.ts
@@ -32,8 +32,11 @@
         this.#folder = folder;
     }
 
-    /** Starts the process on free ports, or again on those that it had. */
-    async start(): Promise<void> {
+    /**
+     * Starts the process on free ports, or again on those that it had.
+     * @param preload - Source of a module that runs in it first.
+     */
+    async start(preload?: string): Promise<void> {
         this.#ports ??= await Promise.all([1, 2, 3, 4, 5].map(findPort));
         const [callers, ready, lookups, peers, metrics] = this.#ports.map(port => `127.0.0.1:${port}`);
         this.callerAddress = callers!;
@@ -42,7 +45,10 @@
         this.metricsAddress = metrics!;
         const file = join(this.#folder, `${this.id}.json`);
         writeFileSync(file, JSON.stringify(this.#createSettings(peers!)));
-        this.#child = spawn(process.execPath, [PROGRAM], {
+        const preloadArguments = preload === undefined
+            ? []
+            : ["--import", `data:text/javascript,${encodeURIComponent(preload)}`];
+        this.#child = spawn(process.execPath, [...preloadArguments, PROGRAM], {
             env: { ...process.env, FUCHSIAPATH_NODE_FILE: file },
             stdio: ["ignore", "pipe", "inherit"],
         });
@@ -66,7 +72,7 @@
     async waitForEnd(): Promise<number | null> {
         const child = this.#child!;
         if (child.exitCode === null && child.signalCode === null) {
-            await once(child, "exit");
+            await once(child, "close");
         }
         return child.exitCode;
     }
