--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -111,7 +111,7 @@
         const remainingMs = context.startTime + timeoutMs - this.#options.clock.getTime();
         const request = createRequest(call, route, account, body, remainingMs);
         const outcome = await this.#runInTime(request, remainingMs, context, signal);
-        this.#endInTime(outcome, context.startTime + timeoutMs + FINAL_ANSWER_MS);
+        this.#scheduleCut(outcome, context.startTime + timeoutMs + FINAL_ANSWER_MS);
         return outcome;
     }
 
@@ -143,7 +143,7 @@
     }
 
     /** Cuts an answer that is not whole when its caller waits no longer; an upstream or a host may send one without end. */
-    #endInTime(outcome: Outcome, endTime: number): void {
+    #scheduleCut(outcome: Outcome, endTime: number): void {
         if (outcome.kind !== OutcomeKind.Done) {
             return;
         }
--- a/src/services/UpstreamConnection.ts
+++ b/src/services/UpstreamConnection.ts
@@ -31,10 +31,10 @@
     }
 
     /**
-     * Sets how an answer that waits for its reader goes on when the other side has ended the connection.
+     * Puts in force how an answer that waits for its reader goes on when the other side has ended the connection.
      * @param resume - Parses what is left; it has all been received.
      */
-    setResume(resume: () => void): void {
+    applyResume(resume: () => void): void {
         this.#resume = resume;
     }
 
--- a/src/services/UpstreamExchange.ts
+++ b/src/services/UpstreamExchange.ts
@@ -70,7 +70,7 @@
         return {
             onRequestStart: controller => {
                 this.#controller = controller;
-                this.#connection.setResume(() => controller.resume());
+                this.#connection.applyResume(() => controller.resume());
                 if (this.#isEnded) {
                     controller.abort(new AnswerCutError("The exchange has ended."));
                 }
