--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -248,7 +248,7 @@
     }
 
     #createPool(service: Service, zone: string): ServicePool {
-        const { clock, random, transport, decisions, policy, stallMeter, lateAnswerMs } = this.#options;
+        const { clock, random, transport, decisions, policy, stallMeter, lateAnswerMs, endsByDeadline } = this.#options;
         return new ServicePool(service, zone, {
             clock,
             random,
@@ -258,6 +258,7 @@
             outcomes: this.#outcomes,
             stallMeter,
             lateAnswerMs,
+            endsByDeadline,
             getWeight: account => this.#getWeight(account),
             getRetryPart: () => this.#getRetryPart(service.name, zone),
         });
