--- a/src/replica/ReplicaTree.ts
+++ b/src/replica/ReplicaTree.ts
@@ -2,6 +2,8 @@
 
 /** Hosts that take their copy from the same host, unless others are silent. */
 const FAN_OUT = 6;
+/** Hosts beside its source that a host turns to before those above. */
+const STAND_INS = 2;
 
 interface TreePlace {
     /** Index of the availability zone. */
@@ -70,10 +72,7 @@
                 sources.add(member);
             }
         };
-        for (let above = place; above > 0;) {
-            above = getParent(above);
-            add(this.#zones[zone]?.[above]);
-        }
+        getPlacesAbove(place).forEach(above => add(this.#zones[zone]?.[above]));
         add(this.#findFirst(zone));
         const others = this.#zones.length - 1;
         for (let step = 0; step < others; step++) {
@@ -102,6 +101,27 @@
     }
 }
 
+/** Gets the places that a host may take its copy from, first choice first. */
+function getPlacesAbove(place: number): readonly number[] {
+    if (place === 0) {
+        return [];
+    }
+    const parent = getParent(place);
+    const places = [parent];
+    if (parent > 0) {
+        // Children of a host that is away spread over those beside it.
+        const first = getParent(parent) * FAN_OUT + 1;
+        for (let step = 0; step < STAND_INS; step++) {
+            places.push(first + (parent - first + 1 + (place + step) % (FAN_OUT - 1)) % FAN_OUT);
+        }
+    }
+    for (let above = parent; above > 0;) {
+        above = getParent(above);
+        places.push(above);
+    }
+    return places;
+}
+
 function getParent(place: number): number {
     return Math.floor((place - 1) / FAN_OUT);
 }
