--- a/tests/gateway/endlessAnswers.test.ts
+++ b/tests/gateway/endlessAnswers.test.ts
@@ -42,6 +42,8 @@
                 findRoute: () => route,
                 getService: () => ({ name: "orders", upstreams: [{}] }),
             }) as unknown as SuppliedConfiguration,
+        getCopyAge: () => 0,
+        checkCopy: async () => true,
     });
     const call = {
         requestId: "r1",
