Let every host watch the store while it knows no host

Callers got lookups without an address (503) for up to three seconds after the hosts' leases had lapsed while the store was away: "a planned stop cuts no request" of edge.test.ts failed in seven of ten runs with the pulled tree, all hosts logging that all entries were removed.

Cause: with no entry there is no tree, so no host was the first of its zone and none watched; each only asked once its copy was 1.15 s old.

--- a/src/replica/ReplicaTree.ts
+++ b/src/replica/ReplicaTree.ts
@@ -38,8 +38,11 @@
         return this.#zones.flat().filter(member => member.id !== this.#self.id);
     }
 
-    /** Whether this host is the first one of its zone that answers. */
+    /** Whether this host is the first one of its zone that answers; every host is while none is known. */
     isFirst(): boolean {
+        if (this.#places.size === 0) {
+            return true;
+        }
         const place = this.#places.get(this.#self.id);
         return place !== undefined && this.#findFirst(place.zone)?.id === this.#self.id;
     }
--- a/tests/replica/ReplicaKeeper.test.ts
+++ b/tests/replica/ReplicaKeeper.test.ts
@@ -124,4 +124,15 @@
     assert.equal(fleet.getHostsThatReach(id), []);
 });
 
+test("hosts whose entries have all lapsed learn at once that they are back", async () => {
+    const fleet = createReplicaFleet(HOSTS);
+    await fleet.start();
+    const ids = fleet.getWatchOrder();
+    ids.forEach(id => fleet.source.remove(`hosts/${id}`));
+    await fleet.clock.run(1_000);
+    ids.forEach(id => fleet.source.write(`hosts/${id}`, id));
+    await fleet.clock.run(300);
+    assert.equal(ids.flatMap(id => fleet.getHostsWithout(`hosts/${id}`, id)), []);
+});
+
 test.run();
