Name other hosts to callers also when all of them seem to be away

A host that leaves leaves itself out of its lookups; if it took all others for silent at that moment, callers got 503 and no address at all, though callers themselves leave out what does not answer them.

Test: HostLookup.test.ts "a host that leaves while all others seem to be away still names them" failed before.

--- a/src/gateway/HostLookup.ts
+++ b/src/gateway/HostLookup.ts
@@ -37,9 +37,10 @@
      */
     getAddresses(zone: string | undefined): HostAddresses {
         const selfId = this.#membership.getSelf().id;
-        const hosts = this.#membership.getView().members.filter(member =>
-            member.id === selfId ? !this.#isLeaving : this.#membership.isReachable(member.id)
-        );
+        const members = this.#membership.getView().members.filter(member => member.id !== selfId || !this.#isLeaving);
+        const reachable = members.filter(member => member.id === selfId || this.#membership.isReachable(member.id));
+        // Where all others seem to be away, callers find out for themselves which of them answers.
+        const hosts = reachable.length === 0 ? members : reachable;
         const inZone = hosts.filter(host => host.zone === zone);
         const chosen = inZone.length >= MIN_ZONE_HOSTS ? inZone : hosts;
         return {
--- a/tests/gateway/HostLookup.test.ts
+++ b/tests/gateway/HostLookup.test.ts
@@ -28,6 +28,14 @@
     assert.not(lookup.getAddresses(undefined).addresses.includes(createMember(0).callerAddress));
 });
 
+test("a host that leaves while all others seem to be away still names them", () => {
+    const { lookup, membership } = createLookup(3);
+    ["host-1", "host-2"].forEach(id => membership.unreachable.add(id));
+    lookup.leave();
+    const others = [1, 2].map(index => createMember(index).callerAddress);
+    assert.equal(lookup.getAddresses("zone-a").addresses, others);
+});
+
 test("an answer holds no more addresses than callers take", () => {
     assert.is(createLookup(300).lookup.getAddresses("zone-a").addresses.length, 64);
 });
