Keep one rule of what a renewal is

Supply uses the shared one now. Its test asks for no rebuild while the cold time runs down and for one when it has ended, which the former rule fails (1 expected, 0 seen).

--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -4,6 +4,7 @@
 import type { Member } from "../head/index.js";
 import { Decision } from "../logging/index.js";
 import type { ReplicaEvent } from "../replica/index.js";
+import { isRenewal } from "./isRenewal.js";
 import type { SuppliedDocument } from "./SuppliedDocument.js";
 import type { SupplyItem } from "./SupplyItem.js";
 import { SupplyItemKind } from "./SupplyItemKind.js";
@@ -170,14 +171,6 @@
     }
 }
 
-/** Whether an upstream only says once more what is known of it; its time until it is warm runs down by itself. */
-function isRenewal(known: RegisteredUpstream, item: RegisteredUpstream): boolean {
-    const { coldMs: knownColdMs = 0, ...knownUpstream } = known.upstream;
-    const { coldMs = 0, ...upstream } = item.upstream;
-    return known.service === item.service && known.startTime === item.startTime && coldMs <= knownColdMs &&
-        isDeepStrictEqual(knownUpstream, upstream);
-}
-
 function createConfiguration(
     document: SuppliedDocument,
     registered: readonly RegisteredUpstream[],
--- a/tests/supply/Supply.test.ts
+++ b/tests/supply/Supply.test.ts
@@ -98,14 +98,16 @@
     let changes = 0;
     supply.addListener(() => changes++);
     write("u1", createUpstream({ coldMs: 1_500 }, 2));
-    write("u1", createUpstream({ coldMs: 0 }, 3));
+    write("u1", createUpstream({ coldMs: 200 }, 3));
     write("h1", createHost("h1"));
     assert.is(changes, 0);
     assert.ok(supply.getConfiguration() === before[0]);
     assert.ok(supply.getHosts() === before[1]);
-    write("u1", createUpstream({ draining: true }, 4));
-    write("u1", createUpstream({}, 3));
-    assert.equal([changes, getUpstreams()], [1, [["i-1", true]]]);
+    write("u1", createUpstream({ coldMs: 0 }, 4));
+    assert.equal([changes, getUpstreams()], [1, [["i-1", false]]]);
+    write("u1", createUpstream({ draining: true, coldMs: 0 }, 5));
+    write("u1", createUpstream({}, 4));
+    assert.equal([changes, getUpstreams()], [2, [["i-1", true]]]);
 });
 
 test.run();
