Bring nothing back from an answer that is older than what the copy knows

Found by a review, by reading: a host that asks two others at once may get a whole copy of revision 100 and then an older answer with an item of revision 80 that was removed at 90. The item was unknown, so it was applied, and nobody would have sent its removal again: requests to an upstream or host that is gone, for good. Likewise the revision since which changes are kept could fall when changes of a first reading were dropped, so that a list with holes passed for complete.

An unknown item at or below the known revision is refused now, unless a reading as new as the copy brings it; the start of the kept changes only rises.

Tests: two in Replica.test.ts, both failed before.

--- a/src/replica/Replica.ts
+++ b/src/replica/Replica.ts
@@ -80,7 +80,7 @@
      */
     applyEvents(events: readonly ReplicaEvent[], revision: number, jumps: readonly ReplicaJump[] = []): void {
         this.#jumps.push(...jumps.filter(jump => jump.to > this.#revision));
-        const applied = events.filter(event => this.#applyEvent(event));
+        const applied = events.filter(event => this.#isNews(event) && this.#applyEvent(event));
         this.#addChanges(applied, revision);
         this.#report(applied);
     }
@@ -91,7 +91,9 @@
      */
     applyParts(parts: readonly ReplicaPart[]): void {
         const applied = parts.flatMap(part => [
-            ...part.items.filter(item => this.#applyEvent(item)),
+            ...part.items.filter(item =>
+                (part.revision >= this.#revision || this.#isNews(item)) && this.#applyEvent(item)
+            ),
             ...this.#findMissing(part).filter(event => this.#applyEvent(event)),
         ]);
         const revision = Math.min(...parts.map(part => part.revision));
@@ -113,6 +115,11 @@
         ).map(event => ({ key: event.key, revision: part.revision }));
     }
 
+    /** An item that is unknown although all changes up to its revision are known has been removed since. */
+    #isNews(event: ReplicaEvent): boolean {
+        return this.#events.has(event.key) || event.revision > this.#revision;
+    }
+
     #applyEvent(event: ReplicaEvent): boolean {
         const known = this.#events.get(event.key);
         if (known !== undefined && known.revision >= event.revision) {
@@ -129,7 +136,7 @@
         this.#changes.push(...events);
         if (this.#changes.length > MAX_CHANGES) {
             const dropped = this.#changes.splice(0, this.#changes.length - MAX_CHANGES);
-            this.#changesStart = Math.max(...dropped.map(event => event.revision));
+            this.#changesStart = Math.max(this.#changesStart, ...dropped.map(event => event.revision));
         }
         this.#revision = Math.max(this.#revision, revision);
         this.#jumps = this.#jumps.filter(jump => jump.to > this.#changesStart);
--- a/tests/replica/Replica.test.ts
+++ b/tests/replica/Replica.test.ts
@@ -102,4 +102,20 @@
     assert.equal([next.findChanges(3), next.findChanges(5), next.findChanges(9)], [[], undefined, []]);
 });
 
+test("an answer that is older than a reading brings nothing back that the reading left out", () => {
+    const { replica } = createReplica();
+    replica.applyParts([{ prefix: "", revision: 100, items: [] }]);
+    replica.applyEvents([{ key: "gone", revision: 80, value: "1" }], 85);
+    assert.equal(replica.getEvents().filter(event => event.value !== undefined), []);
+});
+
+test("a copy never vouches for more of the past once it drops changes", () => {
+    const { replica } = createReplica();
+    replica.applyParts([{ prefix: "", revision: 5_000, items: [{ key: "a", revision: 10, value: "1" }] }]);
+    for (let revision = 5_001; revision <= 7_000; revision++) {
+        replica.applyEvents([{ key: `k${revision}`, revision, value: "1" }], revision);
+    }
+    assert.is(replica.findChanges(4_000), undefined);
+});
+
 test.run();
