Bound what reports of silent hosts cost when many fall silent at once

News share a call every 200 ms, only the newest report about a host is passed on, and a host that was told of a silent one in the last three seconds does not report it again.

--- a/src/replica/HostReports.ts
+++ b/src/replica/HostReports.ts
@@ -51,11 +51,16 @@
     }
 
     /**
-     * Records that a host doesn't answer this one.
+     * Records that a host doesn't answer this one; what another host has reported just now isn't reported once more.
      * @param id - The host's member id.
      */
     recordSilent(id: string): void {
-        this.#recordOwn(id, true);
+        const newest = this.#findNewest(id);
+        const isKnown = newest?.isSilent === true && newest.reporter !== this.#selfId &&
+            this.#clock.getTime() - newest.time < REPORT_SPAN_MS / 2;
+        if (!isKnown) {
+            this.#recordOwn(id, true);
+        }
     }
 
     /**
@@ -87,7 +92,7 @@
      * @param time - The time to which the ages refer, in milliseconds of the clock.
      */
     createReports(time: number): readonly HostReport[] {
-        return [...this.#reports.keys()].flatMap(id => this.#getCurrent(id))
+        return [...this.#reports.keys()].flatMap(id => this.#findNewest(id) ?? [])
             .map(({ time: seen, ...report }) => ({ ...report, ageMs: Math.round(time - seen) }));
     }
 
@@ -112,7 +117,11 @@
     }
 
     #findNewest(id: string): KnownReport | undefined {
-        return this.#getCurrent(id).sort((left, right) => right.time - left.time)[0];
+        let newest: KnownReport | undefined;
+        for (const report of this.#getCurrent(id)) {
+            newest = newest === undefined || report.time > newest.time ? report : newest;
+        }
+        return newest;
     }
 
     #getCurrent(id: string): KnownReport[] {
--- a/src/replica/SourcePuller.ts
+++ b/src/replica/SourcePuller.ts
@@ -26,6 +26,8 @@
 const FAILED_MS = 4_000;
 /** One that takes its copy from this host is left out for this long, in milliseconds. */
 const CIRCLE_MS = 2_000;
+/** Pause before news of other hosts are sent up, in milliseconds. */
+const REPORT_PAUSE_MS = 200;
 /** A host that was found by a search stays the source for this long, in milliseconds. */
 const FOUND_MS = 3_000;
 
@@ -53,6 +55,7 @@
     /** The hosts beyond the source from which it takes its copy. */
     #sourcePath: readonly string[] = [];
     #found: { readonly member: Member; readonly until: number; } | undefined;
+    #isReportDue = false;
     #interrupt = (): void => {};
 
     /**
@@ -121,12 +124,21 @@
     }
 
     /**
-     * Tells the source at once what is new of the hosts that don't answer.
+     * Tells the source soon what is new of the hosts that don't answer; news in quick succession share a call.
      * @param signal - Ends it.
      */
     sendReports(signal: AbortSignal): void {
-        if (this.#source !== undefined && !this.#hasFailed(this.#source)) {
-            void this.#sendPull(this.#source, 0, SEARCH_TIMEOUT_MS, signal);
+        if (!this.#isReportDue) {
+            this.#isReportDue = true;
+            void this.#runReport(signal);
+        }
+    }
+
+    async #runReport(signal: AbortSignal): Promise<void> {
+        await this.#options.clock.wait(REPORT_PAUSE_MS, signal).catch(() => undefined);
+        this.#isReportDue = false;
+        if (!signal.aborted && this.#source !== undefined && !this.#hasFailed(this.#source)) {
+            await this.#sendPull(this.#source, 0, SEARCH_TIMEOUT_MS, signal);
         }
     }
 
--- a/tests/replica/largeFleet.test.ts
+++ b/tests/replica/largeFleet.test.ts
@@ -12,6 +12,10 @@
 const CALM_MS = 20_000;
 const SAMPLE_MS = 100;
 const ROOTS = 3;
+/** Time in which hosts that fall silent together are found and reported. */
+const SILENCE_MS = 4_000;
+/** Share of a link that the copies and reports may take. */
+const MAX_CONTROL_SHARE = 0.25;
 
 type Fleet = ReturnType<typeof createReplicaFleet>;
 
@@ -86,6 +90,16 @@
     }
 });
 
+test("reports of hosts that fall silent together leave most of a link to callers", async () => {
+    const fleet = await startFleet(94);
+    const before = fleet.getSent();
+    selectHosts(fleet, 0.45, 1).forEach(id => fleet.closeHost(id));
+    await fleet.clock.run(SILENCE_MS);
+    const sent = [...fleet.getSent()].map(([id, { bytes }]) => bytes - before.get(id)!.bytes);
+    const share = Math.max(...sent) / (SILENCE_MS * LINK_BYTES_PER_MS);
+    assert.ok(share < MAX_CONTROL_SHARE, `a host sent ${Math.round(100 * share)} % of what its link takes`);
+});
+
 test("what is long on the way makes no old copy look current", async () => {
     const fleet = await startFleet(36);
     fleet.network.delayMs = 400;
