Keep the entry of a host that the store turns away for a while

Cause: an entry outlived its last renewal by 9 s, and the store turned these hosts away from 2.5 s to 11.5 s.

Entries now last 30 s; that a host is silent is found within about two seconds by those it should call, and lookups and duties go by that. A host that is gone for good stays in the list for that long, as one that does not answer.

Test: HostRegistrar.test.ts "a host that the registry turns away for a while keeps its entry" failed before.

--- a/src/registry/HostRegistrar.ts
+++ b/src/registry/HostRegistrar.ts
@@ -2,8 +2,11 @@
 import type { Child } from "../supervision/index.js";
 import type { HostRegistrarOptions } from "./HostRegistrarOptions.js";
 
-/** How long an entry outlives its process: long enough to bear two lost renewals. */
-const ENTRY_MS = 9_000;
+/**
+ * How long an entry outlives its last renewal. Hosts find out within seconds which of them is silent; the entry of one that lives has to
+ * outlast times in which the registry turns it away.
+ */
+const ENTRY_MS = 30_000;
 const RENEWAL_INTERVAL_MS = 3_000;
 const RETRY_MS = 500;
 const REMOVAL_TIMEOUT_MS = 1_000;
--- a/tests/registry/HostRegistrar.test.ts
+++ b/tests/registry/HostRegistrar.test.ts
@@ -2,15 +2,22 @@
 import * as assert from "uvu/assert";
 import { StoreUnavailableError } from "../../src/errors/index.js";
 import { FakeClock } from "../../src/fakes/index.js";
+import type { Member } from "../../src/head/index.js";
 import { DecisionHistory } from "../../src/logging/index.js";
 import { HostRegistrar } from "../../src/registry/index.js";
 import { createMember } from "../support/createMember.js";
 
+/** The platform's store may turn some hosts away for nine seconds and serve the others. */
+const REFUSAL_MS = 9_000;
+
 const test = suite("HostRegistrar");
 let clock: FakeClock;
 let calls: string[];
 let isAway: boolean;
 let hasLapsed: boolean;
+let entryMs: number;
+/** When the entry lapses, in milliseconds of the clock. */
+let entryEnd: number;
 let registrar: HostRegistrar;
 let decisions: DecisionHistory;
 
@@ -27,9 +34,15 @@
         }
     };
     const registry = {
-        add: () => run("add"),
+        add: async (_: Member, durationMs: number) => {
+            await run("add");
+            entryMs = durationMs;
+            entryEnd = clock.getTime() + entryMs;
+        },
         renew: async () => {
             await run("renew");
+            hasLapsed ||= clock.getTime() > entryEnd;
+            entryEnd = clock.getTime() + entryMs;
             return !hasLapsed;
         },
         remove: () => run("remove"),
@@ -64,6 +77,16 @@
     assert.is(calls.filter(call => call === "renew").length, 0);
 });
 
+test("a host that the registry turns away for a while keeps its entry", async () => {
+    await registrar.start();
+    await clock.run(5_900);
+    isAway = true;
+    await clock.run(REFUSAL_MS);
+    isAway = false;
+    await clock.run(3_000);
+    assert.equal([calls.filter(call => call === "add").length, hasLapsed], [1, false]);
+});
+
 test("a host that leaves removes its entry and does not wait long for it", async () => {
     await registrar.start();
     await clock.run(100);
