--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -2,7 +2,7 @@
 import { getFingerprint } from "../accounts/index.js";
 import type { DispatchCall } from "../accounts/index.js";
 import { RefusalError } from "../callers/index.js";
-import { RouteAccess, RouteKind } from "../configuration/index.js";
+import { RouteKind } from "../configuration/index.js";
 import type { Account, Route, SuppliedConfiguration } from "../configuration/index.js";
 import { AnswerCutError } from "../errors/index.js";
 import { Decision } from "../logging/index.js";
@@ -11,6 +11,8 @@
 import type { RateBasis } from "../rates/index.js";
 import type { CallerRequest } from "../requests/index.js";
 import { runWithTimeout } from "../time/index.js";
+import type { CallTarget } from "./CallTarget.js";
+import { findCallTarget } from "./findCallTarget.js";
 import type { GatewayCall } from "./GatewayCall.js";
 import type { GatewayOptions } from "./GatewayOptions.js";
 import { selectService } from "./selectService.js";
@@ -47,13 +49,6 @@
     rateBasis?: RateBasis | undefined;
 }
 
-/** What a request is for. */
-interface CallTarget {
-    readonly route: Route;
-    /** Undefined on a route open to all. */
-    readonly account: Account | undefined;
-}
-
 /** Checks callers' requests, admits them by their accounts' rates and sends them to service hosts. */
 export class Gateway {
     readonly #options: GatewayOptions;
@@ -140,12 +135,12 @@
     /** Finds the route and the account; an old copy refuses nothing for good that a newer configuration may allow. */
     async #findTarget(call: GatewayCall): Promise<CallTarget> {
         try {
-            return findTarget(this.#getConfiguration(), call);
+            return findCallTarget(this.#getConfiguration(), call);
         }
         catch (error) {
             if (error instanceof RefusalError && FINAL_REASONS.has(error.outcome.reason)) {
                 await this.#checkConfiguration();
-                return findTarget(this.#getConfiguration(), call);
+                return findCallTarget(this.#getConfiguration(), call);
             }
             throw error;
         }
@@ -288,27 +283,6 @@
     }
 }
 
-function findTarget(configuration: SuppliedConfiguration, call: GatewayCall): CallTarget {
-    const route = findRoute(configuration, call);
-    return { route, account: findAccount(configuration, route, call.key) };
-}
-
-function findRoute(configuration: SuppliedConfiguration, call: GatewayCall): Route {
-    const route = configuration.findRoute(call.target.split("?", 1)[0]!, call.host);
-    if (route === undefined) {
-        throw new RefusalError(RefusalReason.UnknownRoute, "There is no route for this host and path.");
-    }
-    return route;
-}
-
-function findAccount(configuration: SuppliedConfiguration, route: Route, key: string | undefined): Account | undefined {
-    const account = key === undefined ? undefined : configuration.findAccountByKey(key);
-    if (account === undefined && route.access !== RouteAccess.Open) {
-        throw new RefusalError(RefusalReason.UnknownKey, "This route needs a valid key.");
-    }
-    return account;
-}
-
 function createRequest(
     call: GatewayCall,
     route: Route,
