--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -35,7 +35,7 @@
 /** Refusals that a caller does not repeat. */
 const FINAL_REASONS: ReadonlySet<RefusalReason> = new Set([RefusalReason.UnknownKey, RefusalReason.UnknownRoute]);
 
-/** An age that is told of a copy that never was current. */
+/** Logged as the age of a copy that never was current, in milliseconds. */
 const MAX_AGE_MS = 1e9;
 
 /** What is known of a request when its outcome is recorded. */
--- a/src/gateway/LoadReporter.ts
+++ b/src/gateway/LoadReporter.ts
@@ -2,12 +2,12 @@
 import type { Child } from "../supervision/index.js";
 import type { LoadReporterOptions } from "./LoadReporterOptions.js";
 
-/** How often the load is told, in milliseconds. */
+/** Time between two lines, in milliseconds. */
 const REPORT_INTERVAL_MS = 5_000;
 /** How often the age of the copy is looked at, in milliseconds. */
 const SAMPLE_INTERVAL_MS = 250;
 const BYTES_PER_KB = 1_000;
-/** An age that is told of a copy that never was current. */
+/** Logged as the age of a copy that never was current, in milliseconds. */
 const MAX_AGE_MS = 1e9;
 
 /** Writes one line to the log every few seconds with what this process had to carry and how late it was. */
--- a/src/gateway/PoolReporter.ts
+++ b/src/gateway/PoolReporter.ts
@@ -2,7 +2,7 @@
 import type { Child } from "../supervision/index.js";
 import type { PoolReporterOptions } from "./PoolReporterOptions.js";
 
-/** How often the pools are told, in milliseconds; as long as the span that a line is about. */
+/** Time between two lines of a pool, in milliseconds; each line covers this span. */
 const REPORT_INTERVAL_MS = 2_000;
 
 /** Writes a line to the log for each pool of upstreams that this host had requests for lately. */
--- a/src/logging/Decision.ts
+++ b/src/logging/Decision.ts
@@ -22,6 +22,6 @@
     /** Something that this process relies on was lost or is back. */
     DependencyChanged = "dependency-changed",
     BecameStale = "became-stale",
-    /** What this process has to carry, told again and again. */
+    /** Regular figures of the load of this process. */
     LoadReported = "load-reported",
 }
--- a/tests/services/HttpUpstreamTransport.test.ts
+++ b/tests/services/HttpUpstreamTransport.test.ts
@@ -9,6 +9,7 @@
 import { HttpUpstreamTransport, ProductUpstreamProtocol, UpstreamAnswerKind } from "../../src/services/index.js";
 import type { ServiceRequest, UpstreamAnswer, UpstreamSendOptions } from "../../src/services/index.js";
 import { SystemClock } from "../../src/time/index.js";
+import { createServiceRequest } from "../support/createServiceRequest.js";
 
 const LARGE_BYTES = 64 * 1024 * 1024;
 const CHUNK = Buffer.alloc(64 * 1024);
@@ -228,21 +229,7 @@
     request: Partial<ServiceRequest> = {},
     options: Partial<UpstreamSendOptions> = {},
 ): Promise<UpstreamAnswer> {
-    return await transport.send(getUpstream(), {
-        requestId: "r1",
-        account: "shop",
-        service: "orders",
-        zone: "a",
-        method: "GET",
-        path: "/",
-        headers: {},
-        body: Buffer.alloc(0),
-        isIdempotent: true,
-        timeoutMs: 1_000,
-        sentBefore: 0,
-        excludedUpstreams: [],
-        ...request,
-    }, {
+    return await transport.send(getUpstream(), createServiceRequest(request), {
         firstByteTimeoutMs: 5_000,
         deadlineMs: 1_000,
         freshConnection: false,
