Reproduce the incident: pools that hosts can't carry, and rates lost with a late owner

Cause, as far as the logs show it: a zone's part of a service stands on one host, drawn by capacity, and one draw in eight finds a small one. Its link (downloads) or processor (orders) is full, so that its calls time out, also those for tokens of the accounts that it owns; the hosts that ask are then left with an even part of the rate.

No logic is changed.

DispatchBench lets hosts have a processor and a link (LoadedHost); its other users are as before.

--- a/tests/rates/OwnedRateLimiter.test.ts
+++ b/tests/rates/OwnedRateLimiter.test.ts
@@ -18,6 +18,8 @@
 /** The platform lets an account exceed its rate and burst in a window by this much. */
 const OVERSHOOT = 0.1;
 const SLACK = 20;
+/** The platform's floor holds from a tenth of a service's requests on that are not served. */
+const MAX_REFUSED_SHARE = 0.1;
 const MAX_PER_WINDOW = (ACCOUNT.rate * WINDOW_MS / 1_000 + ACCOUNT.burst) * (1 + OVERSHOOT) + SLACK;
 
 interface Fleet {
@@ -120,6 +122,26 @@
     assert.ok(sends.filter(time => time > 9_500).length >= 0.9 * ACCOUNT.rate * 5.5);
 });
 
+test("an account that asks for half of its rate is not refused while the owner of its rate answers too late", async () => {
+    const fleet = createFleet();
+    const owner = fleet.memberships[0]!.getAccountHosts(ACCOUNT.name)[0]!;
+    fleet.network.stopAnswers(owner.peerAddress);
+    fleet.dead.add(Number(owner.id.replace("host-", "")));
+    const { sends, asked } = await sendLoad(fleet, 0.5 * ACCOUNT.rate, 10_000, 0);
+    assert.ok(asked - sends.length <= MAX_REFUSED_SHARE * asked, `${asked - sends.length} of ${asked} refused`);
+});
+
+test("the rate holds within the tolerance while an owner answers some hosts too late", async () => {
+    const fleet = createFleet();
+    const [first, second] = fleet.memberships[0]!.getAccountHosts(ACCOUNT.name);
+    fleet.memberships.filter((_, index) => index % 2 === 0).forEach(membership =>
+        fleet.network.closeDirection(first!.peerAddress, membership.getSelf().peerAddress)
+    );
+    fleet.network.closeDirection(first!.peerAddress, second!.peerAddress);
+    const { sends } = await sendLoad(fleet, 4 * ACCOUNT.rate, 15_000, 0);
+    assert.ok(getMostInWindow(sends) <= MAX_PER_WINDOW, `${getMostInWindow(sends)} of ${MAX_PER_WINDOW}`);
+});
+
 test("owners that reach each other no more, and hosts that reach none, stay within the tolerance", async () => {
     const fleet = createFleet();
     for (const owner of fleet.memberships[0]!.getAccountHosts(ACCOUNT.name)) {
--- /dev/null
+++ b/tests/services/poolPlacement.test.ts
@@ -0,0 +1,89 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { PeerMethod } from "../../src/peers/index.js";
+import { SeededRandom } from "../../src/random/index.js";
+import { DispatchBench } from "../support/DispatchBench.js";
+import type { HostPower } from "../support/HostPower.js";
+
+/** A grown deployment: some thirty hosts in each of three zones. */
+const HOSTS = 93;
+const LARGE_HOSTS = 6;
+const LARGE: HostPower = { cores: 1.35, linkMbps: 140 };
+const SMALL: HostPower = { cores: 0.27, linkMbps: 7 };
+const WARM_UP_MS = 2_000;
+const DURATION_MS = 6_000;
+const PROBE_GAP_MS = 250;
+/** A host that takes longer to say whether it serves is taken for silent, as is, a little later, an owner of a rate. */
+const ANSWER_MS = 200;
+const MAX_ATTEMPTS = 2;
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
+
+interface Load {
+    readonly perSecond: number;
+    readonly isIdempotent: boolean;
+    readonly upstreamsAZone: number;
+    readonly serviceTimeMs: number;
+    readonly answerBytes: number;
+}
+
+const DOWNLOADS: Load = {
+    perSecond: 54,
+    isIdempotent: true,
+    upstreamsAZone: 4,
+    serviceTimeMs: 360,
+    answerBytes: 90_000,
+};
+const ORDERS: Load = {
+    perSecond: 240,
+    isIdempotent: false,
+    upstreamsAZone: 24,
+    serviceTimeMs: 470,
+    answerBytes: 1_500,
+};
+
+const test = suite("placing of pools");
+
+for (const seed of SEEDS) {
+    test(`hosts with a service's downloads still answer other hosts' calls, few large hosts, seed ${seed}`, async () => {
+        await checkAnswers(DOWNLOADS, seed, index => index < LARGE_HOSTS ? LARGE : SMALL);
+    });
+
+    test(`hosts with a service's orders still answer other hosts' calls, few large hosts, seed ${seed}`, async () => {
+        await checkAnswers(ORDERS, seed, index => index < LARGE_HOSTS ? LARGE : SMALL);
+    });
+}
+
+for (const seed of SEEDS.slice(0, 3)) {
+    test(`hosts with a service's orders still answer other hosts' calls, small hosts only, seed ${seed}`, async () => {
+        await checkAnswers(ORDERS, seed, () => SMALL);
+    });
+}
+
+test.run();
+
+async function checkAnswers(load: Load, seed: number, getPower: (index: number) => HostPower): Promise<void> {
+    const { perSecond, isIdempotent, ...options } = load;
+    const bench = new DispatchBench({ ...options, hosts: HOSTS, service: { name: `service-${seed}` }, getPower });
+    const { clock } = bench;
+    const random = new SeededRandom(seed);
+    const late = new Set<string>();
+    let probeTime = WARM_UP_MS;
+    while (clock.getTime() < DURATION_MS) {
+        void bench.run(Math.floor(random.getNext() * HOSTS), MAX_ATTEMPTS, isIdempotent);
+        await clock.run(1_000 / perSecond);
+        if (clock.getTime() >= probeTime) {
+            probeTime += PROBE_GAP_MS;
+            sendProbes(bench, late);
+        }
+    }
+    await clock.run(WARM_UP_MS);
+    assert.equal([...late], []);
+}
+
+function sendProbes(bench: DispatchBench, late: Set<string>): void {
+    for (const { membership } of bench.hosts) {
+        const { id, peerAddress } = membership.getSelf();
+        bench.network.createTransport("probe").send(peerAddress, PeerMethod.IsServing, {}, ANSWER_MS)
+            .catch(() => late.add(id));
+    }
+}
--- a/tests/support/DispatchBench.ts
+++ b/tests/support/DispatchBench.ts
@@ -6,14 +6,17 @@
 import { GATEWAY_SERVICE } from "../../src/gateway/index.js";
 import type { Member } from "../../src/head/index.js";
 import { DecisionHistory } from "../../src/logging/index.js";
+import { RegisteredMembership } from "../../src/membership/index.js";
 import type { Outcome } from "../../src/outcomes/index.js";
 import { OutcomeKind } from "../../src/outcomes/index.js";
 import { PeerHandlers } from "../../src/peers/index.js";
 import { SeededRandom } from "../../src/random/index.js";
 import { EjectionPolicy, ServiceHost } from "../../src/services/index.js";
 import { createMember } from "./createMember.js";
+import type { HostPower } from "./HostPower.js";
+import { LoadedHost } from "./LoadedHost.js";
 
-const UPSTREAMS_A_ZONE = 4;
+const DEFAULT_UPSTREAMS_A_ZONE = 4;
 const ZONES = ["zone-a", "zone-b", "zone-c"];
 const TIMEOUT_MS = 4_000;
 
@@ -24,31 +27,46 @@
 
 interface DispatchBenchOptions {
     readonly hosts: number;
+    /** How many upstreams each zone has; four if left out. */
+    readonly upstreamsAZone?: number;
+    /** Gets what a host can carry; hosts carry everything in no time and are chosen alike if left out. */
+    readonly getPower?: (index: number) => HostPower;
     /** What differs from the usual service. */
     readonly service?: Partial<Service>;
     /** How long upstreams take, in milliseconds. */
     readonly serviceTimeMs: number;
+    /** How long their answers are, in bytes. */
+    readonly answerBytes?: number;
 }
 
-/** Entry hosts that send lookups through one another's service hosts to fake upstreams of one service. */
+/** Entry hosts that send requests through one another's service hosts to fake upstreams of one service. */
 export class DispatchBench {
     readonly clock = new FakeClock();
     readonly network = new FakeNetwork(this.clock);
     readonly upstreams: FakeUpstreams;
     readonly hosts: readonly DispatchHost[];
     readonly service: Service;
+    readonly #options: DispatchBenchOptions;
     readonly #members: readonly Member[];
     readonly #decisions = new DecisionHistory(this.clock);
     #nextRequest = 0;
 
     /** @param options - How many hosts, and what they send to. */
-    constructor({ hosts, service, serviceTimeMs }: DispatchBenchOptions) {
-        this.upstreams = new FakeUpstreams({ clock: this.clock, random: new SeededRandom(1), serviceTimeMs });
+    constructor(options: DispatchBenchOptions) {
+        const { hosts, service, serviceTimeMs, answerBytes, getPower } = options;
+        const upstreamsAZone = options.upstreamsAZone ?? DEFAULT_UPSTREAMS_A_ZONE;
+        this.#options = options;
+        this.upstreams = new FakeUpstreams({
+            clock: this.clock,
+            random: new SeededRandom(1),
+            serviceTimeMs,
+            answerBytes,
+        });
         this.service = {
             ...GATEWAY_SERVICE,
             name: "orders",
             upstreams: ZONES.flatMap(zone =>
-                Array.from({ length: UPSTREAMS_A_ZONE }, (_, index) => {
+                Array.from({ length: upstreamsAZone }, (_, index) => {
                     const name = `${zone}-${index}`;
                     return { name, address: `${name}:1`, zone, slots: 6, connections: 300 };
                 })
@@ -57,8 +75,11 @@
             retryBudget: 0.2,
             ...service,
         };
-        this.#members = Array.from({ length: hosts }, (_, index) => createMember(index));
-        this.hosts = this.#members.map(member => this.#createHost(member));
+        this.#members = Array.from({ length: hosts }, (_, index) => {
+            const member = createMember(index);
+            return getPower === undefined ? member : { ...member, capacity: getCapacity(getPower(index)) };
+        });
+        this.hosts = this.#members.map((member, index) => this.#createHost(member, index));
     }
 
     /** Makes all upstreams answer each request with a failure. */
@@ -67,12 +88,13 @@
     }
 
     /**
-     * Sends a lookup from one host.
+     * Sends a request from one host.
      * @param index - The host's number.
      * @param maxAttempts - To how many upstreams its route lets it go.
+     * @param isIdempotent - Whether it is a lookup rather than an order.
      */
-    async run(index: number, maxAttempts: number): Promise<Outcome> {
-        const call = this.#createCall(maxAttempts);
+    async run(index: number, maxAttempts: number, isIdempotent = true): Promise<Outcome> {
+        const call = this.#createCall(maxAttempts, isIdempotent);
         const outcome = await this.hosts[index]!.dispatcher.run(call, new AbortController().signal);
         if (outcome.kind === OutcomeKind.Done) {
             outcome.body.resume();
@@ -80,9 +102,9 @@
         return outcome;
     }
 
-    #createHost(member: Member): DispatchHost {
+    #createHost(member: Member, index: number): DispatchHost {
         const { clock, network } = this;
-        const membership = new FakeMembership(member, { version: 1, members: this.#members });
+        const membership = this.#createMembership(member);
         const handlers = new PeerHandlers();
         const shared = { clock, membership, handlers, random: new SeededRandom(1) };
         const serviceRunner = new ServiceHost({
@@ -96,7 +118,12 @@
             getService: () => this.service,
             getAccount: () => undefined,
         } as unknown as Configuration);
-        network.addHost(member.peerAddress, { handlers, serviceRunner });
+        const { getPower } = this.#options;
+        const host = { handlers, serviceRunner };
+        network.addHost(
+            member.peerAddress,
+            getPower === undefined ? host : new LoadedHost(clock, host, getPower(index)),
+        );
         const options = {
             ...shared,
             transport: network.createTransport(member.peerAddress),
@@ -109,7 +136,20 @@
         return { membership, dispatcher: new Dispatcher(options, new Quarantine(options)) };
     }
 
-    #createCall(maxAttempts: number): DispatchCall {
+    #createMembership(member: Member): FakeMembership {
+        const membership = new FakeMembership(member, { version: 1, members: this.#members });
+        if (this.#options.getPower !== undefined) {
+            const registered = new RegisteredMembership(member, {
+                isUnreachable: () => false,
+                isIsolated: () => false,
+            });
+            registered.applyMembers(this.#members);
+            membership.getServiceHosts = registered.getServiceHosts.bind(registered);
+        }
+        return membership;
+    }
+
+    #createCall(maxAttempts: number, isIdempotent: boolean): DispatchCall {
         const route = {
             name: "r",
             path: "/",
@@ -134,6 +174,11 @@
             timeoutMs: TIMEOUT_MS,
         };
         const deadline = this.clock.getTime() + TIMEOUT_MS;
-        return { request, account: "shop", service: this.service, isIdempotent: true, deadline, fingerprint: "f" };
+        return { request, account: "shop", service: this.service, isIdempotent, deadline, fingerprint: "f" };
     }
 }
+
+/** As a gateway's entry tells it. */
+function getCapacity({ cores, linkMbps }: HostPower): number {
+    return cores * linkMbps;
+}
