Share an account's rate among three owners, so that a late one costs its share

Cause: one owner held the whole rate. Hosts that got no answer from it in 250 ms asked the second owner, which took the first for alive, since it answered some calls and no report of it lasted, and so granted from its even part, a ninety-fourth of the rate. A statement about one host (it doesn't answer me) had no effect until all agreed on it.

Now the three owners hold a third of the rate each, whatever is believed of the others. A host asks the one in its own zone and goes on to the next if that is empty or silent; only then does a request wait for a token. What one is known to lack is not asked for again. An owner found silent by all leaves its share to the others.

--- a/src/explanation/findCause.ts
+++ b/src/explanation/findCause.ts
@@ -92,7 +92,7 @@
     );
     const basis = final.figures?.["rateBasis"];
     if (basis === RateBasis.Part) {
-        const summary = `${final.host} had only an even part of the rate, as no owner of account ${final.account} ` +
+        const summary = `${final.host} had only a part of the rate, as not every owner of account ${final.account} ` +
             "could be asked.";
         return createCause(CauseKind.RateOwnerLost, summary, silent);
     }
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -16,6 +16,11 @@
 const MS_PER_SECOND = 1_000;
 /** How long an owner may take to answer; a call to another availability zone takes a few milliseconds. */
 const SPEND_TIMEOUT_MS = 250;
+/**
+ * Share of its even part of the rate that a host without an owner may spend: it comes on top of what the owners grant to
+ * the hosts that reach them.
+ */
+const PART_SHARE = 0.5;
 /** Tokens that a host without an owner may spend at once: without a second one, every other request of two is refused. */
 const MIN_PART_BURST = 2;
 /**
@@ -24,10 +29,20 @@
  */
 const START_REFILL_MS = 500;
 
+/** Owners that were empty lately and are remembered. */
+const MAX_EMPTY_OWNERS = 10_000;
+
+/** What an owner has answered. */
+interface OwnerRefusal {
+    readonly owner: Member;
+    readonly result: SpendTokenResult;
+}
+
 /**
- * Keeps each account's tokens at one host, the account's owner, and asks it for each request. When owners change, the
- * next one starts with little. A host that reaches no owner, and one that is asked although a better owner may be alive,
- * has only its own even part of the rate, so that a partition does not multiply the rate.
+ * Shares each account's tokens evenly among a few hosts, the account's owners, and asks them for each request, the next one only
+ * if the one before is empty or silent. A silent owner so costs its share and not the rate. When owners change, the next one starts
+ * with little. A host that reaches no owner, and one that is asked although it is none, has only half of its own even part of the
+ * rate, so that a partition does not multiply the rate.
  */
 export class OwnedRateLimiter implements RateLimiter {
     readonly #options: RateLimiterOptions;
@@ -35,7 +50,10 @@
     readonly #parts = new Map<string, TokenBucket>();
     /** When this host first spent for an account as its owner, in milliseconds of the clock. */
     readonly #ownedSince = new Map<string, number>();
+    /** When an owner that was empty has a token again, in milliseconds of the clock, by account and owner. */
+    readonly #emptyUntil = new Map<string, number>();
     readonly #suspicion: PeerSuspicion;
+    #nextOwner = 0;
 
     /** @param options - What the limiter works with. */
     constructor(options: RateLimiterOptions) {
@@ -45,7 +63,7 @@
     }
 
     /**
-     * Spends a token at the account's owner.
+     * Spends a token at one of the account's owners.
      * @param account - The account; a rate of 0 is no limit.
      * @param options - How long the request may wait for a token, and what tells it from others.
      */
@@ -67,35 +85,85 @@
         this.#owned.get(account.name)?.restore(grant.time, this.#options.clock.getTime());
     }
 
+    /** A token that is there is better than one that has to be waited for, so each owner is asked for one first. */
     async #spend(account: Account, options: AdmitOptions | undefined): Promise<SpendTokenResult> {
-        const { membership, transport } = this.#options;
         const params = {
             account: account.name,
             rate: account.rate,
             burst: account.burst,
             fingerprint: options?.fingerprint,
-            maxWaitMs: options?.maxWaitMs ?? 0,
+            maxWaitMs: 0,
         };
-        for (const owner of this.#getOwners(account.name)) {
-            if (owner.id === membership.getSelf().id) {
-                return this.#spendOwned(params);
-            }
-            try {
-                const result = await transport.send(
-                    owner.peerAddress,
-                    PeerMethod.SpendToken,
-                    params,
-                    SPEND_TIMEOUT_MS,
-                );
-                this.#suspicion.recordAnswer(owner.peerAddress);
+        const owners = this.#getOwners(account.name);
+        const refusals: OwnerRefusal[] = [];
+        for (const owner of owners) {
+            const result = await this.#spendAt(owner, params);
+            if (result?.isSpent === true || result?.isQuarantined === true) {
                 return result;
             }
-            catch (error) {
-                this.#suspicion.recordSilent(owner.peerAddress);
-                this.#recordSilent(account.name, owner, error);
+            if (result !== undefined) {
+                refusals.push({ owner, result });
             }
         }
-        return this.#spendPart(params);
+        const soonest = findSoonest(refusals);
+        if (soonest === undefined) {
+            return this.#spendPart({ ...params, maxWaitMs: options?.maxWaitMs ?? 0 });
+        }
+        const result = await this.#waitAt(soonest, params, options?.maxWaitMs ?? 0);
+        return refusals.length < owners.length ? { ...result, basis: RateBasis.Part } : result;
+    }
+
+    async #waitAt(
+        { owner, result }: OwnerRefusal,
+        params: SpendTokenParams,
+        maxWaitMs: number,
+    ): Promise<SpendTokenResult> {
+        return result.retryAfterMs > maxWaitMs || maxWaitMs === 0
+            ? result
+            : await this.#spendAt(owner, { ...params, maxWaitMs }) ?? result;
+    }
+
+    /** Returns undefined if the owner doesn't answer. */
+    async #spendAt(owner: Member, params: SpendTokenParams): Promise<SpendTokenResult | undefined> {
+        const { clock, membership, transport } = this.#options;
+        if (owner.id === membership.getSelf().id) {
+            return this.#spendOwned(params);
+        }
+        if (this.#isSuspected(owner)) {
+            return undefined;
+        }
+        const key = `${params.account} ${owner.id}`;
+        const emptyMs = (this.#emptyUntil.get(key) ?? Number.NEGATIVE_INFINITY) - clock.getTime();
+        if (emptyMs > params.maxWaitMs) {
+            return createEmpty(emptyMs);
+        }
+        try {
+            const result = await transport.send(
+                owner.peerAddress,
+                PeerMethod.SpendToken,
+                params,
+                SPEND_TIMEOUT_MS,
+            );
+            this.#suspicion.recordAnswer(owner.peerAddress);
+            this.#recordEmpty(key, result);
+            return result;
+        }
+        catch (error) {
+            this.#suspicion.recordSilent(owner.peerAddress);
+            this.#recordSilent(params.account, owner, error);
+            return undefined;
+        }
+    }
+
+    #recordEmpty(key: string, { isSpent, retryAfterMs }: SpendTokenResult): void {
+        if (isSpent || retryAfterMs === 0) {
+            this.#emptyUntil.delete(key);
+            return;
+        }
+        if (this.#emptyUntil.size >= MAX_EMPTY_OWNERS) {
+            this.#emptyUntil.clear();
+        }
+        this.#emptyUntil.set(key, this.#options.clock.getTime() + retryAfterMs);
     }
 
     #recordSilent(account: string, owner: Member, error: unknown): void {
@@ -109,8 +177,13 @@
         });
     }
 
+    /** Gets the owners of an account, the one in this host's zone first; where there is none, they take turns. */
     #getOwners(account: string): readonly Member[] {
-        return this.#options.membership.getAccountHosts(account).filter(owner => !this.#isSuspected(owner));
+        const { membership } = this.#options;
+        const owners = membership.getAccountHosts(account);
+        const near = owners.findIndex(owner => owner.zone === membership.getSelf().zone);
+        const first = near < 0 ? this.#nextOwner++ % Math.max(1, owners.length) : near;
+        return [...owners.slice(first), ...owners.slice(0, first)];
     }
 
     #isSuspected(owner: Member): boolean {
@@ -123,27 +196,30 @@
         if (params.fingerprint !== undefined && this.#options.isQuarantined?.(params.fingerprint) === true) {
             return { isSpent: false, waitMs: 0, retryAfterMs: 0, isQuarantined: true, basis: RateBasis.Whole };
         }
-        if (!this.#isOwner(params.account)) {
+        const owners = this.#countOwners(params.account);
+        if (owners === undefined) {
             return this.#spendPart(params);
         }
         const { rate, burst } = this.#options.getConfiguration().getAccount(params.account) ?? params;
-        const result = this.#spendFrom(this.#owned, params, { rate, burst });
-        return this.#isFilling(params.account, { rate, burst }) ? { ...result, basis: RateBasis.NewOwner } : result;
+        const share = { rate: rate / owners, burst: burst / owners };
+        const result = this.#spendFrom(this.#owned, params, share);
+        return this.#isFilling(params.account, share) ? { ...result, basis: RateBasis.NewOwner } : result;
     }
 
-    /** Whether this host is the first owner that may be alive, and not one that a partition has left alone. */
-    #isOwner(account: string): boolean {
+    /** Counts the owners that may be alive; undefined if this host is none, or one that a partition has left alone. */
+    #countOwners(account: string): number | undefined {
         const { membership } = this.#options;
-        const first = membership.getAccountHosts(account).find(owner =>
-            owner.id === membership.getSelf().id || membership.isReachable(owner.id)
-        );
-        return first?.id === membership.getSelf().id && membership.isIsolated?.() !== true;
+        const self = membership.getSelf().id;
+        const alive = membership.getAccountHosts(account).filter(({ id }) => id === self || membership.isReachable(id));
+        const isOwner = alive.some(({ id }) => id === self) && membership.isIsolated?.() !== true;
+        return isOwner ? alive.length : undefined;
     }
 
     #spendPart(params: SpendTokenParams): SpendTokenResult {
         const hosts = Math.max(1, this.#options.membership.getView().members.length);
-        const burst = Math.max(MIN_PART_BURST, params.burst / hosts);
-        const result = this.#spendFrom(this.#parts, params, { rate: params.rate / hosts, burst });
+        const part = PART_SHARE / hosts;
+        const burst = Math.max(MIN_PART_BURST, part * params.burst);
+        const result = this.#spendFrom(this.#parts, params, { rate: part * params.rate, burst });
         return { ...result, basis: RateBasis.Part };
     }
 
@@ -177,3 +253,17 @@
             : { ...base, isSpent: true, waitMs };
     }
 }
+
+function createEmpty(retryAfterMs: number): SpendTokenResult {
+    return {
+        isSpent: false,
+        waitMs: 0,
+        retryAfterMs: Math.ceil(retryAfterMs),
+        isQuarantined: false,
+        basis: RateBasis.Whole,
+    };
+}
+
+function findSoonest(refusals: readonly OwnerRefusal[]): OwnerRefusal | undefined {
+    return [...refusals].sort((left, right) => left.result.retryAfterMs - right.result.retryAfterMs)[0];
+}
--- a/src/rates/RateBasis.ts
+++ b/src/rates/RateBasis.ts
@@ -1,9 +1,9 @@
 /** Which part of an account's rate a decision rests on. */
 export enum RateBasis {
-    /** The whole rate, kept by the account's owner. */
+    /** The whole rate, kept by the account's owners. */
     Whole = "whole",
-    /** The whole rate, by an owner that took over lately, so that its burst has not filled yet. */
+    /** The whole rate, by an owner that took over lately, so that the burst of its share has not filled yet. */
     NewOwner = "new-owner",
-    /** An even part of the rate, as no owner could be asked for the whole. */
+    /** Less than the whole rate, as not every owner could be asked. */
     Part = "part",
 }
