Divide a zone's upstreams into parts, each with a service host of its own

Cause: the work of one host grew with the service. Choosing large hosts hides it where there are any; a fleet of hosts with 0.27 of a core has none.

A zone with more than ten upstreams is divided by rendezvous hashing of their names. The parts take the place of zones wherever a pool is meant: choice by free slots, service hosts, shared baseline and strain, retries by time. A request names the part's number beside the zone. The pools of a host tell each other directly.

The test also holds the platform's floor now, and DispatchBench gives each host random numbers of its own (all drew the same, and so the same part, at once).

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -1,4 +1,5 @@
 import { RouteKind } from "../configuration/index.js";
+import type { ServicePart } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import type { NotRunOutcome, Outcome, UnknownOutcome } from "../outcomes/index.js";
 import { closeBody, createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
@@ -7,9 +8,9 @@
 import type { DispatcherOptions } from "./DispatcherOptions.js";
 import type { HostAnswer } from "./HostAnswer.js";
 import { isRetriable } from "./isRetriable.js";
+import { PartSelector } from "./PartSelector.js";
 import type { Quarantine } from "./Quarantine.js";
 import { ServiceSender } from "./ServiceSender.js";
-import { ZoneSelector } from "./ZoneSelector.js";
 
 const MAX_ATTEMPTS = 4;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
@@ -17,7 +18,8 @@
 const MIN_RETRY_TIME_MS = 50;
 
 interface DispatchState {
-    readonly excludedZones: Set<string>;
+    /** Keys of the parts that can't run it. */
+    readonly excludedParts: Set<string>;
     /** The upstreams that it was sent to, as far as they are known. */
     readonly excludedUpstreams: string[];
     /** How many upstreams it was, or may have been, sent to. */
@@ -37,7 +39,7 @@
     readonly #options: DispatcherOptions;
     readonly #quarantine: Quarantine;
     readonly #sender: ServiceSender;
-    readonly #zones: ZoneSelector;
+    readonly #parts: PartSelector;
     readonly #budgets = new Map<string, RetryBudget>();
 
     /**
@@ -49,7 +51,7 @@
         this.#quarantine = quarantine;
         this.#sender = new ServiceSender(options);
         const { clock, random } = options;
-        this.#zones = new ZoneSelector({ clock, random, ownZone: options.membership.getSelf().zone });
+        this.#parts = new PartSelector({ clock, random, ownZone: options.membership.getSelf().zone });
     }
 
     /**
@@ -58,9 +60,9 @@
      * @param signal - Aborted when nobody waits for the answer any more.
      */
     async run(call: DispatchCall, signal: AbortSignal): Promise<Outcome> {
-        const state: DispatchState = { excludedZones: new Set(), excludedUpstreams: [], sent: 0, earlier: undefined };
+        const state: DispatchState = { excludedParts: new Set(), excludedUpstreams: [], sent: 0, earlier: undefined };
         this.#getBudget(call.service.name).grant(call.service.retryBudget, call.service.retryRate);
-        let outcome = this.#getNoZone();
+        let outcome = this.#getNoPart();
         for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
             const next = await this.#runAttempt(call, state, attempt, signal);
             if (next === undefined) {
@@ -90,42 +92,47 @@
             const refusal = createNotRun(RefusalReason.DeadlineExceeded, detail, DEFAULT_RETRY_AFTER_MS);
             return { outcome: refusal, isSent: false };
         }
-        const zone = this.#zones.select(
+        const part = this.#parts.select(
             call.service,
-            state.excludedZones,
+            state.excludedParts,
             call.request.route.kind === RouteKind.Bulk,
         );
-        if (zone === undefined) {
+        if (part === undefined) {
             return undefined;
         }
-        this.#zones.recordSent(call.service.name, zone);
+        this.#parts.recordSent(call.service.name, part.key);
         const answer = await this.#sender.send(call, {
             number: attempt,
-            zone,
+            part,
             sentBefore: state.sent,
             excludedUpstreams: state.excludedUpstreams,
             isLast: attempt === MAX_ATTEMPTS || state.sent + 1 >= getMaxSent(call),
         }, signal);
         const isSent = isPossiblySent(answer);
         state.sent += isSent ? 1 : 0;
-        await this.#recordAnswer(call, zone, answer, state);
+        await this.#recordAnswer(call, part, answer, state);
         return { outcome: answer.outcome, isSent };
     }
 
-    async #recordAnswer(call: DispatchCall, zone: string, answer: HostAnswer, state: DispatchState): Promise<void> {
+    async #recordAnswer(
+        call: DispatchCall,
+        part: ServicePart,
+        answer: HostAnswer,
+        state: DispatchState,
+    ): Promise<void> {
         const { outcome, upstream } = answer;
         if (upstream !== undefined) {
             state.excludedUpstreams.push(upstream);
         }
         if (outcome.kind === OutcomeKind.NotRun) {
-            state.excludedZones.add(zone);
+            state.excludedParts.add(part.key);
         }
         else {
             closeEarlier(state.earlier);
             state.earlier = outcome;
         }
         if (upstream !== undefined || outcome.kind === OutcomeKind.Done) {
-            this.#zones.recordLoad(call.service.name, zone, answer.freeSlots, answer.queued);
+            this.#parts.recordLoad(call.service.name, part.key, answer.freeSlots, answer.queued);
         }
         if (answer.isCrashSuspected && answer.host !== undefined) {
             const event = { attemptId: answer.attemptId ?? "", hostAddress: answer.host.peerAddress };
@@ -136,7 +143,7 @@
         }
     }
 
-    /** A refusal by a service host that sent nothing on costs the service nothing, so another zone may be asked. */
+    /** A refusal by a service host that sent nothing on costs the service nothing, so another part may be asked. */
     #isRetryAllowed(call: DispatchCall, { outcome, isSent }: AttemptResult, signal: AbortSignal): boolean {
         const remainingMs = call.deadline - this.#options.clock.getTime();
         if (signal.aborted || remainingMs < MIN_RETRY_TIME_MS || !isRetriable(outcome, call.isIdempotent)) {
@@ -152,7 +159,7 @@
         return budget;
     }
 
-    #getNoZone(): Outcome {
+    #getNoPart(): Outcome {
         return createNotRun(
             RefusalReason.NoUpstream,
             "No upstream takes work for this service.",
--- a/src/accounts/ZoneLoad.ts
+++ b/src/accounts/PartLoad.ts
@@ -1,5 +1,5 @@
-/** What a service host of a zone reported last, with the attempts sent since then. */
-export interface ZoneLoad {
+/** What the service host of a part reported last, with the attempts sent since then. */
+export interface PartLoad {
     readonly freeSlots: number;
     readonly queued: number;
     /** When it was reported, in milliseconds of the clock. */
--- a/src/accounts/ZoneSelectorOptions.ts
+++ b/src/accounts/PartSelectorOptions.ts
@@ -1,8 +1,8 @@
 import type { RandomSource } from "../random/index.js";
 import type { Clock } from "../time/index.js";
 
-/** What a zone selector works with. */
-export interface ZoneSelectorOptions {
+/** What a part selector works with. */
+export interface PartSelectorOptions {
     readonly clock: Clock;
     readonly random: RandomSource;
     /** This host's availability zone, preferred while it has free slots. */
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -12,7 +12,7 @@
 import type { DispatcherOptions } from "./DispatcherOptions.js";
 import type { HostAnswer } from "./HostAnswer.js";
 
-const MAX_HOSTS_PER_ZONE = 3;
+const MAX_HOSTS_PER_PART = 3;
 const IDEMPOTENT_WAIT_SHARE = 0.5;
 const ANSWER_GRACE_MS = 1_000;
 const FIND_TIMEOUT_MS = 500;
@@ -55,13 +55,13 @@
     }
 
     /**
-     * Sends one attempt to the first service host of the zone that takes it; never rejects.
+     * Sends one attempt to the first service host of the part that takes it; never rejects.
      * @param call - The request.
      * @param attempt - The attempt.
      * @param signal - Aborts the attempt.
      */
     async send(call: DispatchCall, attempt: DispatchAttempt, signal: AbortSignal): Promise<HostAnswer> {
-        for (const host of this.#getHosts(call.service.name, attempt.zone)) {
+        for (const host of this.#getHosts(call.service.name, attempt.part)) {
             if (!await this.#isAnswering(host, call)) {
                 continue;
             }
@@ -71,7 +71,7 @@
                 return { ...answer, host, attemptId: request.requestId };
             }
         }
-        const detail = `No service host of zone ${attempt.zone} could be reached.`;
+        const detail = `No service host of zone ${attempt.part.zone} could be reached.`;
         const outcome = createNotRun(RefusalReason.HostUnreachable, detail, DEFAULT_RETRY_AFTER_MS);
         return { ...createAnswer(outcome), host: undefined };
     }
@@ -202,9 +202,9 @@
         }
     }
 
-    #getHosts(service: string, zone: string): readonly Member[] {
+    #getHosts(service: string, { zone, key }: DispatchAttempt["part"]): readonly Member[] {
         const { membership, isSelfSufficient } = this.#options;
-        const hosts = membership.getServiceHosts(service, zone).slice(0, MAX_HOSTS_PER_ZONE);
+        const hosts = membership.getServiceHosts(service, zone, key).slice(0, MAX_HOSTS_PER_PART);
         const trusted = hosts.filter(host => !this.#isSuspected(host));
         if (isSelfSufficient === true) {
             const self = membership.getSelf();
@@ -228,7 +228,7 @@
 
     #createRequest(call: DispatchCall, attempt: DispatchAttempt): ServiceRequest {
         const { method, path, headers, body } = call.request;
-        const { number, zone, sentBefore, excludedUpstreams } = attempt;
+        const { number, part, sentBefore, excludedUpstreams } = attempt;
         const requestId = number === 1 ? call.request.requestId : `${call.request.requestId}.${number}`;
         const timeoutMs = Math.max(0, call.deadline - this.#options.clock.getTime());
         const { account, isIdempotent } = call;
@@ -240,7 +240,8 @@
             service,
             route: call.request.route.name,
             ...(priority === undefined ? {} : { priority }),
-            zone,
+            zone: part.zone,
+            ...(part.index === 0 ? {} : { part: part.index }),
             method,
             path,
             headers,
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -24,6 +24,8 @@
 export type { CreatedKey } from "./CreatedKey.js";
 export { createKey } from "./createKey.js";
 export type { DetectionSettings } from "./DetectionSettings.js";
+export { getPartKey } from "./getPartKey.js";
+export { getServiceParts } from "./getServiceParts.js";
 export { IndexedConfiguration } from "./IndexedConfiguration.js";
 export { isKeyValid } from "./isKeyValid.js";
 export { KeylessOrders } from "./KeylessOrders.js";
@@ -35,6 +37,7 @@
 export { checkSchema } from "./schema/index.js";
 export type { Section } from "./Section.js";
 export type { Service } from "./Service.js";
+export type { ServicePart } from "./ServicePart.js";
 export type { ServiceShare } from "./ServiceShare.js";
 export { SuppliedConfiguration } from "./SuppliedConfiguration.js";
 export type { SuppliedContent } from "./SuppliedContent.js";
--- a/src/fakes/FakeMembership.ts
+++ b/src/fakes/FakeMembership.ts
@@ -58,13 +58,14 @@
     }
 
     /**
-     * Gets the service hosts of a service in a zone, first choice first.
+     * Gets the service hosts of a part of a service, first choice first.
      * @param service - The service's name.
      * @param zone - The availability zone.
+     * @param partKey - What tells the part from the service's others; the zone if that is not divided.
      */
-    getServiceHosts(service: string, zone: string): readonly Member[] {
+    getServiceHosts(service: string, zone: string, partKey = zone): readonly Member[] {
         const members = this.#view.members.filter(member => member.zone === zone);
-        return getOrder(`${service}/${zone}`, members);
+        return getOrder(`${service}/${partKey}`, members);
     }
 
     /**
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -22,11 +22,12 @@
      */
     getAccountHosts(account: string, view?: MembershipView): readonly Member[];
     /**
-     * Gets the service hosts of a service in a zone, first choice first.
+     * Gets the service hosts of a part of a service, first choice first.
      * @param service - The service's name.
      * @param zone - The availability zone of the upstreams.
+     * @param partKey - What tells the part from the service's others; the zone if that is not divided.
      */
-    getServiceHosts(service: string, zone: string): readonly Member[];
+    getServiceHosts(service: string, zone: string, partKey?: string): readonly Member[];
     /**
      * Adds a listener that runs after each change of the view in force.
      * @param listener - Receives the new and the previous view.
--- a/src/membership/RegisteredMembership.ts
+++ b/src/membership/RegisteredMembership.ts
@@ -73,12 +73,13 @@
     }
 
     /**
-     * Gets the service hosts of a service in a zone, first choice first.
+     * Gets the service hosts of a part of a service, first choice first.
      * @param service - The service's name.
      * @param zone - The availability zone of the upstreams.
+     * @param partKey - What tells the part from the service's others; the zone if that is not divided.
      */
-    getServiceHosts(service: string, zone: string): readonly Member[] {
-        return this.#table.selectInZone(`service ${service} ${zone}`, zone, SERVICE_HOST_CANDIDATES);
+    getServiceHosts(service: string, zone: string, partKey = zone): readonly Member[] {
+        return this.#table.selectInZone(`service ${service} ${partKey}`, zone, SERVICE_HOST_CANDIDATES);
     }
 
     /** Gets the members of each availability zone in the order in which they take their copies of the store. */
--- a/src/membership/RendezvousTable.ts
+++ b/src/membership/RendezvousTable.ts
@@ -1,7 +1,6 @@
 import type { Member } from "../head/index.js";
+import { getMixedHash, getTextHash } from "../utils/index.js";
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
 const MAX_CACHED_KEYS = 20_000;
 
 /** Number of different hashes. */
@@ -140,18 +139,3 @@
         return members;
     }
 }
-
-function getTextHash(text: string): number {
-    let hash = FNV_OFFSET;
-    for (let index = 0; index < text.length; index++) {
-        hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-    }
-    return getMixedHash(hash);
-}
-
-function getMixedHash(value: number): number {
-    let mixed = value >>> 0;
-    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
-    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
-    return (mixed ^ (mixed >>> 16)) >>> 0;
-}
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -196,7 +196,7 @@
         if (params.fingerprint !== undefined && this.#options.isQuarantined?.(params.fingerprint) === true) {
             return { isSpent: false, waitMs: 0, retryAfterMs: 0, isQuarantined: true, basis: RateBasis.Whole };
         }
-        const owners = this.#countOwners(params.account);
+        const owners = this.#findOwnerCount(params.account);
         if (owners === undefined) {
             return this.#spendPart(params);
         }
@@ -206,8 +206,8 @@
         return this.#isFilling(params.account, share) ? { ...result, basis: RateBasis.NewOwner } : result;
     }
 
-    /** Counts the owners that may be alive; undefined if this host is none, or one that a partition has left alone. */
-    #countOwners(account: string): number | undefined {
+    /** Finds how many owners may be alive; undefined if this host is none, or one that a partition has left alone. */
+    #findOwnerCount(account: string): number | undefined {
         const { membership } = this.#options;
         const self = membership.getSelf().id;
         const alive = membership.getAccountHosts(account).filter(({ id }) => id === self || membership.isReachable(id));
--- a/src/services/BaselineSharer.ts
+++ b/src/services/BaselineSharer.ts
@@ -1,3 +1,4 @@
+import { getServiceParts } from "../configuration/index.js";
 import type { Configuration } from "../configuration/index.js";
 import type { Membership } from "../membership/index.js";
 import type { PeerTransport } from "../peers/index.js";
@@ -24,25 +25,25 @@
      * Sends the summary of one pool.
      * @param pool - The pool.
      * @param service - Its service.
-     * @param zone - Its zone.
-     * @param configuration - Names the other zones.
+     * @param partKey - Tells its part of the service from the others.
+     * @param configuration - Names the other parts.
      */
-    async send(pool: ServicePool, service: string, zone: string, configuration: Configuration): Promise<void> {
+    async send(pool: ServicePool, service: string, partKey: string, configuration: Configuration): Promise<void> {
         const upstreams = pool.baseline.getSummary();
-        const all = configuration.getService(service)?.upstreams ?? [];
-        const zones = new Set(all.map(upstream => upstream.zone));
-        zones.delete(zone);
-        const self = this.#membership.getSelf().peerAddress;
-        const addresses = [...zones].map(other => this.#membership.getServiceHosts(service, other)[0]?.peerAddress);
-        const others = new Set(addresses.filter(address => address !== undefined && address !== self));
         const served = pool.strain.getSummary();
         if (upstreams.length === 0 && served.requests === 0) {
             return;
         }
-        const params = { service, zone, upstreams, served };
+        const configured = configuration.getService(service);
+        const others = configured === undefined ? [] : getServiceParts(configured).filter(({ key }) => key !== partKey);
+        const self = this.#membership.getSelf().peerAddress;
+        const hosts = others.map(({ zone, key }) => this.#membership.getServiceHosts(service, zone, key)[0]);
+        const addresses = new Set(hosts.flatMap(host => host?.peerAddress ?? []));
+        addresses.delete(self);
+        const params = { service, part: partKey, upstreams, served };
         await Promise.all(
-            [...others].map(address =>
-                this.#peers.send(address!, PeerMethod.ShareBaseline, params, SEND_TIMEOUT_MS).catch(() => {})
+            [...addresses].map(address =>
+                this.#peers.send(address, PeerMethod.ShareBaseline, params, SEND_TIMEOUT_MS).catch(() => {})
             ),
         );
     }
--- a/src/services/PoolLoad.ts
+++ b/src/services/PoolLoad.ts
@@ -2,6 +2,8 @@
 export interface PoolLoad {
     readonly service: string;
     readonly zone: string;
+    /** Tells the part of the service from its others. */
+    readonly part: string;
     /** Upstreams that are configured and do not drain. */
     readonly upstreams: number;
     /** Upstreams that take work. */
--- a/src/services/ServiceBaseline.ts
+++ b/src/services/ServiceBaseline.ts
@@ -43,11 +43,11 @@
 
     /**
      * Records the summary of another service host.
-     * @param zone - The availability zone of its part.
+     * @param partKey - Tells its part of the service from the others.
      * @param upstreams - How its upstreams fare.
      */
-    recordRemote(zone: string, upstreams: readonly UpstreamSummary[]): void {
-        this.#remote.set(zone, { time: this.#clock.getTime(), upstreams });
+    recordRemote(partKey: string, upstreams: readonly UpstreamSummary[]): void {
+        this.#remote.set(partKey, { time: this.#clock.getTime(), upstreams });
     }
 
     /** Gets the summary of this part for other service hosts. */
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -1,3 +1,4 @@
+import { getPartKey, getServiceParts } from "../configuration/index.js";
 import type { Configuration, Service, Upstream } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
@@ -21,7 +22,7 @@
 const SHARE_INTERVAL_MS = 1_000;
 const DEFAULT_WEIGHT = 1;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
-/** Hosts of a zone that entry hosts ask, one after the other. */
+/** Hosts of a part that entry hosts ask, one after the other. */
 const SERVICE_HOST_RANKS = 3;
 /** Part of the retries of the service host before it in rank that one may spend. */
 const RANK_FACTOR = 0.5;
@@ -35,6 +36,8 @@
 interface HostedPool {
     readonly service: string;
     readonly zone: string;
+    /** Tells the part of the service from its others. */
+    readonly partKey: string;
     readonly pool: ServicePool;
     /** Until when another host has the pool, in milliseconds of the clock. */
     handedOverUntil: number | undefined;
@@ -76,9 +79,9 @@
      */
     apply(configuration: Configuration): void {
         this.#configuration = configuration;
-        for (const [key, { service, zone, pool }] of this.#pools) {
+        for (const [key, { service, partKey, pool }] of this.#pools) {
             const configured = configuration.getService(service);
-            pool.apply(configured ?? pool.getService(), findUpstreams(configured, zone));
+            pool.apply(configured ?? pool.getService(), findUpstreams(configured, partKey));
             if (configured === undefined) {
                 pool.stop();
                 this.#pools.delete(key);
@@ -150,19 +153,32 @@
             const configuration = this.#configuration;
             if (!signal.aborted && configuration !== undefined) {
                 const pools = [...this.#pools.values()];
+                pools.forEach(hosted => this.#publishLocally(hosted));
                 await Promise.all(
-                    pools.map(({ pool, service, zone }) => this.#sharer.send(pool, service, zone, configuration)),
+                    pools.map(({ pool, service, partKey }) => this.#sharer.send(pool, service, partKey, configuration)),
                 );
             }
         }
     }
 
+    /** Lets the pools that this host has of the same service's other parts know how one fares. */
+    #publishLocally({ service, partKey, pool }: HostedPool): void {
+        const upstreams = pool.baseline.getSummary();
+        const served = pool.strain.getSummary();
+        for (const other of this.#pools.values()) {
+            if (other.service === service && other.pool !== pool) {
+                other.pool.baseline.recordRemote(partKey, upstreams);
+                other.pool.strain.recordRemote(partKey, served);
+            }
+        }
+    }
+
     #recordBaseline(params: ShareBaselineParams): { isUsed: boolean; } {
         let isUsed = false;
         for (const { service, pool } of this.#pools.values()) {
             if (service === params.service) {
-                pool.baseline.recordRemote(params.zone, params.upstreams);
-                pool.strain.recordRemote(params.zone, params.served);
+                pool.baseline.recordRemote(params.part, params.upstreams);
+                pool.strain.recordRemote(params.part, params.served);
                 isUsed = true;
             }
         }
@@ -193,7 +209,7 @@
     #isHandedOver(hosted: HostedPool): boolean {
         const { clock, membership, decisions } = this.#options;
         const now = clock.getTime();
-        const { service, zone, pool, handedOverUntil } = hosted;
+        const { service, zone, partKey, pool, handedOverUntil } = hosted;
         if (handedOverUntil !== undefined) {
             if (now < handedOverUntil) {
                 return true;
@@ -201,7 +217,7 @@
             hosted.handedOverUntil = undefined;
             pool.restoreContact();
         }
-        const [first, next] = pool.isCutOff() ? membership.getServiceHosts(service, zone) : [];
+        const [first, next] = pool.isCutOff() ? membership.getServiceHosts(service, zone, partKey) : [];
         if (next === undefined || first!.peerAddress !== membership.getSelf().peerAddress) {
             return false;
         }
@@ -218,19 +234,21 @@
     }
 
     #getPool(request: ServiceRequest): HostedPool | undefined {
-        const key = `${request.zone}/${request.service}`;
+        const partKey = getPartKey(request.zone, request.part ?? 0);
+        const key = `${partKey}/${request.service}`;
         const hosted = this.#pools.get(key);
         if (hosted !== undefined) {
             return hosted;
         }
         const service = this.#configuration?.getService(request.service);
-        if (service === undefined || findUpstreams(service, request.zone).length === 0) {
+        if (service === undefined || findUpstreams(service, partKey).length === 0) {
             return undefined;
         }
         const created = {
             service: service.name,
             zone: request.zone,
-            pool: this.#createPool(service, request.zone),
+            partKey,
+            pool: this.#createPool(service, request.zone, partKey),
             handedOverUntil: undefined,
         };
         this.#pools.set(key, created);
@@ -247,9 +265,9 @@
         return rates.length === 0 ? DEFAULT_WEIGHT : rates.reduce((sum, other) => sum + other, 0) / rates.length;
     }
 
-    #createPool(service: Service, zone: string): ServicePool {
+    #createPool(service: Service, zone: string, partKey: string): ServicePool {
         const { clock, random, transport, decisions, policy, stallMeter, lateAnswerMs, endsByDeadline } = this.#options;
-        return new ServicePool(service, zone, {
+        return new ServicePool(service, { zone, key: partKey, upstreams: findUpstreams(service, partKey) }, {
             clock,
             random,
             transport,
@@ -260,22 +278,22 @@
             lateAnswerMs,
             endsByDeadline,
             getWeight: account => this.#getWeight(account),
-            getRetryPart: () => this.#getRetryPart(service.name, zone),
+            getRetryPart: () => this.#getRetryPart(service.name, zone, partKey),
         });
     }
 
-    /** The first service host of a zone may spend all, the next ones less, and hosts that aren't any share the least. */
-    #getRetryPart(service: string, zone: string): number {
+    /** The first service host of a part may spend all, the next ones less, and hosts that aren't any share the least. */
+    #getRetryPart(service: string, zone: string, partKey: string): number {
         const { membership } = this.#options;
         const { peerAddress } = membership.getSelf();
-        const rank = membership.getServiceHosts(service, zone).slice(0, SERVICE_HOST_RANKS)
+        const rank = membership.getServiceHosts(service, zone, partKey).slice(0, SERVICE_HOST_RANKS)
             .findIndex(host => host.peerAddress === peerAddress);
         return rank < 0 ? 1 / Math.max(1, membership.getView().members.length) : RANK_FACTOR ** rank;
     }
 }
 
-function findUpstreams(service: Service | undefined, zone: string): readonly Upstream[] {
-    return service?.upstreams.filter(upstream => upstream.zone === zone) ?? [];
+function findUpstreams(service: Service | undefined, partKey: string): readonly Upstream[] {
+    return service === undefined ? [] : getServiceParts(service).find(({ key }) => key === partKey)?.upstreams ?? [];
 }
 
 function createCutOff(): NotRunOutcome {
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -1,4 +1,5 @@
-import type { Service, Upstream } from "../configuration/index.js";
+import { getServiceParts } from "../configuration/index.js";
+import type { Service, ServicePart, Upstream } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
 import { createNotRun, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
@@ -37,14 +38,14 @@
 const USE_SPAN_MS = 2_000;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
-/** The upstreams of a service in one zone with their queue. */
+/** The upstreams of one part of a service with their queue. */
 export class ServicePool {
     /** How the upstreams fare, here and elsewhere. */
     readonly baseline: ServiceBaseline;
     /** What is served of the service, here and elsewhere. */
     readonly strain: ServiceStrain;
     readonly #options: ServicePoolOptions;
-    readonly #zone: string;
+    readonly #part: Pick<ServicePart, "zone" | "key">;
     readonly #selector: UpstreamSelector;
     readonly #limit = new FirstByteLimit();
     readonly #queue: SlotQueue;
@@ -60,13 +61,17 @@
 
     /**
      * @param service - The service as configured.
-     * @param zone - The availability zone of the upstreams.
+     * @param part - The part of the service.
      * @param options - What the pool is made of.
      */
-    constructor(service: Service, zone: string, options: ServicePoolOptions) {
+    constructor(
+        service: Service,
+        part: Pick<ServicePart, "zone" | "key" | "upstreams">,
+        options: ServicePoolOptions,
+    ) {
         const { clock, random, decisions, policy, transport } = options;
         this.#service = service;
-        this.#zone = zone;
+        this.#part = part;
         this.#options = options;
         this.#budget = new RetryBudget(clock, options.getRetryPart);
         this.baseline = new ServiceBaseline(clock);
@@ -104,13 +109,13 @@
             upstream => this.#ejectSilent(upstream),
         );
         this.#upstreams = new UpstreamSet({ clock, decisions, transport, policy });
-        this.apply(service, service.upstreams.filter(upstream => upstream.zone === zone));
+        this.apply(service, part.upstreams);
     }
 
     /**
      * Applies a change of the configuration.
      * @param service - The service as configured now.
-     * @param upstreams - Its upstreams in this zone.
+     * @param upstreams - The part's upstreams.
      */
     apply(service: Service, upstreams: readonly Upstream[]): void {
         this.#service = service;
@@ -203,7 +208,8 @@
         const getCount = (isCounted: (pooled: PooledUpstream) => boolean): number => upstreams.filter(isCounted).length;
         return {
             service: this.#service.name,
-            zone: this.#zone,
+            zone: this.#part.zone,
+            part: this.#part.key,
             upstreams: upstreams.length,
             working: getCount(pooled => pooled.isWorking()),
             held: getCount(pooled => pooled.getState() === UpstreamState.Held),
@@ -259,10 +265,9 @@
         return Math.max(minPatienceMs ?? 0, slowFactor * usualMs);
     }
 
-    /** The zone's part of the retries that the service is allowed by time: the zones share them evenly. */
+    /** What this pool may spend of the retries that the service is allowed by time: its parts share them evenly. */
     #getRetryRate(): number {
-        const zones = new Set(this.#service.upstreams.map(upstream => upstream.zone)).size;
-        return (this.#service.retryRate ?? 0) / Math.max(1, zones);
+        return (this.#service.retryRate ?? 0) / Math.max(1, getServiceParts(this.#service).length);
     }
 
     /** Starts what can start and refuses what no upstream can run any more. */
--- a/src/services/ServicePoolOptions.ts
+++ b/src/services/ServicePoolOptions.ts
@@ -21,6 +21,6 @@
     readonly stallMeter?: StallMeter | undefined;
     /** Gets an account's share of the slots relative to others, above 0. */
     readonly getWeight: (account: string) => number;
-    /** Gets this pool's part of the zone's retries that no request has earned, from 0 to 1. */
+    /** Gets this pool's share of the part's retries that no request has earned, from 0 to 1. */
     readonly getRetryPart: () => number;
 }
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -11,6 +11,8 @@
     readonly priority?: number;
     /** The availability zone whose upstreams shall run it. */
     readonly zone: string;
+    /** Number of the part of the zone's upstreams; the first if undefined. */
+    readonly part?: number;
     readonly method: string;
     /** Path with query. */
     readonly path: string;
--- a/src/services/ServiceStrain.ts
+++ b/src/services/ServiceStrain.ts
@@ -6,14 +6,14 @@
 const STRAINED_SHARE = 0.07;
 /** Requests before a share says anything. */
 const MIN_REQUESTS = 10;
-/** What another zone has said counts for this long, in milliseconds: two of its reports. */
+/** What another part has said counts for this long, in milliseconds: two of its reports. */
 const MAX_AGE_MS = 2_000;
 
 interface RemoteSummary extends ServedSummary {
     readonly time: number;
 }
 
-/** Tells from what all zones of a service serve whether resting upstreams are needed. */
+/** Tells from what all parts of a service serve whether resting upstreams are needed. */
 export class ServiceStrain {
     readonly #clock: Clock;
     readonly #meter: ServedMeter;
@@ -26,7 +26,7 @@
     }
 
     /**
-     * Records the end of a request in this zone.
+     * Records the end of a request in this part.
      * @param isServed - Whether it was served.
      */
     record(isServed: boolean): void {
@@ -34,17 +34,17 @@
     }
 
     /**
-     * Records what another zone has served lately. A host that has handed its pool over serves nothing, which says nothing of the zone.
-     * @param zone - The availability zone.
+     * Records what another part has served lately. A host that has handed its pool over serves nothing, which says nothing of the part.
+     * @param partKey - Tells the part from the service's others.
      * @param summary - Its figures.
      */
-    recordRemote(zone: string, summary: ServedSummary): void {
+    recordRemote(partKey: string, summary: ServedSummary): void {
         if (summary.requests > 0) {
-            this.#remote.set(zone, { ...summary, time: this.#clock.getTime() });
+            this.#remote.set(partKey, { ...summary, time: this.#clock.getTime() });
         }
     }
 
-    /** Gets this zone's figures for the others. */
+    /** Gets this part's figures for the others. */
     getSummary(): ServedSummary {
         return { requests: this.#meter.getRequests(), unserved: this.#meter.getUnserved() };
     }
--- /dev/null
+++ b/src/utils/getTextHash.ts
@@ -0,0 +1,16 @@
+import { getMixedHash } from "./getMixedHash.js";
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/**
+ * Gets a hash of a text, from 0 to 2^32 - 1.
+ * @param text - The text.
+ */
+export function getTextHash(text: string): number {
+    let hash = FNV_OFFSET;
+    for (let index = 0; index < text.length; index++) {
+        hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+    }
+    return getMixedHash(hash);
+}
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -3,6 +3,8 @@
 export { decodeJson } from "./decodeJson.js";
 export { encodeJson } from "./encodeJson.js";
 export { formatIncarnation } from "./formatIncarnation.js";
+export { getMixedHash } from "./getMixedHash.js";
+export { getTextHash } from "./getTextHash.js";
 export { isSameText } from "./isSameText.js";
 export { openServer } from "./openServer.js";
 export { parseAddress } from "./parseAddress.js";
--- a/tests/accounts/ServiceSender.test.ts
+++ b/tests/accounts/ServiceSender.test.ts
@@ -16,7 +16,8 @@
 const TIMEOUT_MS = 3_000;
 const { detection: DETECTION } = GATEWAY_SERVICE;
 const HOST_IDS = Array.from({ length: HOSTS }, (_, index) => createMember(index).id);
-const ATTEMPT = { number: 1, zone: "zone-a", sentBefore: 0, excludedUpstreams: [], isLast: false };
+const PART = { key: "zone-a", zone: "zone-a", index: 0 };
+const ATTEMPT = { number: 1, part: PART, sentBefore: 0, excludedUpstreams: [], isLast: false };
 
 const test = suite("ServiceSender");
 let clock: FakeClock;
--- a/tests/gateway/PoolReporter.test.ts
+++ b/tests/gateway/PoolReporter.test.ts
@@ -25,6 +25,7 @@
             member: "host-1",
             figures: {
                 zone: "a",
+                part: "a",
                 upstreams: 3,
                 working: 3,
                 held: 0,
--- a/tests/services/baseline.test.ts
+++ b/tests/services/baseline.test.ts
@@ -11,7 +11,7 @@
 test("a lone upstream that is slow is found by what the other zones' service hosts say", async () => {
     const bench = createLoneBench();
     await bench.runLoad(20, 100);
-    const params = { service: "orders", zone: "b", upstreams: [HEALTHY, HEALTHY, HEALTHY], served: NOTHING };
+    const params = { service: "orders", part: "b", upstreams: [HEALTHY, HEALTHY, HEALTHY], served: NOTHING };
     assert.equal(await bench.handlers.run(PeerMethod.ShareBaseline, params), { isUsed: true });
     await bench.runLoad(20, 3_000);
     assert.equal(bench.getStates(), ["ejected"]);
@@ -22,7 +22,7 @@
     await bench.runLoad(20, 3_000);
     await bench.handlers.run(PeerMethod.ShareBaseline, {
         service: "orders",
-        zone: "b",
+        part: "b",
         upstreams: [HEALTHY],
         served: NOTHING,
     });
@@ -36,7 +36,7 @@
     await bench.runLoad(100, 1_000);
     const failing = { errorRate: 0.4, slowRate: 0, medianMs: 20 };
     const upstreams = [failing, failing, failing, failing, failing, failing];
-    await bench.handlers.run(PeerMethod.ShareBaseline, { service: "orders", zone: "b", upstreams, served: NOTHING });
+    await bench.handlers.run(PeerMethod.ShareBaseline, { service: "orders", part: "b", upstreams, served: NOTHING });
     ["u0", "u1", "u2", "u3", "u4"].forEach(name => bench.upstreams.applyFaults(name, { errorRate: 0.4 }));
     await bench.runLoad(100, 20_000);
     assert.ok(bench.getStates().every(state => state !== "ejected" && state !== "probation"));
@@ -58,7 +58,7 @@
     await bench.runLoad(100, 4_000);
     bench.host.stop();
     assert.equal(sent.map(({ address }) => address), Array(6).fill("host-of-b"));
-    assert.ok(sent.every(({ params }) => params.zone === "a"));
+    assert.ok(sent.every(({ params }) => params.part === "a"));
     assert.is(sent[3]!.params.upstreams.length, 5);
     assert.ok(sent[3]!.params.served.requests > 100 && sent[3]!.params.served.unserved === 0);
 });
--- a/tests/services/poolPlacement.test.ts
+++ b/tests/services/poolPlacement.test.ts
@@ -13,6 +13,9 @@
 const WARM_UP_MS = 2_000;
 const DURATION_MS = 6_000;
 const PROBE_GAP_MS = 250;
+/** The platform's floor: share of a service's upstreams that have a request in a window. */
+const FLOOR_SHARE = 0.7;
+const WINDOW_MS = 2_000;
 /** A host that takes longer to say whether it serves is taken for silent, as is, a little later, an owner of a rate. */
 const ANSWER_MS = 200;
 const MAX_ATTEMPTS = 2;
@@ -44,17 +47,17 @@
 const test = suite("placing of pools");
 
 for (const seed of SEEDS) {
-    test(`hosts with a service's downloads still answer other hosts' calls, few large hosts, seed ${seed}`, async () => {
+    test(`hosts with a service's downloads answer other hosts' calls and leave no upstreams idle, few large hosts, seed ${seed}`, async () => {
         await checkAnswers(DOWNLOADS, seed, index => index < LARGE_HOSTS ? LARGE : SMALL);
     });
 
-    test(`hosts with a service's orders still answer other hosts' calls, few large hosts, seed ${seed}`, async () => {
+    test(`hosts with a service's orders answer other hosts' calls and leave no upstreams idle, few large hosts, seed ${seed}`, async () => {
         await checkAnswers(ORDERS, seed, index => index < LARGE_HOSTS ? LARGE : SMALL);
     });
 }
 
 for (const seed of SEEDS.slice(0, 3)) {
-    test(`hosts with a service's orders still answer other hosts' calls, small hosts only, seed ${seed}`, async () => {
+    test(`hosts with a service's orders answer other hosts' calls and leave no upstreams idle, small hosts only, seed ${seed}`, async () => {
         await checkAnswers(ORDERS, seed, () => SMALL);
     });
 }
@@ -78,6 +81,12 @@
     }
     await clock.run(WARM_UP_MS);
     assert.equal([...late], []);
+    for (let start = WARM_UP_MS; start < DURATION_MS; start += WINDOW_MS) {
+        const records = bench.upstreams.records.filter(({ time }) => time >= start && time < start + WINDOW_MS);
+        const used = new Set(records.map(record => record.upstream)).size;
+        const total = bench.service.upstreams.length;
+        assert.ok(used >= FLOOR_SHARE * total, `${used} of ${total} upstreams have a request from ${start} ms on`);
+    }
 }
 
 function sendProbes(bench: DispatchBench, late: Set<string>): void {
--- a/tests/services/promptEjection.test.ts
+++ b/tests/services/promptEjection.test.ts
@@ -183,7 +183,7 @@
     const used: Set<string>[] = [];
     for (let second = 0; second < 30; second++) {
         const served = { requests: 50, unserved: 20 };
-        const params = { service: "orders", zone: "b", upstreams: [], served };
+        const params = { service: "orders", part: "b", upstreams: [], served };
         await bench.handlers.run(PeerMethod.ShareBaseline, params);
         const start = bench.clock.getTime();
         await bench.clock.run(1_000);
@@ -219,7 +219,7 @@
     bench.upstreams.applyFaults("u2", FAILS_AT_ONCE);
     let tooFew = 0;
     for (let second = 0; second < 20; second++) {
-        const params = { service: "orders", zone: "b", upstreams: [], served: { requests: 50, unserved: 20 } };
+        const params = { service: "orders", part: "b", upstreams: [], served: { requests: 50, unserved: 20 } };
         await bench.handlers.run(PeerMethod.ShareBaseline, params);
         const start = bench.clock.getTime();
         await bench.clock.run(1_000);
--- a/tests/support/DispatchBench.ts
+++ b/tests/support/DispatchBench.ts
@@ -106,7 +106,7 @@
         const { clock, network } = this;
         const membership = this.#createMembership(member);
         const handlers = new PeerHandlers();
-        const shared = { clock, membership, handlers, random: new SeededRandom(1) };
+        const shared = { clock, membership, handlers, random: new SeededRandom(index) };
         const serviceRunner = new ServiceHost({
             ...shared,
             transport: this.upstreams,
