Let the readers in the test of unending answers keep nothing

Cause: a case measures what the process holds for an answer that nobody reads, while two others of the same group read endless bodies into memory until these are cut at 400 ms. On a busy machine the cut and the measurement meet. Ruled out: more than the bound held for a slow reader.

The bound, what is measured and what a caller may get are unchanged.

--- a/tests/services/endlessAnswers.test.ts
+++ b/tests/services/endlessAnswers.test.ts
@@ -14,6 +14,8 @@
 const LIMIT_MS = 4_000;
 /** Beyond what a connection and its reader may hold, in bytes. */
 const MAX_HELD_BYTES = 64 * 1024 * 1024;
+/** Longer than any body that a caller may get. */
+const MAX_TEXT_LENGTH = 100;
 const FILL = "x".repeat(16 * 1024);
 
 interface EndlessAnswer {
@@ -127,7 +129,7 @@
 async function readToEnd(bench: RawBench, answer: EndlessAnswer, isIdempotent: boolean): Promise<void> {
     const { outcome } = await bench.run({ isIdempotent, timeoutMs: TIMEOUT_MS });
     const text = await readOutcome(outcome);
-    assert.ok(["cut", "unknown", "not-run", answer.body].includes(text), text.slice(0, 100));
+    assert.ok(["cut", "unknown", "not-run", answer.body].includes(text), text);
     assert.ok(bench.upstreams[0]!.requests.length <= (isIdempotent ? 2 : 1));
 }
 
@@ -156,10 +158,19 @@
     }
 }
 
-/** Reads the body of an outcome; returns its text, or what it is if it is not whole. */
+/** Reads the body of an outcome without keeping it; returns the begin of its text, or what it is if it is not whole. */
 async function readOutcome(outcome: Outcome): Promise<string> {
     if (outcome.kind !== OutcomeKind.Done) {
         return outcome.kind;
     }
-    return await outcome.body.toArray().then(parts => Buffer.concat(parts as Buffer[]).toString(), () => "cut");
+    let text = "";
+    try {
+        for await (const part of outcome.body as AsyncIterable<Buffer>) {
+            text += part.toString("latin1", 0, MAX_TEXT_LENGTH - text.length);
+        }
+    }
+    catch {
+        return "cut";
+    }
+    return text;
 }
