Tell in the load line how many bytes a host answers other hosts with

In the incident a small host's link was full of answers that it passed on, which no line of its log showed: `peerKb` counts calls only, and the processor stood still for 90 ms in 5 s.

`answeredKb` counts the answers to forwarded requests, heads and bodies, by the bytes written to their connections.

--- a/src/forwarding/PeerListener.ts
+++ b/src/forwarding/PeerListener.ts
@@ -79,6 +79,8 @@
 
     async #runForwarded(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const controller = new AbortController();
+        const { socket } = response;
+        const writtenBefore = socket?.bytesWritten ?? 0;
         response.once("close", () => {
             if (!response.writableFinished) {
                 controller.abort(new Error("The peer has closed the request."));
@@ -96,6 +98,10 @@
         catch {
             response.destroy();
         }
+        finally {
+            // A connection carries one answer at a time.
+            this.#options.traffic?.recordAnswer((socket?.bytesWritten ?? 0) - writtenBefore);
+        }
     }
 
     async #runHead(head: PeerRequestHead, body: Buffer, response: ServerResponse, signal: AbortSignal): Promise<void> {
--- a/src/forwarding/PeerListenerOptions.ts
+++ b/src/forwarding/PeerListenerOptions.ts
@@ -1,5 +1,5 @@
 import type { Configuration } from "../configuration/index.js";
-import type { PeerHandlers } from "../peers/index.js";
+import type { PeerHandlers, PeerTraffic } from "../peers/index.js";
 import type { AccountRunner } from "../requests/index.js";
 import type { ServiceRunner } from "../services/index.js";
 
@@ -13,4 +13,6 @@
     readonly getConfiguration: () => Configuration;
     /** The secret that all entry hosts share. */
     readonly secret: string;
+    /** Counts the answers to forwarded requests. */
+    readonly traffic?: PeerTraffic;
 }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -115,6 +115,7 @@
             serviceRunner: host.serviceHost,
             getConfiguration,
             secret,
+            traffic: this.#traffic,
         });
         const lookups = new RouteListener(app => addLookupRoutes(app, host));
         const ready = new RouteListener(app => addReadyRoute(app, host));
--- a/src/gateway/LoadReporter.ts
+++ b/src/gateway/LoadReporter.ts
@@ -53,7 +53,7 @@
 
     #record(maxAgeMs: number, stalledMs: number): void {
         const { decisions, memberId, traffic, getCopyAge } = this.#options;
-        const { calls, failures, bytes, slowestMs } = traffic.readSummary();
+        const { calls, failures, bytes, slowestMs, answeredBytes } = traffic.readSummary();
         decisions.record({
             decision: Decision.LoadReported,
             reason: "load",
@@ -66,6 +66,7 @@
                 peerFailures: failures,
                 peerKb: getRounded(bytes / BYTES_PER_KB),
                 slowestPeerMs: getRounded(slowestMs),
+                answeredKb: getRounded(answeredBytes / BYTES_PER_KB),
             },
         });
     }
--- a/src/peers/PeerTrafficSummary.ts
+++ b/src/peers/PeerTrafficSummary.ts
@@ -7,4 +7,6 @@
     readonly bytes: number;
     /** How long the slowest call took, in milliseconds. */
     readonly slowestMs: number;
+    /** Bytes of answers to requests that other hosts have forwarded to this one. */
+    readonly answeredBytes: number;
 }
--- /dev/null
+++ b/tests/forwarding/PeerListener.test.ts
@@ -0,0 +1,68 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Readable } from "node:stream";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import type { Configuration } from "../../src/configuration/index.js";
+import { HttpPeerForwarder, PeerListener } from "../../src/forwarding/index.js";
+import { OutcomeKind } from "../../src/outcomes/index.js";
+import { PeerConnections, PeerHandlers, PeerTraffic } from "../../src/peers/index.js";
+import { SystemClock } from "../../src/time/index.js";
+import { createServiceRequest } from "../support/createServiceRequest.js";
+
+const REQUESTS = 2;
+const CONNECT_TIMEOUT_MS = 10_000;
+const BODY_BYTES = 90_000;
+const MAX_HEAD_BYTES = 2_000;
+
+const test = suite("PeerListener");
+
+test("the traffic counts each answer to a forwarded request with its head and body", async () => {
+    const traffic = new PeerTraffic();
+    const listener = new PeerListener({
+        handlers: new PeerHandlers(),
+        serviceRunner: {
+            run: async () => ({
+                outcome: {
+                    kind: OutcomeKind.Done,
+                    status: 200,
+                    headers: {},
+                    body: Readable.from([Buffer.alloc(BODY_BYTES)]),
+                },
+                upstream: "u",
+                isCrashSuspected: false,
+                freeSlots: 1,
+                queued: 0,
+            }),
+        },
+        getConfiguration: () => ({}) as Configuration,
+        secret: "s",
+        traffic,
+    });
+    const connections = new PeerConnections({ maxConnections: 1, connectTimeoutMs: CONNECT_TIMEOUT_MS });
+    const forwarder = new HttpPeerForwarder({ connections, clock: new SystemClock(), secret: "s" });
+    const address = await findFreeAddress();
+    await listener.start(address);
+    for (let count = 1; count <= REQUESTS; count++) {
+        const { outcome } = await forwarder.runService(address, createServiceRequest({}), new AbortController().signal);
+        assert.is(outcome.kind, OutcomeKind.Done);
+        await (outcome as { readonly body: Readable; }).body.toArray();
+    }
+    await connections.close();
+    await listener.stop();
+    const { answeredBytes } = traffic.readSummary();
+    assert.ok(answeredBytes >= REQUESTS * BODY_BYTES, `${answeredBytes} bytes`);
+    assert.ok(answeredBytes < REQUESTS * (BODY_BYTES + MAX_HEAD_BYTES), `${answeredBytes} bytes`);
+});
+
+test.run();
+
+async function findFreeAddress(): Promise<string> {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return `127.0.0.1:${port}`;
+}
--- a/tests/gateway/LoadReporter.test.ts
+++ b/tests/gateway/LoadReporter.test.ts
@@ -24,6 +24,7 @@
     stalledMs = 70;
     traffic.recordSent(3_000);
     traffic.recordEnd(800, false);
+    traffic.recordAnswer(90_000);
     await clock.run(1_000);
     copyAgeMs = 100;
     await clock.run(9_000);
@@ -38,6 +39,7 @@
             peerFailures: 1,
             peerKb: 3,
             slowestPeerMs: 800,
+            answeredKb: 90,
         },
         {
             copyAgeMs: 100,
@@ -47,6 +49,7 @@
             peerFailures: 0,
             peerKb: 0,
             slowestPeerMs: 0,
+            answeredKb: 0,
         },
     ]);
 });
