Let large hosts be the first of a zone to watch and pass changes on

In the incident's record the four hosts that failed their readiness check at 4.6 s to 5.6 s are the first four in the order in which hosts watch the store, all of them small (edge-semarang-24, edge-kudus-18, edge-jepara-4, edge-semarang-16).

What these hosts fail, all hosts of their zone miss. That this is what failed in the record is suspected, not shown.

Evidence: the new test failed before (thirteen small hosts stood before the first large one) and passes; the order of equal hosts and all tests of the copies are unchanged.

--- a/src/membership/RendezvousTable.ts
+++ b/src/membership/RendezvousTable.ts
@@ -52,26 +52,24 @@
     }
 
     /**
-     * Gets all members in the order of a key.
+     * Gets all members in the order of a key, whatever their capacity.
      * @param key - The key.
      */
     getOrder(key: string): readonly Member[] {
         return this.#getCached(`all ${key}`, () => {
-            const scores = this.#getScores(key);
-            const order = this.#members.map((_, index) => index);
-            order.sort((left, right) => scores[right]! - scores[left]! || left - right);
-            return order.map(index => this.#members[index]!);
+            return this.#getSorted(this.#getScores(key));
         });
     }
 
     /**
-     * Gets the members of each availability zone in the order of a key, the zones by name.
+     * Gets the members of each availability zone in the order of a key, the zones by name. Large members are preferred as in
+     * selectInZone.
      * @param key - The key.
      */
     getZoneOrders(key: string): readonly (readonly Member[])[] {
         let orders = this.#zoneOrders.get(key);
         if (orders === undefined) {
-            const members = this.getOrder(key);
+            const members = this.#getSorted(this.#getWeightedScores(key));
             const zones = [...new Set(members.map(member => member.zone))].sort();
             orders = zones.map(zone => members.filter(member => member.zone === zone));
             this.#zoneOrders.set(key, orders);
@@ -79,6 +77,12 @@
         return orders;
     }
 
+    #getSorted(scores: ArrayLike<number>): readonly Member[] {
+        const order = this.#members.map((_, index) => index);
+        order.sort((left, right) => scores[right]! - scores[left]! || left - right);
+        return order.map(index => this.#members[index]!);
+    }
+
     #select(
         scores: ArrayLike<number>,
         count: number,
--- a/tests/membership/RendezvousTable.test.ts
+++ b/tests/membership/RendezvousTable.test.ts
@@ -1,5 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { Member } from "../../src/head/index.js";
 import { RendezvousTable } from "../../src/membership/index.js";
 import { createMember } from "../support/createMember.js";
 
@@ -46,6 +47,18 @@
     assert.ok(onFirst > 0.4 * onLarge && onFirst < 0.6 * onLarge, `${onFirst} of ${onLarge}`);
 });
 
+test("the large hosts of a zone are the first to watch and pass changes on", () => {
+    const members = MEMBERS.map((member, index) => ({ ...member, capacity: index < 6 ? 270 : 2.7 }));
+    const large = new Set(members.slice(0, 6).map(member => member.id));
+    for (const key of KEYS.slice(0, 20)) {
+        for (const order of new RendezvousTable(members).getZoneOrders(key)) {
+            assert.ok(order.slice(0, 2).every(({ id }) => large.has(id)), order.map(({ id }) => id).join(" "));
+        }
+    }
+    const equal = members.map(member => ({ ...member, capacity: 540 }));
+    assert.equal(getOrderIds(equal), getOrderIds(MEMBERS));
+});
+
 test("hosts of equal capacity are chosen as if none were known, and only the keys of a removed one move", () => {
     const equal = new RendezvousTable(MEMBERS.map(member => ({ ...member, capacity: 540 })));
     const unknown = new RendezvousTable(MEMBERS);
@@ -62,3 +75,7 @@
 });
 
 test.run();
+
+function getOrderIds(members: readonly Member[]): readonly (readonly string[])[] {
+    return new RendezvousTable(members).getZoneOrders("watch").map(order => order.map(({ id }) => id));
+}
