--- a/tests/rates/OwnedRateLimiter.test.ts
+++ b/tests/rates/OwnedRateLimiter.test.ts
@@ -18,6 +18,8 @@
 /** The platform lets an account exceed its rate and burst in a window by this much. */
 const OVERSHOOT = 0.1;
 const SLACK = 20;
+/** One call, and the answers to calls among the owners themselves. */
+const MAX_CALLS_A_REQUEST = 1.5;
 /** The platform's floor holds from a tenth of a service's requests on that are not served. */
 const MAX_REFUSED_SHARE = 0.1;
 const MAX_PER_WINDOW = (ACCOUNT.rate * WINDOW_MS / 1_000 + ACCOUNT.burst) * (1 + OVERSHOOT) + SLACK;
@@ -105,6 +107,14 @@
     assert.ok(sends.length >= 0.95 * ACCOUNT.rate * 20, `${sends.length} in 20 s`);
 });
 
+test("an account far above its rate does not ask its owners for more than about one token a request", async () => {
+    const fleet = createFleet();
+    const { asked } = await sendLoad(fleet, 8 * ACCOUNT.rate, 10_000, 500);
+    const owners = fleet.memberships[0]!.getAccountHosts(ACCOUNT.name);
+    const calls = owners.reduce((sum, owner) => sum + fleet.network.getLinks(owner.peerAddress).down.messages, 0);
+    assert.ok(calls <= MAX_CALLS_A_REQUEST * asked, `${calls} messages for ${asked} requests`);
+});
+
 test("an account below its rate that asks in clumps is refused less often if it may wait", async () => {
     const withWait = await sendLoad(createFleet(), 0.9 * ACCOUNT.rate, 60_000, 500, CLUMPY_ACCOUNT);
     const without = await sendLoad(createFleet(), 0.9 * ACCOUNT.rate, 60_000, 0, CLUMPY_ACCOUNT);
