Tell entry hosts the load of a service's other parts with each answer

Cause: dividing zones left an entry host, which sends some four requests a second, without knowledge of nine to twelve parts. It took a part for free whose upstreams were mostly out of work, and the request waited in that part's queue until no other one could serve it in time. Undivided zones had hidden this: eight of 24 upstreams out of work is a third of a zone, but most of a part.

Service hosts share free slots and queue of their pools with the summaries that they send every second anyway, and each answer passes on what is known of the other parts, at most two seconds old and at most 24 parts. A refusal for want of slots counts as a report too.

DispatchBench starts its service hosts now, as the program does.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -131,8 +131,10 @@
             closeEarlier(state.earlier);
             state.earlier = outcome;
         }
-        if (upstream !== undefined || outcome.kind === OutcomeKind.Done) {
-            this.#parts.recordLoad(call.service.name, part.key, answer.freeSlots, answer.queued);
+        if (upstream !== undefined || outcome.kind === OutcomeKind.Done || isFull(outcome)) {
+            const { freeSlots, queued, otherLoads } = answer;
+            this.#parts.recordLoad(call.service.name, { part: part.key, freeSlots, queued, ageMs: 0 });
+            otherLoads?.forEach(report => this.#parts.recordLoad(call.service.name, report));
         }
         if (answer.isCrashSuspected && answer.host !== undefined) {
             const event = { attemptId: answer.attemptId ?? "", hostAddress: answer.host.peerAddress };
@@ -189,6 +191,12 @@
     return upstream !== undefined || outcome.kind !== OutcomeKind.NotRun;
 }
 
+/** Whether a service host has refused for want of slots, so that what it says of its load tells of the part. */
+function isFull(outcome: Outcome): boolean {
+    return outcome.kind === OutcomeKind.NotRun &&
+        (outcome.reason === RefusalReason.Overloaded || outcome.reason === RefusalReason.NoUpstream);
+}
+
 /** Chooses between the last attempt's outcome and an earlier one that may have run. */
 function mergeOutcomes(last: Outcome, earlier: Exclude<Outcome, NotRunOutcome> | undefined): Outcome {
     if (last.kind === OutcomeKind.NotRun) {
--- a/src/accounts/PartSelector.ts
+++ b/src/accounts/PartSelector.ts
@@ -1,6 +1,7 @@
 import { getServiceParts } from "../configuration/index.js";
 import type { Service, ServicePart } from "../configuration/index.js";
 import type { RandomSource } from "../random/index.js";
+import type { PartLoadReport } from "../services/index.js";
 import type { Clock } from "../time/index.js";
 import type { PartLoad } from "./PartLoad.js";
 import type { PartSelectorOptions } from "./PartSelectorOptions.js";
@@ -54,14 +55,17 @@
     }
 
     /**
-     * Records the load that a service host reported.
+     * Records the load that a service host reported, unless a later one is known.
      * @param service - The service's name.
-     * @param partKey - The part's key.
-     * @param freeSlots - Its free slots.
-     * @param queued - Requests that wait there.
+     * @param report - The part's load.
      */
-    recordLoad(service: string, partKey: string, freeSlots: number, queued: number): void {
-        this.#loads.set(`${service}/${partKey}`, { freeSlots, queued, time: this.#clock.getTime(), sentSince: 0 });
+    recordLoad(service: string, { part, freeSlots, queued, ageMs }: PartLoadReport): void {
+        const key = `${service}/${part}`;
+        const time = this.#clock.getTime() - ageMs;
+        const known = this.#loads.get(key);
+        if (known === undefined || known.time < time || ageMs === 0) {
+            this.#loads.set(key, { freeSlots, queued, time, sentSince: 0 });
+        }
     }
 
     #getFreeSlots(service: string, { key, slots }: ServicePart): number {
--- a/src/forwarding/HttpPeerForwarder.ts
+++ b/src/forwarding/HttpPeerForwarder.ts
@@ -41,6 +41,7 @@
             isCrashSuspected: answerHead.isCrashSuspected ?? false,
             freeSlots: answerHead.freeSlots ?? 0,
             queued: answerHead.queued ?? 0,
+            otherLoads: answerHead.otherLoads ?? [],
         };
     }
 
--- a/src/forwarding/PeerAnswerHead.ts
+++ b/src/forwarding/PeerAnswerHead.ts
@@ -1,4 +1,5 @@
 import type { OutcomeHead } from "../outcomes/index.js";
+import type { PartLoadReport } from "../services/index.js";
 
 /** The answer to a forwarded request without its body. */
 export interface PeerAnswerHead {
@@ -7,4 +8,5 @@
     readonly isCrashSuspected?: boolean;
     readonly freeSlots?: number;
     readonly queued?: number;
+    readonly otherLoads?: readonly PartLoadReport[];
 }
--- a/src/services/BaselineSharer.ts
+++ b/src/services/BaselineSharer.ts
@@ -34,13 +34,14 @@
         if (upstreams.length === 0 && served.requests === 0) {
             return;
         }
+        const load = pool.getPartLoad();
         const configured = configuration.getService(service);
         const others = configured === undefined ? [] : getServiceParts(configured).filter(({ key }) => key !== partKey);
         const self = this.#membership.getSelf().peerAddress;
         const hosts = others.map(({ zone, key }) => this.#membership.getServiceHosts(service, zone, key)[0]);
         const addresses = new Set(hosts.flatMap(host => host?.peerAddress ?? []));
         addresses.delete(self);
-        const params = { service, part: partKey, upstreams, served };
+        const params = { service, part: partKey, upstreams, served, load };
         await Promise.all(
             [...addresses].map(address =>
                 this.#peers.send(address, PeerMethod.ShareBaseline, params, SEND_TIMEOUT_MS).catch(() => {})
--- a/src/services/ServiceAnswer.ts
+++ b/src/services/ServiceAnswer.ts
@@ -1,4 +1,5 @@
 import type { Outcome } from "../outcomes/index.js";
+import type { PartLoadReport } from "./PartLoadReport.js";
 
 /** A service host's answer to one attempt. */
 export interface ServiceAnswer {
@@ -11,4 +12,6 @@
     readonly freeSlots: number;
     /** Requests that wait there. */
     readonly queued: number;
+    /** How loaded the service's other parts are, as far as it is known; left out where nothing is. */
+    readonly otherLoads?: readonly PartLoadReport[];
 }
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -165,10 +165,10 @@
     #publishLocally({ service, partKey, pool }: HostedPool): void {
         const upstreams = pool.baseline.getSummary();
         const served = pool.strain.getSummary();
+        const load = pool.getPartLoad();
         for (const other of this.#pools.values()) {
             if (other.service === service && other.pool !== pool) {
-                other.pool.baseline.recordRemote(partKey, upstreams);
-                other.pool.strain.recordRemote(partKey, served);
+                recordPart(other.pool, { service, part: partKey, upstreams, served, load });
             }
         }
     }
@@ -177,8 +177,7 @@
         let isUsed = false;
         for (const { service, pool } of this.#pools.values()) {
             if (service === params.service) {
-                pool.baseline.recordRemote(params.part, params.upstreams);
-                pool.strain.recordRemote(params.part, params.served);
+                recordPart(pool, params);
                 isUsed = true;
             }
         }
@@ -296,6 +295,14 @@
     return service === undefined ? [] : getServiceParts(service).find(({ key }) => key === partKey)?.upstreams ?? [];
 }
 
+function recordPart(pool: ServicePool, { part, upstreams, served, load }: ShareBaselineParams): void {
+    pool.baseline.recordRemote(part, upstreams);
+    pool.strain.recordRemote(part, served);
+    if (load !== undefined) {
+        pool.otherLoads.record({ part, ...load });
+    }
+}
+
 function createCutOff(): NotRunOutcome {
     return createNotRun(
         RefusalReason.HostCutOff,
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -8,6 +8,8 @@
 import { createStatus } from "./createStatus.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { FirstByteLimit } from "./FirstByteLimit.js";
+import { OtherLoads } from "./OtherLoads.js";
+import type { PartLoadReport } from "./PartLoadReport.js";
 import { PooledUpstream } from "./PooledUpstream.js";
 import type { PoolLoad } from "./PoolLoad.js";
 import { RetryBudget } from "./RetryBudget.js";
@@ -44,6 +46,8 @@
     readonly baseline: ServiceBaseline;
     /** What is served of the service, here and elsewhere. */
     readonly strain: ServiceStrain;
+    /** How loaded the service's other parts are. */
+    readonly otherLoads: OtherLoads;
     readonly #options: ServicePoolOptions;
     readonly #part: Pick<ServicePart, "zone" | "key">;
     readonly #selector: UpstreamSelector;
@@ -76,6 +80,7 @@
         this.#budget = new RetryBudget(clock, options.getRetryPart);
         this.baseline = new ServiceBaseline(clock);
         this.strain = new ServiceStrain(clock);
+        this.otherLoads = new OtherLoads(clock);
         this.#selector = new UpstreamSelector(policy, () => this.#budget.hasSpareRetry());
         this.#queue = new SlotQueue({
             clock,
@@ -224,6 +229,11 @@
         };
     }
 
+    /** Gets how loaded this part is, for those that choose among the parts. */
+    getPartLoad(): Omit<PartLoadReport, "part"> {
+        return { freeSlots: this.#upstreams.getFreeSlots(), queued: this.#queue.getSize(), ageMs: 0 };
+    }
+
     /** Gets what operators see. */
     getStatus(): readonly UpstreamStatus[] {
         return this.#upstreams.getAll().map(pooled => createStatus(pooled, this.#service.name));
@@ -309,9 +319,9 @@
     }
 
     #createAnswer(outcome: Outcome, pooled: PooledUpstream | undefined, isCrashSuspected: boolean): ServiceAnswer {
-        const freeSlots = this.#upstreams.getFreeSlots();
+        const { freeSlots, queued } = this.getPartLoad();
         const upstream = pooled?.getUpstream().name;
-        return { outcome, upstream, isCrashSuspected, freeSlots, queued: this.#queue.getSize() };
+        return { outcome, upstream, isCrashSuspected, freeSlots, queued, otherLoads: this.otherLoads.getReports() };
     }
 }
 
--- a/src/services/ShareBaselineParams.ts
+++ b/src/services/ShareBaselineParams.ts
@@ -1,3 +1,4 @@
+import type { PartLoadReport } from "./PartLoadReport.js";
 import type { ServedSummary } from "./ServedSummary.js";
 import type { UpstreamSummary } from "./UpstreamSummary.js";
 
@@ -8,4 +9,6 @@
     readonly part: string;
     readonly upstreams: readonly UpstreamSummary[];
     readonly served: ServedSummary;
+    /** How loaded the part is; left out by a host that does not tell. */
+    readonly load?: Omit<PartLoadReport, "part">;
 }
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -8,6 +8,7 @@
 export { HttpUpstreamTransport } from "./HttpUpstreamTransport.js";
 export type { IsServingResult } from "./IsServingResult.js";
 export type { KeptOutcome } from "./KeptOutcome.js";
+export type { PartLoadReport } from "./PartLoadReport.js";
 export type { PoolLoad } from "./PoolLoad.js";
 export { ProductUpstreamProtocol } from "./ProductUpstreamProtocol.js";
 export type { RemoveCrashParams } from "./RemoveCrashParams.js";
--- a/tests/support/DispatchBench.ts
+++ b/tests/support/DispatchBench.ts
@@ -118,6 +118,7 @@
             getService: () => this.service,
             getAccount: () => undefined,
         } as unknown as Configuration);
+        serviceRunner.start();
         const { getPower } = this.#options;
         const host = { handlers, serviceRunner };
         network.addHost(
