Read the change: one hash of texts, and what parts tell each other in one class

createNameHash and the hash that the parts of a service needed were one function, to the letter. No change of behaviour; tests of configuration, services and accounts pass as before.

--- a/src/configuration/BucketMap.ts
+++ b/src/configuration/BucketMap.ts
@@ -1,4 +1,4 @@
-import { createNameHash } from "./chunks/index.js";
+import { getTextHash } from "../utils/index.js";
 
 const BUCKETS = 1_024;
 
@@ -16,7 +16,7 @@
      * @param name - The name.
      */
     get(name: string): V | undefined {
-        return this.#buckets[createNameHash(name) % BUCKETS]!.get(name);
+        return this.#buckets[getTextHash(name) % BUCKETS]!.get(name);
     }
 
     /** Gets all values. */
@@ -33,7 +33,7 @@
         const buckets = [...this.#buckets];
         const copies = new Map<number, Map<string, V>>();
         const getCopy = (name: string): Map<string, V> => {
-            const index = createNameHash(name) % BUCKETS;
+            const index = getTextHash(name) % BUCKETS;
             const copy = copies.get(index) ?? new Map(buckets[index]);
             copies.set(index, copy);
             buckets[index] = copy;
--- a/src/configuration/chunks/SectionTree.ts
+++ b/src/configuration/chunks/SectionTree.ts
@@ -1,6 +1,6 @@
+import { getTextHash } from "../../utils/index.js";
 import type { Section } from "../Section.js";
 import { createLeaves } from "./createLeaves.js";
-import { createNameHash } from "./createNameHash.js";
 import { decodeSection } from "./decodeSection.js";
 import { encodeItem } from "./encodeItem.js";
 import { getItemName } from "./getItemName.js";
@@ -82,7 +82,7 @@
     }
 
     #findLeaf(kind: ItemKind, name: string): number {
-        const bits = createNameHash(`${kind}/${name}`).toString(2).padStart(HASH_BITS, "0");
+        const bits = getTextHash(`${kind}/${name}`).toString(2).padStart(HASH_BITS, "0");
         return this.leaves.findIndex(leaf => bits.startsWith(leaf.content.prefix));
     }
 }
--- a/src/configuration/chunks/encodeItem.ts
+++ b/src/configuration/chunks/encodeItem.ts
@@ -1,4 +1,4 @@
-import { createNameHash } from "./createNameHash.js";
+import { getTextHash } from "../../utils/index.js";
 import type { EncodedItem } from "./EncodedItem.js";
 import { getItemName } from "./getItemName.js";
 import type { SectionItem } from "./SectionItem.js";
@@ -9,5 +9,5 @@
  */
 export function encodeItem(item: SectionItem): EncodedItem {
     const name = getItemName(item);
-    return { item, name, hash: createNameHash(`${item.kind}/${name}`), text: JSON.stringify(item.value) };
+    return { item, name, hash: getTextHash(`${item.kind}/${name}`), text: JSON.stringify(item.value) };
 }
--- a/src/configuration/chunks/index.ts
+++ b/src/configuration/chunks/index.ts
@@ -6,7 +6,6 @@
 export type { ChunkGetResult } from "./ChunkGetResult.js";
 export { createChunkKey } from "./createChunkKey.js";
 export { createDigest } from "./createDigest.js";
-export { createNameHash } from "./createNameHash.js";
 export { createSectionTree } from "./createSectionTree.js";
 export { decodeSection } from "./decodeSection.js";
 export { ItemKind } from "./ItemKind.js";
--- a/src/services/BaselineSharer.ts
+++ b/src/services/BaselineSharer.ts
@@ -3,11 +3,12 @@
 import type { Membership } from "../membership/index.js";
 import type { PeerTransport } from "../peers/index.js";
 import { PeerMethod } from "../peers/index.js";
-import type { ServicePool } from "./ServicePool.js";
+import type { HostedPool } from "./HostedPool.js";
+import type { ShareBaselineParams } from "./ShareBaselineParams.js";
 
 const SEND_TIMEOUT_MS = 2_000;
 
-/** Sends the summaries of a service host's pools to the other service hosts of the same services. */
+/** Lets the pools of a service's parts know of each other, on this host and on the service hosts of the other parts. */
 export class BaselineSharer {
     readonly #membership: Membership;
     readonly #peers: PeerTransport;
@@ -22,26 +23,44 @@
     }
 
     /**
-     * Sends the summary of one pool.
-     * @param pool - The pool.
-     * @param service - Its service.
-     * @param partKey - Tells its part of the service from the others.
+     * Sends how each pool of this host fares to the other parts of its service.
+     * @param pools - The host's pools.
      * @param configuration - Names the other parts.
      */
-    async send(pool: ServicePool, service: string, partKey: string, configuration: Configuration): Promise<void> {
-        const upstreams = pool.baseline.getSummary();
-        const served = pool.strain.getSummary();
-        if (upstreams.length === 0 && served.requests === 0) {
-            return;
+    async send(pools: readonly HostedPool[], configuration: Configuration): Promise<void> {
+        await Promise.all(pools.map(async hosted => {
+            const params = createParams(hosted);
+            this.record(pools.filter(other => other !== hosted), params);
+            if (params.upstreams.length > 0 || params.served.requests > 0) {
+                await this.#sendToOthers(params, configuration);
+            }
+        }));
+    }
+
+    /**
+     * Records how a part of a service fares at the pools of its other parts; returns whether there is any.
+     * @param pools - The host's pools.
+     * @param params - The part and its figures.
+     */
+    record(pools: readonly HostedPool[], { service, part, upstreams, served, load }: ShareBaselineParams): boolean {
+        const others = pools.filter(other => other.service === service);
+        for (const { pool } of others) {
+            pool.baseline.recordRemote(part, upstreams);
+            pool.strain.recordRemote(part, served);
+            if (load !== undefined) {
+                pool.otherLoads.record({ part, ...load });
+            }
         }
-        const load = pool.getPartLoad();
+        return others.length > 0;
+    }
+
+    async #sendToOthers(params: ShareBaselineParams, configuration: Configuration): Promise<void> {
+        const { service, part } = params;
         const configured = configuration.getService(service);
-        const others = configured === undefined ? [] : getServiceParts(configured).filter(({ key }) => key !== partKey);
-        const self = this.#membership.getSelf().peerAddress;
+        const others = configured === undefined ? [] : getServiceParts(configured).filter(({ key }) => key !== part);
         const hosts = others.map(({ zone, key }) => this.#membership.getServiceHosts(service, zone, key)[0]);
         const addresses = new Set(hosts.flatMap(host => host?.peerAddress ?? []));
-        addresses.delete(self);
-        const params = { service, part: partKey, upstreams, served, load };
+        addresses.delete(this.#membership.getSelf().peerAddress);
         await Promise.all(
             [...addresses].map(address =>
                 this.#peers.send(address, PeerMethod.ShareBaseline, params, SEND_TIMEOUT_MS).catch(() => {})
@@ -49,3 +68,13 @@
         );
     }
 }
+
+function createParams({ service, partKey, pool }: HostedPool): ShareBaselineParams {
+    return {
+        service,
+        part: partKey,
+        upstreams: pool.baseline.getSummary(),
+        served: pool.strain.getSummary(),
+        load: pool.getPartLoad(),
+    };
+}
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -7,6 +7,7 @@
 import { BaselineSharer } from "./BaselineSharer.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { FoundState } from "./FoundState.js";
+import type { HostedPool } from "./HostedPool.js";
 import { OutcomeMemory } from "./OutcomeMemory.js";
 import type { PoolLoad } from "./PoolLoad.js";
 import { restoreOutcome } from "./restoreOutcome.js";
@@ -15,7 +16,6 @@
 import { ServicePool } from "./ServicePool.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
 import type { ServiceRunner } from "./ServiceRunner.js";
-import type { ShareBaselineParams } from "./ShareBaselineParams.js";
 import type { UpstreamStatus } from "./UpstreamStatus.js";
 
 /** Twice in the two seconds over which the floor is judged. */
@@ -33,16 +33,6 @@
  */
 const HAND_OVER_MS = 10_000;
 
-interface HostedPool {
-    readonly service: string;
-    readonly zone: string;
-    /** Tells the part of the service from its others. */
-    readonly partKey: string;
-    readonly pool: ServicePool;
-    /** Until when another host has the pool, in milliseconds of the clock. */
-    handedOverUntil: number | undefined;
-}
-
 /** An entry host in its role as service host: queues requests, selects upstreams and judges them. */
 export class ServiceHost implements ServiceRunner {
     readonly #options: ServiceHostOptions;
@@ -58,7 +48,9 @@
         this.#options = options;
         this.#outcomes = new OutcomeMemory(options.clock);
         this.#sharer = new BaselineSharer(options.membership, options.peers);
-        options.handlers.add(PeerMethod.ShareBaseline, params => this.#recordBaseline(params));
+        options.handlers.add(PeerMethod.ShareBaseline, params => ({
+            isUsed: this.#sharer.record([...this.#pools.values()], params),
+        }));
         options.handlers.add(PeerMethod.FindOutcome, params => this.#outcomes.claim(params));
         options.handlers.add(PeerMethod.IsServing, () => ({ isServing: !this.#isStopping }));
         options.handlers.add(PeerMethod.RemoveCrash, ({ requestId }) => {
@@ -152,38 +144,11 @@
             await this.#options.clock.wait(SHARE_INTERVAL_MS, signal).catch(() => {});
             const configuration = this.#configuration;
             if (!signal.aborted && configuration !== undefined) {
-                const pools = [...this.#pools.values()];
-                pools.forEach(hosted => this.#publishLocally(hosted));
-                await Promise.all(
-                    pools.map(({ pool, service, partKey }) => this.#sharer.send(pool, service, partKey, configuration)),
-                );
-            }
-        }
-    }
-
-    /** Lets the pools that this host has of the same service's other parts know how one fares. */
-    #publishLocally({ service, partKey, pool }: HostedPool): void {
-        const upstreams = pool.baseline.getSummary();
-        const served = pool.strain.getSummary();
-        const load = pool.getPartLoad();
-        for (const other of this.#pools.values()) {
-            if (other.service === service && other.pool !== pool) {
-                recordPart(other.pool, { service, part: partKey, upstreams, served, load });
+                await this.#sharer.send([...this.#pools.values()], configuration);
             }
         }
     }
 
-    #recordBaseline(params: ShareBaselineParams): { isUsed: boolean; } {
-        let isUsed = false;
-        for (const { service, pool } of this.#pools.values()) {
-            if (service === params.service) {
-                recordPart(pool, params);
-                isUsed = true;
-            }
-        }
-        return { isUsed };
-    }
-
     #findKnown(requestId: string): ServiceAnswer | undefined {
         const found = this.#outcomes.find(requestId);
         switch (found?.state) {
@@ -295,14 +260,6 @@
     return service === undefined ? [] : getServiceParts(service).find(({ key }) => key === partKey)?.upstreams ?? [];
 }
 
-function recordPart(pool: ServicePool, { part, upstreams, served, load }: ShareBaselineParams): void {
-    pool.baseline.recordRemote(part, upstreams);
-    pool.strain.recordRemote(part, served);
-    if (load !== undefined) {
-        pool.otherLoads.record({ part, ...load });
-    }
-}
-
 function createCutOff(): NotRunOutcome {
     return createNotRun(
         RefusalReason.HostCutOff,
--- a/src/utils/getMixedHash.ts
+++ b/src/utils/getMixedHash.ts
@@ -1,5 +1,5 @@
 /**
- * Gets a hash of a whole number of 32 bits in which each bit depends on all of them.
+ * Gets a hash of a whole number of 32 bits in which each bit depends on all of them: the finalizer of MurmurHash3.
  * @param value - The number.
  */
 export function getMixedHash(value: number): number {
