Tell other parts every second, also while one of their hosts is silent

A service host waited for all answers, up to two seconds, before it sent the next summaries, so one silent host made what all others know three seconds old: longer than loads and served shares count. The sends go on their own now.

Evidence: the new test saw gaps of 3,000 ms before, with one peer that doesn't answer; now at most 1,500 are allowed and it passes.

--- a/src/services/BaselineSharer.ts
+++ b/src/services/BaselineSharer.ts
@@ -23,18 +23,18 @@
     }
 
     /**
-     * Sends how each pool of this host fares to the other parts of its service.
+     * Sends how each pool of this host fares to the other parts of its service, without waiting for their answers.
      * @param pools - The host's pools.
      * @param configuration - Names the other parts.
      */
-    async send(pools: readonly HostedPool[], configuration: Configuration): Promise<void> {
-        await Promise.all(pools.map(async hosted => {
+    send(pools: readonly HostedPool[], configuration: Configuration): void {
+        for (const hosted of pools) {
             const params = createParams(hosted);
             this.record(pools.filter(other => other !== hosted), params);
             if (params.upstreams.length > 0 || params.served.requests > 0) {
-                await this.#sendToOthers(params, configuration);
+                this.#sendToOthers(params, configuration);
             }
-        }));
+        }
     }
 
     /**
@@ -54,18 +54,17 @@
         return others.length > 0;
     }
 
-    async #sendToOthers(params: ShareBaselineParams, configuration: Configuration): Promise<void> {
+    #sendToOthers(params: ShareBaselineParams, configuration: Configuration): void {
         const { service, part } = params;
         const configured = configuration.getService(service);
         const others = configured === undefined ? [] : getServiceParts(configured).filter(({ key }) => key !== part);
         const hosts = others.map(({ zone, key }) => this.#membership.getServiceHosts(service, zone, key)[0]);
         const addresses = new Set(hosts.flatMap(host => host?.peerAddress ?? []));
         addresses.delete(this.#membership.getSelf().peerAddress);
-        await Promise.all(
-            [...addresses].map(address =>
-                this.#peers.send(address, PeerMethod.ShareBaseline, params, SEND_TIMEOUT_MS).catch(() => {})
-            ),
-        );
+        for (const address of addresses) {
+            // What a host misses now comes with the next summary.
+            this.#peers.send(address, PeerMethod.ShareBaseline, params, SEND_TIMEOUT_MS).catch(() => {});
+        }
     }
 }
 
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -144,7 +144,7 @@
             await this.#options.clock.wait(SHARE_INTERVAL_MS, signal).catch(() => {});
             const configuration = this.#configuration;
             if (!signal.aborted && configuration !== undefined) {
-                await this.#sharer.send([...this.#pools.values()], configuration);
+                this.#sharer.send([...this.#pools.values()], configuration);
             }
         }
     }
--- a/tests/services/baseline.test.ts
+++ b/tests/services/baseline.test.ts
@@ -63,6 +63,27 @@
     assert.ok(sent[3]!.params.served.requests > 100 && sent[3]!.params.served.unserved === 0);
 });
 
+test("a service host that falls silent does not delay what the others are told", async () => {
+    const times: number[] = [];
+    const peers = {
+        send: async (_: string, __: PeerMethod, ___: ShareBaselineParams, timeoutMs: number) => {
+            times.push(bench.clock.getTime());
+            await bench.clock.wait(timeoutMs);
+            throw new Error("The peer is silent.");
+        },
+    } as unknown as PeerTransport;
+    const bench = new ServiceBench({ peers });
+    const [first] = bench.service.upstreams;
+    bench.apply({
+        upstreams: [...bench.service.upstreams, { ...first!, name: "v0", address: "127.0.0.1:9100", zone: "b" }],
+    });
+    bench.host.start();
+    await bench.runLoad(100, 4_500);
+    bench.host.stop();
+    const gaps = times.slice(1).map((time, index) => time - times[index]!);
+    assert.ok(times.length >= 4 && gaps.every(gapMs => gapMs <= 1_500), gaps.join(" "));
+});
+
 test.run();
 
 function createLoneBench(): ServiceBench {
