Divide a burst among an account's owners in whole tokens

The owners' shares are whole tokens now and sum to the burst: the owner at place i of n holds (burst + i) / n, rounded down.

--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -196,23 +196,28 @@
         if (params.fingerprint !== undefined && this.#options.isQuarantined?.(params.fingerprint) === true) {
             return { isSpent: false, waitMs: 0, retryAfterMs: 0, isQuarantined: true, basis: RateBasis.Whole };
         }
-        const owners = this.#findOwnerCount(params.account);
-        if (owners === undefined) {
+        const { rate, burst } = this.#options.getConfiguration().getAccount(params.account) ?? params;
+        const share = this.#findShare(params.account, { rate, burst });
+        if (share === undefined) {
             return this.#spendPart(params);
         }
-        const { rate, burst } = this.#options.getConfiguration().getAccount(params.account) ?? params;
-        const share = { rate: rate / owners, burst: burst / owners };
         const result = this.#spendFrom(this.#owned, params, share);
         return this.#isFilling(params.account, share) ? { ...result, basis: RateBasis.NewOwner } : result;
     }
 
-    /** Finds how many owners may be alive; undefined if this host is none, or one that a partition has left alone. */
-    #findOwnerCount(account: string): number | undefined {
+    /**
+     * Finds what this host holds of an account's rate, in whole tokens of the burst, among the owners that may be alive; undefined if
+     * it is none of them, or one that a partition has left alone.
+     */
+    #findShare(account: string, { rate, burst }: RateShare): RateShare | undefined {
         const { membership } = this.#options;
         const self = membership.getSelf().id;
         const alive = membership.getAccountHosts(account).filter(({ id }) => id === self || membership.isReachable(id));
-        const isOwner = alive.some(({ id }) => id === self) && membership.isIsolated?.() !== true;
-        return isOwner ? alive.length : undefined;
+        const index = alive.findIndex(({ id }) => id === self);
+        if (index < 0 || membership.isIsolated?.() === true) {
+            return undefined;
+        }
+        return { rate: rate / alive.length, burst: Math.floor((burst + index) / alive.length) };
     }
 
     #spendPart(params: SpendTokenParams): SpendTokenResult {
--- a/tests/rates/OwnedRateLimiter.test.ts
+++ b/tests/rates/OwnedRateLimiter.test.ts
@@ -161,6 +161,16 @@
     assert.ok(getMostInWindow(sends) <= MAX_PER_WINDOW, `${getMostInWindow(sends)} of ${MAX_PER_WINDOW}`);
 });
 
+test("a burst that three owners don't share evenly is there as a whole", async () => {
+    const fleet = createFleet();
+    await sendLoad(fleet, 1, 100, 0, CLUMPY_ACCOUNT);
+    await fleet.clock.run(WINDOW_MS);
+    const admissions = Array.from({ length: CLUMPY_ACCOUNT.burst }, () => fleet.limiters[0]!.admit(CLUMPY_ACCOUNT));
+    await fleet.clock.run(1_000);
+    const refused = (await Promise.all(admissions)).filter(decision => !decision.isAdmitted).length;
+    assert.is(refused, 0);
+});
+
 test("a request in quarantine at the account's owner is refused at every host", async () => {
     const fleet = createFleet();
     fleet.quarantined.add("bad");
