--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -28,8 +28,7 @@
  * moment ago, so it does not start full.
  */
 const START_REFILL_MS = 500;
-
-/** Owners that were empty lately and are remembered. */
+/** How many owners that were empty lately are remembered, over all accounts. */
 const MAX_EMPTY_OWNERS = 10_000;
 
 /** What an owner has answered. */
@@ -76,8 +75,8 @@
     }
 
     /**
-     * Gives back the token of a request that is known not to have run, if this host is the owner. Elsewhere the token is
-     * lost, which errs towards too few.
+     * Gives back the token of a request that is known not to have run, if this host is one of the owners; its own share takes it,
+     * whichever owner spent it. Elsewhere the token is lost, which errs towards too few.
      * @param account - The account.
      * @param grant - The token.
      */
