Reproduce a service whose last upstreams are taken out of work, and note what was seen

In a record of the users 9 of 25 and 16 of 30 sound upstreams had no request while a fifth of the service's requests was not served.

Cause suspected: a part of fewer than three upstreams may lose all of them, since others are taken to do their work. Whether there are any, or whether they have room, is not asked.

--- /dev/null
+++ b/tests/services/lastUpstreams.test.ts
@@ -0,0 +1,78 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { ServiceBench } from "../../src/fakes/index.js";
+import { GATEWAY_SERVICE } from "../../src/gateway/index.js";
+import { OutcomeKind } from "../../src/outcomes/index.js";
+import { PeerMethod } from "../../src/peers/index.js";
+import { EjectionPolicy } from "../../src/services/index.js";
+import type { ServiceAnswer, ServiceRequest } from "../../src/services/index.js";
+
+const ORDER: Partial<ServiceRequest> = { route: "orders", isIdempotent: false, timeoutMs: 4_000 };
+const SERVICE_TIME_MS = 4;
+const PER_SECOND = 20;
+const SECOND_MS = 1_000;
+/** A floor is judged over spans of two seconds. */
+const FLOOR_SPAN_MS = 2_000;
+
+const test = suite("last upstreams of a service");
+
+for (const count of [1, 2]) {
+    test(`the last of ${count} upstreams of a service serves on when its answers get slow`, async () => {
+        const bench = createBench(count);
+        await runOrders(bench, 5 * SECOND_MS);
+        bench.service.upstreams.forEach(({ name }) => bench.upstreams.applyFaults(name, { slowFactor: 10 }));
+        const answers = await runOrders(bench, 5 * SECOND_MS);
+        assert.is(countRefused(answers), 0, `of ${answers.length} orders were refused`);
+    });
+
+    test(`the last of ${count} upstreams of a service serves within two seconds of a failure`, async () => {
+        const bench = createBench(count);
+        await runOrders(bench, 5 * SECOND_MS);
+        bench.service.upstreams.forEach(({ name }) => bench.upstreams.applyFaults(name, { errorRate: 1 }));
+        await runOrders(bench, SECOND_MS);
+        bench.service.upstreams.forEach(({ name }) => bench.upstreams.applyFaults(name, {}));
+        await bench.clock.run(FLOOR_SPAN_MS);
+        const answers = await runOrders(bench, 5 * SECOND_MS);
+        assert.is(countRefused(answers), 0, `of ${answers.length} orders were refused`);
+    });
+}
+
+for (const { freeSlots, isKept } of [{ freeSlots: 0, isKept: true }, { freeSlots: 6, isKept: false }]) {
+    test(`a part keeps its last upstream at work only while no other part has room, ${freeSlots} slots free elsewhere`, async () => {
+        const bench = createBench(1);
+        bench.apply({
+            upstreams: [...bench.service.upstreams, { ...bench.service.upstreams[0]!, name: "b", zone: "b" }],
+        });
+        await runOrders(bench, 5 * SECOND_MS);
+        await reportOther(bench, freeSlots);
+        bench.upstreams.applyFaults("u0", { slowFactor: 10 });
+        const answers = await runOrders(bench, SECOND_MS);
+        assert.is(countRefused(answers) === 0, isKept);
+    });
+}
+
+test.run();
+
+function createBench(upstreams: number): ServiceBench {
+    return new ServiceBench({
+        upstreams,
+        policy: EjectionPolicy.Prompt,
+        fakes: { serviceTimeMs: SERVICE_TIME_MS },
+        detection: GATEWAY_SERVICE.detection,
+        service: { floor: 0.7, queuePerSlot: GATEWAY_SERVICE.queuePerSlot },
+    });
+}
+
+async function runOrders(bench: ServiceBench, durationMs: number): Promise<ServiceAnswer[]> {
+    return await bench.runLoad(PER_SECOND, durationMs, ORDER);
+}
+
+async function reportOther(bench: ServiceBench, freeSlots: number): Promise<void> {
+    const load = { freeSlots, queued: 0, ageMs: 0 };
+    const served = { requests: 20, unserved: 0 };
+    await bench.handlers.run(PeerMethod.ShareBaseline, { service: "orders", part: "b", upstreams: [], served, load });
+}
+
+function countRefused(answers: readonly ServiceAnswer[]): number {
+    return answers.filter(({ outcome }) => outcome.kind === OutcomeKind.NotRun).length;
+}
