Keep the last upstreams of a service at work while no other part has room

Cause: the judge of a pool of fewer than three upstreams lets it lose all of them, as if other parts took their work. A service may have no other part, and the others may be full. Class of fault: a part decides alone what only the whole service can tell.

Change: the last working upstreams are held while no other part of the service has told of free slots; a part that has told nothing lately counts as having room, as before. One that leaves requests without an answer is still taken out, since what waits for it is lost.

"a pool whose only upstream fails refuses at once, so that another zone is asked" had no other zone; its service has one now, and the check is the same.

--- a/src/services/OtherLoads.ts
+++ b/src/services/OtherLoads.ts
@@ -30,6 +30,15 @@
         this.#loads.set(load.part, { ...load, time: this.#clock.getTime() - ageMs });
     }
 
+    /**
+     * Whether a part has told lately that it has no free slot.
+     * @param part - The part's key.
+     */
+    isFull(part: string): boolean {
+        const load = this.#loads.get(part);
+        return load !== undefined && this.#clock.getTime() - load.time <= MAX_AGE_MS && load.freeSlots === 0;
+    }
+
     /** Gets the latest of what is known. */
     getReports(): readonly PartLoadReport[] {
         const now = this.#clock.getTime();
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -90,8 +90,15 @@
             getSlots: () => this.#upstreams.getSlots(),
             getCapacity: () => this.#upstreams.getSlots() * this.#service.queuePerSlot,
         });
-        const judgeOptions = { clock, random, decisions, policy, baseline: this.baseline };
-        this.#judge = new UpstreamJudge(service, { ...judgeOptions, onCapacity: () => this.#runQueue() });
+        this.#judge = new UpstreamJudge(service, {
+            clock,
+            random,
+            decisions,
+            policy,
+            baseline: this.baseline,
+            hasRoomElsewhere: () => this.#hasRoomElsewhere(),
+            onCapacity: () => this.#runQueue(),
+        });
         const recorder = new AttemptRecorder({
             clock,
             judge: this.#judge,
@@ -280,6 +287,13 @@
         return (this.#service.retryRate ?? 0) / Math.max(1, getServiceParts(this.#service).length);
     }
 
+    /** A part that has told nothing lately may have room. */
+    #hasRoomElsewhere(): boolean {
+        return getServiceParts(this.#service).some(({ key, slots }) =>
+            key !== this.#part.key && slots > 0 && !this.otherLoads.isFull(key)
+        );
+    }
+
     /** Starts what can start and refuses what no upstream can run any more. */
     #runQueue(): void {
         this.#queue.refuse(request => !this.#selector.hasCandidate(request), createNoUpstream());
--- a/src/services/UpstreamEjector.ts
+++ b/src/services/UpstreamEjector.ts
@@ -75,10 +75,7 @@
      */
     ejectOrHold(upstream: PooledUpstream, detail: string): void {
         const reason = getReason(upstream, detail);
-        const canEject = this.#isPrompt()
-            ? hasWorkingSiblings(upstream, this.#upstreams)
-            : hasCapacityAboveFloor(upstream, this.#upstreams, this.#service.floor);
-        if (canEject) {
+        if (this.#canEject(upstream)) {
             this.eject(upstream, reason);
             this.startEarlyTrial();
         }
@@ -140,6 +137,15 @@
         this.#backOff.stop();
     }
 
+    #canEject(upstream: PooledUpstream): boolean {
+        if (!this.#isPrompt()) {
+            return hasCapacityAboveFloor(upstream, this.#upstreams, this.#service.floor);
+        }
+        // What waits for a silent upstream is lost, so its requests are better refused at once, even if it is the last one.
+        const hasRoomElsewhere = !isAnswering(upstream) || this.#options.hasRoomElsewhere();
+        return hasWorkingSiblings(upstream, this.#upstreams, hasRoomElsewhere);
+    }
+
     /** A busy pool can't spare an upstream for a spell on one failure, which may be chance; a short rest tells. */
     #getDetection(upstream: PooledUpstream): DetectionSettings {
         const { detection } = this.#service;
@@ -216,7 +222,14 @@
     if (upstream.getState() === UpstreamState.Held) {
         return detail.replace(FLOOR_NOTE, "");
     }
-    return upstream.detector.getLatencyEvidence() > upstream.detector.getErrorEvidence()
-        ? "slow against its siblings"
-        : `failing: ${detail}`;
+    return isSlow(upstream) ? "slow against its siblings" : `failing: ${detail}`;
+}
+
+function isSlow({ detector }: PooledUpstream): boolean {
+    return detector.getLatencyEvidence() > detector.getErrorEvidence();
+}
+
+/** Whether requests get an answer of it in time, be it a failure. */
+function isAnswering(upstream: PooledUpstream): boolean {
+    return !upstream.isSilent && !upstream.isConnectFailing && (upstream.isFailingInTime || isSlow(upstream));
 }
--- a/src/services/UpstreamJudgeOptions.ts
+++ b/src/services/UpstreamJudgeOptions.ts
@@ -11,6 +11,8 @@
     readonly decisions: DecisionLog;
     readonly policy: EjectionPolicy;
     readonly baseline: ServiceBaseline;
+    /** Whether other parts of the service can take the work of this one. */
+    readonly hasRoomElsewhere: () => boolean;
     /** Runs after the work that the upstreams may take has changed. */
     readonly onCapacity: () => void;
 }
--- a/src/services/hasWorkingSiblings.ts
+++ b/src/services/hasWorkingSiblings.ts
@@ -1,7 +1,7 @@
 import type { PooledUpstream } from "./PooledUpstream.js";
 import { UpstreamState } from "./UpstreamState.js";
 
-/** Pools with fewer upstreams than this may lose all of them, as other zones can take their work. */
+/** Pools with fewer upstreams than this may lose all of them, if other parts of the service take their work. */
 const SMALL_POOL = 3;
 /**
  * Share of a pool that stays at work although convicted: three in ten upstreams in a spell at a time leave fewer than
@@ -10,12 +10,18 @@
 const MIN_WORKING_SHARE = 0.4;
 
 /**
- * Whether enough upstreams of a pool work on when one is ejected on little evidence.
+ * Whether enough upstreams work on when one is ejected on little evidence.
  * @param upstream - The upstream to eject.
  * @param upstreams - All upstreams of the pool.
+ * @param hasRoomElsewhere - Whether other parts of the service can take the pool's work.
  */
-export function hasWorkingSiblings(upstream: PooledUpstream, upstreams: readonly PooledUpstream[]): boolean {
+export function hasWorkingSiblings(
+    upstream: PooledUpstream,
+    upstreams: readonly PooledUpstream[],
+    hasRoomElsewhere: boolean,
+): boolean {
     const remaining = upstreams.filter(other => other.getState() !== UpstreamState.Draining);
     const working = remaining.filter(other => other !== upstream && other.isWorking()).length;
-    return remaining.length < SMALL_POOL || working >= Math.ceil(MIN_WORKING_SHARE * remaining.length);
+    return (remaining.length < SMALL_POOL && hasRoomElsewhere) ||
+        working >= Math.ceil(MIN_WORKING_SHARE * remaining.length);
 }
--- a/tests/services/lastUpstreams.test.ts
+++ b/tests/services/lastUpstreams.test.ts
@@ -37,6 +37,15 @@
     });
 }
 
+test("no order waits for the last upstream of a service once that is found to leave orders without an answer", async () => {
+    const bench = createBench(1);
+    await runOrders(bench, 5 * SECOND_MS);
+    bench.upstreams.applyFaults("u0", { hangRate: 1 });
+    await runOrders(bench, 5 * SECOND_MS);
+    const answers = await runOrders(bench, SECOND_MS);
+    assert.is(countRefused(answers), answers.length);
+});
+
 for (const { freeSlots, isKept } of [{ freeSlots: 0, isKept: true }, { freeSlots: 6, isKept: false }]) {
     test(`a part keeps its last upstream at work only while no other part has room, ${freeSlots} slots free elsewhere`, async () => {
         const bench = createBench(1);
--- a/tests/services/promptEjection.test.ts
+++ b/tests/services/promptEjection.test.ts
@@ -52,6 +52,7 @@
 
 test("a pool whose only upstream fails refuses at once, so that another zone is asked", async () => {
     const bench = createBench(EjectionPolicy.Prompt, 1, 1);
+    bench.apply({ upstreams: [...bench.service.upstreams, { ...bench.service.upstreams[0]!, name: "b0", zone: "b" }] });
     bench.upstreams.applyFaults("u0", { errorRate: 1 });
     await runOrders(bench, 5, 1_000);
     const answer = bench.send(ORDER);
