Keep the entries of hosts whose leases the store has ended all at once

What callers saw: "no addresses" (503) from a host that leaves while it knows no other, in 12 of 203 runs of tests/platform/edge.test.ts; for up to three seconds each host runs every pool and rate alone.

Cause: entries that vanish are held back only after the store was missed for 2.5 s. A stay away of a moment in which all leases end is not missed, so each host drops all others, itself too, and adds its entry again only with its next renewal, up to 3 s later.

Change: a host whose own entry vanishes while it lives takes that for leases ended early: what vanishes with it or after it is held for the same 2.1 s, and it adds its entry again at once. A new line of the log says so ("own-entry-lapsed").

Evidence: the new case of Supply failed before (0 upstreams and 0 hosts left instead of 1 and 3), that of HostRegistrar is of new code. Ruled out: late copies; the logs show the removals of all hosts in one millisecond and no store-lost.

--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -57,7 +57,14 @@
             isIsolated: () => this.#keeper.isIsolated(),
         });
         this.#keeper = this.#createKeeper();
-        this.supply = new Supply({ clock, decisions, decoder, getRegainedTime: () => this.#keeper.getRegainedTime() });
+        this.supply = new Supply({
+            clock,
+            decisions,
+            decoder,
+            getRegainedTime: () => this.#keeper.getRegainedTime(),
+            isOwn: ({ id, incarnation }) => !this.#isLeaving && id === self.id && incarnation === self.incarnation,
+            onLapsed: () => this.#registrar.restore(),
+        });
         this.#registrar = new HostRegistrar({ clock, decisions, registry, self });
         this.serviceHost = this.#createServiceHost();
         this.gateway = this.#createGateway();
--- a/src/registry/HostRegistrar.ts
+++ b/src/registry/HostRegistrar.ts
@@ -16,6 +16,7 @@
     readonly name = "host-registrar";
     readonly #options: HostRegistrarOptions;
     #controller = new AbortController();
+    #pause = new AbortController();
     #isRegistered = false;
 
     /** @param options - What the registrar works with. */
@@ -38,6 +39,12 @@
         await Promise.race([removal, timeout]);
     }
 
+    /** Adds the entry again at once, as the registry has ended it. */
+    restore(): void {
+        this.#isRegistered = false;
+        this.#pause.abort();
+    }
+
     /** Stops to renew the entry. */
     async stop(): Promise<void> {
         this.#controller.abort();
@@ -47,7 +54,8 @@
         const { clock } = this.#options;
         while (!signal.aborted) {
             const pauseMs = await this.#runOnce();
-            await clock.wait(pauseMs, signal).catch(() => undefined);
+            this.#pause = new AbortController();
+            await clock.wait(pauseMs, AbortSignal.any([signal, this.#pause.signal])).catch(() => undefined);
         }
     }
 
--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -26,6 +26,8 @@
     /** Keys whose removal is held back, since their entries may have lapsed while the store was away. */
     readonly #missing = new Set<string>();
     readonly #listeners: (() => void)[] = [];
+    /** When this host's own entry vanished last, in milliseconds of the clock. */
+    #lapseTime = Number.NEGATIVE_INFINITY;
     #document: SuppliedDocument | undefined;
     #hostList: readonly Member[] = [];
     /** Whether something has changed that is not in force yet. */
@@ -60,6 +62,12 @@
      * @param events - The changes.
      */
     apply(events: readonly ReplicaEvent[]): void {
+        // A host that lives has renewed its entry, so the store has ended leases early, and not only this one.
+        if (events.some(event => this.#isOwnRemoval(event))) {
+            this.#lapseTime = this.#options.clock.getTime();
+            this.#record("own-entry-lapsed", { hosts: this.#hosts.size, upstreams: this.#upstreams.size });
+            this.#options.onLapsed();
+        }
         events.forEach(event => this.#applyEvent(event));
         this.#publish();
     }
@@ -74,6 +82,11 @@
         this.#applyItem(event, item);
     }
 
+    #isOwnRemoval({ key, value }: ReplicaEvent): boolean {
+        const member = this.#hosts.get(key);
+        return value === undefined && member !== undefined && this.#options.isOwn(member);
+    }
+
     #applyItem(event: ReplicaEvent, item: SupplyItem): void {
         switch (item.kind) {
             case SupplyItemKind.Configuration:
@@ -128,7 +141,7 @@
 
     #removeOrHold(key: string): void {
         const { clock, getRegainedTime } = this.#options;
-        const holdEnd = getRegainedTime() + LAPSE_HOLD_MS;
+        const holdEnd = Math.max(getRegainedTime(), this.#lapseTime) + LAPSE_HOLD_MS;
         const remainingMs = holdEnd - clock.getTime();
         if (remainingMs <= 0 || (!this.#upstreams.has(key) && !this.#hosts.has(key))) {
             this.#remove(key);
--- a/src/supply/SupplyOptions.ts
+++ b/src/supply/SupplyOptions.ts
@@ -1,3 +1,4 @@
+import type { Member } from "../head/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { Clock } from "../time/index.js";
 import type { SupplyDecoder } from "./SupplyDecoder.js";
@@ -9,4 +10,8 @@
     readonly decoder: SupplyDecoder;
     /** Gets when touch with the store was regained last, in milliseconds of the clock; -Infinity if it was never lost. */
     readonly getRegainedTime: () => number;
+    /** Whether an entry is that of this host, which lives and does not leave. */
+    readonly isOwn: (member: Member) => boolean;
+    /** Runs when this host's own entry has vanished. */
+    readonly onLapsed: () => void;
 }
--- a/tests/registry/HostRegistrar.test.ts
+++ b/tests/registry/HostRegistrar.test.ts
@@ -66,6 +66,14 @@
     assert.equal(calls, ["add", "renew", "add"]);
 });
 
+test("an entry that is known to be gone is added again without waiting for the next renewal", async () => {
+    await registrar.start();
+    await clock.run(1_000);
+    registrar.restore();
+    await clock.run(1);
+    assert.equal(calls, ["add", "add"]);
+});
+
 test("a registry that is away is tried again, and each failure is logged", async () => {
     isAway = true;
     await registrar.start();
--- a/tests/supply/Supply.test.ts
+++ b/tests/supply/Supply.test.ts
@@ -17,6 +17,7 @@
 let regainedTime: number;
 let items: Map<string, SupplyItem>;
 let revision: number;
+let lapses: number;
 
 test.before.each(() => {
     clock = new FakeClock();
@@ -24,11 +25,14 @@
     regainedTime = Number.NEGATIVE_INFINITY;
     items = new Map();
     revision = 1;
+    lapses = 0;
     supply = new Supply({
         clock,
         decisions,
         decoder: { decode: (_, value) => items.get(value)! },
         getRegainedTime: () => regainedTime,
+        isOwn: ({ id }) => id === "own",
+        onLapsed: () => lapses++,
     });
     write("configuration", createDocument(1));
 });
@@ -79,6 +83,17 @@
     assert.equal([getUpstreams().length, supply.getHosts().length], [1, 0]);
 });
 
+test("entries that lapse together with the host's own are kept until they are back, though the store was never missed", async () => {
+    write("u1", createUpstream());
+    ["h1", "h2", "own"].forEach(id => write(id, createHost(id)));
+    supply.apply(["h1", "own", "h2", "u1"].map(key => ({ key, revision: ++revision })));
+    assert.equal([getUpstreams().length, supply.getHosts().length, lapses], [1, 3, 1]);
+    await clock.run(1_500);
+    ["h1", "own"].forEach(id => write(id, createHost(id)));
+    await clock.run(LAPSE_MS);
+    assert.equal([getUpstreams().length, supply.getHosts().map(({ id }) => id)], [0, ["h1", "own"]]);
+});
+
 test("an upstream that drains after the store's return gets no more work", () => {
     write("u1", createUpstream());
     regainedTime = clock.getTime();
