Let the last upstream of a service rest shortly when it fails, and hold it only when it is slow

What callers would see with the commit before: while all upstreams of a small service fail, orders go on to the one that is held and are lost, where they were refused as not run; "a lookup that is refused while a service is short of sound upstreams" (tests/platform/explain.test.ts) waits for a refusal that hardly comes.

Change: a last upstream is held if its answers are slow.

--- a/src/services/UpstreamEjector.ts
+++ b/src/services/UpstreamEjector.ts
@@ -141,20 +141,34 @@
         if (!this.#isPrompt()) {
             return hasCapacityAboveFloor(upstream, this.#upstreams, this.#service.floor);
         }
-        // What waits for a silent upstream is lost, so its requests are better refused at once, even if it is the last one.
-        const hasRoomElsewhere = !isAnswering(upstream) || this.#options.hasRoomElsewhere();
-        return hasWorkingSiblings(upstream, this.#upstreams, hasRoomElsewhere);
+        // A slow answer is better than none; one that fails loses the orders that it gets, which are better refused as not run.
+        const mayLoseAll = !isSlow(upstream) || !isReached(upstream) || this.#options.hasRoomElsewhere();
+        return hasWorkingSiblings(upstream, this.#upstreams, mayLoseAll);
     }
 
-    /** A busy pool can't spare an upstream for a spell on one failure, which may be chance; a short rest tells. */
+    /**
+     * A busy pool can't spare an upstream for a spell on one failure, which may be chance; a short rest tells. While nothing else of
+     * the service works, each rest is a short one.
+     */
     #getDetection(upstream: PooledUpstream): DetectionSettings {
         const { detection } = this.#service;
         const { busyProbationMs } = detection;
-        return busyProbationMs === undefined || upstream.isTrialFailed || upstream.isSilent || !isBusy(this.#upstreams)
+        if (busyProbationMs === undefined || upstream.isSilent) {
+            return detection;
+        }
+        if (this.#isLast(upstream)) {
+            return { ...detection, probationMs: busyProbationMs, retrialMs: busyProbationMs };
+        }
+        return upstream.isTrialFailed || !isBusy(this.#upstreams)
             ? detection
             : { ...detection, probationMs: busyProbationMs };
     }
 
+    #isLast(upstream: PooledUpstream): boolean {
+        return !this.#upstreams.some(other => other !== upstream && other.isWorking()) &&
+            !this.#options.hasRoomElsewhere();
+    }
+
     #startOrderTrial(upstream: PooledUpstream | undefined): void {
         if (upstream !== undefined) {
             this.#backOff.cancel(upstream);
@@ -229,7 +243,6 @@
     return detector.getLatencyEvidence() > detector.getErrorEvidence();
 }
 
-/** Whether requests get an answer of it in time, be it a failure. */
-function isAnswering(upstream: PooledUpstream): boolean {
-    return !upstream.isSilent && !upstream.isConnectFailing && (upstream.isFailingInTime || isSlow(upstream));
+function isReached({ isSilent, isConnectFailing }: PooledUpstream): boolean {
+    return !isSilent && !isConnectFailing;
 }
--- a/src/services/hasWorkingSiblings.ts
+++ b/src/services/hasWorkingSiblings.ts
@@ -1,7 +1,7 @@
 import type { PooledUpstream } from "./PooledUpstream.js";
 import { UpstreamState } from "./UpstreamState.js";
 
-/** Pools with fewer upstreams than this may lose all of them, if other parts of the service take their work. */
+/** Pools with fewer upstreams than this may lose all of them, if nothing is lost by it. */
 const SMALL_POOL = 3;
 /**
  * Share of a pool that stays at work although convicted: three in ten upstreams in a spell at a time leave fewer than
@@ -13,15 +13,15 @@
  * Whether enough upstreams work on when one is ejected on little evidence.
  * @param upstream - The upstream to eject.
  * @param upstreams - All upstreams of the pool.
- * @param hasRoomElsewhere - Whether other parts of the service can take the pool's work.
+ * @param mayLoseAll - Whether a small pool may be left without any.
  */
 export function hasWorkingSiblings(
     upstream: PooledUpstream,
     upstreams: readonly PooledUpstream[],
-    hasRoomElsewhere: boolean,
+    mayLoseAll: boolean,
 ): boolean {
     const remaining = upstreams.filter(other => other.getState() !== UpstreamState.Draining);
     const working = remaining.filter(other => other !== upstream && other.isWorking()).length;
-    return (remaining.length < SMALL_POOL && hasRoomElsewhere) ||
+    return (remaining.length < SMALL_POOL && mayLoseAll) ||
         working >= Math.ceil(MIN_WORKING_SHARE * remaining.length);
 }
