--- a/tests/platform/explain.test.ts
+++ b/tests/platform/explain.test.ts
@@ -9,6 +9,7 @@
 import { createDocument } from "./support/createDocument.js";
 import { EdgeFleet } from "./support/EdgeFleet.js";
 import type { EdgeProcess } from "./support/EdgeProcess.js";
+import { StoreMood } from "./support/StoreMood.js";
 
 const HOSTS = 3;
 /** Long enough to kill a host while an order runs. */
@@ -90,6 +91,17 @@
     assert.match(cause.summary, /Upstream i-orders-\d of orders answered with status 500/);
 });
 
+test("a host that starts while the store is away waits for it and says so", async () => {
+    const host = fleet.hosts[1]!;
+    host.send("SIGKILL");
+    await host.waitForEnd();
+    fleet.store.mood = StoreMood.Busy;
+    await host.start();
+    await fleet.waitUntil(async () => /secret/.test(host.getLog()));
+    fleet.store.mood = StoreMood.Well;
+    await fleet.waitUntil(() => fleet.isReady(host));
+});
+
 test("every line of the log keeps to the schema, and none has a caller's key", () => {
     const loggerFields = {
         name: z.literal("fuchsiapath-edge"),
