Take no upstream for slow whose answers are late by milliseconds

What callers saw: a sound upstream out of work for 9.7 s ("slow against its siblings") after answers of 10 to 19 ms on a busy machine, where 4 ms are usual.

Cause: slow is what takes four times the route's median, however short that is. Routes that answer in 2 ms are common on the platform (those that only show the configuration in force), and a busy service host adds as much to the answers of all its upstreams.

Change: an answer counts as slow only from 100 ms on; one that is late by less says neither that the upstream is slow nor that it is not.

--- a/src/configuration/DetectionSettings.ts
+++ b/src/configuration/DetectionSettings.ts
@@ -10,6 +10,8 @@
     readonly slowThreshold?: number;
     /** How many times the siblings' latency counts as slow. */
     readonly slowFactor: number;
+    /** An answer that comes sooner than this is not slow, in milliseconds; 0 if undefined. */
+    readonly minSlowMs?: number;
     /** A wait in vain that is shorter than this says nothing of an upstream, in milliseconds; 0 if undefined. */
     readonly minPatienceMs?: number;
     /** First time out of work, in milliseconds; doubles with each return that fails. */
--- a/src/gateway/GATEWAY_SERVICE.ts
+++ b/src/gateway/GATEWAY_SERVICE.ts
@@ -12,6 +12,8 @@
         /** Some four slow answers: ln(0.5 / 0.02) is 3.2. */
         slowThreshold: 10,
         slowFactor: 4,
+        /** A busy host adds tens of milliseconds to the answers of all its upstreams, and callers expect theirs within seconds. */
+        minSlowMs: 100,
         /** Longer than the shortest deadlines that callers set. */
         minPatienceMs: 1_200,
         /** How long a spell of failures lasts on the platform's sheets. */
--- a/src/services/UpstreamJudge.ts
+++ b/src/services/UpstreamJudge.ts
@@ -126,7 +126,8 @@
 
     #recordSuccess(upstream: PooledUpstream, observation: UpstreamObservation, baseline: BaselineRates): void {
         const latencyMs = observation.latencyMs ?? 0;
-        const isSlow = this.#isSlow(observation, baseline);
+        const slowness = this.#findSlowness(observation, baseline);
+        const isSlow = slowness === true;
         upstream.statistics.recordOutcome(false);
         upstream.statistics.recordLatency(latencyMs, isSlow);
         if (upstream.isConnectFailing) {
@@ -140,7 +141,9 @@
             case UpstreamState.Suspected:
             case UpstreamState.Held:
                 upstream.detector.recordOutcome(false, baseline);
-                upstream.detector.recordLatency(isSlow, baseline);
+                if (slowness !== undefined) {
+                    upstream.detector.recordLatency(slowness, baseline);
+                }
                 break;
             case UpstreamState.Ramping:
                 upstream.detector.recordOutcome(false, baseline);
@@ -183,7 +186,7 @@
     #recordCancelled(upstream: PooledUpstream, observation: UpstreamObservation, baseline: BaselineRates): void {
         const latencyMs = observation.latencyMs ?? 0;
         const isJudged = upstream.isWorking() && upstream.getState() !== UpstreamState.Ramping;
-        if (isJudged && this.#isSlow(observation, baseline)) {
+        if (isJudged && this.#findSlowness(observation, baseline) === true) {
             upstream.statistics.recordLatency(latencyMs, true);
             upstream.detector.recordLatency(true, baseline);
         }
@@ -229,9 +232,14 @@
         }
     }
 
-    #isSlow({ latencyMs, usualMs }: UpstreamObservation, baseline: BaselineRates): boolean {
+    /** Whether an answer is slow against the usual ones; undefined if it is, but by too little to matter to a caller. */
+    #findSlowness({ latencyMs, usualMs }: UpstreamObservation, baseline: BaselineRates): boolean | undefined {
+        const { slowFactor, minSlowMs } = this.#service.detection;
         const medianMs = usualMs ?? baseline.medianMs;
-        return medianMs !== undefined && (latencyMs ?? 0) > this.#service.detection.slowFactor * medianMs;
+        if (medianMs === undefined || (latencyMs ?? 0) <= slowFactor * medianMs) {
+            return false;
+        }
+        return (latencyMs ?? 0) >= (minSlowMs ?? 0) ? true : undefined;
     }
 
     #isBaseline(): boolean {
--- a/tests/services/promptEjection.test.ts
+++ b/tests/services/promptEjection.test.ts
@@ -244,6 +244,21 @@
     assert.equal(bench.getStates()[0], before);
 });
 
+test("answers that are late by milliseconds eject no upstream", async () => {
+    const bench = new ServiceBench({
+        seed: 1,
+        upstreams: UPSTREAMS,
+        policy: EjectionPolicy.Prompt,
+        fakes: { serviceTimeMs: 2 },
+        detection: GATEWAY_SERVICE.detection,
+        service: { floor: 0.7, queuePerSlot: GATEWAY_SERVICE.queuePerSlot },
+    });
+    await runOrders(bench, 40, 5_000);
+    bench.upstreams.applyFaults("u1", { slowFactor: 12 });
+    await runOrders(bench, 40, 10_000);
+    assert.equal(new Set(bench.getStates()), new Set(["healthy"]));
+});
+
 test("public requests of a few milliseconds make no lookup look slow", async () => {
     const bench = createBench(EjectionPolicy.Prompt, 3);
     const slow = bench.sendLoad(20, 30_000, { route: "lookups", timeoutMs: 3_000 });
