--- a/tests/support/DispatchBench.ts
+++ b/tests/support/DispatchBench.ts
@@ -12,7 +12,9 @@
 import { PeerHandlers } from "../../src/peers/index.js";
 import { SeededRandom } from "../../src/random/index.js";
 import { EjectionPolicy, ServiceHost } from "../../src/services/index.js";
+import type { UpstreamTransport } from "../../src/services/index.js";
 import { createMember } from "./createMember.js";
+import { CutTransport } from "./CutTransport.js";
 import type { HostPower } from "./HostPower.js";
 import { LoadedHost } from "./LoadedHost.js";
 
@@ -37,6 +39,8 @@
     readonly serviceTimeMs: number;
     /** How long their answers are, in bytes. */
     readonly answerBytes?: number;
+    /** Whether a host, by its number, is cut off from an upstream; no path is cut if left out. */
+    readonly isCut?: (host: number, upstream: string) => boolean;
 }
 
 /** Entry hosts that send requests through one another's service hosts to fake upstreams of one service. */
@@ -109,7 +113,7 @@
         const shared = { clock, membership, handlers, random: new SeededRandom(index) };
         const serviceRunner = new ServiceHost({
             ...shared,
-            transport: this.upstreams,
+            transport: this.#createUpstreamTransport(index),
             peers: network.createTransport(member.peerAddress),
             decisions: this.#decisions,
             policy: EjectionPolicy.Prompt,
@@ -137,6 +141,13 @@
         return { membership, dispatcher: new Dispatcher(options, new Quarantine(options)) };
     }
 
+    #createUpstreamTransport(index: number): UpstreamTransport {
+        const { isCut } = this.#options;
+        return isCut === undefined
+            ? this.upstreams
+            : new CutTransport(this.clock, this.upstreams, name => isCut(index, name));
+    }
+
     #createMembership(member: Member): FakeMembership {
         const membership = new FakeMembership(member, { version: 1, members: this.#members });
         if (this.#options.getPower !== undefined) {
