Give the tests of edge processes ports and an account of their own

Its ports were those that the system gives to outgoing connections, and one of another test had taken one. After the case about rates the account has none, which the case waits for at every host; before, one answer of 200 by a host that had the old version was enough.

No check is weaker: the case about rates asks for 200 from all hosts at once.

--- a/tests/platform/edge.test.ts
+++ b/tests/platform/edge.test.ts
@@ -3,6 +3,7 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import { createDocument } from "./support/createDocument.js";
+import type { EdgeAnswer } from "./support/EdgeAnswer.js";
 import { EdgeFleet } from "./support/EdgeFleet.js";
 import { StoreMood } from "./support/StoreMood.js";
 
@@ -76,14 +77,16 @@
 test("an account above its rate is refused as not run, with the time to come back", async () => {
     const tenants = { clogs: { api_keys: ["key-1"], rate_per_s: 1, burst: 1 } };
     store.write("op/config", createDocument({ version: 10, tenants }));
-    await fleet.waitUntil(async () => {
-        const answers = await Promise.all(
-            Array.from({ length: 9 }, (_, index) => fleet.send(fleet.hosts[index % 3]!, "/lookup/q")),
+    const sendAll = async (): Promise<EdgeAnswer[]> =>
+        await Promise.all(
+            Array.from({ length: 9 }, (_, index) => fleet.send(fleet.hosts[index % HOSTS]!, "/lookup/q")),
         );
-        return answers.some(answer => answer.status === 429 && Number(answer.headers["retry-after"]) > 0);
-    });
-    store.write("op/config", createDocument({ version: 11 }));
-    await fleet.waitUntil(async () => (await fleet.send(fleet.hosts[0]!, "/lookup/q")).status === 200);
+    await fleet.waitUntil(async () =>
+        (await sendAll()).some(answer => answer.status === 429 && Number(answer.headers["retry-after"]) > 0)
+    );
+    // Without a rate, as the polls of the tests that follow would spend it.
+    store.write("op/config", createDocument({ version: 11, tenants: { clogs: { api_keys: ["key-1", "key-2"] } } }));
+    await fleet.waitUntil(async () => (await sendAll()).every(answer => answer.status === 200));
 });
 
 test("an upstream that drains or leaves gets no more work", async () => {
--- a/tests/platform/support/EdgeProcess.ts
+++ b/tests/platform/support/EdgeProcess.ts
@@ -2,11 +2,18 @@
 import { once } from "node:events";
 import { writeFileSync } from "node:fs";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { join } from "node:path";
 
 const PROGRAM = "dist/platform/bin/fuchsiapath-edge.js";
 const GRACE_SECONDS = 3;
+/** Ports of one process. */
+const PORTS = 5;
+/** Below the ports that the system gives to outgoing connections, which could take those of a process that is down. */
+const FIRST_PORT = 20_000;
+/** Test processes that run side by side have other blocks, as they have other process ids. */
+const BLOCKS = 100;
+const BLOCK_PORTS = 120;
+let nextPort = FIRST_PORT + (process.pid % BLOCKS) * BLOCK_PORTS;
 
 /** An entry host of the platform as a process on loopback. */
 export class EdgeProcess {
@@ -37,7 +44,7 @@
      * @param preload - Source of a module that runs in it first.
      */
     async start(preload?: string): Promise<void> {
-        this.#ports ??= await Promise.all([1, 2, 3, 4, 5].map(findPort));
+        this.#ports ??= await Promise.all(Array.from({ length: PORTS }, findPort));
         const [callers, ready, lookups, peers, metrics] = this.#ports.map(port => `127.0.0.1:${port}`);
         this.callerAddress = callers!;
         this.readyAddress = ready!;
@@ -105,10 +112,13 @@
 }
 
 async function findPort(): Promise<number> {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return port;
+    for (;;) {
+        const port = nextPort++;
+        const server = createServer().listen(port, "127.0.0.1");
+        const isFree = await once(server, "listening").then(() => true, () => false);
+        server.close();
+        if (isFree) {
+            return port;
+        }
+    }
 }
