--- a/src/services/UpstreamEjector.ts
+++ b/src/services/UpstreamEjector.ts
@@ -98,7 +98,7 @@
      */
     ejectOrHold(upstream: PooledUpstream, detail: string): void {
         const reason = getReason(upstream, detail);
-        if (this.#canEject(upstream)) {
+        if (this.#isEjectable(upstream)) {
             this.eject(upstream, reason);
             this.startEarlyTrial();
         }
@@ -160,7 +160,7 @@
         this.#backOff.stop();
     }
 
-    #canEject(upstream: PooledUpstream): boolean {
+    #isEjectable(upstream: PooledUpstream): boolean {
         if (!this.#isPrompt()) {
             return hasCapacityAboveFloor(upstream, this.#upstreams, this.#service.floor);
         }
--- a/tests/services/lastUpstreams.test.ts
+++ b/tests/services/lastUpstreams.test.ts
@@ -22,7 +22,7 @@
         await runOrders(bench, 5 * SECOND_MS);
         bench.service.upstreams.forEach(({ name }) => bench.upstreams.applyFaults(name, { slowFactor: 10 }));
         const answers = await runOrders(bench, 5 * SECOND_MS);
-        assert.is(countRefused(answers), 0, `of ${answers.length} orders were refused`);
+        assert.is(getRefusedCount(answers), 0, `of ${answers.length} orders were refused`);
     });
 
     test(`the last of ${count} upstreams of a service serves within two seconds of a failure`, async () => {
@@ -33,7 +33,7 @@
         bench.service.upstreams.forEach(({ name }) => bench.upstreams.applyFaults(name, {}));
         await bench.clock.run(FLOOR_SPAN_MS);
         const answers = await runOrders(bench, 5 * SECOND_MS);
-        assert.is(countRefused(answers), 0, `of ${answers.length} orders were refused`);
+        assert.is(getRefusedCount(answers), 0, `of ${answers.length} orders were refused`);
     });
 }
 
@@ -53,7 +53,7 @@
         bench.apply({ upstreams: bench.service.upstreams.slice(1) });
         await bench.runLoad(PER_SECOND, FLOOR_SPAN_MS, ORDER);
         const answers = await runOrders(bench, 2 * SECOND_MS);
-        assert.is(countRefused(answers), 0, `of ${answers.length} orders were refused`);
+        assert.is(getRefusedCount(answers), 0, `of ${answers.length} orders were refused`);
     });
 }
 
@@ -63,7 +63,7 @@
     bench.upstreams.applyFaults("u0", { hangRate: 1 });
     await runOrders(bench, 5 * SECOND_MS);
     const answers = await runOrders(bench, SECOND_MS);
-    assert.is(countRefused(answers), answers.length);
+    assert.is(getRefusedCount(answers), answers.length);
 });
 
 for (const { freeSlots, isKept } of [{ freeSlots: 0, isKept: true }, { freeSlots: 6, isKept: false }]) {
@@ -79,7 +79,7 @@
             await reportOther(bench, freeSlots);
             await bench.clock.run(SECOND_MS);
         }
-        assert.is(countRefused(await load) === 0, isKept);
+        assert.is(getRefusedCount(await load) === 0, isKept);
     });
 }
 
@@ -105,6 +105,6 @@
     await bench.handlers.run(PeerMethod.ShareBaseline, { service: "orders", part: "b", upstreams: [], served, load });
 }
 
-function countRefused(answers: readonly ServiceAnswer[]): number {
+function getRefusedCount(answers: readonly ServiceAnswer[]): number {
     return answers.filter(({ outcome }) => outcome.kind === OutcomeKind.NotRun).length;
 }
