Hold nothing back at a host that was cut off while the store was not away

Cause: a host whose copy was older than 2.5 s takes the store for away, however it came to be late, and keeps entries that vanish within the next 2.1 s: with up to 1.5 s for the change to reach it, longer than a leaving upstream may be used.

Change: a pulled answer says when touch with the store was regained, and a host that was out of touch takes over what its source says. Hosts that stayed in touch ignore it, so one cut-off watcher tells nobody that the store was away.

--- a/src/replica/CopyAge.ts
+++ b/src/replica/CopyAge.ts
@@ -46,14 +46,15 @@
     /**
      * Records that the copy held everything that the store had at a time.
      * @param time - In milliseconds of the clock.
+     * @param regainedTime - When touch with the store was regained last, if another host has told; else this one finds out by itself.
      */
-    recordCurrent(time: number): void {
+    recordCurrent(time: number, regainedTime?: number): void {
         const now = this.#clock.getTime();
         if (time <= this.#confirmedTime) {
             return;
         }
         if (!this.isInTouch() && now - time < LOST_AGE_MS) {
-            this.#regainedTime = now;
+            this.#regainedTime = Math.max(this.#regainedTime, regainedTime ?? now);
         }
         this.#confirmedTime = time;
         this.#listeners.forEach(listener => listener());
--- a/src/replica/PullAnswerer.ts
+++ b/src/replica/PullAnswerer.ts
@@ -87,12 +87,14 @@
         this.#toldVersions.set(params.sender, this.#reports.getVersion());
         const events = this.#replica.findChanges(params.revision);
         const confirmedMs = this.#age.getConfirmedTime() - arrival;
+        const regainedMs = this.#age.getRegainedTime() - arrival;
         return {
             revision: this.#replica.getRevision(),
             events: events ?? [],
             jumps: this.#replica.findJumps(params.revision),
             ...(events === undefined ? { parts: createParts(this.#replica) } : {}),
             ...(Number.isFinite(confirmedMs) ? { confirmedMs } : {}),
+            ...(Number.isFinite(regainedMs) ? { regainedMs } : {}),
             path: this.#getPath(),
             reports: this.#reports.createReports(arrival),
         };
--- a/src/replica/PullReplicaResult.ts
+++ b/src/replica/PullReplicaResult.ts
@@ -16,6 +16,11 @@
      * makes it look younger; left out if it never was.
      */
     readonly confirmedMs?: number;
+    /**
+     * When touch with the store was regained last, in milliseconds after the arrival of the call; left out if it never was lost. A host
+     * that was late itself does not know whether the store was away.
+     */
+    readonly regainedMs?: number;
     /** The hosts from which the answering host takes its copy, the nearest first, as far as it knows. */
     readonly path: readonly string[];
     readonly reports: readonly HostReport[];
--- a/src/replica/SourcePuller.ts
+++ b/src/replica/SourcePuller.ts
@@ -207,14 +207,15 @@
             }
             this.#checker.recordHeard(member.id);
             this.#reports.merge(result.reports, sent);
-            this.#age.recordCurrent(sent + (result.confirmedMs ?? Number.NEGATIVE_INFINITY));
+            const confirmedTime = sent + (result.confirmedMs ?? Number.NEGATIVE_INFINITY);
+            this.#age.recordCurrent(confirmedTime, sent + (result.regainedMs ?? Number.NEGATIVE_INFINITY));
             if (result.parts !== undefined) {
                 replica.applyParts(result.parts);
             }
             else {
                 replica.applyEvents(result.events, result.revision, result.jumps);
             }
-            return this.#recordHelp(member, result.path, sent + (result.confirmedMs ?? Number.NEGATIVE_INFINITY));
+            return this.#recordHelp(member, result.path, confirmedTime);
         }
         catch {
             if (!signal.aborted) {
--- a/tests/replica/ReplicaKeeper.test.ts
+++ b/tests/replica/ReplicaKeeper.test.ts
@@ -115,6 +115,47 @@
     assert.equal(fleet.getIsolatedHosts(), [id]);
 });
 
+test("a host that was cut off itself does not take the store for away", async () => {
+    const fleet = createReplicaFleet(HOSTS);
+    await fleet.start();
+    for (const id of [fleet.getWatchOrder().at(-1)!, fleet.getWatchOrder()[ZONES]!]) {
+        const start = fleet.clock.getTime();
+        fleet.closeHost(id);
+        fleet.source.silenced.add(id);
+        await fleet.clock.run(5_000);
+        fleet.openHost(id);
+        fleet.source.silenced.delete(id);
+        await fleet.clock.run(4_000);
+        assert.equal(fleet.getHostsWithoutStoreSince(start), []);
+    }
+});
+
+test("hosts that stayed in touch don't take the store for away on the word of one that was cut off", async () => {
+    const fleet = createReplicaFleet(HOSTS);
+    await fleet.start();
+    const [watcher] = fleet.getWatchOrder();
+    const start = fleet.clock.getTime();
+    fleet.closeHost(watcher!);
+    fleet.source.silenced.add(watcher!);
+    await fleet.clock.run(5_000);
+    fleet.openHost(watcher!);
+    fleet.source.silenced.delete(watcher!);
+    await fleet.clock.run(4_000);
+    assert.equal(fleet.getHostsWithoutStoreSince(start).filter(id => id !== watcher), []);
+});
+
+test("after the store was away for all, every host knows when it was back", async () => {
+    const fleet = createReplicaFleet(HOSTS);
+    await fleet.start();
+    fleet.source.isAway = true;
+    await fleet.clock.run(5_000);
+    fleet.source.isAway = false;
+    const end = fleet.clock.getTime();
+    await fleet.clock.run(4_000);
+    assert.is(fleet.getHostsWithoutStoreSince(end).length, HOSTS);
+    assert.equal(fleet.getHostsWithoutStoreSince(end + APPLY_BOUND_MS), []);
+});
+
 test("a host that no watcher reaches is reported as not reachable", async () => {
     const fleet = createReplicaFleet(HOSTS);
     await fleet.start();
--- a/tests/support/createReplicaFleet.ts
+++ b/tests/support/createReplicaFleet.ts
@@ -43,6 +43,10 @@
     readonly removeHost: (id: string) => void;
     /** Cuts a host off from all others. */
     readonly closeHost: (id: string) => void;
+    /** Ends the cut of a host. */
+    readonly openHost: (id: string) => void;
+    /** Gets the ids of the hosts that have missed the store since a time, in milliseconds of the clock. */
+    readonly getHostsWithoutStoreSince: (time: number) => readonly string[];
     /** Gets the ids of the hosts that take themselves for isolated. */
     readonly getIsolatedHosts: () => readonly string[];
     /** Gets the ids of the hosts in the order in which they watch, the first ones of all zones before the second ones. */
@@ -92,6 +96,9 @@
             hosts.delete(id);
         },
         closeHost: id => network.stopAnswers(hosts.get(id)!.member.peerAddress),
+        openHost: id => network.startAnswers(hosts.get(id)!.member.peerAddress),
+        getHostsWithoutStoreSince: time =>
+            [...hosts.values()].filter(host => host.keeper.getRegainedTime() > time).map(host => host.member.id),
         getIsolatedHosts: () =>
             [...hosts.values()].filter(host => host.membership.isIsolated()).map(host => host.member.id),
         getWatchOrder: () => {
