--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -6,6 +6,7 @@
 import { AttemptRecorder } from "./AttemptRecorder.js";
 import { createKeptOutcome } from "./createKeptOutcome.js";
 import { createStatus } from "./createStatus.js";
+import { createUpstreamCounts } from "./createUpstreamCounts.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { FirstByteLimit } from "./FirstByteLimit.js";
 import { OtherLoads } from "./OtherLoads.js";
@@ -36,8 +37,6 @@
 /** Share of the upstreams out of reach from which on this host counts as cut off. */
 const MIN_CUT_SHARE = 0.5;
 const FIRST_FAILURE_STATUS = 500;
-/** An upstream with a request within this span is in use, in milliseconds. */
-const USE_SPAN_MS = 2_000;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
 /** The upstreams of one part of a service with their queue. */
@@ -216,18 +215,11 @@
 
     /** Gets what the pool had to carry lately. */
     getLoad(): PoolLoad {
-        const upstreams = this.#upstreams.getAll().filter(pooled => pooled.getState() !== UpstreamState.Draining);
-        const getCount = (isCounted: (pooled: PooledUpstream) => boolean): number => upstreams.filter(isCounted).length;
         return {
             service: this.#service.name,
             zone: this.#part.zone,
             part: this.#part.key,
-            upstreams: upstreams.length,
-            working: getCount(pooled => pooled.isWorking()),
-            held: getCount(pooled => pooled.getState() === UpstreamState.Held),
-            resting: getCount(pooled => !pooled.isWorking() && pooled.isFailingInTime),
-            away: getCount(pooled => pooled.isSilent || pooled.isConnectFailing),
-            used: getCount(pooled => pooled.getIdleTime() < USE_SPAN_MS),
+            ...createUpstreamCounts(this.#upstreams.getAll()),
             slots: this.#upstreams.getSlots(),
             freeSlots: this.#upstreams.getFreeSlots(),
             queued: this.#queue.getSize(),
--- a/src/services/UpstreamEjector.ts
+++ b/src/services/UpstreamEjector.ts
@@ -4,17 +4,18 @@
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { findEarlyTrial } from "./findEarlyTrial.js";
 import { findFloorTrial } from "./findFloorTrial.js";
+import { findLastTrial } from "./findLastTrial.js";
 import { getEvidenceShare } from "./getEvidenceShare.js";
 import { hasCapacityAboveFloor } from "./hasCapacityAboveFloor.js";
 import { hasWorkingSiblings } from "./hasWorkingSiblings.js";
 import { isBusy } from "./isBusy.js";
+import { isReached } from "./isReached.js";
+import { isSlow } from "./isSlow.js";
 import type { PooledUpstream } from "./PooledUpstream.js";
 import { UpstreamEvent } from "./UpstreamEvent.js";
 import type { UpstreamJudgeOptions } from "./UpstreamJudgeOptions.js";
 import { UpstreamState } from "./UpstreamState.js";
 
-/** Time out of work before a trial while nothing else of the service works, in milliseconds. */
-const MIN_LAST_REST_MS = 1_500;
 const FLOOR_NOTE = "; the floor forbids its ejection";
 
 /** Takes convicted upstreams of a pool out of work as far as the floor allows, has them tried and brings them back. */
@@ -63,23 +64,16 @@
 
     /** Brings a resting upstream back, or lets any request try it, while nothing else of the service works. */
     startLastTrial(): void {
-        const isAnyInUse = this.#upstreams.some(upstream =>
-            upstream.isWorking() || upstream.getState() === UpstreamState.Probation && !upstream.isReservedForLookups()
-        );
-        if (!this.#isPrompt() || isAnyInUse || this.#options.hasRoomElsewhere()) {
+        const upstream = this.#isPrompt() ? findLastTrial(this.#upstreams) : undefined;
+        if (upstream === undefined || this.#options.hasRoomElsewhere()) {
             return;
         }
-        const resting = this.#upstreams.filter(upstream =>
-            upstream.getState() !== UpstreamState.Draining && isReached(upstream)
-        );
-        const slow = resting.find(isSlow);
-        if (slow !== undefined) {
-            this.restore(slow, "nothing else of the service works");
-            return;
+        if (isSlow(upstream)) {
+            this.restore(upstream, "nothing else of the service works");
+        }
+        else {
+            this.#startOrderTrial(upstream);
         }
-        const rested = resting.filter(upstream => upstream.getRestTime() >= MIN_LAST_REST_MS);
-        rested.sort((left, right) => right.getRestTime() - left.getRestTime());
-        this.#startOrderTrial(rested[0]);
     }
 
     /** Lets any request try a resting upstream, if fewer upstreams than the floor have had a request lately. */
@@ -261,11 +255,3 @@
     }
     return isSlow(upstream) ? "slow against its siblings" : `failing: ${detail}`;
 }
-
-function isSlow({ detector }: PooledUpstream): boolean {
-    return detector.getLatencyEvidence() > detector.getErrorEvidence();
-}
-
-function isReached({ isSilent, isConnectFailing }: PooledUpstream): boolean {
-    return !isSilent && !isConnectFailing;
-}
--- /dev/null
+++ b/src/services/createUpstreamCounts.ts
@@ -0,0 +1,25 @@
+import type { PooledUpstream } from "./PooledUpstream.js";
+import type { PoolLoad } from "./PoolLoad.js";
+import { UpstreamState } from "./UpstreamState.js";
+
+/** An upstream with a request within this span is in use, in milliseconds. */
+const USE_SPAN_MS = 2_000;
+
+type UpstreamCounts = Pick<PoolLoad, "upstreams" | "working" | "held" | "resting" | "away" | "used">;
+
+/**
+ * Creates the counts of a pool's upstreams by what they do; draining ones are left out.
+ * @param pooled - The upstreams of the pool.
+ */
+export function createUpstreamCounts(pooled: readonly PooledUpstream[]): UpstreamCounts {
+    const upstreams = pooled.filter(upstream => upstream.getState() !== UpstreamState.Draining);
+    const getCount = (isCounted: (upstream: PooledUpstream) => boolean): number => upstreams.filter(isCounted).length;
+    return {
+        upstreams: upstreams.length,
+        working: getCount(upstream => upstream.isWorking()),
+        held: getCount(upstream => upstream.getState() === UpstreamState.Held),
+        resting: getCount(upstream => !upstream.isWorking() && upstream.isFailingInTime),
+        away: getCount(upstream => upstream.isSilent || upstream.isConnectFailing),
+        used: getCount(upstream => upstream.getIdleTime() < USE_SPAN_MS),
+    };
+}
