Give up a lookup whose service host falls silent while it has it

What callers saw: lookups that were under way when a service host died hang for the two seconds until the fleet finds it silent, then end with a 502.

Cause: while a lookup runs, its sender looks only at what the fleet says of the host.

Change: every 0.4 s the sender asks a host that it has not heard within 0.3 s; without an answer in 0.2 s the lookup goes to another.

Evidence: "a lookup leaves a service host that falls silent while it has it" failed before (4,000 ms).

--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -99,7 +99,8 @@
             const answer = runWithTimeout(clock, waitMs, run, () => {
                 throw new PeerUnavailableError(`${host.id} did not answer.`, false);
             });
-            const received = await (call.isIdempotent && !isLast ? this.#runWhileReachable(host, answer) : answer);
+            const received =
+                await (call.isIdempotent && !isLast ? this.#runWhileReachable(host, call, answer) : answer);
             this.#suspicion.recordAnswer(host.peerAddress);
             return getUnlessRefusedByHost(received);
         }
@@ -123,11 +124,19 @@
      * lookup would wait until the host is found silent and then spend a retry.
      */
     async #isAnswering(host: Member, call: DispatchCall): Promise<boolean> {
-        const { membership, transport, isSelfSufficient } = this.#options;
-        const isProven = this.#suspicion.hasAnsweredWithin(host.peerAddress, ANSWERED_SPAN_MS);
-        if (isSelfSufficient !== true || host.id === membership.getSelf().id || isProven) {
+        const { membership, isSelfSufficient } = this.#options;
+        if (isSelfSufficient !== true || host.id === membership.getSelf().id) {
+            return true;
+        }
+        return await this.#findServing(host, call) ?? false;
+    }
+
+    /** Finds whether a host takes requests; undefined if it doesn't answer. */
+    async #findServing(host: Member, call: DispatchCall): Promise<boolean | undefined> {
+        if (this.#suspicion.hasAnsweredWithin(host.peerAddress, ANSWERED_SPAN_MS)) {
             return true;
         }
+        const { transport } = this.#options;
         try {
             const result = await transport.send(host.peerAddress, PeerMethod.IsServing, {}, IS_SERVING_TIMEOUT_MS);
             this.#suspicion.recordAnswer(host.peerAddress);
@@ -137,7 +146,7 @@
             this.#suspicion.recordSilent(host.peerAddress);
             const { requestId } = call.request;
             this.#recordHostFailure(host, { requestId, service: call.service.name }, "service-host-silent", error);
-            return false;
+            return undefined;
         }
     }
 
@@ -158,21 +167,31 @@
     }
 
     /** Gives a host up as soon as it is known not to answer, so that a lookup can still go to another upstream. */
-    async #runWhileReachable(host: Member, answer: Promise<ServiceAnswer>): Promise<ServiceAnswer> {
+    async #runWhileReachable(host: Member, call: DispatchCall, answer: Promise<ServiceAnswer>): Promise<ServiceAnswer> {
         const { clock } = this.#options;
         return await new Promise((resolve, reject) => {
-            const check = (): void => {
-                if (!this.#isAway(host)) {
-                    timer = clock.schedule(REACHABILITY_CHECK_MS, check);
-                    return;
+            let isEnded = false;
+            const check = async (): Promise<void> => {
+                const isLost = this.#isAway(host) || await this.#isSilent(host, call);
+                if (isLost) {
+                    reject(new PeerUnavailableError(`${host.id} is not reachable.`, false));
+                }
+                else if (!isEnded) {
+                    timer = clock.schedule(REACHABILITY_CHECK_MS, () => void check());
                 }
-                reject(new PeerUnavailableError(`${host.id} is not reachable.`, false));
             };
-            let timer = clock.schedule(REACHABILITY_CHECK_MS, check);
-            answer.then(resolve, reject).finally(() => timer.cancel());
+            let timer = clock.schedule(REACHABILITY_CHECK_MS, () => void check());
+            answer.then(resolve, reject).finally(() => {
+                isEnded = true;
+                timer.cancel();
+            });
         });
     }
 
+    async #isSilent(host: Member, call: DispatchCall): Promise<boolean> {
+        return this.#options.isSelfSufficient === true && await this.#findServing(host, call) === undefined;
+    }
+
     /** Asks the host what became of an order; one that it has never seen has not run there and will not. */
     async #findLostOutcome(host: Member, call: DispatchCall, sent: SentRequest): Promise<Outcome> {
         const lost = createUnknown(UnknownReason.ConnectionLost, "The connection was lost after the request was sent.");
--- a/tests/accounts/ServiceSender.test.ts
+++ b/tests/accounts/ServiceSender.test.ts
@@ -80,6 +80,14 @@
     assert.is((await runClockUntil(clock, send(RouteKind.Lookup)))!.outcome.kind, OutcomeKind.Done);
 });
 
+test("a lookup leaves a service host that falls silent while it has it, within a second and before watchers say so", async () => {
+    const first = membership.getServiceHosts("orders", "zone-a")[0]!;
+    clock.schedule(5, () => network.stopAnswers(first.peerAddress));
+    const answer = await runClockUntil(clock, send(RouteKind.Lookup));
+    assert.is(answer!.outcome.kind, OutcomeKind.Unknown);
+    assert.ok(clock.getTime() < 1_000, `${clock.getTime()} ms`);
+});
+
 test("a lookup stays with a service host that answers others of this host's requests, though watchers say that it is away", async () => {
     const first = membership.getServiceHosts("orders", "zone-a")[0]!;
     const runner = runners[HOST_IDS.indexOf(first.id)]!;
--- a/tests/accounts/deadServiceHost.test.ts
+++ b/tests/accounts/deadServiceHost.test.ts
@@ -29,50 +29,72 @@
 /** What was on its way when the hosts died has arrived by then, in milliseconds. */
 const IN_FLIGHT_MS = 10;
 
+interface SentLookup {
+    readonly time: number;
+    isLate: boolean;
+}
+
 const test = suite("dead service hosts");
 
 for (const seed of [1, 2, 3]) {
     test(`while ${DEAD} service hosts are dead and not found silent yet, no upstream stands idle and lookups are answered in time, seed ${seed}`, async () => {
-        const bench = new DispatchBench({
-            hosts: HOSTS,
-            upstreamsAZone: UPSTREAMS_A_ZONE,
-            serviceTimeMs: SERVICE_TIME_MS,
-            service: { name: `lookups-${seed}` },
-        });
-        const random = new SeededRandom(seed);
-        const lookups: { readonly time: number; isLate: boolean; }[] = [];
-        const sendUntil = async (end: number): Promise<void> => {
-            while (bench.clock.getTime() < end) {
-                const lookup = { time: bench.clock.getTime(), isLate: true };
-                lookups.push(lookup);
-                void bench.run(Math.floor(random.getNext() * HOSTS), MAX_ATTEMPTS).then(({ kind }) => {
-                    lookup.isLate = kind !== OutcomeKind.Done || bench.clock.getTime() - lookup.time > GOAL_MS;
-                });
-                await bench.clock.run(1_000 / LOOKUPS_PER_SECOND);
-            }
-        };
-        await sendUntil(WARM_UP_MS);
-        for (const { zone, key } of getServiceParts(bench.service).slice(0, DEAD)) {
-            const [host] = bench.hosts[0]!.membership.getServiceHosts(bench.service.name, zone, key);
-            bench.network.stopAnswers(host!.peerAddress);
-        }
-        await sendUntil(WARM_UP_MS + DETECTION_MS);
+        const { bench, lookups } = await runLookups(seed, DEAD);
         const inUse = new Set(
-            bench.upstreams.records.filter(({ time }) => time >= WARM_UP_MS + IN_FLIGHT_MS).map(record =>
-                record.upstream
-            ),
+            bench.upstreams.records.filter(({ time }) =>
+                time >= WARM_UP_MS + IN_FLIGHT_MS && time < WARM_UP_MS + DETECTION_MS
+            ).map(record => record.upstream),
         );
-        await bench.clock.run(END_MS);
         const count = bench.service.upstreams.length;
         assert.ok(inUse.size >= FLOOR_SHARE * count, `${inUse.size} of ${count} upstreams had a lookup`);
         checkLate(lookups.filter(({ time }) => time >= WARM_UP_MS), MAX_UNSERVED_SHARE);
         checkLate(lookups.filter(({ time }) => time >= WARM_UP_MS + ANSWERED_SPAN_MS), MAX_LATE_SHARE);
     });
+
+    test(`lookups under way at a service host that dies are answered in time, seed ${seed}`, async () => {
+        const { lookups } = await runLookups(seed, 1);
+        const start = WARM_UP_MS - SERVICE_TIME_MS / 2;
+        const underWay = lookups.filter(({ time }) => time >= start && time < WARM_UP_MS + ANSWERED_SPAN_MS);
+        checkLate(underWay, MAX_LATE_SHARE);
+    });
 }
 
 test.run();
 
-function checkLate(lookups: readonly { readonly isLate: boolean; }[], maxShare: number): void {
+/** Sends lookups while the hosts of some parts die, and lets all end; the fleet finds the dead ones silent after its usual time. */
+async function runLookups(
+    seed: number,
+    dead: number,
+): Promise<{ bench: DispatchBench; lookups: readonly SentLookup[]; }> {
+    const bench = new DispatchBench({
+        hosts: HOSTS,
+        upstreamsAZone: UPSTREAMS_A_ZONE,
+        serviceTimeMs: SERVICE_TIME_MS,
+        service: { name: `lookups-${seed}` },
+    });
+    const { clock, hosts, network, service } = bench;
+    const random = new SeededRandom(seed);
+    const lookups: SentLookup[] = [];
+    const sendUntil = async (end: number): Promise<void> => {
+        while (clock.getTime() < end) {
+            const lookup = { time: clock.getTime(), isLate: true };
+            lookups.push(lookup);
+            void bench.run(Math.floor(random.getNext() * HOSTS), MAX_ATTEMPTS).then(({ kind }) => {
+                lookup.isLate = kind !== OutcomeKind.Done || clock.getTime() - lookup.time > GOAL_MS;
+            });
+            await clock.run(1_000 / LOOKUPS_PER_SECOND);
+        }
+    };
+    await sendUntil(WARM_UP_MS);
+    const deadHosts = getServiceParts(service).slice(0, dead)
+        .map(({ zone, key }) => hosts[0]!.membership.getServiceHosts(service.name, zone, key)[0]!);
+    deadHosts.forEach(({ peerAddress }) => network.stopAnswers(peerAddress));
+    await sendUntil(WARM_UP_MS + DETECTION_MS);
+    hosts.forEach(({ membership }) => deadHosts.forEach(({ id }) => membership.unreachable.add(id)));
+    await clock.run(END_MS);
+    return { bench, lookups };
+}
+
+function checkLate(lookups: readonly SentLookup[], maxShare: number): void {
     const late = lookups.filter(({ isLate }) => isLate).length;
     assert.ok(late <= maxShare * lookups.length, `${late} of ${lookups.length} lookups were late or not answered`);
 }
