Spread the lookups that a lost service host leaves over the parts of all zones

Cause: they are sent again to their sender's own zone, half of them to the very part whose host is lost, where the next host's new pool has five retries. The parts share the service's retries evenly, and those of the other zones stay unused.

Change: a request whose service host was lost is sent to a part of any zone by free slots, the lost one's part only if there is no other. No part may spend more than before.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -24,6 +24,8 @@
     readonly excludedUpstreams: string[];
     /** How many upstreams it was, or may have been, sent to. */
     sent: number;
+    /** Keys of the parts whose service host was lost with it. */
+    readonly lostParts: Set<string>;
     /** An answer or a doubt of an earlier attempt; "not run" can't be said any more. */
     earlier: Exclude<Outcome, NotRunOutcome> | undefined;
 }
@@ -60,7 +62,13 @@
      * @param signal - Aborted when nobody waits for the answer any more.
      */
     async run(call: DispatchCall, signal: AbortSignal): Promise<Outcome> {
-        const state: DispatchState = { excludedParts: new Set(), excludedUpstreams: [], sent: 0, earlier: undefined };
+        const state: DispatchState = {
+            excludedParts: new Set(),
+            excludedUpstreams: [],
+            sent: 0,
+            lostParts: new Set(),
+            earlier: undefined,
+        };
         this.#getBudget(call.service.name).grant(call.service.retryBudget, call.service.retryRate);
         let outcome = this.#getNoPart();
         for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
@@ -92,11 +100,7 @@
             const refusal = createNotRun(RefusalReason.DeadlineExceeded, detail, DEFAULT_RETRY_AFTER_MS);
             return { outcome: refusal, isSent: false };
         }
-        const part = this.#parts.select(
-            call.service,
-            state.excludedParts,
-            call.request.route.kind === RouteKind.Bulk,
-        );
+        const part = this.#selectPart(call, state);
         if (part === undefined) {
             return undefined;
         }
@@ -114,6 +118,13 @@
         return { outcome: answer.outcome, isSent };
     }
 
+    /** Many requests are lost with a service host, and the retries of its zone do not suffice for them. */
+    #selectPart(call: DispatchCall, { excludedParts, lostParts }: DispatchState): ServicePart | undefined {
+        const options = { isLarge: call.request.route.kind === RouteKind.Bulk, isAnyZone: lostParts.size > 0 };
+        return this.#parts.select(call.service, new Set([...excludedParts, ...lostParts]), options) ??
+            this.#parts.select(call.service, excludedParts, options);
+    }
+
     async #recordAnswer(
         call: DispatchCall,
         part: ServicePart,
@@ -131,6 +142,9 @@
             closeEarlier(state.earlier);
             state.earlier = outcome;
         }
+        if (outcome.kind === OutcomeKind.Unknown && upstream === undefined) {
+            state.lostParts.add(part.key);
+        }
         if (upstream !== undefined || outcome.kind === OutcomeKind.Done || isFull(outcome)) {
             const { freeSlots, queued, otherLoads } = answer;
             this.#parts.recordLoad(call.service.name, { part: part.key, freeSlots, queued, ageMs: 0 });
--- a/src/accounts/PartSelector.ts
+++ b/src/accounts/PartSelector.ts
@@ -4,6 +4,7 @@
 import type { PartLoadReport } from "../services/index.js";
 import type { Clock } from "../time/index.js";
 import type { PartLoad } from "./PartLoad.js";
+import type { PartSelectOptions } from "./PartSelectOptions.js";
 import type { PartSelectorOptions } from "./PartSelectorOptions.js";
 
 const LOAD_LIFETIME_MS = 2_000;
@@ -30,15 +31,19 @@
      * Selects a part, one of the own zone while that has free slots; undefined if none is left.
      * @param service - The service.
      * @param excluded - Keys of the parts that can't run this request.
-     * @param isLarge - Whether the answer is large.
+     * @param options - What matters of the request.
      */
-    select(service: Service, excluded: ReadonlySet<string>, isLarge = false): ServicePart | undefined {
+    select(
+        service: Service,
+        excluded: ReadonlySet<string>,
+        { isLarge = false, isAnyZone = false }: PartSelectOptions = {},
+    ): ServicePart | undefined {
         const parts = getServiceParts(service).filter(part => part.slots > 0 && !excluded.has(part.key));
         const own = parts.filter(part => part.zone === this.#ownZone);
         const free = own.reduce((sum, part) => sum + this.#getFreeSlots(service.name, part), 0);
         const slots = own.reduce((sum, part) => sum + part.slots, 0);
         const minShare = isLarge ? MIN_FREE_SHARE_FOR_LARGE_ANSWERS : MIN_FREE_SHARE_OF_OWN_ZONE;
-        const isOwnZoneFree = own.length > 0 && free >= slots * minShare;
+        const isOwnZoneFree = !isAnyZone && own.length > 0 && free >= slots * minShare;
         return this.#selectByWeight(isOwnZoneFree ? own : parts, part => this.#getWeight(service.name, part));
     }
 
