Answer requests that callers send ahead in their order, and cancel all when the caller leaves

What callers saw: with three GETs in one write, a caller that left cancelled only the first request; during a planned stop the first answer closed the connection and the two behind it, already run, were thrown away; a refusal of malformed bytes overtook the answers before it; all requests of a connection ran at once without a bound; an order sent behind others ran before these were answered. A body above the limit got a closed connection instead of its 413, and a stop cut a large answer whose caller reads slowly.

Cause: both listeners left the order to Node's response queue, which emits 'close' only on the response that holds the socket, drops what is behind a closing response and takes a response that has ended, but not been handed to the system, for idle when the server closes. readBody destroyed the request, and with it the connection, at the limit.

CallerConnection, one class for both listeners, runs up to 4 requests of a connection, keeps 16, sends the answers one after the other and closes after the last one that was passed on. Time limits count from when the request was read; what is due before it could be sent is refused as not run.

Ruled out: holding each answer until it is whole, since lookups up to 256 KiB are read ahead already.

--- /dev/null
+++ b/src/callers/CallerConnections.ts
@@ -0,0 +1,82 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { refuseSocket } from "../utils/index.js";
+import { CallerConnection } from "./CallerConnection.js";
+import type { CallerConnectionsOptions } from "./CallerConnectionsOptions.js";
+
+const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
+
+/** The connections of a listener for callers. */
+export class CallerConnections {
+    readonly #options: CallerConnectionsOptions;
+    readonly #connections = new WeakMap<Socket, CallerConnection>();
+    /** Connections with a request in progress. */
+    readonly #busy = new Set<CallerConnection>();
+    readonly #idleListeners: (() => void)[] = [];
+    #isDraining = false;
+
+    /** @param options - Dependencies of the connections. */
+    constructor(options: CallerConnectionsOptions) {
+        this.#options = options;
+        options.server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+            const isOverflow = error.code === HEADER_OVERFLOW_CODE;
+            this.#refuse(socket as Socket, isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request");
+        });
+    }
+
+    /**
+     * Adds a request that has been read on its connection.
+     * @param request - The request.
+     * @param response - Its response.
+     */
+    add(request: IncomingMessage, response: ServerResponse): void {
+        const connection = this.#connections.get(request.socket) ?? this.#createConnection(request.socket);
+        connection.add(request, response);
+        if (connection.isBusy()) {
+            this.#busy.add(connection);
+        }
+    }
+
+    /** Closes each connection after the answers to the requests that were passed on from now on. */
+    drain(): void {
+        this.#isDraining = true;
+    }
+
+    /**
+     * Waits until no request is in progress. Closing the HTTP server earlier would cut responses that have ended but have not
+     * been handed to the operating system, as it takes their connections for idle.
+     */
+    async waitForIdle(): Promise<void> {
+        if (this.#busy.size > 0) {
+            await new Promise<void>(resolve => this.#idleListeners.push(resolve));
+        }
+    }
+
+    #createConnection(socket: Socket): CallerConnection {
+        const { clock, prepare } = this.#options;
+        const connection: CallerConnection = new CallerConnection(socket, {
+            clock,
+            prepare,
+            isDraining: () => this.#isDraining,
+            onIdle: () => this.#removeBusy(connection),
+        });
+        this.#connections.set(socket, connection);
+        return connection;
+    }
+
+    #removeBusy(connection: CallerConnection): void {
+        this.#busy.delete(connection);
+        if (this.#busy.size === 0) {
+            this.#idleListeners.splice(0).forEach(listener => listener());
+        }
+    }
+
+    #refuse(socket: Socket, status: string): void {
+        const connection = this.#connections.get(socket);
+        if (connection === undefined) {
+            refuseSocket(socket, status);
+            return;
+        }
+        connection.refuse(status);
+    }
+}
--- a/src/callers/CallerListener.ts
+++ b/src/callers/CallerListener.ts
@@ -1,11 +1,16 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import polka from "polka";
-import { createNotRun, RefusalReason } from "../outcomes/index.js";
+import { closeBody, createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
+import type { Outcome } from "../outcomes/index.js";
 import { openServer, readBody, refuseSocket } from "../utils/index.js";
 import type { CallerAnswer } from "./CallerAnswer.js";
+import { CallerConnections } from "./CallerConnections.js";
 import type { CallerListenerOptions } from "./CallerListenerOptions.js";
+import { checkBody } from "./checkBody.js";
 import { parseCredentials } from "./parseCredentials.js";
+import type { PreparedAnswer } from "./PreparedAnswer.js";
+import type { PreparedRequest } from "./PreparedRequest.js";
 import { RefusalError } from "./RefusalError.js";
 import { sendCallerAnswer } from "./sendCallerAnswer.js";
 import { sendProblem } from "./sendProblem.js";
@@ -14,13 +19,13 @@
 const KEEP_ALIVE_MS = 60_000;
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
-const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
 const NO_REQUEST_ID = "-";
 
 /** The HTTP listener for callers: address lookups, queries for order outcomes, and requests on routes. */
 export class CallerListener {
     readonly #options: CallerListenerOptions;
     readonly #server: Server;
+    readonly #connections: CallerConnections;
 
     /** @param options - The handlers of requests and lookups. */
     constructor(options: CallerListenerOptions) {
@@ -31,6 +36,11 @@
             headersTimeout: HEADERS_TIMEOUT_MS,
             requestTimeout: REQUEST_TIMEOUT_MS,
         });
+        this.#connections = new CallerConnections({
+            clock: options.clock,
+            server: this.#server,
+            prepare: request => this.#createPreparedRequest(request),
+        });
         this.#addRoutes();
     }
 
@@ -42,8 +52,10 @@
         return await openServer(this.#server, address);
     }
 
-    /** Stops listening, waits for answers in progress and closes all connections. */
+    /** Waits for answers in progress, stops listening and closes all connections. */
     async stop(): Promise<void> {
+        this.#connections.drain();
+        await this.#connections.waitForIdle();
         const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
         this.#server.closeIdleConnections();
         await closed;
@@ -57,7 +69,7 @@
     #addRoutes(): void {
         const app = polka({
             server: this.#server,
-            onNoMatch: (request, response) => void this.#runRequest(request, response),
+            onNoMatch: (request, response) => this.#connections.add(request, response),
         });
         app.get("/v1/addresses", (request, response) => this.#sendAddresses(request, response));
         app.get("/v1/orders/:key", (request, response) => {
@@ -69,10 +81,6 @@
             }
         });
         this.#server.on("connect", (_request, socket) => refuseSocket(socket, "405 Method Not Allowed"));
-        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-            const isOverflow = error.code === HEADER_OVERFLOW_CODE;
-            refuseSocket(socket, isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request");
-        });
     }
 
     #sendAddresses(request: IncomingMessage, response: ServerResponse): void {
@@ -115,31 +123,50 @@
         }
     }
 
-    async #runRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const startTime = this.#options.getTime();
-        const controller = new AbortController();
-        response.once("close", () => {
-            if (!response.writableFinished) {
-                controller.abort(new Error("The caller has left."));
-            }
-        });
-        const answer: CallerAnswer = await this.#options.requestHandler.run({
-            method: request.method ?? "",
-            target: request.url ?? "/",
-            headers: getHeaders(request),
-            readBody: maxBytes => readRequestBody(request, maxBytes),
-            signal: controller.signal,
-        });
-        this.#options.recordDuration(answer.outcome, this.#options.getTime() - startTime);
-        if (!request.complete) {
-            response.setHeader("connection", "close");
-        }
-        try {
-            await sendCallerAnswer(answer, response);
-        }
-        finally {
-            answer.close();
+    #createPreparedRequest(request: IncomingMessage): PreparedRequest {
+        const { clock, requestHandler } = this.#options;
+        const receivedTime = clock.getTime();
+        const target = request.url ?? "/";
+        return {
+            canRunAhead: requestHandler.isIdempotent(target),
+            run: async signal => {
+                const answer = await requestHandler.run({
+                    method: request.method ?? "",
+                    target,
+                    headers: getHeaders(request),
+                    readBody: maxBytes => readRequestBody(request, maxBytes),
+                    signal,
+                    waitedMs: clock.getTime() - receivedTime,
+                });
+                return this.#createPreparedAnswer(answer, receivedTime);
+            },
+        };
+    }
+
+    #createPreparedAnswer(answer: CallerAnswer, receivedTime: number): PreparedAnswer {
+        const { clock, recordDuration } = this.#options;
+        const record = (outcome: Outcome): void => recordDuration(outcome, clock.getTime() - receivedTime);
+        if (answer.outcome.kind === OutcomeKind.Done) {
+            // The body may fail while the answers to earlier requests are being sent.
+            answer.outcome.body.on("error", () => {});
         }
+        return {
+            send: async response => {
+                const outcome = checkBody(answer.outcome);
+                record(outcome);
+                try {
+                    await sendCallerAnswer({ ...answer, outcome }, response);
+                }
+                finally {
+                    answer.close();
+                }
+            },
+            cancel: () => {
+                record(answer.outcome);
+                closeBody(answer.outcome);
+                answer.close();
+            },
+        };
     }
 }
 
--- a/src/callers/CallerListenerOptions.ts
+++ b/src/callers/CallerListenerOptions.ts
@@ -1,4 +1,5 @@
 import type { Outcome } from "../outcomes/index.js";
+import type { Clock } from "../time/index.js";
 import type { AddressLookup } from "./AddressLookup.js";
 import type { CallerRequestHandler } from "./CallerRequestHandler.js";
 
@@ -18,6 +19,5 @@
      * @param durationMs - Time to the first byte of the answer, in milliseconds.
      */
     readonly recordDuration: (outcome: Outcome, durationMs: number) => void;
-    /** Gets the monotonic time in milliseconds. */
-    readonly getTime: () => number;
+    readonly clock: Clock;
 }
--- a/src/callers/CallerRequestHandler.ts
+++ b/src/callers/CallerRequestHandler.ts
@@ -1,4 +1,4 @@
-import { isKeyValid, RouteAccess } from "../configuration/index.js";
+import { isKeyValid, RouteAccess, RouteKind } from "../configuration/index.js";
 import type { Account, Route } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import { createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
@@ -9,6 +9,7 @@
 import type { CallerRequestHandlerOptions } from "./CallerRequestHandlerOptions.js";
 import type { Credentials } from "./Credentials.js";
 import { getForwardedHeaders } from "./getForwardedHeaders.js";
+import { getPath } from "./getPath.js";
 import type { IncomingRequest } from "./IncomingRequest.js";
 import { parseCredentials } from "./parseCredentials.js";
 import { RefusalError } from "./RefusalError.js";
@@ -40,6 +41,14 @@
         this.#isStopping = true;
     }
 
+    /**
+     * Whether a request may run more than once, by its route; true if it has none, as it is refused then.
+     * @param target - The request's path with query.
+     */
+    isIdempotent(target: string): boolean {
+        return this.#options.getConfiguration().findRoute(getPath(target))?.kind !== RouteKind.Order;
+    }
+
     /**
      * Checks and runs a request; never rejects.
      * @param incoming - The request as received from the caller.
@@ -92,13 +101,16 @@
         const credentials = parseCredentials(incoming.headers);
         const account = credentials === undefined ? undefined : this.getAccount(credentials);
         const route = this.#getRoute(incoming, account);
-        const timeoutMs = this.#getTimeout(incoming, route);
+        const timeoutMs = this.#getTimeout(incoming, route) - incoming.waitedMs;
         const idempotencyKey = this.#getIdempotencyKey(incoming);
         this.#checkSecretIsAbsent(incoming.target, credentials);
         const body = await incoming.readBody(route.maxBodyBytes);
         if (body === undefined) {
             throw new RefusalError(RefusalReason.BodyTooLarge, `The body is longer than ${route.maxBodyBytes} bytes.`);
         }
+        if (timeoutMs <= 0) {
+            throw new RefusalError(RefusalReason.DeadlineExceeded, "The deadline passed before the request was sent.");
+        }
         this.#checkSecretIsAbsent(body, credentials);
         this.#checkAgain(credentials);
         return {
@@ -147,7 +159,7 @@
     }
 
     #getRoute(incoming: IncomingRequest, account: Account | undefined): Route {
-        const path = incoming.target.split("?", 1)[0]!;
+        const path = getPath(incoming.target);
         const route = this.#options.getConfiguration().findRoute(path);
         if (route === undefined) {
             throw new RefusalError(RefusalReason.UnknownRoute, "There is no route for this path.");
@@ -204,7 +216,7 @@
             ? error
             : new RefusalError(RefusalReason.MalformedRequest, "The request could not be read.");
         const reason = refusal.outcome.reason;
-        const figures = { path: incoming.target.split("?", 1)[0]!, method: incoming.method };
+        const figures = { path: getPath(incoming.target), method: incoming.method };
         this.#options.decisions.record({ decision: Decision.Refused, reason, requestId, figures });
         const otherUrls = HOST_SPECIFIC_REASONS.has(reason) ? this.#getOtherUrls() : undefined;
         const details = { ...refusal.outcome, otherUrls };
--- a/src/callers/IncomingRequest.ts
+++ b/src/callers/IncomingRequest.ts
@@ -11,6 +11,8 @@
      * @param maxBytes - The limit in bytes.
      */
     readonly readBody: (maxBytes: number) => Promise<Buffer | undefined>;
+    /** Time since the request was read, in milliseconds. */
+    readonly waitedMs: number;
     /** Aborted when the caller closes the connection. */
     readonly signal: AbortSignal;
 }
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -93,7 +93,7 @@
             lookup: this.#host.lookup,
             findOrder: (account, key) => this.#host.accountHost.findOutcome(account, key),
             recordDuration: (outcome, durationMs) => this.#metrics.record(outcome, durationMs),
-            getTime: () => this.#clock.getTime(),
+            clock: this.#clock,
         });
     }
 
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,7 +1,7 @@
 import { finished } from "node:stream";
 import { getFingerprint } from "../accounts/index.js";
 import type { DispatchCall } from "../accounts/index.js";
-import { RefusalError } from "../callers/index.js";
+import { getPath, RefusalError } from "../callers/index.js";
 import { RouteKind } from "../configuration/index.js";
 import type { Account, Route, SuppliedConfiguration } from "../configuration/index.js";
 import { TruncatedAnswerError } from "../errors/index.js";
@@ -73,18 +73,28 @@
         }
     }
 
+    /**
+     * Whether a request may run more than once, by its route; true if it has none, as it is refused then.
+     * @param request - The request.
+     */
+    isIdempotent(request: GatewayRequest): boolean {
+        const route = this.#options.getConfiguration()?.findRoute(getPath(request.target), request.host);
+        return route?.kind !== RouteKind.Order;
+    }
+
     /**
      * Runs a request to its final outcome; never rejects.
      * @param request - The request, without its body.
      * @param readBody - Reads the body; undefined if it exceeds the limit.
      * @param signal - Aborted when the caller disconnects.
+     * @param startTime - Clock time at which the request was read, in milliseconds.
      */
     async run(
         request: GatewayRequest,
         readBody: (maxBytes: number) => Promise<Buffer | undefined>,
         signal: AbortSignal,
+        startTime = this.#options.clock.getTime(),
     ): Promise<Outcome> {
-        const startTime = this.#options.clock.getTime();
         const context: RequestContext = { requestId: request.requestId, startTime };
         this.#runningRequests++;
         try {
@@ -114,6 +124,9 @@
         const body = await readBody(route.maxBodyBytes) ?? await this.#refuseBody(route);
         const timeoutMs = Math.min(request.timeoutMs ?? route.deadlineMs, route.deadlineMs);
         const remainingMs = context.startTime + timeoutMs - this.#options.clock.getTime();
+        if (remainingMs <= 0) {
+            throw new RefusalError(RefusalReason.DeadlineExceeded, "The deadline passed before the request was sent.");
+        }
         const callerRequest = createCallerRequest(request, route, account, body, remainingMs);
         const outcome = await this.#runUntilDeadline(callerRequest, remainingMs, context, signal);
         this.#scheduleResponseTimeout(outcome, context.startTime + timeoutMs + DEADLINE_MARGIN_MS);
--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -1,18 +1,18 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import polka from "polka";
-import { RefusalError } from "../callers/index.js";
+import { CallerConnections, checkBody, RefusalError } from "../callers/index.js";
+import type { PreparedAnswer, PreparedRequest } from "../callers/index.js";
 import type { CallerLimits } from "../configuration/index.js";
-import type { Outcome } from "../outcomes/index.js";
-import { OutcomeKind, RefusalReason } from "../outcomes/index.js";
-import { openServer, readBody, refuseSocket, writeStream } from "../utils/index.js";
+import { closeBody, OutcomeKind, RefusalReason } from "../outcomes/index.js";
+import type { DoneOutcome, Outcome } from "../outcomes/index.js";
+import { openServer, readBody, writeStream } from "../utils/index.js";
 import type { GatewayErrorResponse } from "./GatewayErrorResponse.js";
 import type { GatewayListenerOptions } from "./GatewayListenerOptions.js";
 import type { GatewayRequest } from "./GatewayRequest.js";
 
 /** Upper bound of the header size, which must be set before the configuration is known, in bytes. */
 const MAX_HEADER_BYTES = 64 * 1024;
-const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
 /** Interval of the check for slow requests and idle connections, in milliseconds. */
 const CONNECTION_CHECK_INTERVAL_MS = 3_000;
 
@@ -20,7 +20,7 @@
 export class GatewayListener {
     readonly #options: GatewayListenerOptions;
     readonly #server: Server;
-    #isStopping = false;
+    readonly #connections: CallerConnections;
 
     /** @param options - Dependencies of the listener. */
     constructor(options: GatewayListenerOptions) {
@@ -31,13 +31,14 @@
         });
         const app = polka({
             server: this.#server,
-            onNoMatch: (request, response) => void this.#runRequest(request, response),
+            onNoMatch: (request, response) => this.#connections.add(request, response),
         });
-        this.#server.on("request", (request, response) => app.handler(request as polka.Request, response));
-        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-            const isOverflow = error.code === HEADER_OVERFLOW_CODE;
-            refuseSocket(socket, isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request");
+        this.#connections = new CallerConnections({
+            clock: options.clock,
+            server: this.#server,
+            prepare: request => this.#createPreparedRequest(request),
         });
+        this.#server.on("request", (request, response) => app.handler(request as polka.Request, response));
     }
 
     /**
@@ -57,13 +58,15 @@
         this.#server.headersTimeout = limits.headersTimeoutMs;
     }
 
-    /** Closes each connection after its next response from now on. */
+    /** Closes each connection after the responses to the requests that were passed on. */
     drain(): void {
-        this.#isStopping = true;
+        this.#connections.drain();
     }
 
     /** Stops listening, closes idle connections and waits for the responses in progress. */
     async stop(): Promise<void> {
+        this.#connections.drain();
+        await this.#connections.waitForIdle();
         const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
         this.#server.closeIdleConnections();
         await closed;
@@ -74,25 +77,24 @@
         this.#server.closeAllConnections();
     }
 
-    async #runRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { clock, gateway, recordDuration } = this.#options;
-        const startTime = clock.getTime();
-        const controller = new AbortController();
-        response.once("close", () => {
-            if (!response.writableFinished) {
-                controller.abort(new Error("The caller has left."));
-            }
-        });
+    #createPreparedRequest(request: IncomingMessage): PreparedRequest {
+        const { clock, gateway } = this.#options;
+        const receivedTime = clock.getTime();
         const decoded = this.#decodeRequest(request);
-        const outcome = decoded instanceof RefusalError
-            ? decoded.outcome
-            : await gateway.run(decoded, maxBytes => readBody(request, maxBytes), controller.signal);
-        recordDuration(outcome, clock.getTime() - startTime);
-        if (this.#isStopping || !request.complete) {
-            response.setHeader("connection", "close");
+        if (decoded instanceof RefusalError) {
+            return {
+                canRunAhead: true,
+                run: async () => this.#createPreparedAnswer(decoded.outcome, undefined, receivedTime),
+            };
         }
-        const requestId = decoded instanceof RefusalError ? undefined : decoded.requestId;
-        await this.#sendOutcome(outcome, requestId, response, controller.signal);
+        return {
+            canRunAhead: gateway.isIdempotent(decoded),
+            run: async signal => {
+                const readRequestBody = (maxBytes: number): Promise<Buffer | undefined> => readBody(request, maxBytes);
+                const outcome = await gateway.run(decoded, readRequestBody, signal, receivedTime);
+                return this.#createPreparedAnswer(outcome, decoded.requestId, receivedTime);
+            },
+        };
     }
 
     #decodeRequest(request: IncomingMessage): GatewayRequest | RefusalError {
@@ -106,36 +108,48 @@
         }
     }
 
-    async #sendOutcome(
-        outcome: Outcome,
-        requestId: string | undefined,
-        response: ServerResponse,
-        signal: AbortSignal,
-    ): Promise<void> {
-        const { protocol } = this.#options;
-        if (outcome.kind !== OutcomeKind.Done) {
-            sendErrorResponse(protocol.createErrorResponse(outcome, requestId), response);
-            return;
-        }
-        if (response.destroyed) {
-            outcome.body.on("error", () => {}).destroy();
-            return;
-        }
-        response.writeHead(outcome.status, { ...protocol.createHeaders(outcome) } as Record<string, string>);
-        try {
-            await writeStream(outcome.body, response, signal);
-        }
-        catch {
-            // Closing the connection tells the caller that the response is incomplete.
-            response.destroy();
+    #createPreparedAnswer(outcome: Outcome, requestId: string | undefined, receivedTime: number): PreparedAnswer {
+        const { clock, protocol, recordDuration } = this.#options;
+        const record = (sent: Outcome): void => recordDuration(sent, clock.getTime() - receivedTime);
+        if (outcome.kind === OutcomeKind.Done) {
+            // The body may fail while the answers to earlier requests are being sent.
+            outcome.body.on("error", () => {});
         }
+        return {
+            send: async response => {
+                const current = checkBody(outcome);
+                record(current);
+                if (current.kind === OutcomeKind.Done) {
+                    const headers = { ...protocol.createHeaders(current) } as Record<string, string>;
+                    await sendBody(current, headers, response);
+                    return;
+                }
+                sendErrorResponse(protocol.createErrorResponse(current, requestId), response);
+            },
+            cancel: () => {
+                record(outcome);
+                closeBody(outcome);
+            },
+        };
     }
 }
 
-function sendErrorResponse(error: GatewayErrorResponse, response: ServerResponse): void {
-    if (response.headersSent || response.destroyed) {
-        return;
+async function sendBody(
+    outcome: DoneOutcome,
+    headers: Record<string, string>,
+    response: ServerResponse,
+): Promise<void> {
+    response.writeHead(outcome.status, headers);
+    try {
+        await writeStream(outcome.body, response);
+    }
+    catch {
+        // Closing the connection tells the caller that the response is incomplete.
+        response.destroy();
     }
+}
+
+function sendErrorResponse(error: GatewayErrorResponse, response: ServerResponse): void {
     const headers = { ...error.headers, "content-length": String(Buffer.byteLength(error.body)) };
     response.writeHead(error.status, headers).end(error.body);
 }
--- a/src/gateway/findAuthorizedRoute.ts
+++ b/src/gateway/findAuthorizedRoute.ts
@@ -1,4 +1,4 @@
-import { RefusalError } from "../callers/index.js";
+import { getPath, RefusalError } from "../callers/index.js";
 import { RouteAccess } from "../configuration/index.js";
 import type { Account, Route, SuppliedConfiguration } from "../configuration/index.js";
 import { RefusalReason } from "../outcomes/index.js";
@@ -16,7 +16,7 @@
 }
 
 function findRoute(configuration: SuppliedConfiguration, request: GatewayRequest): Route {
-    const route = configuration.findRoute(request.target.split("?", 1)[0]!, request.host);
+    const route = configuration.findRoute(getPath(request.target), request.host);
     if (route === undefined) {
         throw new RefusalError(RefusalReason.UnknownRoute, "There is no route for this host and path.");
     }
--- a/src/scenario/ScenarioCaller.ts
+++ b/src/scenario/ScenarioCaller.ts
@@ -107,6 +107,7 @@
             target: `/${call.route}?ref=${call.reference}`,
             headers: { authorization: `Bearer ${this.#key}`, ...(call.isOrder && { "idempotency-key": key }) },
             readBody: async () => Buffer.from(call.reference),
+            waitedMs: 0,
             signal: ended.signal,
         });
         const timeout = this.#fleet.clock.wait(ANSWER_TIMEOUT_MS).then(() => ended.abort());
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,6 +1,7 @@
 export { closeServer } from "./closeServer.js";
 export { createIncarnation } from "./createIncarnation.js";
 export { decodeJson } from "./decodeJson.js";
+export { drainBody } from "./drainBody.js";
 export { encodeJson } from "./encodeJson.js";
 export { formatIncarnation } from "./formatIncarnation.js";
 export { getMixedHash } from "./getMixedHash.js";
--- a/tests/callers/CallerListener.test.ts
+++ b/tests/callers/CallerListener.test.ts
@@ -3,6 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { OutcomeKind } from "../../src/outcomes/index.js";
+import type { Outcome } from "../../src/outcomes/index.js";
 import { CallerBench } from "../support/CallerBench.js";
 import { checkSnapshot } from "../support/checkSnapshot.js";
 
@@ -110,6 +111,35 @@
     assert.match(answer, /"otherUrls":\["http:\/\/127\.0\.0\.1:2"\]/);
 });
 
+test("answers to requests that are sent ahead arrive in the order of the requests", async () => {
+    const outcomes = new Map<string, (outcome: Outcome) => void>();
+    bench.createOutcome = request => new Promise(resolve => outcomes.set(request.path, resolve));
+    const get = (path: string, fields = ""): string =>
+        `GET /catalogue/${path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer KEY\r\n${fields}\r\n`;
+    const answer = bench.send(get("1") + get("2") + get("3", "Connection: close\r\n"));
+    while (outcomes.size < 3) {
+        await new Promise(setImmediate);
+    }
+    for (const path of ["/catalogue/3", "/catalogue/2", "/catalogue/1"]) {
+        const headers = { "content-length": String(path.length) };
+        outcomes.get(path)!({ kind: OutcomeKind.Done, status: 200, headers, body: Readable.from([Buffer.from(path)]) });
+    }
+    assert.equal((await answer).match(/\/catalogue\/\d/g), ["/catalogue/1", "/catalogue/2", "/catalogue/3"]);
+});
+
+test("a caller that leaves cancels all requests that it has sent ahead", async () => {
+    bench.createOutcome = () => new Promise(() => {});
+    const get = "GET /catalogue/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer KEY\r\n\r\n".repeat(3);
+    const leave = bench.open(get);
+    while (bench.signals.length < 3) {
+        await new Promise(setImmediate);
+    }
+    leave();
+    while (bench.signals.some(signal => !signal.aborted)) {
+        await new Promise(setImmediate);
+    }
+});
+
 test.run();
 
 function getBadRequests(): Record<string, string> {
--- a/tests/support/CallerBench.ts
+++ b/tests/support/CallerBench.ts
@@ -9,6 +9,7 @@
 import { createNotRun, OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
 import type { Outcome } from "../../src/outcomes/index.js";
 import type { AccountRunner, CallerRequest } from "../../src/requests/index.js";
+import { SystemClock } from "../../src/time/index.js";
 import { createTestDocument } from "./createTestDocument.js";
 
 /** A caller listener on loopback with a fake account host that records the requests it receives. */
@@ -20,7 +21,9 @@
     readonly activeRequests = new ActiveRequests();
     readonly received: CallerRequest[] = [];
     /** Creates the answer to each request. */
-    createOutcome: (request: CallerRequest) => Outcome = createEmptyAnswer;
+    createOutcome: (request: CallerRequest) => Outcome | Promise<Outcome> = createEmptyAnswer;
+    /** Aborted when the callers of the received requests have left. */
+    readonly signals: AbortSignal[] = [];
     #configuration: Configuration;
     readonly #listener: CallerListener;
     #port = 0;
@@ -43,7 +46,7 @@
             lookup: new AddressLookup({ membership: this.membership, clock: this.clock, lifetimeMs: 5000 }),
             findOrder: async () => createNotRun(RefusalReason.MalformedRequest, "There is no such order."),
             recordDuration: () => {},
-            getTime: () => this.clock.getTime(),
+            clock: new SystemClock(),
         });
     }
 
@@ -72,10 +75,22 @@
     /**
      * Runs a request that passed the checks.
      * @param request - The request.
+     * @param signal - Aborted when the caller has left.
      */
-    async run(request: CallerRequest): Promise<Outcome> {
+    async run(request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
         this.received.push(request);
-        return this.createOutcome(request);
+        this.signals.push(signal);
+        return await this.createOutcome(request);
+    }
+
+    /**
+     * Sends bytes over a new connection and returns a function that closes it.
+     * @param text - The bytes; "KEY" is replaced by the key.
+     */
+    open(text: string): () => void {
+        const socket = connect(this.#port, "127.0.0.1").on("error", () => {});
+        socket.write(text.replaceAll("KEY", this.key.text), "latin1");
+        return () => socket.destroy();
     }
 
     /**
