Send lookups that wait far beyond their route's usual time to another upstream

Cause: the first-byte limit knows no limit before 100 answers of its pool and is four times the 99th percentile then, past most deadlines; it also tries the same upstream again.

An attempt of a lookup that can be followed by another now makes way after 2.5 times the usual time (75th percentile) of its route, after the route's target while that is unknown, and after 0.6 of the time left in any case, if the service's retry budget has a retry to spare. Its time counts as evidence against the upstream. Orders are never sent again.

Ruled out: acting on the vanished registration, as an upstream that leaves serves on for drain_s and longer.

--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -251,11 +251,12 @@
 
     #createRequest(call: DispatchCall, attempt: DispatchAttempt): ServiceRequest {
         const { method, path, headers, body } = call.request;
-        const { number, part, sentBefore, excludedUpstreams } = attempt;
+        const { number, part, sentBefore, excludedUpstreams, isLast } = attempt;
         const requestId = number === 1 ? call.request.requestId : `${call.request.requestId}.${number}`;
         const timeoutMs = Math.max(0, call.deadline - this.#options.clock.getTime());
         const { account, isIdempotent } = call;
         const service = call.service.name;
+        const { targetMs } = call.request.route;
         const priority = call.request.account?.priority ?? call.request.route.priority;
         return {
             requestId,
@@ -271,6 +272,8 @@
             body,
             isIdempotent,
             timeoutMs,
+            ...(targetMs === undefined ? {} : { targetMs }),
+            ...(isIdempotent && !isLast ? { hasOtherAttempt: true } : {}),
             sentBefore,
             excludedUpstreams: [...excludedUpstreams],
         };
--- a/src/services/AttemptRecorder.ts
+++ b/src/services/AttemptRecorder.ts
@@ -9,6 +9,12 @@
 
 const SHED_PAUSE_MS = 100;
 const MAX_SHED_PAUSE_MS = 5_000;
+/** Results whose time counts as a latency. */
+const LATENCY_KINDS: ReadonlySet<UpstreamAnswerKind> = new Set([
+    UpstreamAnswerKind.Answered,
+    UpstreamAnswerKind.TimedOut,
+    UpstreamAnswerKind.Overdue,
+]);
 
 /** Records the results of attempts as health observations of their upstreams. */
 export class AttemptRecorder {
@@ -33,7 +39,7 @@
         if (answer.kind === UpstreamAnswerKind.Shed) {
             this.#recordShed(upstream, answer.retryAfterMs);
         }
-        if (answer.kind === UpstreamAnswerKind.Answered || answer.kind === UpstreamAnswerKind.TimedOut) {
+        if (LATENCY_KINDS.has(answer.kind)) {
             this.#options.limit.record(latencyMs);
         }
         const observation = createObservation(
--- a/src/services/AttemptRunner.ts
+++ b/src/services/AttemptRunner.ts
@@ -2,6 +2,7 @@
 import { Decision } from "../logging/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { Clock, StallMeter } from "../time/index.js";
+import type { AttemptPatience } from "./AttemptPatience.js";
 import type { AttemptRunnerOptions } from "./AttemptRunnerOptions.js";
 import type { FirstByteLimit } from "./FirstByteLimit.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
@@ -49,6 +50,7 @@
      * @param limit - The first-byte limit learned for the service.
      * @param spendRetry - Spends a retry from the service's budget; returns false if none is left.
      * @param signal - Aborts an idempotent request; a request that is not idempotent continues.
+     * @param patience - When an idempotent request makes way for an attempt at another upstream; at its deadline if undefined.
      */
     async run(
         upstream: Upstream,
@@ -57,12 +59,20 @@
         limit: FirstByteLimit,
         spendRetry: () => boolean,
         signal: AbortSignal,
+        patience?: AttemptPatience,
     ): Promise<UpstreamAttempt> {
         if (!request.isIdempotent) {
             const neverAborted = new AbortController().signal;
             const end = deadline + this.#lateAnswerMs;
             return await this.#send(upstream, request, { first: end, whole: end, deadline }, true, neverAborted);
         }
+        if (patience !== undefined) {
+            return await this.#runWithPatience(
+                patience,
+                signal,
+                combined => this.run(upstream, request, deadline, limit, spendRetry, combined),
+            );
+        }
         const isLimited = this.#clock.getTime() + limit.getLimit() < deadline;
         const limitTime = isLimited ? this.#clock.getTime() + limit.getLimit() : deadline;
         const attempt = await this.#send(upstream, request, this.#createTimes(limitTime, deadline), false, signal);
@@ -78,6 +88,19 @@
         );
     }
 
+    async #runWithPatience(
+        { timeoutMs, hasRetry }: AttemptPatience,
+        signal: AbortSignal,
+        run: (signal: AbortSignal) => Promise<UpstreamAttempt>,
+    ): Promise<UpstreamAttempt> {
+        const overdue = new AbortController();
+        const timer = this.#clock.schedule(timeoutMs, () => hasRetry() && overdue.abort(new Error("overdue")));
+        const attempt = await run(AbortSignal.any([signal, overdue.signal]));
+        timer.cancel();
+        const isOverdue = attempt.answer.kind === UpstreamAnswerKind.Aborted && !signal.aborted;
+        return isOverdue ? { ...attempt, answer: { kind: UpstreamAnswerKind.Overdue } } : attempt;
+    }
+
     async #retry(
         upstream: Upstream,
         request: ServiceRequest,
--- a/src/services/ServicePool.ts
+++ b/src/services/ServicePool.ts
@@ -3,12 +3,14 @@
 import { Decision } from "../logging/index.js";
 import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
 import { createNotRun, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import type { AttemptPatience } from "./AttemptPatience.js";
 import { AttemptRecorder } from "./AttemptRecorder.js";
 import { createUpstreamCounts } from "./createUpstreamCounts.js";
 import { createUpstreamStatus } from "./createUpstreamStatus.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { encodeOutcome } from "./encodeOutcome.js";
 import { FirstByteLimit } from "./FirstByteLimit.js";
+import { getPatience } from "./getPatience.js";
 import { OutlierDetector } from "./OutlierDetector.js";
 import type { PartLoadReport } from "./PartLoadReport.js";
 import { PartLoads } from "./PartLoads.js";
@@ -112,6 +114,7 @@
             limit: this.#limit,
             budget: this.#budget,
             getSlotTime: () => this.#queue.getSlotTime(),
+            findPatience: (request, deadline) => this.#findPatience(request, deadline),
             onRelease: (pooled, request, use) => this.#release(pooled, request, use),
         });
         this.#silentUpstreamMonitor = new SilentUpstreamMonitor(
@@ -274,6 +277,15 @@
         return Math.max(minPatienceMs ?? 0, slowFactor * usualMs);
     }
 
+    #findPatience(request: ServiceRequest, deadline: number): AttemptPatience | undefined {
+        if (this.#options.policy !== EjectionPolicy.Prompt) {
+            return undefined;
+        }
+        const usualMs = this.#routeLatencies.findP75(request.route);
+        const timeoutMs = getPatience(request, usualMs, deadline - this.#options.clock.getTime());
+        return timeoutMs === undefined ? undefined : { timeoutMs, hasRetry: () => this.#budget.hasSpareRetry() };
+    }
+
     /** Gets the part's share of the service's retry rate, per second: all parts have equal shares. */
     #getRetryRate(): number {
         return (this.#service.retryRate ?? 0) / Math.max(1, getServiceParts(this.#service).length);
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -22,6 +22,10 @@
     readonly isIdempotent: boolean;
     /** Time until the first byte of the response is due, in milliseconds. */
     readonly timeoutMs: number;
+    /** Time within which the caller wants the answer, in milliseconds; undefined if the route has no such target. */
+    readonly targetMs?: number;
+    /** Whether it may be sent to another upstream if this attempt fails. */
+    readonly hasOtherAttempt?: boolean;
     /** Number of upstreams that the request was, or may have been, sent to before. */
     readonly sentBefore: number;
     /** The names of those upstreams, as far as they are known. */
--- a/src/services/SlotRunner.ts
+++ b/src/services/SlotRunner.ts
@@ -84,6 +84,7 @@
             this.#options.limit,
             () => this.#options.budget.spend(),
             signal,
+            this.#options.findPatience(request, deadline),
         );
         const release = (): void => {
             const usedMs = this.#options.clock.getTime() - start;
--- a/src/services/SlotRunnerOptions.ts
+++ b/src/services/SlotRunnerOptions.ts
@@ -1,3 +1,4 @@
+import type { AttemptPatience } from "./AttemptPatience.js";
 import type { AttemptRecorder } from "./AttemptRecorder.js";
 import type { AttemptRunnerOptions } from "./AttemptRunnerOptions.js";
 import type { FirstByteLimit } from "./FirstByteLimit.js";
@@ -15,6 +16,12 @@
     readonly budget: RetryBudget;
     /** Gets the mean time for which a request uses a slot, in milliseconds. */
     readonly getSlotTime: () => number;
+    /**
+     * Finds when an attempt makes way for one at another upstream; undefined if it lasts until its deadline.
+     * @param request - The request.
+     * @param deadline - Its deadline, in milliseconds of the clock.
+     */
+    readonly findPatience: (request: ServiceRequest, deadline: number) => AttemptPatience | undefined;
     /** Runs when a slot is released. */
     readonly onRelease: (pooled: PooledUpstream, request: ServiceRequest, use: SlotUsage) => void;
 }
--- a/src/services/UpstreamAnswer.ts
+++ b/src/services/UpstreamAnswer.ts
@@ -13,5 +13,6 @@
     | { readonly kind: UpstreamAnswerKind.ConnectFailed; readonly detail: string; }
     | { readonly kind: UpstreamAnswerKind.Shed; readonly retryAfterMs: number | undefined; }
     | { readonly kind: UpstreamAnswerKind.TimedOut; }
+    | { readonly kind: UpstreamAnswerKind.Overdue; }
     | { readonly kind: UpstreamAnswerKind.ConnectionLost; readonly detail: string; }
     | { readonly kind: UpstreamAnswerKind.Aborted; };
--- a/src/services/createObservation.ts
+++ b/src/services/createObservation.ts
@@ -41,6 +41,7 @@
         case UpstreamAnswerKind.Shed:
             return create(ObservationKind.Shed, "load shed");
         case UpstreamAnswerKind.TimedOut:
+        case UpstreamAnswerKind.Overdue:
             return latencyMs >= minWaitMs
                 ? create(ObservationKind.Failure, `no first byte within ${Math.round(latencyMs)} ms`)
                 : create(ObservationKind.Cancelled, "a short deadline passed");
--- a/tests/support/DispatchBench.ts
+++ b/tests/support/DispatchBench.ts
@@ -21,6 +21,7 @@
 const DEFAULT_UPSTREAMS_PER_ZONE = 4;
 const ZONES = ["zone-a", "zone-b", "zone-c"];
 const TIMEOUT_MS = 4_000;
+const TARGET_MS = 1_000;
 
 interface DispatchHost {
     readonly membership: FakeMembership;
@@ -172,6 +173,7 @@
             kind: RouteKind.Lookup,
             access: RouteAccess.Open,
             deadlineMs: TIMEOUT_MS,
+            targetMs: TARGET_MS,
             maxBodyBytes: 0,
             maxAttempts,
         };
