Serve after a restart only once the copy of the store was current

Reported by other operators: after a restart, a server that had left or a key that had been withdrawn was in use again.

It could happen here. A starting host reads the store with old data allowed, which may be seconds old, and served from it at once. Its first call after that confirms the copy within milliseconds, but where the store turned the host away it went on with the old keys and upstreams until another host was reached.

The gateway and the service host get the configuration only after the first confirmation, by the store or another host; the readiness probe fails until then. It costs a start one call that it makes anyway.

Evidence: tests/platform/restart.test.ts with real processes: the withdrawn key gets 200 before the change, 503 and later 401 now. Ruled out: reading the whole store without old data at each start, ten times the price for each host.

--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -44,6 +44,7 @@
     readonly #registrar: HostRegistrar;
     readonly #supervisor: Supervisor;
     #isLeaving = false;
+    #isConfirmed = false;
 
     /** @param options - Identity and dependencies of the host. */
     constructor(options: GatewayHostOptions) {
@@ -71,17 +72,18 @@
         this.lookup = new HostLookup(this.#membership, options.lookupLifetimeMs);
         this.#replica.addListener(events => this.supply.apply(events));
         this.supply.addListener(() => this.#applySupply());
+        this.#replicator.addConfirmationListener(() => this.#recordConfirmation());
         this.#supervisor = this.#createSupervisor();
     }
 
     /** Whether this host accepts callers' requests. */
     isReady(): boolean {
-        return !this.#isLeaving && this.supply.getConfiguration() !== undefined && this.#membership.isCurrent();
+        return !this.#isLeaving && this.#findConfiguration() !== undefined && this.#membership.isCurrent();
     }
 
-    /** Gets the current configuration; an empty one before the first is known. */
+    /** Gets the current configuration; an empty one before the first is known to be current. */
     getConfiguration(): Configuration {
-        return this.supply.getConfiguration() ?? EMPTY_CONFIGURATION;
+        return this.#findConfiguration() ?? EMPTY_CONFIGURATION;
     }
 
     /** Gets the time since the store copy was last known to be current, in milliseconds. */
@@ -174,7 +176,7 @@
             waitsUntilDeadline: true,
             isLocalFallbackEnabled: true,
         }, quarantine);
-        const getConfiguration = (): SuppliedConfiguration | undefined => this.supply.getConfiguration();
+        const getConfiguration = (): SuppliedConfiguration | undefined => this.#findConfiguration();
         const getCopyAge = (): number => this.getCopyAge();
         const checkCopyAge = (maxAgeMs: number): Promise<boolean> => this.#replicator.checkAge(maxAgeMs);
         return new Gateway({
@@ -198,9 +200,21 @@
         ]);
     }
 
+    /** Finds the configuration; undefined until the copy of the store was once current, as the first reading may be old. */
+    #findConfiguration(): SuppliedConfiguration | undefined {
+        return this.#isConfirmed ? this.supply.getConfiguration() : undefined;
+    }
+
+    #recordConfirmation(): void {
+        if (!this.#isConfirmed) {
+            this.#isConfirmed = true;
+            this.#applySupply();
+        }
+    }
+
     #applySupply(): void {
         this.#membership.applyMembers(this.supply.getHosts());
-        const configuration = this.supply.getConfiguration();
+        const configuration = this.#findConfiguration();
         if (configuration !== undefined) {
             this.serviceHost.apply(configuration);
         }
--- a/src/replica/ReplicaSynchronizer.ts
+++ b/src/replica/ReplicaSynchronizer.ts
@@ -75,6 +75,14 @@
         return this.#freshness.getAge();
     }
 
+    /**
+     * Adds a listener that runs after each new confirmation that the replica is current.
+     * @param listener - The listener.
+     */
+    addConfirmationListener(listener: () => void): void {
+        this.#freshness.addListener(listener);
+    }
+
     /**
      * Reads the changes from the store unless the replica was confirmed recently enough.
      * @param maxAgeMs - The longest time since the last confirmation, in milliseconds.
--- /dev/null
+++ b/tests/platform/restart.test.ts
@@ -0,0 +1,47 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { createDocument } from "./support/createDocument.js";
+import { EdgeFleet } from "./support/EdgeFleet.js";
+import { StoreFaultMode } from "./support/StoreFaultMode.js";
+
+const ACCOUNT = { priority: 0, rate_per_s: 34, burst: 34 };
+const REQUESTS = 20;
+
+const test = suite("a restarted entry host");
+const fleet = new EdgeFleet();
+
+test.before(() => fleet.start(1, ["catalogue", "orders", "books"]));
+
+test.after(() => fleet.stop());
+
+test("serves neither a withdrawn key nor an upstream that has left from an old copy of the store", async () => {
+    const [host] = fleet.hosts;
+    assert.is((await fleet.send(host!, "/lookup/1")).status, 200);
+    fleet.store.faultMode = StoreFaultMode.StaleOnly;
+    fleet.store.write(
+        "op/config",
+        createDocument({ version: 8, tenants: { clogs: { ...ACCOUNT, api_keys: ["key-2"] } } }),
+    );
+    fleet.store.remove("servers/i-catalogue-1");
+    await host!.stop();
+    await host!.start();
+    await fleet.waitUntil(async () => await fleet.send(host!, "/lookup/1").then(() => true, () => false));
+    const statuses = new Set<number>();
+    for (let index = 0; index < REQUESTS; index++) {
+        statuses.add((await fleet.send(host!, `/lookup/${index}`)).status);
+    }
+    assert.equal(statuses, new Set([503]));
+    assert.is(await fleet.isReady(host!), false);
+    fleet.store.faultMode = StoreFaultMode.None;
+    await fleet.waitUntil(() => fleet.isReady(host!));
+    assert.is((await fleet.send(host!, "/lookup/1")).status, 401);
+    await fleet.waitUntil(async () => host!.getLog().includes("upstream-removed"));
+    const left = fleet.upstreams.get("i-catalogue-1")!;
+    const before = left.received.length;
+    for (let index = 0; index < REQUESTS; index++) {
+        assert.is((await fleet.send(host!, `/lookup/${index}`, { key: "key-2" })).status, 200);
+    }
+    assert.is(left.received.length, before);
+});
+
+test.run();
--- a/tests/platform/support/MockPlatformStore.ts
+++ b/tests/platform/support/MockPlatformStore.ts
@@ -29,7 +29,9 @@
 
 /** An in-memory HTTP server with the API of the platform's store. */
 export class MockPlatformStore {
-    faultMode = StoreFaultMode.None;
+    /** The items and their revision as reads that allow old data get them. */
+    #stale: { readonly items: readonly StoredItem[]; readonly revision: number; } | undefined;
+    #faultMode = StoreFaultMode.None;
     /** Method and path of each call, oldest first. */
     readonly calls: string[] = [];
     readonly #server: Server;
@@ -46,6 +48,18 @@
         this.#server = createServer((request, response) => void this.#run(request, response));
     }
 
+    get faultMode(): StoreFaultMode {
+        return this.#faultMode;
+    }
+
+    set faultMode(mode: StoreFaultMode) {
+        this.#faultMode = mode;
+        this.#stale = mode === StoreFaultMode.StaleOnly
+            ? { items: [...this.#items.values()], revision: this.#revision }
+            : undefined;
+        this.#publish();
+    }
+
     /** Starts listening and returns the address. */
     async start(): Promise<string> {
         const port = await openServer(this.#server, "127.0.0.1:0");
@@ -107,7 +121,8 @@
     async #run(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const url = new URL(request.url ?? "/", "http://store");
         this.calls.push(`${request.method} ${url.pathname}`);
-        if (this.faultMode === StoreFaultMode.Unavailable) {
+        const isRefused = this.faultMode === StoreFaultMode.StaleOnly && url.searchParams.get("allow_stale") !== "1";
+        if (this.faultMode === StoreFaultMode.Unavailable || isRefused) {
             response.writeHead(503).end();
             return;
         }
@@ -148,12 +163,13 @@
     #readPage(query: URLSearchParams): unknown {
         const prefix = query.get("prefix") ?? "";
         const after = query.get("after") ?? "";
-        const found = [...this.#items.values()].filter(item => item.key.startsWith(prefix) && item.key > after)
+        const { items, revision } = this.#stale ?? { items: [...this.#items.values()], revision: this.#revision };
+        const found = items.filter(item => item.key.startsWith(prefix) && item.key > after)
             .sort((left, right) => left.key < right.key ? -1 : 1);
         return {
             items: found.slice(0, PAGE_ITEMS),
             has_more: found.length > PAGE_ITEMS,
-            store_revision: this.#revision,
+            store_revision: revision,
         };
     }
 
@@ -161,6 +177,9 @@
         const after = Number(query.get("after"));
         const end = Date.now() + Number(query.get("wait_ms"));
         for (;;) {
+            if (this.faultMode === StoreFaultMode.StaleOnly) {
+                return { status: 503 };
+            }
             if (after + 1 < this.#historyStart) {
                 return { status: 410 };
             }
