Install the packages again where they came from another kind of machine

A build folder carried over from x86-64 to arm64 kept esbuild's program for x86-64, as the stamp of the installed packages was the lock file's hash alone; the deploy file compared only file times.

--- a/scripts/setup.mjs
+++ b/scripts/setup.mjs
@@ -1,12 +1,12 @@
-// Installs the locked packages if they are not installed yet. Plain JavaScript, since it runs before anything is built.
+// Installs the locked packages if they are not installed yet for this machine. Plain JavaScript, since it runs before anything is built.
 import { execSync } from "node:child_process";
-import { createHash } from "node:crypto";
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
+import { createSetupStamp } from "./createSetupStamp.mjs";
 
-const lockHash = createHash("sha256").update(readFileSync("package-lock.json")).digest("hex");
-const stampFile = "node_modules/.setup-hash";
-const isInstalled = existsSync(stampFile) && readFileSync(stampFile, "utf8") === lockHash;
+const stamp = createSetupStamp(readFileSync("package-lock.json"), process);
+const stampFile = "node_modules/.setup-stamp";
+const isInstalled = existsSync(stampFile) && readFileSync(stampFile, "utf8") === stamp;
 if (!isInstalled) {
-    execSync("npm ci --no-audit --no-fund", { stdio: "inherit" });
-    writeFileSync(stampFile, lockHash);
+    execSync("npm ci --silent --no-audit --no-fund", { stdio: "inherit" });
+    writeFileSync(stampFile, stamp);
 }
