--- a/src/fakes/FakeServiceRunner.ts
+++ b/src/fakes/FakeServiceRunner.ts
@@ -4,7 +4,7 @@
 import type { FindOutcomeParams, FindOutcomeResult } from "../services/index.js";
 import type { ServiceAnswer, ServiceRequest, ServiceRunner } from "../services/index.js";
 import { RequestState } from "../services/index.js";
-import { OutcomeCache } from "../services/OutcomeCache.js";
+import { OutcomeCache } from "../services/outcomes/OutcomeCache.js";
 import type { Clock } from "../time/index.js";
 
 /** A service host that records the requests its upstream ran; tests set its answers. */
--- a/src/services/ServiceAnswer.ts
+++ b/src/services/ServiceAnswer.ts
@@ -1,5 +1,5 @@
 import type { Outcome } from "../outcomes/index.js";
-import type { PartLoadReport } from "./PartLoadReport.js";
+import type { PartLoadReport } from "./sharing/PartLoadReport.js";
 
 /** A service host's answer to one attempt. */
 export interface ServiceAnswer {
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -4,19 +4,19 @@
 import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import { PeerMethod } from "../peers/index.js";
-import { BaselineSharer } from "./BaselineSharer.js";
-import { decodeOutcome } from "./decodeOutcome.js";
-import { EjectionPolicy } from "./EjectionPolicy.js";
-import type { HostedPool } from "./HostedPool.js";
-import { OutcomeCache } from "./OutcomeCache.js";
-import type { PoolLoad } from "./PoolLoad.js";
-import { RequestState } from "./RequestState.js";
+import { EjectionPolicy } from "./detection/EjectionPolicy.js";
+import { decodeOutcome } from "./outcomes/decodeOutcome.js";
+import { OutcomeCache } from "./outcomes/OutcomeCache.js";
+import { RequestState } from "./outcomes/RequestState.js";
+import type { HostedPool } from "./pools/HostedPool.js";
+import type { PoolLoad } from "./pools/PoolLoad.js";
+import { ServicePool } from "./pools/ServicePool.js";
+import type { UpstreamStatus } from "./pools/UpstreamStatus.js";
 import type { ServiceAnswer } from "./ServiceAnswer.js";
 import type { ServiceHostOptions } from "./ServiceHostOptions.js";
-import { ServicePool } from "./ServicePool.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
 import type { ServiceRunner } from "./ServiceRunner.js";
-import type { UpstreamStatus } from "./UpstreamStatus.js";
+import { BaselineSharer } from "./sharing/BaselineSharer.js";
 
 /** Interval between reports, in milliseconds: two within the two-second window over which the floor is measured. */
 const SHARE_INTERVAL_MS = 1_000;
--- a/src/services/ServiceHostOptions.ts
+++ b/src/services/ServiceHostOptions.ts
@@ -3,8 +3,8 @@
 import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { Clock, StallMeter } from "../time/index.js";
-import type { EjectionPolicy } from "./EjectionPolicy.js";
-import type { UpstreamTransport } from "./UpstreamTransport.js";
+import type { EjectionPolicy } from "./detection/EjectionPolicy.js";
+import type { UpstreamTransport } from "./exchange/UpstreamTransport.js";
 
 /** Dependencies and settings of a service host. */
 export interface ServiceHostOptions {
--- a/src/services/detection/AttemptRecorder.ts
+++ b/src/services/detection/AttemptRecorder.ts
@@ -1,11 +1,11 @@
-import { TruncatedAnswerError } from "../errors/index.js";
+import { TruncatedAnswerError } from "../../errors/index.js";
+import { UpstreamAnswerKind } from "../exchange/UpstreamAnswerKind.js";
+import type { UpstreamAttempt } from "../exchange/UpstreamAttempt.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import type { AttemptRecorderOptions } from "./AttemptRecorderOptions.js";
 import { createObservation } from "./createObservation.js";
 import { ObservationKind } from "./ObservationKind.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
-import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
-import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 
 const SHED_PAUSE_MS = 100;
 const MAX_SHED_PAUSE_MS = 5_000;
--- a/src/services/detection/AttemptRecorderOptions.ts
+++ b/src/services/detection/AttemptRecorderOptions.ts
@@ -1,9 +1,9 @@
-import type { Clock } from "../time/index.js";
-import type { FirstByteLimit } from "./FirstByteLimit.js";
+import type { Clock } from "../../time/index.js";
+import type { FirstByteLimit } from "../exchange/FirstByteLimit.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import type { OutlierDetector } from "./OutlierDetector.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
 import type { RouteLatencies } from "./RouteLatencies.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
 
 /** Dependencies of an attempt recorder. */
 export interface AttemptRecorderOptions {
--- a/src/services/detection/BackOff.ts
+++ b/src/services/detection/BackOff.ts
@@ -1,7 +1,7 @@
-import type { DetectionSettings } from "../configuration/index.js";
-import type { RandomSource } from "../random/index.js";
-import type { Clock, ScheduledCall } from "../time/index.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
+import type { DetectionSettings } from "../../configuration/index.js";
+import type { RandomSource } from "../../random/index.js";
+import type { Clock, ScheduledCall } from "../../time/index.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 
 /** An ejection this soon after a restore prolongs the ejection time, in milliseconds. */
 const FLAP_WINDOW_MS = 600_000;
--- a/src/services/detection/Crash.ts
+++ b/src/services/detection/Crash.ts
@@ -1,4 +1,4 @@
-import type { PooledUpstream } from "./PooledUpstream.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 
 /** Connections to an upstream that were lost at the same time. */
 export interface Crash {
--- a/src/services/detection/OutlierDetector.ts
+++ b/src/services/detection/OutlierDetector.ts
@@ -1,16 +1,16 @@
-import type { Service } from "../configuration/index.js";
+import type { Service } from "../../configuration/index.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import { UpstreamEvent } from "../pools/UpstreamEvent.js";
+import { UpstreamState } from "../pools/UpstreamState.js";
 import type { BaselineRates } from "./BaselineRates.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { getEvidenceRatio } from "./getEvidenceRatio.js";
 import { ObservationKind } from "./ObservationKind.js";
 import type { OutlierDetectorOptions } from "./OutlierDetectorOptions.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
 import { ProbationResult } from "./ProbationResult.js";
 import { RecentCrashes } from "./RecentCrashes.js";
 import { UpstreamEjector } from "./UpstreamEjector.js";
-import { UpstreamEvent } from "./UpstreamEvent.js";
 import type { UpstreamObservation } from "./UpstreamObservation.js";
-import { UpstreamState } from "./UpstreamState.js";
 
 /** An upstream is suspected from this evidence on, relative to the ejection threshold. */
 const SUSPECT_RATIO = 0.5;
--- a/src/services/detection/OutlierDetectorOptions.ts
+++ b/src/services/detection/OutlierDetectorOptions.ts
@@ -1,6 +1,6 @@
-import type { DecisionLog } from "../logging/index.js";
-import type { RandomSource } from "../random/index.js";
-import type { Clock } from "../time/index.js";
+import type { DecisionLog } from "../../logging/index.js";
+import type { RandomSource } from "../../random/index.js";
+import type { Clock } from "../../time/index.js";
 import type { EjectionPolicy } from "./EjectionPolicy.js";
 import type { ServiceBaseline } from "./ServiceBaseline.js";
 
--- a/src/services/detection/RecentCrashes.ts
+++ b/src/services/detection/RecentCrashes.ts
@@ -1,6 +1,6 @@
-import type { Clock } from "../time/index.js";
+import type { Clock } from "../../time/index.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 import type { Crash } from "./Crash.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
 
 const MAX_REQUESTS = 1_000;
 /** Connections lost within this time of each other are one crash. */
--- a/src/services/detection/RequestOutcomeCounter.ts
+++ b/src/services/detection/RequestOutcomeCounter.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../time/index.js";
+import type { Clock } from "../../time/index.js";
 
 /** Length of a bucket, in milliseconds. */
 const BUCKET_MS = 500;
--- a/src/services/detection/SequentialDetector.ts
+++ b/src/services/detection/SequentialDetector.ts
@@ -1,4 +1,4 @@
-import type { DetectionSettings } from "../configuration/index.js";
+import type { DetectionSettings } from "../../configuration/index.js";
 import type { BaselineRates } from "./BaselineRates.js";
 import { BernoulliCusum } from "./BernoulliCusum.js";
 import type { UpstreamDetector } from "./UpstreamDetector.js";
--- a/src/services/detection/ServiceBaseline.ts
+++ b/src/services/detection/ServiceBaseline.ts
@@ -1,6 +1,6 @@
-import type { Clock } from "../time/index.js";
+import type { Clock } from "../../time/index.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 import type { BaselineRates } from "./BaselineRates.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
 import type { UpstreamSummary } from "./UpstreamSummary.js";
 
 /** An upstream with fewer samples is no baseline for others. */
--- a/src/services/detection/SilentUpstreamMonitor.ts
+++ b/src/services/detection/SilentUpstreamMonitor.ts
@@ -1,5 +1,5 @@
-import type { Clock, ScheduledCall } from "../time/index.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
+import type { Clock, ScheduledCall } from "../../time/index.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 
 /** Time between two checks, in milliseconds. */
 const INTERVAL_MS = 250;
--- a/src/services/detection/UnservedRateMonitor.ts
+++ b/src/services/detection/UnservedRateMonitor.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../time/index.js";
+import type { Clock } from "../../time/index.js";
 import type { RequestCounts } from "./RequestCounts.js";
 import { RequestOutcomeCounter } from "./RequestOutcomeCounter.js";
 
--- a/src/services/detection/UpstreamEjector.ts
+++ b/src/services/detection/UpstreamEjector.ts
@@ -1,5 +1,8 @@
-import type { DetectionSettings, Service } from "../configuration/index.js";
-import { Decision } from "../logging/index.js";
+import type { DetectionSettings, Service } from "../../configuration/index.js";
+import { Decision } from "../../logging/index.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import { UpstreamEvent } from "../pools/UpstreamEvent.js";
+import { UpstreamState } from "../pools/UpstreamState.js";
 import { BackOff } from "./BackOff.js";
 import { EjectionPolicy } from "./EjectionPolicy.js";
 import { findEarlyTrialUpstream } from "./findEarlyTrialUpstream.js";
@@ -12,9 +15,6 @@
 import { isLatencyOutlier } from "./isLatencyOutlier.js";
 import { isReachable } from "./isReachable.js";
 import type { OutlierDetectorOptions } from "./OutlierDetectorOptions.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
-import { UpstreamEvent } from "./UpstreamEvent.js";
-import { UpstreamState } from "./UpstreamState.js";
 
 const WITHHELD_SUFFIX = "; ejection withheld, too few others are in service";
 
--- a/src/services/detection/createObservation.ts
+++ b/src/services/detection/createObservation.ts
@@ -1,7 +1,7 @@
-import { UnexpectedVariantError } from "../errors/index.js";
+import { UnexpectedVariantError } from "../../errors/index.js";
+import { UpstreamAnswerKind } from "../exchange/UpstreamAnswerKind.js";
+import type { UpstreamAttempt } from "../exchange/UpstreamAttempt.js";
 import { ObservationKind } from "./ObservationKind.js";
-import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
-import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 import type { UpstreamObservation } from "./UpstreamObservation.js";
 
 const FIRST_FAILURE_STATUS = 500;
--- a/src/services/detection/findEarlyTrialUpstream.ts
+++ b/src/services/detection/findEarlyTrialUpstream.ts
@@ -1,5 +1,5 @@
-import type { PooledUpstream } from "./PooledUpstream.js";
-import { UpstreamState } from "./UpstreamState.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import { UpstreamState } from "../pools/UpstreamState.js";
 
 /** Shortest ejection before an early trial while no slot is free, in milliseconds. */
 const MIN_EJECTION_WHEN_SHORT_MS = 1_500;
--- a/src/services/detection/findFloorTrialUpstream.ts
+++ b/src/services/detection/findFloorTrialUpstream.ts
@@ -1,5 +1,5 @@
-import type { PooledUpstream } from "./PooledUpstream.js";
-import { UpstreamState } from "./UpstreamState.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import { UpstreamState } from "../pools/UpstreamState.js";
 
 /** An upstream idle for this long is not in use, in milliseconds; less than the two seconds over which the floor is measured. */
 const MAX_IDLE_MS = 1_800;
--- a/src/services/detection/findLastResortUpstream.ts
+++ b/src/services/detection/findLastResortUpstream.ts
@@ -1,7 +1,7 @@
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import { UpstreamState } from "../pools/UpstreamState.js";
 import { isLatencyOutlier } from "./isLatencyOutlier.js";
 import { isReachable } from "./isReachable.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
-import { UpstreamState } from "./UpstreamState.js";
 
 /** Shortest ejection of a failing upstream, in milliseconds. */
 const MIN_EJECTION_MS = 1_500;
--- a/src/services/detection/getEvidenceRatio.ts
+++ b/src/services/detection/getEvidenceRatio.ts
@@ -1,4 +1,4 @@
-import type { PooledUpstream } from "./PooledUpstream.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 
 /**
  * Gets the evidence against an upstream relative to the ejection threshold; from 1 on it should be ejected.
--- a/src/services/detection/hasCapacityAboveFloor.ts
+++ b/src/services/detection/hasCapacityAboveFloor.ts
@@ -1,4 +1,4 @@
-import type { PooledUpstream } from "./PooledUpstream.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 
 /**
  * Whether an upstream may be ejected: without it the capacity in service stays at or above the floor, in upstreams and in slots.
--- a/src/services/detection/hasEnoughSiblings.ts
+++ b/src/services/detection/hasEnoughSiblings.ts
@@ -1,5 +1,5 @@
-import type { PooledUpstream } from "./PooledUpstream.js";
-import { UpstreamState } from "./UpstreamState.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import { UpstreamState } from "../pools/UpstreamState.js";
 
 /** Pools with fewer upstreams than this may eject all of them where that costs no requests. */
 const SMALL_POOL = 3;
--- a/src/services/detection/isBusy.ts
+++ b/src/services/detection/isBusy.ts
@@ -1,4 +1,4 @@
-import type { PooledUpstream } from "./PooledUpstream.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 
 /** A pool is busy when a larger share of its slots is in use. */
 const BUSY_SHARE = 0.33;
--- a/src/services/detection/isLatencyOutlier.ts
+++ b/src/services/detection/isLatencyOutlier.ts
@@ -1,4 +1,4 @@
-import type { PooledUpstream } from "./PooledUpstream.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 
 /**
  * Whether the evidence of slowness against an upstream outweighs that of failures.
--- a/src/services/detection/isReachable.ts
+++ b/src/services/detection/isReachable.ts
@@ -1,4 +1,4 @@
-import type { PooledUpstream } from "./PooledUpstream.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
 
 /**
  * Whether an upstream accepts connections and answers, even if with failures.
--- a/src/services/exchange/AttemptRunner.ts
+++ b/src/services/exchange/AttemptRunner.ts
@@ -1,11 +1,11 @@
-import type { Upstream } from "../configuration/index.js";
-import { Decision } from "../logging/index.js";
-import type { DecisionLog } from "../logging/index.js";
-import type { Clock, StallMeter } from "../time/index.js";
+import type { Upstream } from "../../configuration/index.js";
+import { Decision } from "../../logging/index.js";
+import type { DecisionLog } from "../../logging/index.js";
+import type { Clock, StallMeter } from "../../time/index.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import type { AttemptPatience } from "./AttemptPatience.js";
 import type { AttemptRunnerOptions } from "./AttemptRunnerOptions.js";
 import type { FirstByteLimit } from "./FirstByteLimit.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 import type { UpstreamTransport } from "./UpstreamTransport.js";
--- a/src/services/exchange/AttemptRunnerOptions.ts
+++ b/src/services/exchange/AttemptRunnerOptions.ts
@@ -1,5 +1,5 @@
-import type { DecisionLog } from "../logging/index.js";
-import type { Clock, StallMeter } from "../time/index.js";
+import type { DecisionLog } from "../../logging/index.js";
+import type { Clock, StallMeter } from "../../time/index.js";
 import type { UpstreamTransport } from "./UpstreamTransport.js";
 
 /** Dependencies and settings of an attempt runner. */
--- a/src/services/exchange/FirstByteLimit.ts
+++ b/src/services/exchange/FirstByteLimit.ts
@@ -1,4 +1,4 @@
-import { LatencyHistogram } from "./LatencyHistogram.js";
+import { LatencyHistogram } from "../detection/LatencyHistogram.js";
 
 const MIN_SAMPLES = 100;
 const MIN_LIMIT_MS = 50;
--- a/src/services/exchange/HttpUpstreamTransport.ts
+++ b/src/services/exchange/HttpUpstreamTransport.ts
@@ -1,7 +1,7 @@
-import type { Upstream } from "../configuration/index.js";
-import type { Clock } from "../time/index.js";
+import type { Upstream } from "../../configuration/index.js";
+import type { Clock } from "../../time/index.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import { ProductUpstreamProtocol } from "./ProductUpstreamProtocol.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
 import type { UpstreamAnswer } from "./UpstreamAnswer.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import { UpstreamConnections } from "./UpstreamConnections.js";
--- a/src/services/exchange/ProductUpstreamProtocol.ts
+++ b/src/services/exchange/ProductUpstreamProtocol.ts
@@ -1,10 +1,10 @@
 import type { IncomingHttpHeaders } from "undici/types/header.js";
-import type { Upstream } from "../configuration/index.js";
-import { parseRetryAfter } from "../utils/index.js";
+import type { Upstream } from "../../configuration/index.js";
+import { parseRetryAfter } from "../../utils/index.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import { AnswerCheckKind } from "./AnswerCheckKind.js";
 import type { AnswerCheckResult } from "./AnswerCheckResult.js";
 import { createUpstreamHeaders } from "./createUpstreamHeaders.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
 import type { UpstreamProtocol } from "./UpstreamProtocol.js";
 
 const REQUEST_ID_HEADER = "x-request-id";
--- a/src/services/exchange/UpstreamAnswer.ts
+++ b/src/services/exchange/UpstreamAnswer.ts
@@ -1,5 +1,5 @@
 import type { Readable } from "node:stream";
-import type { HeaderFields } from "../outcomes/index.js";
+import type { HeaderFields } from "../../outcomes/index.js";
 import type { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 
 /** The result of an attempt: a response, or why there is none. */
--- a/src/services/exchange/UpstreamConnection.ts
+++ b/src/services/exchange/UpstreamConnection.ts
@@ -1,5 +1,5 @@
 import { buildConnector, Client } from "undici";
-import type { Clock } from "../time/index.js";
+import type { Clock } from "../../time/index.js";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
--- a/src/services/exchange/UpstreamConnections.ts
+++ b/src/services/exchange/UpstreamConnections.ts
@@ -1,5 +1,5 @@
-import type { Upstream } from "../configuration/index.js";
-import type { Clock } from "../time/index.js";
+import type { Upstream } from "../../configuration/index.js";
+import type { Clock } from "../../time/index.js";
 import { UpstreamConnection } from "./UpstreamConnection.js";
 
 /** A connection that received a response within this time counts as live, in milliseconds. */
--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -1,13 +1,13 @@
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import type { IncomingHttpHeaders } from "undici/types/header.js";
-import { SlowReaderError, TruncatedAnswerError, UnexpectedVariantError } from "../errors/index.js";
-import { CONNECTION_FIELDS } from "../outcomes/index.js";
-import type { HeaderFields } from "../outcomes/index.js";
-import type { ScheduledCall } from "../time/index.js";
+import { SlowReaderError, TruncatedAnswerError, UnexpectedVariantError } from "../../errors/index.js";
+import { CONNECTION_FIELDS } from "../../outcomes/index.js";
+import type { HeaderFields } from "../../outcomes/index.js";
+import type { ScheduledCall } from "../../time/index.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import { AnswerCheckKind } from "./AnswerCheckKind.js";
 import type { AnswerCheckResult } from "./AnswerCheckResult.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
 import type { UpstreamAnswer } from "./UpstreamAnswer.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
--- a/src/services/exchange/UpstreamExchangeOptions.ts
+++ b/src/services/exchange/UpstreamExchangeOptions.ts
@@ -1,5 +1,5 @@
-import type { Upstream } from "../configuration/index.js";
-import type { Clock } from "../time/index.js";
+import type { Upstream } from "../../configuration/index.js";
+import type { Clock } from "../../time/index.js";
 import type { UpstreamProtocol } from "./UpstreamProtocol.js";
 
 /** Time limits of an exchange, and the callback for its end. */
--- a/src/services/exchange/UpstreamProtocol.ts
+++ b/src/services/exchange/UpstreamProtocol.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from "undici/types/header.js";
-import type { Upstream } from "../configuration/index.js";
+import type { Upstream } from "../../configuration/index.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import type { AnswerCheckResult } from "./AnswerCheckResult.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
 
 /** Encodes requests to upstreams and classifies their responses. */
 export interface UpstreamProtocol {
--- a/src/services/exchange/UpstreamTransport.ts
+++ b/src/services/exchange/UpstreamTransport.ts
@@ -1,5 +1,5 @@
-import type { Upstream } from "../configuration/index.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
+import type { Upstream } from "../../configuration/index.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import type { UpstreamAnswer } from "./UpstreamAnswer.js";
 import type { UpstreamSendOptions } from "./UpstreamSendOptions.js";
 
--- a/src/services/exchange/createOutcome.ts
+++ b/src/services/exchange/createOutcome.ts
@@ -1,6 +1,6 @@
-import { UnexpectedVariantError } from "../errors/index.js";
-import type { Outcome } from "../outcomes/index.js";
-import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { UnexpectedVariantError } from "../../errors/index.js";
+import type { Outcome } from "../../outcomes/index.js";
+import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../../outcomes/index.js";
 import type { UpstreamAnswer } from "./UpstreamAnswer.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 
--- a/src/services/exchange/createUpstreamHeaders.ts
+++ b/src/services/exchange/createUpstreamHeaders.ts
@@ -1,6 +1,6 @@
-import { PRIVATE_REQUEST_FIELDS } from "../outcomes/index.js";
-import type { HeaderFields } from "../outcomes/index.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
+import { PRIVATE_REQUEST_FIELDS } from "../../outcomes/index.js";
+import type { HeaderFields } from "../../outcomes/index.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 
 /**
  * Creates the header fields of a request to an upstream, without the caller's key and without connection-level fields.
--- a/src/services/exchange/getPatience.ts
+++ b/src/services/exchange/getPatience.ts
@@ -1,4 +1,4 @@
-import type { ServiceRequest } from "./ServiceRequest.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 
 /** Multiple of the route's usual time to the first byte after which an attempt is overdue. */
 const USUAL_TIME_FACTOR = 2.5;
--- a/src/services/exchange/readBodyAhead.ts
+++ b/src/services/exchange/readBodyAhead.ts
@@ -1,6 +1,6 @@
 import { Readable } from "node:stream";
-import type { DoneOutcome, Outcome } from "../outcomes/index.js";
-import { createUnknown, OutcomeKind, UnknownReason } from "../outcomes/index.js";
+import type { DoneOutcome, Outcome } from "../../outcomes/index.js";
+import { createUnknown, OutcomeKind, UnknownReason } from "../../outcomes/index.js";
 
 /**
  * Buffers the start of a response body, so that a body truncated within the limit is detected before any of it is passed on.
--- a/src/services/outcomes/EncodedOutcome.ts
+++ b/src/services/outcomes/EncodedOutcome.ts
@@ -1,4 +1,4 @@
-import type { HeaderFields, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import type { HeaderFields, OutcomeKind, RefusalReason, UnknownReason } from "../../outcomes/index.js";
 
 /** An outcome as JSON values, for storage. */
 export type EncodedOutcome =
--- a/src/services/outcomes/OutcomeCache.ts
+++ b/src/services/outcomes/OutcomeCache.ts
@@ -1,8 +1,8 @@
-import { OutcomeKind } from "../outcomes/index.js";
-import type { Clock } from "../time/index.js";
+import { OutcomeKind } from "../../outcomes/index.js";
+import type { Clock } from "../../time/index.js";
+import type { FindOutcomeParams } from "../sharing/FindOutcomeParams.js";
+import type { FindOutcomeResult } from "../sharing/FindOutcomeResult.js";
 import type { EncodedOutcome } from "./EncodedOutcome.js";
-import type { FindOutcomeParams } from "./FindOutcomeParams.js";
-import type { FindOutcomeResult } from "./FindOutcomeResult.js";
 import { RequestState } from "./RequestState.js";
 
 const MAX_RECORDS = 20_000;
--- a/src/services/outcomes/decodeOutcome.ts
+++ b/src/services/outcomes/decodeOutcome.ts
@@ -1,7 +1,7 @@
 import { Readable } from "node:stream";
-import { TruncatedAnswerError } from "../errors/index.js";
-import type { Outcome } from "../outcomes/index.js";
-import { OutcomeKind } from "../outcomes/index.js";
+import { TruncatedAnswerError } from "../../errors/index.js";
+import type { Outcome } from "../../outcomes/index.js";
+import { OutcomeKind } from "../../outcomes/index.js";
 import type { EncodedOutcome } from "./EncodedOutcome.js";
 
 /**
--- a/src/services/outcomes/encodeOutcome.ts
+++ b/src/services/outcomes/encodeOutcome.ts
@@ -1,5 +1,5 @@
-import type { HeaderFields, Outcome } from "../outcomes/index.js";
-import { OutcomeKind } from "../outcomes/index.js";
+import type { HeaderFields, Outcome } from "../../outcomes/index.js";
+import { OutcomeKind } from "../../outcomes/index.js";
 import type { EncodedOutcome } from "./EncodedOutcome.js";
 
 /**
--- a/src/services/pools/PooledUpstream.ts
+++ b/src/services/pools/PooledUpstream.ts
@@ -1,15 +1,15 @@
 import { interpret } from "robot3";
 import type { Service as MachineService } from "robot3";
-import type { Upstream } from "../configuration/index.js";
-import type { Clock } from "../time/index.js";
+import type { Upstream } from "../../configuration/index.js";
+import type { Clock } from "../../time/index.js";
+import { PendingRequests } from "../detection/PendingRequests.js";
+import { ProbationTest } from "../detection/ProbationTest.js";
+import type { UpstreamDetector } from "../detection/UpstreamDetector.js";
+import { UpstreamStatistics } from "../detection/UpstreamStatistics.js";
 import { createUpstreamMachine } from "./createUpstreamMachine.js";
-import { PendingRequests } from "./PendingRequests.js";
 import type { PooledUpstreamOptions } from "./PooledUpstreamOptions.js";
-import { ProbationTest } from "./ProbationTest.js";
-import type { UpstreamDetector } from "./UpstreamDetector.js";
 import type { UpstreamEvent } from "./UpstreamEvent.js";
 import { UpstreamState } from "./UpstreamState.js";
-import { UpstreamStatistics } from "./UpstreamStatistics.js";
 
 type Machine = ReturnType<typeof createUpstreamMachine>;
 
--- a/src/services/pools/PooledUpstreamOptions.ts
+++ b/src/services/pools/PooledUpstreamOptions.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../time/index.js";
+import type { Clock } from "../../time/index.js";
 
 /** The options of a pooled upstream. */
 export interface PooledUpstreamOptions {
--- a/src/services/pools/ServicePoolOptions.ts
+++ b/src/services/pools/ServicePoolOptions.ts
@@ -1,9 +1,9 @@
-import type { DecisionLog } from "../logging/index.js";
-import type { RandomSource } from "../random/index.js";
-import type { Clock, StallMeter } from "../time/index.js";
-import type { EjectionPolicy } from "./EjectionPolicy.js";
-import type { OutcomeCache } from "./OutcomeCache.js";
-import type { UpstreamTransport } from "./UpstreamTransport.js";
+import type { DecisionLog } from "../../logging/index.js";
+import type { RandomSource } from "../../random/index.js";
+import type { Clock, StallMeter } from "../../time/index.js";
+import type { EjectionPolicy } from "../detection/EjectionPolicy.js";
+import type { UpstreamTransport } from "../exchange/UpstreamTransport.js";
+import type { OutcomeCache } from "../outcomes/OutcomeCache.js";
 
 /** Dependencies and settings of a pool of upstreams. */
 export interface ServicePoolOptions {
--- a/src/services/pools/UpstreamSet.ts
+++ b/src/services/pools/UpstreamSet.ts
@@ -1,10 +1,10 @@
-import type { Service, Upstream } from "../configuration/index.js";
-import { Decision } from "../logging/index.js";
-import { ConsecutiveDetector } from "./ConsecutiveDetector.js";
-import { EjectionPolicy } from "./EjectionPolicy.js";
+import type { Service, Upstream } from "../../configuration/index.js";
+import { Decision } from "../../logging/index.js";
+import { ConsecutiveDetector } from "../detection/ConsecutiveDetector.js";
+import { EjectionPolicy } from "../detection/EjectionPolicy.js";
+import { SequentialDetector } from "../detection/SequentialDetector.js";
+import type { UpstreamDetector } from "../detection/UpstreamDetector.js";
 import { PooledUpstream } from "./PooledUpstream.js";
-import { SequentialDetector } from "./SequentialDetector.js";
-import type { UpstreamDetector } from "./UpstreamDetector.js";
 import { UpstreamEvent } from "./UpstreamEvent.js";
 import type { UpstreamSetOptions } from "./UpstreamSetOptions.js";
 import { UpstreamState } from "./UpstreamState.js";
--- a/src/services/pools/UpstreamSetOptions.ts
+++ b/src/services/pools/UpstreamSetOptions.ts
@@ -1,7 +1,7 @@
-import type { DecisionLog } from "../logging/index.js";
-import type { Clock } from "../time/index.js";
-import type { EjectionPolicy } from "./EjectionPolicy.js";
-import type { UpstreamTransport } from "./UpstreamTransport.js";
+import type { DecisionLog } from "../../logging/index.js";
+import type { Clock } from "../../time/index.js";
+import type { EjectionPolicy } from "../detection/EjectionPolicy.js";
+import type { UpstreamTransport } from "../exchange/UpstreamTransport.js";
 
 /** The dependencies of a set of upstreams. */
 export interface UpstreamSetOptions {
--- a/src/services/queue/QueuedRequest.ts
+++ b/src/services/queue/QueuedRequest.ts
@@ -1,7 +1,7 @@
-import type { NotRunOutcome } from "../outcomes/index.js";
+import type { NotRunOutcome } from "../../outcomes/index.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import type { FairQueueItem } from "./FairQueueItem.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
 
 /** A request that waits for a slot. */
 export interface QueuedRequest extends FairQueueItem {
--- a/src/services/queue/RetryBudget.ts
+++ b/src/services/queue/RetryBudget.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../time/index.js";
+import type { Clock } from "../../time/index.js";
 
 /** Capacity of the token bucket of a budget that is not shared, in retries. */
 const MAX_TOKENS = 10;
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -1,9 +1,9 @@
-import type { NotRunOutcome } from "../outcomes/index.js";
-import { createNotRun, RefusalReason } from "../outcomes/index.js";
+import type { NotRunOutcome } from "../../outcomes/index.js";
+import { createNotRun, RefusalReason } from "../../outcomes/index.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import { FairQueue } from "./FairQueue.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
 import type { QueuedRequest } from "./QueuedRequest.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
 import type { SlotQueueOptions } from "./SlotQueueOptions.js";
 
 /** Weight of a new sample in the moving average of the slot time. */
--- a/src/services/queue/SlotQueueOptions.ts
+++ b/src/services/queue/SlotQueueOptions.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../time/index.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
+import type { Clock } from "../../time/index.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import type { UpstreamSelector } from "./UpstreamSelector.js";
 
 /** Dependencies and limits of a slot queue. */
--- a/src/services/queue/SlotRunner.ts
+++ b/src/services/queue/SlotRunner.ts
@@ -1,17 +1,17 @@
 import { finished } from "node:stream";
-import { Decision } from "../logging/index.js";
-import type { Outcome } from "../outcomes/index.js";
-import { createUnknown, OutcomeKind, UnknownReason } from "../outcomes/index.js";
-import { AttemptRunner } from "./AttemptRunner.js";
-import { createCapturedBody } from "./createCapturedBody.js";
-import { createOutcome } from "./createOutcome.js";
-import { encodeOutcome } from "./encodeOutcome.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
-import { readBodyAhead } from "./readBodyAhead.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
+import { Decision } from "../../logging/index.js";
+import type { Outcome } from "../../outcomes/index.js";
+import { createUnknown, OutcomeKind, UnknownReason } from "../../outcomes/index.js";
+import { AttemptRunner } from "../exchange/AttemptRunner.js";
+import { createCapturedBody } from "../exchange/createCapturedBody.js";
+import { createOutcome } from "../exchange/createOutcome.js";
+import { readBodyAhead } from "../exchange/readBodyAhead.js";
+import { UpstreamAnswerKind } from "../exchange/UpstreamAnswerKind.js";
+import type { UpstreamAttempt } from "../exchange/UpstreamAttempt.js";
+import { encodeOutcome } from "../outcomes/encodeOutcome.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import type { SlotRunnerOptions } from "./SlotRunnerOptions.js";
-import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
-import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 
 const MAX_CAPTURED_BODY_BYTES = 64 * 1024;
 /** Responses to idempotent requests are buffered up to this size, so that a truncated one can be retried. */
--- a/src/services/queue/SlotRunnerOptions.ts
+++ b/src/services/queue/SlotRunnerOptions.ts
@@ -1,11 +1,11 @@
-import type { AttemptPatience } from "./AttemptPatience.js";
-import type { AttemptRecorder } from "./AttemptRecorder.js";
-import type { AttemptRunnerOptions } from "./AttemptRunnerOptions.js";
-import type { FirstByteLimit } from "./FirstByteLimit.js";
-import type { OutcomeCache } from "./OutcomeCache.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
+import type { AttemptRecorder } from "../detection/AttemptRecorder.js";
+import type { AttemptPatience } from "../exchange/AttemptPatience.js";
+import type { AttemptRunnerOptions } from "../exchange/AttemptRunnerOptions.js";
+import type { FirstByteLimit } from "../exchange/FirstByteLimit.js";
+import type { OutcomeCache } from "../outcomes/OutcomeCache.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 import type { RetryBudget } from "./RetryBudget.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
 import type { SlotUsage } from "./SlotUsage.js";
 
 /** Dependencies and settings of a slot runner. */
--- a/src/services/queue/UpstreamSelector.ts
+++ b/src/services/queue/UpstreamSelector.ts
@@ -1,7 +1,7 @@
-import { EjectionPolicy } from "./EjectionPolicy.js";
-import type { PooledUpstream } from "./PooledUpstream.js";
-import type { ServiceRequest } from "./ServiceRequest.js";
-import { UpstreamState } from "./UpstreamState.js";
+import { EjectionPolicy } from "../detection/EjectionPolicy.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import { UpstreamState } from "../pools/UpstreamState.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 
 /** Added to the load of an upstream whose ejection is withheld, so that it is selected last. */
 const WITHHELD_LOAD_PENALTY = 1;
--- a/src/services/sharing/BaselineSharer.ts
+++ b/src/services/sharing/BaselineSharer.ts
@@ -1,9 +1,9 @@
-import { getServiceParts } from "../configuration/index.js";
-import type { Configuration } from "../configuration/index.js";
-import type { Membership } from "../membership/index.js";
-import type { PeerTransport } from "../peers/index.js";
-import { PeerMethod } from "../peers/index.js";
-import type { HostedPool } from "./HostedPool.js";
+import { getServiceParts } from "../../configuration/index.js";
+import type { Configuration } from "../../configuration/index.js";
+import type { Membership } from "../../membership/index.js";
+import type { PeerTransport } from "../../peers/index.js";
+import { PeerMethod } from "../../peers/index.js";
+import type { HostedPool } from "../pools/HostedPool.js";
 import type { ShareBaselineParams } from "./ShareBaselineParams.js";
 
 const SEND_TIMEOUT_MS = 2_000;
--- a/src/services/sharing/FindOutcomeResult.ts
+++ b/src/services/sharing/FindOutcomeResult.ts
@@ -1,5 +1,5 @@
-import type { EncodedOutcome } from "./EncodedOutcome.js";
-import type { RequestState } from "./RequestState.js";
+import type { EncodedOutcome } from "../outcomes/EncodedOutcome.js";
+import type { RequestState } from "../outcomes/RequestState.js";
 
 /** The state of a request at a service host, with its outcome once it has ended. */
 export type FindOutcomeResult =
--- a/src/services/sharing/PartLoads.ts
+++ b/src/services/sharing/PartLoads.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../time/index.js";
+import type { Clock } from "../../time/index.js";
 import type { PartLoadReport } from "./PartLoadReport.js";
 
 /** Reports older than two report intervals are ignored, in milliseconds. */
--- a/src/services/sharing/ShareBaselineParams.ts
+++ b/src/services/sharing/ShareBaselineParams.ts
@@ -1,6 +1,6 @@
+import type { RequestCounts } from "../detection/RequestCounts.js";
+import type { UpstreamSummary } from "../detection/UpstreamSummary.js";
 import type { PartLoadReport } from "./PartLoadReport.js";
-import type { RequestCounts } from "./RequestCounts.js";
-import type { UpstreamSummary } from "./UpstreamSummary.js";
 
 /** The summary of a part of a service that its service host shares. */
 export interface ShareBaselineParams {
--- a/src/services/sharing/peerMethods.ts
+++ b/src/services/sharing/peerMethods.ts
@@ -1,4 +1,4 @@
-import type { PeerMethod } from "../peers/index.js";
+import type { PeerMethod } from "../../peers/index.js";
 import type { FindOutcomeParams } from "./FindOutcomeParams.js";
 import type { FindOutcomeResult } from "./FindOutcomeResult.js";
 import type { IsServingResult } from "./IsServingResult.js";
@@ -7,7 +7,7 @@
 import type { ShareBaselineParams } from "./ShareBaselineParams.js";
 import type { ShareBaselineResult } from "./ShareBaselineResult.js";
 
-declare module "../peers/PeerMethods.js" {
+declare module "../../peers/PeerMethods.js" {
     /** The calls between service hosts. */
     interface PeerMethods {
         [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
--- a/tests/services/FairQueue.test.ts
+++ b/tests/services/FairQueue.test.ts
@@ -1,8 +1,8 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { FairQueue } from "../../src/services/FairQueue.js";
-import type { FairQueueItem } from "../../src/services/FairQueueItem.js";
+import { FairQueue } from "../../src/services/queue/FairQueue.js";
+import type { FairQueueItem } from "../../src/services/queue/FairQueueItem.js";
 
 const SEED = 7;
 const RUNS = 300;
--- a/tests/services/UnservedRateMonitor.test.ts
+++ b/tests/services/UnservedRateMonitor.test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { FakeClock } from "../../src/fakes/index.js";
-import { UnservedRateMonitor } from "../../src/services/UnservedRateMonitor.js";
+import { UnservedRateMonitor } from "../../src/services/detection/UnservedRateMonitor.js";
 
 test("the unserved rate is high above seven requests in a hundred, for at most two seconds", async () => {
     const clock = new FakeClock();
--- a/tests/services/getPatience.test.ts
+++ b/tests/services/getPatience.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { getPatience } from "../../src/services/getPatience.js";
+import { getPatience } from "../../src/services/exchange/getPatience.js";
 
 const USUAL_MS = 400;
 const REMAINING_MS = 4_000;
--- a/tests/services/readBodyAhead.test.ts
+++ b/tests/services/readBodyAhead.test.ts
@@ -4,7 +4,7 @@
 import { TruncatedAnswerError } from "../../src/errors/index.js";
 import type { Outcome } from "../../src/outcomes/index.js";
 import { createNotRun, OutcomeKind, RefusalReason, UnknownReason } from "../../src/outcomes/index.js";
-import { readBodyAhead } from "../../src/services/readBodyAhead.js";
+import { readBodyAhead } from "../../src/services/exchange/readBodyAhead.js";
 
 const LIMIT_BYTES = 10;
 
