End one connection, not the process, where an answer can't be written or a rejection is unhandled

Reported by other operators: one malformed message or unexpected error took a whole process down.

It could happen here: an answer whose head Node refuses to write rejected a promise that nobody awaited. The platform's process logged that and left the caller waiting; the product's own process ended with all its requests.

An uncaught exception still ends the process after one log line, as its state is unknown then.

--- a/src/bin/fuchsiapath-entry.ts
+++ b/src/bin/fuchsiapath-entry.ts
@@ -4,7 +4,7 @@
 import { hideBin } from "yargs/helpers";
 import { EntryProcess } from "../entry/index.js";
 import { FindingsError } from "../errors/index.js";
-import { createLogger } from "../logging/index.js";
+import { createLogger, recordUnhandledRejections } from "../logging/index.js";
 import { parseEntrySettings } from "../settings/index.js";
 import type { EntrySettings } from "../settings/index.js";
 
@@ -43,6 +43,7 @@
 
 async function runEntryHost(entrySettings: EntrySettings): Promise<void> {
     const logger = createLogger("fuchsiapath-entry", entrySettings.logLevel, process.stderr, entrySettings.id);
+    recordUnhandledRejections(logger);
     const entry = new EntryProcess(entrySettings, logger);
     await entry.start();
     const stop = (): void => {
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -8,4 +8,5 @@
 export type { DecisionRecord } from "./DecisionRecord.js";
 export { isSuccessLine } from "./isSuccessLine.js";
 export type { LogSink } from "./LogSink.js";
+export { recordUnhandledRejections } from "./recordUnhandledRejections.js";
 export type { TimedDecision } from "./TimedDecision.js";
--- a/tests/gateway/pipelining.test.ts
+++ b/tests/gateway/pipelining.test.ts
@@ -155,6 +155,26 @@
     assert.ok(readBytes <= 2 * READ_BYTES, `${readBytes} bytes were read`);
 });
 
+test("a response that can't be written closes its own connection only, and its error is reported", async () => {
+    const errors: unknown[] = [];
+    const record = (error: unknown): void => void errors.push(error);
+    process.on("unhandledRejection", record);
+    try {
+        const [caller, other] = [await bench.open(), await bench.open()];
+        caller.socket.write(createGets("/1"));
+        other.socket.write(createGets("/2"));
+        const headers = { "x-name": "\u0001" };
+        await bench.sendOutcome("/1", { kind: OutcomeKind.Done, status: 200, headers, body: Readable.from([]) });
+        await bench.waitUntil(() => caller.isClosed);
+        await bench.sendOutcome("/2");
+        await bench.waitUntil(() => getBodies(other.received).length === 1);
+        assert.is(errors.length, 1);
+    }
+    finally {
+        process.off("unhandledRejection", record);
+    }
+});
+
 test("a request whose body is longer than allowed gets its refusal, not a closed connection", async () => {
     bench.maxBodyBytes = 1_000;
     const caller = await bench.open();
