Test that an order at a host that is silent for a while is neither sent again nor given up

Reported by other operators. It does not happen here: tests/accounts/ServiceSender.test.ts passes on the code as it was. An order waits for its service host until its deadline, also while others report that host silent; only lookups are sent again.

--- a/tests/accounts/ServiceSender.test.ts
+++ b/tests/accounts/ServiceSender.test.ts
@@ -122,6 +122,17 @@
     assert.ok(runners.flatMap(runner => runner.runs).length <= runs + 1);
 });
 
+test("an order at a host that is silent for a while, and reported so, is neither sent again nor given up", async () => {
+    const first = membership.getServiceHosts("orders", "zone-a")[0]!;
+    runners.forEach(runner => runner.delayMs = 400);
+    clock.schedule(50, () => network.stopAnswers(first.peerAddress));
+    clock.schedule(80, () => membership.unreachable.add(first.id));
+    clock.schedule(350, () => network.startAnswers(first.peerAddress));
+    const answer = await runClockUntil(clock, send(RouteKind.Order));
+    assert.is(answer!.outcome.kind, OutcomeKind.Done);
+    assert.is(runners.flatMap(runner => runner.runs).length, 1);
+});
+
 test.run();
 
 async function send(kind: RouteKind): ReturnType<ServiceSender["send"]> {
