Let fuchsiapath-load send lookups ahead

The option requestsAhead of an experiment makes each caller use one connection to a host and send as many lookups on it before the first has been answered; the audit of bodies is unchanged.

--- a/src/load/HttpCallerTransport.ts
+++ b/src/load/HttpCallerTransport.ts
@@ -16,13 +16,21 @@
 /** Sends a caller's requests over HTTP. */
 export class HttpCallerTransport implements CallerTransport {
     readonly #agent: Agent;
+    readonly #requestsAhead: number;
 
     /**
      * @param connectTimeoutMs - Time to open a connection, in milliseconds.
      * @param answerTimeoutMs - Time between two parts of an answer, in milliseconds.
+     * @param requestsAhead - Requests that are sent on a connection before the first of them has been answered; orders never are.
      */
-    constructor(connectTimeoutMs: number, answerTimeoutMs: number) {
-        this.#agent = new Agent({ connect: { timeout: connectTimeoutMs }, bodyTimeout: answerTimeoutMs });
+    constructor(connectTimeoutMs: number, answerTimeoutMs: number, requestsAhead = 1) {
+        this.#requestsAhead = requestsAhead;
+        this.#agent = new Agent({
+            connect: { timeout: connectTimeoutMs },
+            bodyTimeout: answerTimeoutMs,
+            // With more connections, requests are spread over these first.
+            ...(requestsAhead > 1 ? { connections: 1, pipelining: requestsAhead } : {}),
+        });
     }
 
     /**
@@ -37,6 +45,7 @@
                 headers: outgoing.headers,
                 body: outgoing.body ?? null,
                 headersTimeout: outgoing.timeoutMs,
+                blocking: this.#requestsAhead === 1,
             });
             const headers = answer.headers as HeaderFields;
             return { kind: AttemptKind.Answered, status: answer.statusCode, headers, body: answer.body };
--- a/src/load/createHttpRun.ts
+++ b/src/load/createHttpRun.ts
@@ -10,6 +10,6 @@
  */
 export function createHttpRun(experiment: Experiment, clock: Clock): LoadRun {
     const createTransport = (): HttpCallerTransport =>
-        new HttpCallerTransport(experiment.connectTimeoutMs, experiment.answerTimeoutMs);
+        new HttpCallerTransport(experiment.connectTimeoutMs, experiment.answerTimeoutMs, experiment.requestsAhead);
     return new LoadRun({ experiment, clock, createTransport });
 }
--- a/src/load/experimentSchema.ts
+++ b/src/load/experimentSchema.ts
@@ -71,6 +71,8 @@
     answerTimeoutMs: z.number().positive().default(DEFAULT_ANSWER_TIMEOUT_MS),
     lookupTimeoutMs: z.number().positive().default(DEFAULT_LOOKUP_TIMEOUT_MS),
     connectTimeoutMs: z.number().positive().default(DEFAULT_CONNECT_TIMEOUT_MS),
+    /** Lookups that a caller sends on a connection before the first of them has been answered. */
+    requestsAhead: z.number().int().min(1).default(1),
     /** How often a request without an answer is sent again. */
     resends: z.number().int().min(0).default(DEFAULT_RESENDS),
     resendDelayMs: duration.default(DEFAULT_RESEND_DELAY_MS),
