Leave the unused parts of undici out of the gateway's bundle

A start took 0.33 s of processor time, 0.10 s of them Node.js itself; after a loss of all hosts the slowest have 0.27 of a core, so that loading alone took 0.8 s of the seconds in which nothing is served. Two thirds of undici's code (fetch, WebSocket, caches, mocks) was loaded and never used.

Ruled out: a code cache, as the bundle is an ES module.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,5 @@
 // Makes the gateway one file below target/, so that a process starts quickly. Plain JavaScript, since it runs before anything is built.
+import { resolve } from "node:path";
 import { build } from "esbuild";
 
 /** Packages that bunyan loads only if they are installed. */
@@ -15,5 +16,9 @@
     keepNames: true,
     logLevel: "warning",
     external: OPTIONAL_PACKAGES,
+    plugins: [{
+        name: "undici-client",
+        setup: setup => setup.onResolve({ filter: /^undici$/ }, () => ({ path: resolve("scripts/undiciClient.cjs") })),
+    }],
     banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" },
 });
