Give up an overdue lookup only while another upstream has a free slot

Cause: patience looked at the retry budget alone. It needs an empty queue and a free slot of the part too, and looks again every 100 ms.

--- a/src/services/exchange/AttemptPatience.ts
+++ b/src/services/exchange/AttemptPatience.ts
@@ -2,6 +2,6 @@
 export interface AttemptPatience {
     /** Time without a first byte, in milliseconds. */
     readonly timeoutMs: number;
-    /** Whether the service's budget has a retry to spare. */
+    /** Whether the service's budget has a retry to spare and another upstream a free slot. */
     readonly hasRetry: () => boolean;
 }
--- a/src/services/exchange/AttemptRunner.ts
+++ b/src/services/exchange/AttemptRunner.ts
@@ -13,6 +13,9 @@
 /** Default time after the deadline in which the response to a request that is not idempotent is still received and stored. */
 const DEFAULT_LATE_ANSWER_MS = 30_000;
 
+/** Time after which an overdue attempt is checked again if no other upstream could take the request, in milliseconds. */
+const OVERDUE_CHECK_MS = 100;
+
 /** Time limits of an attempt, in milliseconds of the clock. */
 interface AttemptTimes {
     /** When the first byte of the response is due. */
@@ -94,7 +97,14 @@
         run: (signal: AbortSignal) => Promise<UpstreamAttempt>,
     ): Promise<UpstreamAttempt> {
         const overdue = new AbortController();
-        const timer = this.#clock.schedule(timeoutMs, () => hasRetry() && overdue.abort(new Error("overdue")));
+        const check = (): void => {
+            if (hasRetry()) {
+                overdue.abort(new Error("overdue"));
+                return;
+            }
+            timer = this.#clock.schedule(OVERDUE_CHECK_MS, check);
+        };
+        let timer = this.#clock.schedule(timeoutMs, check);
         const attempt = await run(AbortSignal.any([signal, overdue.signal]));
         timer.cancel();
         const isOverdue = attempt.answer.kind === UpstreamAnswerKind.Aborted && !signal.aborted;
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -283,7 +283,12 @@
         }
         const usualMs = this.#routeLatencies.findP75(request.route);
         const timeoutMs = getPatience(request, usualMs, deadline - this.#options.clock.getTime());
-        return timeoutMs === undefined ? undefined : { timeoutMs, hasRetry: () => this.#budget.hasSpareRetry() };
+        return timeoutMs === undefined ? undefined : { timeoutMs, hasRetry: () => this.#hasRetry() };
+    }
+
+    /** Under full load, a retry would take the slot of a queued request. */
+    #hasRetry(): boolean {
+        return this.#budget.hasSpareRetry() && this.#queue.getSize() === 0 && this.#selector.hasFreeSlot();
     }
 
     /** Gets the part's share of the service's retry rate, per second: all parts have equal shares. */
