--- a/src/callers/CallerConnections.ts
+++ b/src/callers/CallerConnections.ts
@@ -37,7 +37,7 @@
         }
     }
 
-    /** Closes each connection after the answers to the requests that were passed on from now on. */
+    /** From now on, closes each connection after the answers to the requests that were passed on. */
     drain(): void {
         this.#isDraining = true;
     }
