Let no request run ahead whose route is not known yet

An order sent behind others could run ahead of them where its route came with a configuration that the host read only after the request: the route counted as idempotent while unknown, and a refusal for an unknown route reads the newest configuration first. Behind an answer that closes the connection such an order would have run and been sent again. It waits for its turn now. Found by reading the change; tests/gateway/staleCopy.test.ts fails before it.

--- a/src/callers/CallerRequestHandler.ts
+++ b/src/callers/CallerRequestHandler.ts
@@ -42,11 +42,12 @@
     }
 
     /**
-     * Whether a request may run more than once, by its route; true if it has none, as it is refused then.
+     * Whether a request may run more than once, by its route; false if it has none yet, as a newer configuration may have one.
      * @param target - The request's path with query.
      */
     isIdempotent(target: string): boolean {
-        return this.#options.getConfiguration().findRoute(getPath(target))?.kind !== RouteKind.Order;
+        const route = this.#options.getConfiguration().findRoute(getPath(target));
+        return route !== undefined && route.kind !== RouteKind.Order;
     }
 
     /**
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -76,12 +76,12 @@
     }
 
     /**
-     * Whether a request may run more than once, by its route; true if it has none, as it is refused then.
+     * Whether a request may run more than once, by its route; false if it has none yet, as a newer configuration may have one.
      * @param request - The request.
      */
     isIdempotent(request: GatewayRequest): boolean {
         const route = this.#options.getConfiguration()?.findRoute(getPath(request.target), request.host);
-        return route?.kind !== RouteKind.Order;
+        return route !== undefined && route.kind !== RouteKind.Order;
     }
 
     /**
--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -63,7 +63,7 @@
         this.#connections.drain();
     }
 
-    /** Stops listening, closes idle connections and waits for the responses in progress. */
+    /** Waits for the responses in progress, stops listening and closes all connections. */
     async stop(): Promise<void> {
         this.#connections.drain();
         await this.#connections.waitForIdle();
--- a/tests/gateway/staleCopy.test.ts
+++ b/tests/gateway/staleCopy.test.ts
@@ -89,6 +89,12 @@
     assert.is(refreshCount, 0);
 });
 
+test("a request whose route is not known yet may be an order, so it does not run ahead of others", () => {
+    const request = { requestId: "r1", key: undefined, method: "GET", headers: {}, timeoutMs: undefined };
+    assert.is(gateway.isIdempotent({ ...request, host: "a", target: "/unknown/1" }), false);
+    assert.is(gateway.isIdempotent({ ...request, host: "a", target: "/r/1?x=1" }), true);
+});
+
 test.run();
 
 async function run(key: string, target: string, bodyBytes = 0): Promise<string> {
