--- a/tests/platform/support/MockPlatformUpstream.ts
+++ b/tests/platform/support/MockPlatformUpstream.ts
@@ -11,6 +11,8 @@
     readonly path: string;
     readonly body: string;
     readonly hasKey: boolean;
+    /** When it arrived, in milliseconds of a monotonic clock. */
+    readonly time: number;
 }
 
 /** An HTTP server that behaves like an upstream of the platform. */
@@ -27,6 +29,8 @@
     endlessChunkIntervalMs: number | undefined;
     /** Number of endless responses that are still being sent. */
     openEndlessResponses = 0;
+    /** Header fields that are added to each response. */
+    extraHeaders: Readonly<Record<string, string>> = {};
     readonly id: string;
     readonly #server: Server;
 
@@ -59,9 +63,14 @@
             path: request.url ?? "",
             body: String(body),
             hasKey: request.headers.authorization !== undefined,
+            time: performance.now(),
         });
         await new Promise(resolve => setTimeout(resolve, this.delayMs));
-        const headers = { "fuchsiapath-attempt-id": id, "fuchsiapath-response-seal": `seal-${this.id}` };
+        const headers = {
+            "fuchsiapath-attempt-id": id,
+            "fuchsiapath-response-seal": `seal-${this.id}`,
+            ...this.extraHeaders,
+        };
         if (this.endlessChunkIntervalMs !== undefined) {
             response.writeHead(200, headers);
             this.#sendEndless(response, this.endlessChunkIntervalMs);
