Keep the requests to an upstream within the rate that it names

Cause: nothing read the field, so neither a cut, a hand-over nor a return was needed (hypothesis 1; 2 and 3 are ruled out as the cause by the record: all requests of i-549e035618 came from one host, and it was in service all the while).

The service host now keeps a token bucket for each upstream that names a limit. All that reaches the upstream spends from it: trials, the retry after a silent connection, other zones' overflow. Where several hosts send at once the shares add up to one and a half times the rate (1, 1/4, 1/8, 1/8 for all others), so that they need not hear of each other. Answers of service hosts carry what upstreams have said, so that the next host knows it too. The queue counts a limited upstream by the rate, and refuses at once what can't be sent in time, with the time until it can.

--- a/src/accounts/AccountHostOptions.ts
+++ b/src/accounts/AccountHostOptions.ts
@@ -5,7 +5,7 @@
 import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { RatePolicy } from "../rates/index.js";
-import type { ServiceRunner } from "../services/index.js";
+import type { ServiceRunner, UpstreamNotices } from "../services/index.js";
 import type { Store } from "../store/index.js";
 import type { Clock } from "../time/index.js";
 
@@ -21,6 +21,8 @@
     /** The service host of this process. */
     readonly serviceRunner: ServiceRunner;
     readonly decisionLog: DecisionLog;
+    /** Keeps what upstreams tell other hosts, in case this host has to send to them itself. */
+    readonly notices?: UpstreamNotices;
     /** Gets the current configuration. */
     readonly getConfiguration: () => Configuration;
     /** How the account's rate is divided among its hosts; shared if undefined. */
--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -137,7 +137,10 @@
         answer: HostAnswer,
         state: DispatchState,
     ): Promise<void> {
-        const { outcome, upstream } = answer;
+        const { outcome, upstream, notices } = answer;
+        if (notices !== undefined) {
+            this.#options.notices?.recordReports(notices);
+        }
         if (upstream !== undefined) {
             state.excludedUpstreams.push(upstream);
         }
--- a/src/accounts/DispatcherOptions.ts
+++ b/src/accounts/DispatcherOptions.ts
@@ -3,7 +3,7 @@
 import type { Membership } from "../membership/index.js";
 import type { PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
-import type { ServiceRunner } from "../services/index.js";
+import type { ServiceRunner, UpstreamNotices } from "../services/index.js";
 import type { Clock } from "../time/index.js";
 
 /** The dependencies of a dispatcher, and how it handles unreachable service hosts. */
@@ -16,6 +16,8 @@
     /** The service host of this process. */
     readonly serviceRunner: ServiceRunner;
     readonly decisionLog: DecisionLog;
+    /** Keeps what upstreams tell other hosts, in case this host has to send to them itself. */
+    readonly notices?: UpstreamNotices;
     /** Whether an idempotent request waits for a remote service host until its deadline; otherwise for half of its timeout. */
     readonly waitsUntilDeadline?: boolean;
     /** Whether this host sends to the upstreams itself while no service host is reachable; otherwise it refuses the request. */
--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -210,6 +210,7 @@
             forwarder,
             store,
             serviceRunner: this.serviceHost,
+            notices: this.serviceHost.notices,
             decisionLog: decisions,
             getConfiguration: () => this.getConfiguration(),
             ratePolicy: isBaseline ? RatePolicy.Baseline : RatePolicy.Shared,
--- a/src/fakes/FakeUpstreamFaults.ts
+++ b/src/fakes/FakeUpstreamFaults.ts
@@ -14,4 +14,8 @@
     readonly isDown?: boolean;
     /** Whether every request is shed. */
     readonly isShedding?: boolean;
+    /** The rate that its responses name as its limit, in requests per second; NaN if they name one that can't be read. */
+    readonly requestRate?: number;
+    /** Whether only its successful responses name the limit. */
+    readonly hasSilentFailures?: boolean;
 }
--- a/src/fakes/FakeUpstreams.ts
+++ b/src/fakes/FakeUpstreams.ts
@@ -1,7 +1,13 @@
 import { Readable } from "node:stream";
 import type { Upstream } from "../configuration/index.js";
 import { TruncatedAnswerError } from "../errors/index.js";
-import type { ServiceRequest, UpstreamAnswer, UpstreamSendOptions, UpstreamTransport } from "../services/index.js";
+import type {
+    ServiceRequest,
+    UpstreamAnswer,
+    UpstreamNotice,
+    UpstreamSendOptions,
+    UpstreamTransport,
+} from "../services/index.js";
 import { createUpstreamHeaders, UpstreamAnswerKind } from "../services/index.js";
 import type { FakeConnection } from "./FakeConnection.js";
 import { FakeUpstream } from "./FakeUpstream.js";
@@ -87,7 +93,7 @@
         this.#record(upstream, request, options, !isShed, state.running);
         if (isShed) {
             state.release(connection);
-            return { kind: UpstreamAnswerKind.Shed, retryAfterMs: undefined };
+            return { kind: UpstreamAnswerKind.Shed, retryAfterMs: undefined, notice: createNotice(state, false) };
         }
         return await this.#runRequest(state, connection, request, deadline, options.signal);
     }
@@ -147,6 +153,7 @@
             status: isFailing ? INTERNAL_ERROR : OK,
             headers: { "content-length": String(bytes) },
             body: this.#createBody(state, connection, bytes, random.getNext() < (cutRate ?? 0)),
+            notice: createNotice(state, !isFailing),
         };
     }
 
@@ -234,6 +241,12 @@
     }
 }
 
+function createNotice({ faults }: FakeUpstream, isSuccess: boolean): UpstreamNotice {
+    const { requestRate = Infinity, hasSilentFailures = false } = faults;
+    const isNamed = isSuccess || !hasSilentFailures;
+    return { requestRate: Number.isNaN(requestRate) ? undefined : isNamed ? requestRate : Infinity };
+}
+
 function createConnectFailure(detail: string): UpstreamAnswer {
     return { kind: UpstreamAnswerKind.ConnectFailed, detail };
 }
--- a/src/forwarding/HttpPeerForwarder.ts
+++ b/src/forwarding/HttpPeerForwarder.ts
@@ -42,6 +42,7 @@
             freeSlots: answerHead.freeSlots ?? 0,
             queued: answerHead.queued ?? 0,
             otherLoads: answerHead.otherLoads ?? [],
+            notices: answerHead.notices ?? [],
         };
     }
 
--- a/src/forwarding/PeerAnswerHead.ts
+++ b/src/forwarding/PeerAnswerHead.ts
@@ -1,5 +1,5 @@
 import type { OutcomeHead } from "../outcomes/index.js";
-import type { PartLoadReport } from "../services/index.js";
+import type { PartLoadReport, UpstreamNoticeReport } from "../services/index.js";
 
 /** The answer to a forwarded request without its body. */
 export interface PeerAnswerHead {
@@ -9,4 +9,5 @@
     readonly freeSlots?: number;
     readonly queued?: number;
     readonly otherLoads?: readonly PartLoadReport[];
+    readonly notices?: readonly UpstreamNoticeReport[];
 }
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -173,6 +173,7 @@
             random,
             forwarder,
             serviceRunner: this.serviceHost,
+            notices: this.serviceHost.notices,
             waitsUntilDeadline: true,
             isLocalFallbackEnabled: true,
         }, quarantine);
--- a/src/logging/Decision.ts
+++ b/src/logging/Decision.ts
@@ -11,6 +11,8 @@
     Restored = "restored",
     Drained = "drained",
     HandedOver = "handed-over",
+    /** An upstream has named another limit of its request rate, or none any more. */
+    RequestRateNamed = "request-rate-named",
     ViewChanged = "view-changed",
     ConfigurationApplied = "configuration-applied",
     Quarantined = "quarantined",
--- a/src/rates/index.ts
+++ b/src/rates/index.ts
@@ -16,3 +16,4 @@
 export { SharedRateLimiter } from "./SharedRateLimiter.js";
 export type { SpendTokenParams } from "./SpendTokenParams.js";
 export type { SpendTokenResult } from "./SpendTokenResult.js";
+export { TokenBucket } from "./TokenBucket.js";
--- a/src/services/ServiceAnswer.ts
+++ b/src/services/ServiceAnswer.ts
@@ -1,4 +1,5 @@
 import type { Outcome } from "../outcomes/index.js";
+import type { UpstreamNoticeReport } from "./notices/UpstreamNoticeReport.js";
 import type { PartLoadReport } from "./sharing/PartLoadReport.js";
 
 /** A service host's answer to one attempt. */
@@ -14,4 +15,6 @@
     readonly queued: number;
     /** Recent load reports of the service's other parts, if any. */
     readonly otherLoads?: readonly PartLoadReport[];
+    /** What the upstreams of the part have said about themselves, if anything. */
+    readonly notices?: readonly UpstreamNoticeReport[];
 }
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -5,6 +5,7 @@
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import { PeerMethod } from "../peers/index.js";
 import { EjectionPolicy } from "./detection/EjectionPolicy.js";
+import { UpstreamNotices } from "./notices/UpstreamNotices.js";
 import { decodeOutcome } from "./outcomes/decodeOutcome.js";
 import { OutcomeCache } from "./outcomes/OutcomeCache.js";
 import { RequestState } from "./outcomes/RequestState.js";
@@ -26,6 +27,13 @@
 const SERVICE_HOST_RANKS = 3;
 /** Share of the retry budget that a service host may spend, relative to the one ranked before it. */
 const RANK_FACTOR = 0.5;
+/**
+ * Shares of an upstream's request rate by the rank of the service host. Hosts that send to the upstream at once, as after a network
+ * partition, can't know of each other, so all shares together exceed the rate by half only.
+ */
+const RATE_SHARES = [1, 0.25, 0.125];
+/** Share of the rate that all other hosts have together. */
+const OTHER_HOSTS_RATE_SHARE = 0.125;
 
 /**
  * How long a pool with unreachable upstreams is handed over to another host, in milliseconds. Network partitions last five to
@@ -35,6 +43,8 @@
 
 /** An entry host in its role as service host: queues requests, selects upstreams and ejects faulty ones. */
 export class ServiceHost implements ServiceRunner {
+    /** What upstreams have said about themselves, to this host or to others. */
+    readonly notices: UpstreamNotices;
     readonly #options: ServiceHostOptions;
     readonly #outcomes: OutcomeCache;
     readonly #sharer: BaselineSharer;
@@ -46,6 +56,7 @@
     /** @param options - Dependencies and settings of the service host. */
     constructor(options: ServiceHostOptions) {
         this.#options = options;
+        this.notices = new UpstreamNotices(options.clock);
         this.#outcomes = new OutcomeCache(options.clock);
         this.#sharer = new BaselineSharer(options.membership, options.peers);
         options.handlers.add(PeerMethod.ShareBaseline, params => ({
@@ -238,21 +249,36 @@
             decisions,
             policy: policy ?? EjectionPolicy.Sequential,
             outcomes: this.#outcomes,
+            notices: this.notices,
             stallMeter,
             lateAnswerMs,
             endsByDeadline,
             getWeight: account => this.#getWeight(account),
             getRetryShare: () => this.#getRetryShare(service.name, zone, partKey),
+            getRateShare: () => this.#getRateShare(service.name, zone, partKey),
         });
     }
 
     /** The first service host of a part may spend all retries, the next ones less; all other hosts share the budget evenly. */
     #getRetryShare(service: string, zone: string, partKey: string): number {
+        const rank = this.#getRank(service, zone, partKey);
+        return rank < 0 ? 1 / this.#getHostCount() : RANK_FACTOR ** rank;
+    }
+
+    #getRateShare(service: string, zone: string, partKey: string): number {
+        return RATE_SHARES[this.#getRank(service, zone, partKey)] ?? OTHER_HOSTS_RATE_SHARE / this.#getHostCount();
+    }
+
+    /** Gets this host's rank among the service hosts of a part; -1 if it is not one of the first. */
+    #getRank(service: string, zone: string, partKey: string): number {
         const { membership } = this.#options;
         const { peerAddress } = membership.getSelf();
-        const rank = membership.getServiceHosts(service, zone, partKey).slice(0, SERVICE_HOST_RANKS)
+        return membership.getServiceHosts(service, zone, partKey).slice(0, SERVICE_HOST_RANKS)
             .findIndex(host => host.peerAddress === peerAddress);
-        return rank < 0 ? 1 / Math.max(1, membership.getView().members.length) : RANK_FACTOR ** rank;
+    }
+
+    #getHostCount(): number {
+        return Math.max(1, this.#options.membership.getView().members.length);
     }
 }
 
--- a/src/services/detection/AttemptRecorder.ts
+++ b/src/services/detection/AttemptRecorder.ts
@@ -7,6 +7,7 @@
 import { createObservation } from "./createObservation.js";
 import { ObservationKind } from "./ObservationKind.js";
 
+const FIRST_FAILURE_STATUS = 500;
 const SHED_PAUSE_MS = 100;
 const MAX_SHED_PAUSE_MS = 5_000;
 /** Results whose time counts as a latency. */
@@ -52,6 +53,18 @@
         }
     }
 
+    /**
+     * Records what a response says about its upstream, also if it comes after the deadline of its request.
+     * @param upstream - The upstream.
+     * @param attempt - The attempt.
+     */
+    recordNotice(upstream: PooledUpstream, { answer }: UpstreamAttempt): void {
+        const isAnswered = answer.kind === UpstreamAnswerKind.Answered;
+        if ((isAnswered || answer.kind === UpstreamAnswerKind.Shed) && answer.notice !== undefined) {
+            this.#options.onNotice(upstream, answer.notice, isAnswered && answer.status < FIRST_FAILURE_STATUS);
+        }
+    }
+
     /**
      * Records that the deadline of a request has passed while it continues to run.
      * @param upstream - The upstream.
--- a/src/services/detection/AttemptRecorderOptions.ts
+++ b/src/services/detection/AttemptRecorderOptions.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../time/index.js";
 import type { FirstByteLimit } from "../exchange/FirstByteLimit.js";
+import type { UpstreamNotice } from "../exchange/UpstreamNotice.js";
 import type { PooledUpstream } from "../pools/PooledUpstream.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
 import type { OutlierDetector } from "./OutlierDetector.js";
@@ -16,4 +17,6 @@
     readonly getMinFailureWait: (upstream: PooledUpstream, request: ServiceRequest) => number;
     /** Called when an upstream may accept requests again. */
     readonly onCapacityChange: () => void;
+    /** Called for each response that says something about its upstream, with whether it is a success. */
+    readonly onNotice: (upstream: PooledUpstream, notice: UpstreamNotice, isSuccess: boolean) => void;
 }
--- a/src/services/detection/findEarlyTrialUpstream.ts
+++ b/src/services/detection/findEarlyTrialUpstream.ts
@@ -10,7 +10,7 @@
 
 /**
  * Finds the upstream that was ejected first, if fewer upstreams than the floor are in service or if no slot is free. The floor
- * doesn't count upstreams whose trial has failed too, as these are not healthy.
+ * doesn't count upstreams whose trial has failed too, as these are not healthy. Upstreams that may not be sent a request now are left out.
  * @param upstreams - The upstreams of the pool.
  * @param floor - Share of the upstreams that should be in service, from 0 to 1.
  * @param isShortOfSlots - Whether no slot is free.
@@ -33,7 +33,7 @@
     }
     const candidates = remaining.filter(upstream =>
         (upstream.getState() === UpstreamState.Ejected || upstream.isReservedForLookups()) &&
-        isEjectedLongEnough(upstream, isShortOfSlots)
+        upstream.getPauseMs() === 0 && isEjectedLongEnough(upstream, isShortOfSlots)
     );
     candidates.sort((left, right) => right.getTimeSinceEjection() - left.getTimeSinceEjection());
     return candidates[0];
--- a/src/services/detection/findFloorTrialUpstream.ts
+++ b/src/services/detection/findFloorTrialUpstream.ts
@@ -11,7 +11,8 @@
 
 /**
  * Finds the longest idle upstream that is ejected, on probation or has its ejection withheld, if fewer upstreams than the floor
- * had a request lately. Upstreams that leave requests unanswered are left out, as each trial would hold a request until its deadline.
+ * had a request lately. Upstreams that leave requests unanswered are left out, as each trial would hold a request until its deadline,
+ * and so are those that may not be sent a request now.
  * @param upstreams - The upstreams of the pool.
  * @param floor - Share of the upstreams that should be in use, from 0 to 1.
  */
@@ -20,7 +21,8 @@
     floor: number,
 ): PooledUpstream | undefined {
     const usable = upstreams.filter(upstream =>
-        upstream.getState() !== UpstreamState.Draining && (upstream.isInService() || upstream.isFailingFast)
+        upstream.getState() !== UpstreamState.Draining && (upstream.isInService() || upstream.isFailingFast) &&
+        (upstream.getPauseMs() === 0 || upstream.getIdleTime() < MAX_IDLE_MS)
     );
     const inUse = usable.filter(upstream => upstream.getIdleTime() < MAX_IDLE_MS).length;
     if (inUse >= Math.ceil(floor * usable.length)) {
--- a/src/services/exchange/ProductUpstreamProtocol.ts
+++ b/src/services/exchange/ProductUpstreamProtocol.ts
@@ -1,14 +1,17 @@
 import type { IncomingHttpHeaders } from "undici/types/header.js";
 import type { Upstream } from "../../configuration/index.js";
-import { parseRetryAfter } from "../../utils/index.js";
+import { parseRequestRate, parseRetryAfter } from "../../utils/index.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
 import { AnswerCheckKind } from "./AnswerCheckKind.js";
 import type { AnswerCheckResult } from "./AnswerCheckResult.js";
 import { createUpstreamHeaders } from "./createUpstreamHeaders.js";
+import type { UpstreamNotice } from "./UpstreamNotice.js";
 import type { UpstreamProtocol } from "./UpstreamProtocol.js";
 
 const REQUEST_ID_HEADER = "x-request-id";
 const NOT_RUN_HEADER = "x-request-not-run";
+/** Requests per second that the upstream accepts from all hosts together, a decimal number. */
+const REQUEST_RATE_HEADER = "x-upstream-request-rate";
 const SHED_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
 /** The product's own protocol of header fields. */
@@ -61,4 +64,12 @@
             ? { kind: AnswerCheckKind.Shed, retryAfterMs: parseRetryAfter(headers["retry-after"]) }
             : { kind: AnswerCheckKind.Answered };
     }
+
+    /**
+     * Decodes what a response says about the upstream that sent it.
+     * @param headers - The header fields of the response.
+     */
+    decodeNotice(headers: IncomingHttpHeaders): UpstreamNotice {
+        return { requestRate: parseRequestRate(headers[REQUEST_RATE_HEADER]) };
+    }
 }
--- a/src/services/exchange/UpstreamAnswer.ts
+++ b/src/services/exchange/UpstreamAnswer.ts
@@ -1,6 +1,7 @@
 import type { Readable } from "node:stream";
 import type { HeaderFields } from "../../outcomes/index.js";
 import type { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
+import type { UpstreamNotice } from "./UpstreamNotice.js";
 
 /** The result of an attempt: a response, or why there is none. */
 export type UpstreamAnswer =
@@ -9,9 +10,14 @@
         readonly status: number;
         readonly headers: HeaderFields;
         readonly body: Readable;
+        readonly notice?: UpstreamNotice;
     }
     | { readonly kind: UpstreamAnswerKind.ConnectFailed; readonly detail: string; }
-    | { readonly kind: UpstreamAnswerKind.Shed; readonly retryAfterMs: number | undefined; }
+    | {
+        readonly kind: UpstreamAnswerKind.Shed;
+        readonly retryAfterMs: number | undefined;
+        readonly notice?: UpstreamNotice;
+    }
     | { readonly kind: UpstreamAnswerKind.TimedOut; }
     | { readonly kind: UpstreamAnswerKind.Overdue; }
     | { readonly kind: UpstreamAnswerKind.ConnectionLost; readonly detail: string; }
--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -114,12 +114,17 @@
                     status,
                     headers: createAnswerHeaders(headers),
                     body,
+                    notice: protocol.decodeNotice(headers),
                 });
                 return;
             case AnswerCheckKind.Shed:
                 this.#connection.recordRefusal(protocol.getRequestId(this.#request));
                 this.#startBodyTimer(body.on("error", () => {}).resume(), this.#options.firstByteTimeoutMs);
-                this.#resolve({ kind: UpstreamAnswerKind.Shed, retryAfterMs: result.retryAfterMs });
+                this.#resolve({
+                    kind: UpstreamAnswerKind.Shed,
+                    retryAfterMs: result.retryAfterMs,
+                    notice: protocol.decodeNotice(headers),
+                });
                 return;
             case AnswerCheckKind.Misdirected:
                 body.on("error", () => {}).destroy();
--- /dev/null
+++ b/src/services/exchange/UpstreamNotice.ts
@@ -0,0 +1,5 @@
+/** What a response says about the upstream that sent it. */
+export interface UpstreamNotice {
+    /** Requests per second that it accepts from all hosts together; Infinity for no limit, undefined if the field can't be read. */
+    readonly requestRate: number | undefined;
+}
--- a/src/services/exchange/UpstreamProtocol.ts
+++ b/src/services/exchange/UpstreamProtocol.ts
@@ -2,6 +2,7 @@
 import type { Upstream } from "../../configuration/index.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
 import type { AnswerCheckResult } from "./AnswerCheckResult.js";
+import type { UpstreamNotice } from "./UpstreamNotice.js";
 
 /** Encodes requests to upstreams and classifies their responses. */
 export interface UpstreamProtocol {
@@ -37,4 +38,9 @@
         status: number,
         headers: IncomingHttpHeaders,
     ): AnswerCheckResult;
+    /**
+     * Decodes what a response says about the upstream that sent it.
+     * @param headers - The header fields of the response.
+     */
+    decodeNotice(headers: IncomingHttpHeaders): UpstreamNotice;
 }
--- a/src/services/pools/PoolLoad.ts
+++ b/src/services/pools/PoolLoad.ts
@@ -14,6 +14,8 @@
     readonly resting: number;
     /** Upstreams that have stopped responding or refuse connections. */
     readonly away: number;
+    /** Upstreams that have named a limit of their request rate. */
+    readonly limited: number;
     /** Upstreams that were sent a request in the last two seconds. */
     readonly used: number;
     /** Usable slots, free or in use. */
--- a/src/services/pools/PooledUpstream.ts
+++ b/src/services/pools/PooledUpstream.ts
@@ -6,6 +6,7 @@
 import { ProbationTest } from "../detection/ProbationTest.js";
 import type { UpstreamDetector } from "../detection/UpstreamDetector.js";
 import { UpstreamStatistics } from "../detection/UpstreamStatistics.js";
+import type { UpstreamRateLimiter } from "../queue/UpstreamRateLimiter.js";
 import { createUpstreamMachine } from "./createUpstreamMachine.js";
 import type { PooledUpstreamOptions } from "./PooledUpstreamOptions.js";
 import type { UpstreamEvent } from "./UpstreamEvent.js";
@@ -18,6 +19,8 @@
     readonly statistics = new UpstreamStatistics();
     readonly detector: UpstreamDetector;
     readonly pendingRequests = new PendingRequests();
+    /** Keeps the requests to it within the rate that it accepts. */
+    readonly rateLimiter: UpstreamRateLimiter;
     /** Whether its responses are overdue and none has arrived since that was detected. */
     isSilent = false;
     probation: ProbationTest;
@@ -53,18 +56,19 @@
      * @param upstream - The upstream as configured.
      * @param initial - The initial state.
      * @param detector - Collects the evidence against it.
-     * @param options - The source of time, and the number of passed trials that restore it.
+     * @param options - The source of time, the rate limiter, and the number of passed trials that restore it.
      */
     constructor(
         upstream: Upstream,
         initial: UpstreamState,
         detector: UpstreamDetector,
-        { clock, trialsToPass }: PooledUpstreamOptions,
+        { clock, trialsToPass, rateLimiter }: PooledUpstreamOptions,
     ) {
         this.#upstream = upstream;
         this.detector = detector;
         this.#clock = clock;
         this.#trialsToPass = trialsToPass;
+        this.rateLimiter = rateLimiter;
         this.probation = new ProbationTest(trialsToPass);
         this.#since = clock.getTime();
         this.#machine = interpret(createUpstreamMachine(initial), () => {});
@@ -135,7 +139,12 @@
 
     /** Whether one more request may be sent to it now. */
     hasFreeSlot(): boolean {
-        return this.#running < this.getLimit() && this.#clock.getTime() >= this.#shedUntil;
+        return this.#running < this.getLimit() && this.getPauseMs() === 0;
+    }
+
+    /** Gets the time until it may be sent a request, whether or not a slot is free, in milliseconds. */
+    getPauseMs(): number {
+        return Math.max(0, this.#shedUntil - this.#clock.getTime(), this.rateLimiter.getPauseMs());
     }
 
     /** Whether it is in service: neither ejected, draining nor on probation. */
@@ -171,12 +180,13 @@
     }
 
     /**
-     * Claims a slot for a request.
+     * Claims a slot for a request, which counts towards the rate limit.
      * @param usualMs - The time within which most answers arrive, in milliseconds; 0 if unknown.
      * @param timeoutMs - Time to the deadline of the request, in milliseconds.
      */
     claim(usualMs: number, timeoutMs: number): void {
         this.#running++;
+        this.rateLimiter.spend();
         this.#lastClaimTime = this.#clock.getTime();
         this.pendingRequests.add(this.#lastClaimTime, usualMs, timeoutMs);
     }
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -13,6 +13,7 @@
 import type { AttemptPatience } from "../exchange/AttemptPatience.js";
 import { FirstByteLimit } from "../exchange/FirstByteLimit.js";
 import { getPatience } from "../exchange/getPatience.js";
+import type { UpstreamNotice } from "../exchange/UpstreamNotice.js";
 import { encodeOutcome } from "../outcomes/encodeOutcome.js";
 import { RetryBudget } from "../queue/RetryBudget.js";
 import { SlotQueue } from "../queue/SlotQueue.js";
@@ -74,7 +75,7 @@
         part: Pick<ServicePart, "zone" | "key" | "upstreams">,
         options: ServicePoolOptions,
     ) {
-        const { clock, random, decisions, policy, transport } = options;
+        const { clock, random, decisions, policy, transport, notices, getRateShare } = options;
         this.#service = service;
         this.#part = part;
         this.#options = options;
@@ -88,8 +89,8 @@
             selector: this.#selector,
             getFastLatency: request => this.#routeLatencies.findP10(request.route) ?? this.#limit.getFastLatency(),
             getUsualLatency: request => this.#routeLatencies.findP75(request.route) ?? this.#limit.getFastLatency(),
-            getSlots: () => this.#upstreams.getSlots(),
-            getCapacity: () => this.#upstreams.getSlots() * this.#service.queuePerSlot,
+            getSlots: () => this.#getSlots(),
+            getCapacity: () => this.#getSlots() * this.#service.queuePerSlot,
         });
         this.#outlierDetector = new OutlierDetector(service, {
             clock,
@@ -107,6 +108,7 @@
             routeLatencies: this.#routeLatencies,
             getMinFailureWait: (pooled, request) => this.#getMinFailureWait(pooled, request),
             onCapacityChange: () => this.#runQueue(),
+            onNotice: (pooled, notice, isSuccess) => this.#recordNotice(pooled, notice, isSuccess),
         });
         this.#runner = new SlotRunner({
             ...options,
@@ -122,7 +124,7 @@
             () => this.#upstreams.getAll(),
             upstream => this.#ejectSilent(upstream),
         );
-        this.#upstreams = new UpstreamSet({ clock, decisions, transport, policy });
+        this.#upstreams = new UpstreamSet({ clock, decisions, transport, policy, notices, getRateShare });
         this.apply(service, part.upstreams);
     }
 
@@ -223,7 +225,7 @@
             zone: this.#part.zone,
             part: this.#part.key,
             ...createUpstreamCounts(this.#upstreams.getAll()),
-            slots: this.#upstreams.getSlots(),
+            slots: Math.round(this.#getSlots()),
             freeSlots: this.#upstreams.getFreeSlots(),
             queued: this.#queue.getSize(),
             ...this.unservedRate.getCounts(),
@@ -256,6 +258,30 @@
         return await this.#queue.wait(request, weight, signal);
     }
 
+    #getSlots(): number {
+        return this.#upstreams.getSlots(this.#queue.getSlotTime());
+    }
+
+    /**
+     * Records the request rate that an upstream names in a response. An upstream with a limit names it in its responses, but not
+     * each failure is written by the upstream itself, so that only a success without the field ends the limit.
+     */
+    #recordNotice(pooled: PooledUpstream, { requestRate }: UpstreamNotice, isSuccess: boolean): void {
+        const upstream = pooled.getUpstream();
+        if (requestRate === undefined || (requestRate === Infinity && !isSuccess)) {
+            return;
+        }
+        if (this.#options.notices.recordRequestRate(upstream, requestRate)) {
+            this.#options.decisions.record({
+                decision: Decision.RequestRateNamed,
+                reason: requestRate === Infinity ? "the limit has ended" : "the upstream names a limit",
+                service: this.#service.name,
+                upstream: upstream.name,
+                figures: requestRate === Infinity ? {} : { requestsPerSecond: requestRate },
+            });
+        }
+    }
+
     #ejectSilent(upstream: PooledUpstream): void {
         if (this.#options.policy === EjectionPolicy.Prompt) {
             this.#outlierDetector.ejectSilent(upstream);
@@ -344,7 +370,16 @@
     #createAnswer(outcome: Outcome, pooled: PooledUpstream | undefined, isCrashSuspected: boolean): ServiceAnswer {
         const { freeSlots, queued } = this.getPartLoad();
         const upstream = pooled?.getUpstream().name;
-        return { outcome, upstream, isCrashSuspected, freeSlots, queued, otherLoads: this.otherLoads.getReports() };
+        const notices = this.#options.notices.getReports(this.#upstreams.getAll().map(other => other.getUpstream()));
+        return {
+            outcome,
+            upstream,
+            isCrashSuspected,
+            freeSlots,
+            queued,
+            otherLoads: this.otherLoads.getReports(),
+            ...(notices.length === 0 ? {} : { notices }),
+        };
     }
 }
 
--- a/src/services/pools/ServicePoolOptions.ts
+++ b/src/services/pools/ServicePoolOptions.ts
@@ -3,6 +3,7 @@
 import type { Clock, StallMeter } from "../../time/index.js";
 import type { EjectionPolicy } from "../detection/EjectionPolicy.js";
 import type { UpstreamTransport } from "../exchange/UpstreamTransport.js";
+import type { UpstreamNotices } from "../notices/UpstreamNotices.js";
 import type { OutcomeCache } from "../outcomes/OutcomeCache.js";
 
 /** Dependencies and settings of a pool of upstreams. */
@@ -13,6 +14,8 @@
     readonly decisions: DecisionLog;
     readonly policy: EjectionPolicy;
     readonly outcomes: OutcomeCache;
+    /** What upstreams say about themselves in their responses. */
+    readonly notices: UpstreamNotices;
     /** Whether the whole response to an idempotent request is due by the deadline, rather than its first byte. */
     readonly endsByDeadline?: boolean | undefined;
     /**
@@ -26,4 +29,6 @@
     readonly getWeight: (account: string) => number;
     /** Gets this pool's share of the part's retry rate and of its token bucket, from 0 to 1. */
     readonly getRetryShare: () => number;
+    /** Gets this host's share of the request rate that an upstream of the part accepts, above 0. */
+    readonly getRateShare: () => number;
 }
--- a/src/services/pools/UpstreamSet.ts
+++ b/src/services/pools/UpstreamSet.ts
@@ -4,6 +4,7 @@
 import { EjectionPolicy } from "../detection/EjectionPolicy.js";
 import { SequentialDetector } from "../detection/SequentialDetector.js";
 import type { UpstreamDetector } from "../detection/UpstreamDetector.js";
+import { UpstreamRateLimiter } from "../queue/UpstreamRateLimiter.js";
 import { PooledUpstream } from "./PooledUpstream.js";
 import { UpstreamEvent } from "./UpstreamEvent.js";
 import type { UpstreamSetOptions } from "./UpstreamSetOptions.js";
@@ -28,15 +29,18 @@
         return this.#upstreams;
     }
 
-    /** Gets the slots that may be used now, free or not. */
-    getSlots(): number {
+    /**
+     * Gets the slots that may be used now, free or not; a rate limit leaves an upstream a fraction of its slots.
+     * @param slotTimeMs - Mean time for which a request uses a slot, in milliseconds.
+     */
+    getSlots(slotTimeMs: number): number {
         return this.#upstreams.reduce(
-            (sum, upstream) => sum + (upstream.isReservedForLookups() ? 0 : upstream.getLimit()),
+            (sum, upstream) => sum + (upstream.isReservedForLookups() ? 0 : getUsableSlots(upstream, slotTimeMs)),
             0,
         );
     }
 
-    /** Gets the slots that are free. */
+    /** Gets the slots that are free and may be used at once. */
     getFreeSlots(): number {
         return this.#upstreams.reduce(
             (sum, upstream) =>
@@ -76,8 +80,14 @@
     #create(upstream: Upstream, isFirst: boolean): PooledUpstream {
         const isWarm = isFirst || this.#options.policy === EjectionPolicy.Baseline;
         const initial = isWarm ? UpstreamState.Healthy : UpstreamState.Ramping;
+        const { clock, notices, getRateShare } = this.#options;
         return new PooledUpstream(upstream, initial, this.#createDetector(), {
-            clock: this.#options.clock,
+            clock,
+            rateLimiter: new UpstreamRateLimiter({
+                clock,
+                getRate: () => notices.getRequestRate(upstream),
+                getShare: getRateShare,
+            }),
             trialsToPass: this.#options.policy === EjectionPolicy.Prompt ? PROMPT_TRIALS_TO_PASS : undefined,
         });
     }
@@ -128,5 +138,10 @@
 }
 
 function getFreeSlots(upstream: PooledUpstream): number {
-    return upstream.isReservedForLookups() ? 0 : Math.max(0, upstream.getLimit() - upstream.getRunning());
+    const free = upstream.isReservedForLookups() ? 0 : Math.max(0, upstream.getLimit() - upstream.getRunning());
+    return Math.min(free, upstream.rateLimiter.getAllowance());
+}
+
+function getUsableSlots(upstream: PooledUpstream, slotTimeMs: number): number {
+    return Math.min(upstream.getLimit(), upstream.rateLimiter.getUsableSlots(slotTimeMs));
 }
--- a/src/services/pools/createUpstreamCounts.ts
+++ b/src/services/pools/createUpstreamCounts.ts
@@ -5,7 +5,7 @@
 /** An upstream with a request within this time is in use, in milliseconds. */
 const IN_USE_MS = 2_000;
 
-type UpstreamCounts = Pick<PoolLoad, "upstreams" | "working" | "held" | "resting" | "away" | "used">;
+type UpstreamCounts = Pick<PoolLoad, "upstreams" | "working" | "held" | "resting" | "away" | "limited" | "used">;
 
 /**
  * Creates the counts of a pool's upstreams by state and use; draining ones are left out.
@@ -20,6 +20,7 @@
         held: getCount(upstream => upstream.getState() === UpstreamState.EjectionWithheld),
         resting: getCount(upstream => !upstream.isInService() && upstream.isFailingFast),
         away: getCount(upstream => upstream.isSilent || upstream.isConnectFailing),
+        limited: getCount(upstream => upstream.rateLimiter.isLimited()),
         used: getCount(upstream => upstream.getIdleTime() < IN_USE_MS),
     };
 }
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -1,5 +1,6 @@
 import type { NotRunOutcome } from "../../outcomes/index.js";
 import { createNotRun, RefusalReason } from "../../outcomes/index.js";
+import type { ScheduledCall } from "../../time/index.js";
 import type { PooledUpstream } from "../pools/PooledUpstream.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
 import { FairQueue } from "./FairQueue.js";
@@ -17,6 +18,7 @@
     readonly #queue = new FairQueue<QueuedRequest>();
     #slotTimeMs = DEFAULT_SLOT_TIME_MS;
     #hasSlotTime = false;
+    #pauseEnd: ScheduledCall | undefined;
 
     /** @param options - Dependencies and limits of the queue. */
     constructor(options: SlotQueueOptions) {
@@ -51,6 +53,15 @@
 
     /** Starts queued requests while upstreams have free slots for them. */
     run(): void {
+        this.#runAll();
+        this.#pauseEnd?.cancel();
+        const pauseMs = this.#queue.getSize() === 0 ? undefined : this.#options.selector.findNextPauseMs();
+        this.#pauseEnd = pauseMs === undefined
+            ? undefined
+            : this.#options.clock.schedule(Math.ceil(pauseMs), () => this.run());
+    }
+
+    #runAll(): void {
         while (this.#hasRunnable()) {
             let upstream: PooledUpstream | undefined;
             const item = this.#queue.select(candidate => {
@@ -149,7 +160,7 @@
         if (!mustWait) {
             return undefined;
         }
-        const waitMs = this.#hasSlotTime ? this.#measureWait(request.account, weight) : 0;
+        const waitMs = this.#measureWait(request.account, weight);
         return waitMs + getUsualLatency(request) > request.timeoutMs ? this.#createDeadlineRefusal(waitMs) : undefined;
     }
 
@@ -169,8 +180,12 @@
     }
 
     #measureWait(account: string, weight: number): number {
-        const slots = Math.max(1, this.#options.getSlots());
-        return this.#queue.measureItemsAhead(account, weight) * this.#slotTimeMs / slots;
+        const pauseMs = this.#options.selector.getPauseMs();
+        if (!this.#hasSlotTime) {
+            return pauseMs;
+        }
+        const slots = this.#options.getSlots() || 1;
+        return pauseMs + this.#queue.measureItemsAhead(account, weight) * this.#slotTimeMs / slots;
     }
 
     #createDeadlineRefusal(waitMs: number): NotRunOutcome {
--- a/src/services/queue/SlotRunner.ts
+++ b/src/services/queue/SlotRunner.ts
@@ -82,7 +82,7 @@
             request,
             deadline,
             this.#options.limit,
-            () => this.#options.budget.spend(),
+            () => this.#spendRetry(pooled),
             signal,
             this.#options.findPatience(request, deadline),
         );
@@ -90,6 +90,7 @@
             const usedMs = this.#options.clock.getTime() - start;
             this.#options.onRelease(pooled, request, { expectedMs, usedMs });
         };
+        this.#options.recorder.recordNotice(pooled, attempt);
         if (!deadlinePassed.aborted) {
             this.#options.recorder.recordHead(pooled, request, attempt);
         }
@@ -104,6 +105,11 @@
         return request.isIdempotent ? await readBodyAhead(outcome, READ_AHEAD_BYTES, signal) : outcome;
     }
 
+    /** A retry at the same upstream counts towards its rate limit too. */
+    #spendRetry(pooled: PooledUpstream): boolean {
+        return pooled.rateLimiter.getPauseMs() === 0 && this.#options.budget.spend() && pooled.rateLimiter.spend();
+    }
+
     #createDone(
         pooled: PooledUpstream,
         request: ServiceRequest,
--- a/src/services/queue/UpstreamSelector.ts
+++ b/src/services/queue/UpstreamSelector.ts
@@ -39,6 +39,22 @@
         return this.#getUsable().some(upstream => upstream.hasFreeSlot() && !upstream.isReservedForLookups());
     }
 
+    /** Gets the least time until an upstream may be sent a request, whether or not a slot is free then, in milliseconds. */
+    getPauseMs(): number {
+        const pauses = this.#getUsable().filter(upstream => upstream.getLimit() > 0).map(upstream =>
+            upstream.getPauseMs()
+        );
+        return pauses.length === 0 ? 0 : Math.min(...pauses);
+    }
+
+    /** Finds the time until the next upstream with a free slot may be sent a request, in milliseconds; undefined if none is paused. */
+    findNextPauseMs(): number | undefined {
+        const paused = this.#upstreams.filter(upstream =>
+            upstream.getRunning() < upstream.getLimit() && upstream.getPauseMs() > 0
+        );
+        return paused.length === 0 ? undefined : Math.min(...paused.map(upstream => upstream.getPauseMs()));
+    }
+
     /**
      * Whether an upstream on probation, open to idempotent requests only, has a free slot for a request.
      * @param request - The request.
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -10,6 +10,7 @@
 export { openServer } from "./openServer.js";
 export { parseAddress } from "./parseAddress.js";
 export { parseIncarnation } from "./parseIncarnation.js";
+export { parseRequestRate } from "./parseRequestRate.js";
 export { parseRetryAfter } from "./parseRetryAfter.js";
 export { parseValue } from "./parseValue.js";
 export { readBody } from "./readBody.js";
--- a/tests/gateway/PoolReporter.test.ts
+++ b/tests/gateway/PoolReporter.test.ts
@@ -31,6 +31,7 @@
                 held: 0,
                 resting: 0,
                 away: 0,
+                limited: 0,
                 used: 2,
                 slots: 6,
                 freeSlots: 6,
--- a/tests/platform/protocols.test.ts
+++ b/tests/platform/protocols.test.ts
@@ -109,4 +109,13 @@
     assert.is(check(421, { "fuchsiapath-instance-id": "i-2" }), AnswerCheckKind.Misdirected);
 });
 
+test("decodes the request rate that an upstream names, and tells no limit from one that can't be read", () => {
+    const decode = (value: string): number | undefined => upstreams.decodeNotice({ "server-limit": value }).requestRate;
+    assert.is(upstreams.decodeNotice({}).requestRate, Infinity);
+    assert.equal(["2.5", "0.25", "1", "0", ".5", "3.", "1e-3"].map(decode), [2.5, 0.25, 1, 0, 0.5, 3, 0.001]);
+    for (const value of ["", " ", "-1", "1,5", "1, 2", "NaN", "Infinity", "1e999", "0x10", "fast"]) {
+        assert.is(decode(value), undefined, value);
+    }
+});
+
 test.run();
