Show that a store that returns from an older copy is not followed

Callers would see: a key or route that the operator adds after the store's return is refused at all hosts (CONFIG, DENIED); a key that was withdrawn before it is served by hosts that start after it. Three processes and a mock store: the next document is in force at no host in 30 s, hosts write neither their entries nor the secret again, and ask the store 9,496 times in 2.5 s.

--- a/tests/platform/support/MockPlatformStore.ts
+++ b/tests/platform/support/MockPlatformStore.ts
@@ -24,6 +24,15 @@
     timer: NodeJS.Timeout;
 }
 
+/** The state of the store at a time. */
+interface StoreCopy {
+    readonly items: ReadonlyMap<string, StoredItem>;
+    readonly events: readonly StoredEvent[];
+    readonly revision: number;
+    readonly leases: readonly number[];
+    readonly nextLease: number;
+}
+
 const PAGE_ITEMS = 50;
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -41,6 +50,8 @@
     #events: StoredEvent[] = [];
     #historyStart = 1;
     #revision = 1;
+    /** Rises each time the store returns from a copy; undefined if the store does not tell. */
+    #era: number | undefined = 1;
     #nextLease = 1;
     #address = "";
 
@@ -113,6 +124,49 @@
         });
     }
 
+    /** Stops telling how often it has returned from a copy. */
+    removeEra(): void {
+        this.#era = undefined;
+    }
+
+    /** Creates a copy from which the store can return later. */
+    createCopy(): StoreCopy {
+        return {
+            items: new Map(this.#items),
+            events: [...this.#events],
+            revision: this.#revision,
+            leases: [...this.#leases.keys()],
+            nextLease: this.#nextLease,
+        };
+    }
+
+    /**
+     * Returns from a copy: what was written since is lost, and revisions and ids of leases are given out again.
+     * @param copy - The copy.
+     */
+    restoreCopy(copy: StoreCopy): void {
+        this.#items.clear();
+        copy.items.forEach((item, key) => this.#items.set(key, item));
+        this.#events = [...copy.events];
+        this.#revision = copy.revision;
+        [...this.#leases.keys()].filter(id => !copy.leases.includes(id)).forEach(id => {
+            clearTimeout(this.#leases.get(id)!.timer);
+            this.#leases.delete(id);
+        });
+        this.#nextLease = copy.nextLease;
+        this.#era = this.#era === undefined ? undefined : this.#era + 1;
+        this.#publish();
+    }
+
+    /**
+     * Finds the value of an item, as text.
+     * @param key - The item's key.
+     */
+    findValue(key: string): string | undefined {
+        const value = this.#items.get(key)?.value;
+        return value === undefined ? undefined : Buffer.from(value, "base64").toString();
+    }
+
     /** Gets the keys under a prefix. */
     getKeys(prefix: string): readonly string[] {
         return [...this.#items.keys()].filter(key => key.startsWith(prefix));
@@ -135,7 +189,10 @@
             response.destroy();
             return;
         }
-        response.writeHead(answer.status, { "content-type": "application/json" });
+        response.writeHead(answer.status, {
+            "content-type": "application/json",
+            ...(this.#era === undefined ? {} : { "store-era": String(this.#era) }),
+        });
         response.end(answer.body === undefined ? "" : JSON.stringify(answer.body));
     }
 
@@ -180,7 +237,7 @@
             if (this.faultMode === StoreFaultMode.StaleOnly) {
                 return { status: 503 };
             }
-            if (after + 1 < this.#historyStart) {
+            if (after + 1 < this.#historyStart || after > this.#revision) {
                 return { status: 410 };
             }
             const events = this.#events.filter(event => event.rev > after);
