Follow a store that returns from an older copy

Cause: revisions were compared across two histories (hypothesis 1). The copy held that an item never returns to an earlier revision and dropped whatever the store gave out again; each watch from the known revision was answered 410, and everything read anew, 9,496 calls in 2.5 s by three hosts. Ruled out: the document's version (2), which the hosts compare only after the revision; old histories passed between hosts (3) would have shown had the first been fixed alone, and a test guards against it. Class of fault: a position without the name of the history that it counts in.

A position is now an epoch and a revision, for the copy, the pulls and what confirms a copy. What was in force stays so until it is written again; hosts write their entries under new leases, the secret and the newest document.

--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -14,6 +14,7 @@
 import { Gateway } from "./Gateway.js";
 import type { GatewayHostOptions } from "./GatewayHostOptions.js";
 import { HostLookup } from "./HostLookup.js";
+import { StoreRecovery } from "./StoreRecovery.js";
 
 /** Upstream crashes by one request until it is quarantined: callers of the platform may send it to three upstreams. */
 const QUARANTINE_CRASH_COUNT = 3;
@@ -42,6 +43,7 @@
     readonly #replicator: ReplicaSynchronizer;
     readonly #membership: RegisteredMembership;
     readonly #registrar: HostRegistrar;
+    readonly #storeRecovery: StoreRecovery;
     readonly #supervisor: Supervisor;
     #isLeaving = false;
     #isConfirmed = false;
@@ -51,7 +53,7 @@
         this.#options = options;
         const { clock, decisions, decoder, registry, self } = options;
         this.#replica = new Replica((key, previous, next) =>
-            isRenewal(decoder.decode(key, previous), decoder.decode(key, next))
+            this.supply.hasEntry(key) && isRenewal(decoder.decode(key, previous), decoder.decode(key, next))
         );
         this.#membership = new RegisteredMembership(self, {
             isUnreachable: memberId => this.#replicator.isUnreachable(memberId),
@@ -70,6 +72,11 @@
         this.serviceHost = this.#createServiceHost();
         this.gateway = this.#createGateway();
         this.lookup = new HostLookup(this.#membership, options.lookupLifetimeMs);
+        this.#storeRecovery = this.#createStoreRecovery();
+        this.#replica.addEpochListener(epoch => {
+            this.supply.recordHistoryLoss();
+            this.#storeRecovery.start(epoch);
+        });
         this.#replica.addListener(events => this.supply.apply(events));
         this.supply.addListener(() => this.#applySupply());
         this.#replicator.addConfirmationListener(() => this.#recordConfirmation());
@@ -116,6 +123,7 @@
     /** Stops all components at once. */
     async stop(): Promise<void> {
         this.gateway.stop();
+        this.#storeRecovery.stop();
         await this.#supervisor.stop();
         const { decisions, self } = this.#options;
         decisions.record({ decision: Decision.Stopped, reason: "stopped", member: self.id });
@@ -136,6 +144,24 @@
         });
     }
 
+    #createStoreRecovery(): StoreRecovery {
+        const { clock, random, decisions, self, restorer } = this.#options;
+        return new StoreRecovery({
+            clock,
+            random,
+            decisions,
+            self,
+            restorer,
+            isWatching: () => this.#replicator.isWatching(),
+            findLostDocument: () => this.supply.findLostDocument(),
+            onEntryLost: () => {
+                if (!this.#isLeaving) {
+                    this.#registrar.restore();
+                }
+            },
+        });
+    }
+
     #createServiceHost(): ServiceHost {
         const { clock, random, upstreamTransport, transport, decisions, stallMeter } = this.#options;
         return new ServiceHost({
--- a/src/gateway/GatewayHostOptions.ts
+++ b/src/gateway/GatewayHostOptions.ts
@@ -8,6 +8,7 @@
 import type { UpstreamTransport } from "../services/index.js";
 import type { StoreItemDecoder } from "../supply/index.js";
 import type { Clock, StallMeter } from "../time/index.js";
+import type { StoreRestorer } from "./StoreRestorer.js";
 
 /** Identity and dependencies of a gateway host. */
 export interface GatewayHostOptions {
@@ -22,6 +23,8 @@
     /** The store whose content is replicated. */
     readonly source: ReplicatedStore;
     readonly registry: HostRegistry;
+    /** Writes to the store again what it loses by returning from an older copy. */
+    readonly restorer: StoreRestorer;
     readonly decoder: StoreItemDecoder;
     readonly stallMeter?: StallMeter;
     /** How long callers may cache the addresses of a lookup, in milliseconds. */
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -82,7 +82,7 @@
     }
 
     #createHost(): GatewayHost {
-        const { settings, peerSecret: secret, source, registry, decoder } = this.#options;
+        const { settings, peerSecret: secret, source, registry, restorer, decoder } = this.#options;
         const { id, region, zone, peerAddress, callerAddress, cpuShare, cores, linkMbps } = settings;
         // Each request needs both CPU and network, so the product: neither can compensate for a lack of the other.
         const capacity = cpuShare * cores * linkMbps;
@@ -98,6 +98,7 @@
             upstreamTransport: this.#upstreamTransport,
             source,
             registry,
+            restorer,
             decoder,
             stallMeter: this.#stallMeter,
             lookupLifetimeMs: settings.lookupSeconds * MS_PER_SECOND,
--- a/src/gateway/GatewayProcessOptions.ts
+++ b/src/gateway/GatewayProcessOptions.ts
@@ -7,6 +7,7 @@
 import type { StoreItemDecoder } from "../supply/index.js";
 import type { GatewayHost } from "./GatewayHost.js";
 import type { GatewayProtocol } from "./GatewayProtocol.js";
+import type { StoreRestorer } from "./StoreRestorer.js";
 
 /** Settings of a gateway process and the adapters for the platform that it runs on. */
 export interface GatewayProcessOptions {
@@ -18,6 +19,7 @@
     readonly peerSecret: string;
     readonly source: ReplicatedStore;
     readonly registry: HostRegistry;
+    readonly restorer: StoreRestorer;
     readonly decoder: StoreItemDecoder;
     readonly callerProtocol: GatewayProtocol;
     readonly upstreamProtocol: UpstreamProtocol;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -16,3 +16,4 @@
 export { PoolReporter } from "./PoolReporter.js";
 export type { PoolReporterOptions } from "./PoolReporterOptions.js";
 export { selectService } from "./selectService.js";
+export type { StoreRestorer } from "./StoreRestorer.js";
--- a/src/replica/PullHandler.ts
+++ b/src/replica/PullHandler.ts
@@ -62,7 +62,8 @@
     }
 
     #isDue(params: PullReplicaParams, confirmedTime: number): boolean {
-        return this.#replica.hasChanges(params.revision) ||
+        const epoch = this.#replica.getEpoch();
+        return params.epoch < epoch || (params.epoch === epoch && this.#replica.hasChanges(params.revision)) ||
             this.#freshness.getConfirmedTime() - confirmedTime >= CONFIRMATION_STEP_MS ||
             this.#sentReportVersions.get(params.sender) !== this.#reports.getVersion();
     }
@@ -85,14 +86,17 @@
             this.#sentReportVersions.clear();
         }
         this.#sentReportVersions.set(params.sender, this.#reports.getVersion());
-        const events = this.#replica.findChanges(params.revision);
+        const epoch = this.#replica.getEpoch();
+        const events = params.epoch === epoch ? this.#replica.findChanges(params.revision) : undefined;
+        const needsSnapshot = params.epoch <= epoch && events === undefined;
         const confirmedMs = this.#freshness.getConfirmedTime() - arrival;
         const regainedMs = this.#freshness.getStoreRegainedTime() - arrival;
         return {
+            epoch,
             revision: this.#replica.getRevision(),
             events: events ?? [],
             jumps: this.#replica.findGaps(params.revision),
-            ...(events === undefined ? { parts: createSnapshot(this.#replica) } : {}),
+            ...(needsSnapshot ? { parts: createSnapshot(this.#replica) } : {}),
             ...(Number.isFinite(confirmedMs) ? { confirmedMs } : {}),
             ...(Number.isFinite(regainedMs) ? { regainedMs } : {}),
             path: this.#getPath(),
--- a/src/replica/PullReplicaParams.ts
+++ b/src/replica/PullReplicaParams.ts
@@ -4,6 +4,8 @@
 export interface PullReplicaParams {
     /** The sender's member id. */
     readonly sender: string;
+    /** The store's epoch as the sender knows it. */
+    readonly epoch: number;
     /** The revision up to which the sender has all changes. */
     readonly revision: number;
     /** How long the receiver may wait for something new before it answers, in milliseconds. */
--- a/src/replica/PullReplicaResult.ts
+++ b/src/replica/PullReplicaResult.ts
@@ -5,12 +5,14 @@
 
 /** Result of the call that pulls changes from a host's replica. */
 export interface PullReplicaResult {
+    /** The store's epoch, to which all revisions belong. If it is earlier than the sender's, the result holds nothing for the sender. */
+    readonly epoch: number;
     /** The revision up to which the events are complete. */
     readonly revision: number;
     readonly events: readonly ReplicaEvent[];
     /** Revision gaps after the sender's revision. */
     readonly jumps: readonly RevisionGap[];
-    /** A snapshot instead of events, if the changes since the sender's revision are no longer known. */
+    /** A snapshot instead of events, if the changes since the sender's revision are no longer known or the sender's epoch is earlier. */
     readonly parts?: readonly SnapshotPart[];
     /**
      * When the replica was last confirmed to be current, in milliseconds after the arrival of the call; left out if never. Relative to
--- a/src/replica/Replica.ts
+++ b/src/replica/Replica.ts
@@ -2,6 +2,7 @@
 import type { RevisionGap } from "./RevisionGap.js";
 import type { SnapshotPart } from "./SnapshotPart.js";
 
+type EpochListener = (epoch: number) => void;
 type ReplicaListener = (events: readonly ReplicaEvent[]) => void;
 /** Whether a new value of an item differs from the previous one only in ways that need no notification. */
 type MinorChangeCheck = (key: string, previous: string, next: string) => boolean;
@@ -9,17 +10,22 @@
 /** How many of the newest changes are kept for other hosts to pull. */
 const MAX_CHANGES = 2_000;
 
-/** A copy of the store's items with the store's revision. An item never returns to an earlier revision. */
+/**
+ * A copy of the store's items with the store's epoch and revision. Within an epoch, an item never returns to an earlier revision; the
+ * revisions of two epochs can't be compared. The replica never returns to an earlier epoch.
+ */
 export class Replica {
     /** The newest event of each key; the events of removed keys stay, so that an older write does not restore them. */
     readonly #events = new Map<string, ReplicaEvent>();
     readonly #listeners: ReplicaListener[] = [];
-    readonly #changes: ReplicaEvent[] = [];
+    readonly #epochListeners: EpochListener[] = [];
+    #changes: ReplicaEvent[] = [];
     /** Revision ranges skipped by a snapshot, which does not show changes that were undone before it. */
     #gaps: RevisionGap[] = [];
     /** All changes after this revision are kept. */
     #changesStart = 0;
     #revision = 0;
+    #epoch = 0;
     readonly #isMinorChange: MinorChangeCheck;
 
     /**
@@ -35,6 +41,11 @@
         return this.#revision;
     }
 
+    /** Gets the store's epoch, to which all revisions belong. */
+    getEpoch(): number {
+        return this.#epoch;
+    }
+
     /** Gets the newest event of each item, including removed ones. */
     getEvents(): readonly ReplicaEvent[] {
         return [...this.#events.values()];
@@ -76,7 +87,15 @@
     }
 
     /**
-     * Applies all changes since a revision that is not after the known one.
+     * Adds a listener that runs when the replica moves to another epoch, before the changes are reported.
+     * @param listener - Receives the epoch.
+     */
+    addEpochListener(listener: EpochListener): void {
+        this.#epochListeners.push(listener);
+    }
+
+    /**
+     * Applies all changes since a revision of the known epoch that is not after the known one.
      * @param events - The events in the order of their revisions.
      * @param revision - The revision up to which they are complete.
      * @param gaps - Revision ranges in which changes that were undone may be missing from the events.
@@ -89,10 +108,18 @@
     }
 
     /**
-     * Applies a snapshot; items that it does not hold are removed.
+     * Applies a snapshot; items that it does not hold are removed. A snapshot of an earlier epoch is ignored.
      * @param parts - The parts of the snapshot, one for each key prefix.
+     * @param epoch - The store's epoch at the snapshot; the known one if left out.
      */
-    applySnapshot(parts: readonly SnapshotPart[]): void {
+    applySnapshot(parts: readonly SnapshotPart[], epoch = this.#epoch): void {
+        if (this.#revision > 0 && epoch !== this.#epoch) {
+            if (epoch > this.#epoch) {
+                this.#applyEpoch(epoch, parts);
+            }
+            return;
+        }
+        this.#epoch = epoch;
         const applied = parts.flatMap(part => [
             ...part.items.filter(item =>
                 (part.revision >= this.#revision || this.#isNew(item)) && this.#applyEvent(item)
@@ -110,6 +137,24 @@
         this.#report(applied);
     }
 
+    /** Replaces all items by those of a new epoch, whatever their revisions. */
+    #applyEpoch(epoch: number, parts: readonly SnapshotPart[]): void {
+        const before = new Map(this.#events);
+        this.#events.clear();
+        this.#epoch = epoch;
+        this.#revision = Math.min(...parts.map(part => part.revision));
+        this.#changes = [];
+        this.#changesStart = this.#revision;
+        this.#gaps = [];
+        this.#epochListeners.forEach(listener => listener(epoch));
+        const items = parts.flatMap(part => part.items);
+        items.forEach(item => this.#events.set(item.key, item));
+        const removed = [...before.values()].filter(({ key, value }) => value !== undefined && !this.#events.has(key))
+            .map(({ key }) => ({ key, revision: this.#revision }));
+        const changed = items.filter(({ key, value }) => before.get(key)?.value !== value);
+        this.#report([...changed, ...removed]);
+    }
+
     #findRemoved(part: SnapshotPart): readonly ReplicaEvent[] {
         const keys = new Set(part.items.map(item => item.key));
         return [...this.#events.values()].filter(event =>
--- a/src/replica/ReplicaSynchronizer.ts
+++ b/src/replica/ReplicaSynchronizer.ts
@@ -100,6 +100,11 @@
         return this.#freshness.getStoreRegainedTime();
     }
 
+    /** Whether this host is one of those that watch the store. */
+    isWatching(): boolean {
+        return this.#reader.isWatching();
+    }
+
     /**
      * Whether a member is reported as not answering other hosts.
      * @param memberId - The member's id.
@@ -159,7 +164,11 @@
             decision: Decision.DependencyChanged,
             reason,
             member: self.id,
-            figures: { revision: replica.getRevision(), ageMs: Math.round(Math.min(this.getAge(), 1e9)) },
+            figures: {
+                epoch: replica.getEpoch(),
+                revision: replica.getRevision(),
+                ageMs: Math.round(Math.min(this.getAge(), 1e9)),
+            },
         });
     }
 }
--- a/src/replica/SourcePuller.ts
+++ b/src/replica/SourcePuller.ts
@@ -3,6 +3,7 @@
 import { PeerMethod } from "../peers/index.js";
 import type { HostChecker } from "./HostChecker.js";
 import type { HostReports } from "./HostReports.js";
+import type { PullReplicaResult } from "./PullReplicaResult.js";
 import type { ReplicaFreshness } from "./ReplicaFreshness.js";
 import type { ReplicaSynchronizerOptions } from "./ReplicaSynchronizerOptions.js";
 import type { ReplicaTree } from "./ReplicaTree.js";
@@ -199,6 +200,7 @@
         const sent = clock.getTime();
         const params = {
             sender: self.id,
+            epoch: replica.getEpoch(),
             revision: replica.getRevision(),
             waitMs,
             reports: this.#reports.createReports(sent),
@@ -210,14 +212,7 @@
             }
             this.#checker.recordContact(member.id);
             this.#reports.merge(result.reports, sent);
-            const confirmedTime = sent + (result.confirmedMs ?? Number.NEGATIVE_INFINITY);
-            this.#freshness.recordConfirmation(confirmedTime, sent + (result.regainedMs ?? Number.NEGATIVE_INFINITY));
-            if (result.parts !== undefined) {
-                replica.applySnapshot(result.parts);
-            }
-            else {
-                replica.applyEvents(result.events, result.revision, result.jumps);
-            }
+            const confirmedTime = this.#applyResult(result, sent);
             return this.#recordResult(member, result.path, confirmedTime);
         }
         catch {
@@ -229,6 +224,27 @@
         }
     }
 
+    /** Applies a result unless it is of an earlier epoch; returns when the source's replica was confirmed, in milliseconds of the clock. */
+    #applyResult(
+        { epoch, revision, events, jumps, parts, confirmedMs, regainedMs }: PullReplicaResult,
+        sent: number,
+    ): number {
+        const { replica } = this.#options;
+        const isComparable = epoch === replica.getEpoch() || (epoch > replica.getEpoch() && parts !== undefined);
+        if (!isComparable) {
+            return Number.NEGATIVE_INFINITY;
+        }
+        const confirmedTime = sent + (confirmedMs ?? Number.NEGATIVE_INFINITY);
+        this.#freshness.recordConfirmation(confirmedTime, sent + (regainedMs ?? Number.NEGATIVE_INFINITY));
+        if (parts !== undefined) {
+            replica.applySnapshot(parts, epoch);
+        }
+        else {
+            replica.applyEvents(events, revision, jumps);
+        }
+        return confirmedTime;
+    }
+
     /** Records the result of a pull; returns whether it was useful, which a host that pulls from this one is not. */
     #recordResult(member: Member, path: readonly string[], confirmedTime: number): boolean {
         const { clock, self } = this.#options;
--- a/src/replica/StoreReader.ts
+++ b/src/replica/StoreReader.ts
@@ -1,3 +1,4 @@
+import { StoreUnavailableError } from "../errors/index.js";
 import { Decision } from "../logging/index.js";
 import type { ReplicaFreshness } from "./ReplicaFreshness.js";
 import type { ReplicaSynchronizerOptions } from "./ReplicaSynchronizerOptions.js";
@@ -63,6 +64,11 @@
         this.#delayMs = this.#createDelay();
     }
 
+    /** Whether this host is one of those that watch the store. */
+    isWatching(): boolean {
+        return this.hasSettled() && this.#getTree().isFirstInZone();
+    }
+
     /** Whether hosts that started together have had the time to register. */
     hasSettled(): boolean {
         return this.#getRunTime() >= SETTLE_MS;
@@ -75,7 +81,7 @@
 
     /** Whether this host watches the store and was answered recently. */
     isWatchAnswered(): boolean {
-        return this.#isWatching() && this.#options.clock.getTime() - this.#readTime < WATCH_ANSWERED_MS;
+        return this.isWatching() && this.#options.clock.getTime() - this.#readTime < WATCH_ANSWERED_MS;
     }
 
     /**
@@ -116,11 +122,7 @@
     #isDue(): boolean {
         const { clock, replica } = this.#options;
         return clock.getTime() >= this.#nextTime &&
-            (replica.getRevision() === 0 || this.#isWatching() || this.#isPollDue());
-    }
-
-    #isWatching(): boolean {
-        return this.hasSettled() && this.#getTree().isFirstInZone();
+            (replica.getRevision() === 0 || this.isWatching() || this.#isPollDue());
     }
 
     #isPollDue(): boolean {
@@ -141,12 +143,12 @@
                 await clock.wait(pauseMs, signal).catch(() => undefined);
             }
         }
-        while (!signal.aborted && this.#isWatching());
+        while (!signal.aborted && this.isWatching());
     }
 
     /** Reads the store once; returns the pause before the next read, in milliseconds. */
     async #runOnce(signal: AbortSignal): Promise<number> {
-        const isWatching = this.#isWatching();
+        const isWatching = this.isWatching();
         const isFirstRead = this.#options.replica.getRevision() === 0;
         try {
             const isChanged = await this.#read(signal, isWatching);
@@ -162,15 +164,16 @@
         }
     }
 
+    /** Reads the store once; returns whether that changed the replica. */
     async #read(signal: AbortSignal, isWatching: boolean): Promise<boolean> {
         const { replica, store, clock } = this.#options;
         const start = clock.getTime();
         const revision = replica.getRevision();
         if (revision === 0) {
-            replica.applySnapshot(await store.readAll());
-            this.#freshness.recordConfirmation(start);
+            await this.#readAll(start);
             return false;
         }
+        const epoch = replica.getEpoch();
         const isUnconfirmed = this.#freshness.getConfirmedTime() === Number.NEGATIVE_INFINITY;
         const waitMs = isWatching && !isUnconfirmed ? WATCH_WAIT_MS : POLL_WAIT_MS;
         const result = await store.watch(revision, waitMs);
@@ -179,20 +182,36 @@
         }
         switch (result.kind) {
             case WatchResultKind.Events:
-                // A watch without changes confirms the replica until the end of its wait, one with changes only at its start.
-                this.#freshness.recordConfirmation(
-                    result.revision > revision ? start : Math.min(start + waitMs, clock.getTime()),
-                );
-                replica.applyEvents(result.events, result.revision);
+                if (result.epoch === replica.getEpoch() && epoch === result.epoch) {
+                    // A watch without changes confirms the replica until the end of its wait, one with changes only at its start.
+                    this.#freshness.recordConfirmation(
+                        result.revision > revision ? start : Math.min(start + waitMs, clock.getTime()),
+                    );
+                    replica.applyEvents(result.events, result.revision);
+                }
+                else if (result.epoch > replica.getEpoch()) {
+                    await this.#readAll(start);
+                }
                 break;
-            case WatchResultKind.HistoryLost: {
-                const parts = await store.readAll();
-                this.#freshness.recordConfirmation(start);
-                replica.applySnapshot(parts);
+            case WatchResultKind.HistoryLost:
+                await this.#readAll(start);
+                if (replica.getRevision() === revision && replica.getEpoch() === epoch) {
+                    throw new StoreUnavailableError(
+                        "The store has neither the changes since the copy nor newer items.",
+                    );
+                }
                 break;
-            }
         }
-        return replica.getRevision() > revision;
+        return replica.getRevision() > revision || replica.getEpoch() > epoch;
+    }
+
+    async #readAll(start: number): Promise<void> {
+        const { replica, store } = this.#options;
+        const { epoch, parts } = await store.readAll();
+        if (epoch >= replica.getEpoch()) {
+            this.#freshness.recordConfirmation(start);
+            replica.applySnapshot(parts, epoch);
+        }
     }
 
     #getNextRetryPause(): number {
@@ -219,6 +238,7 @@
             reason: "store-call-failed",
             member: self.id,
             figures: {
+                epoch: replica.getEpoch(),
                 revision: replica.getRevision(),
                 ageMs: Math.round(Math.min(this.#freshness.getAge(), 1e9)),
                 error: error instanceof Error ? error.message : String(error),
--- a/src/replica/WatchResult.ts
+++ b/src/replica/WatchResult.ts
@@ -5,6 +5,8 @@
 export type WatchResult =
     | {
         readonly kind: WatchResultKind.Events;
+        /** The store's epoch, to which the revisions belong. */
+        readonly epoch: number;
         /** The store's revision up to which the events are complete. */
         readonly revision: number;
         readonly events: readonly ReplicaEvent[];
--- a/src/replica/index.ts
+++ b/src/replica/index.ts
@@ -2,6 +2,7 @@
 export type { PullReplicaResult } from "./PullReplicaResult.js";
 export { Replica } from "./Replica.js";
 export type { ReplicaEvent } from "./ReplicaEvent.js";
+export type { ReplicaSnapshot } from "./ReplicaSnapshot.js";
 export { ReplicaSynchronizer } from "./ReplicaSynchronizer.js";
 export type { ReplicaSynchronizerOptions } from "./ReplicaSynchronizerOptions.js";
 export type { ReplicatedStore } from "./ReplicatedStore.js";
--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -16,6 +16,9 @@
  */
 const REMOVAL_DELAY_MS = 2_100;
 
+/** Removed upstreams that are remembered, those removed last. */
+const MAX_REMOVED_UPSTREAMS = 1_000;
+
 type RegisteredUpstream = Extract<StoreItem, { kind: StoreItemKind.Upstream; }>;
 
 /** Builds the configuration in force and the list of hosts from the items of the platform's store. */
@@ -23,12 +26,19 @@
     readonly #options: SupplyOptions;
     readonly #upstreams = new Map<string, RegisteredUpstream>();
     readonly #hosts = new Map<string, Member>();
+    /** The last registration of each removed upstream by key, removed least recently first. */
+    readonly #removedUpstreams = new Map<string, RegisteredUpstream>();
+    /** The versions of the documents that the store holds, by key. */
+    readonly #storedVersions = new Map<string, number>();
     /** Keys whose removal is delayed, because their leases may have expired during a store outage. */
     readonly #delayedRemovals = new Set<string>();
     readonly #listeners: (() => void)[] = [];
     /** When this host's own entry was last removed from the store, in milliseconds of the clock. */
     #ownRemovalTime = Number.NEGATIVE_INFINITY;
+    /** When the store was found to have returned from an older copy, in milliseconds of the clock. */
+    #historyLossTime = Number.NEGATIVE_INFINITY;
     #document: SuppliedDocument | undefined;
+    #documentValue = "";
     #hostList: readonly Member[] = [];
     /** Whether there are changes that are not published yet. */
     #isChanged = false;
@@ -57,6 +67,27 @@
         this.#listeners.push(listener);
     }
 
+    /** Records that the store has returned from an older copy: what is missing there is not removed yet. */
+    recordHistoryLoss(): void {
+        this.#historyLossTime = this.#options.clock.getTime();
+    }
+
+    /** Finds the text of the document in force if the store holds only older ones. */
+    findLostDocument(): string | undefined {
+        return this.#document === undefined ||
+                [...this.#storedVersions.values()].some(version => version >= this.#document!.version)
+            ? undefined
+            : this.#documentValue;
+    }
+
+    /**
+     * Whether an upstream or a host is registered under a key.
+     * @param key - The key.
+     */
+    hasEntry(key: string): boolean {
+        return this.#upstreams.has(key) || this.#hosts.has(key);
+    }
+
     /**
      * Applies changes of the store's items.
      * @param events - The changes.
@@ -90,7 +121,8 @@
     #applyItem(event: ReplicaEvent, item: StoreItem): void {
         switch (item.kind) {
             case StoreItemKind.Configuration:
-                this.#applyDocument(item.document);
+                this.#storedVersions.set(event.key, item.document.version);
+                this.#applyDocument(item.document, event.value ?? "");
                 break;
             case StoreItemKind.Upstream:
                 this.#applyUpstream(event.key, item);
@@ -107,15 +139,22 @@
         }
     }
 
-    /** Applies a registration of an upstream, unless a newer one of the same upstream is known. */
+    /**
+     * Applies a registration of an upstream, unless a newer one of the same upstream is known. A store that has returned from an older copy may
+     * hold the registration of an upstream that has left since.
+     */
     #applyUpstream(key: string, item: RegisteredUpstream): void {
         const known = this.#upstreams.get(key);
-        const isOlder = known !== undefined && (item.startTime < known.startTime ||
-            (item.startTime === known.startTime && item.sequence < known.sequence));
-        if (isOlder) {
-            this.#record("entry-overtaken", { key, sequence: item.sequence, knownSequence: known.sequence });
+        const removed = Number.isFinite(this.#historyLossTime) ? this.#removedUpstreams.get(key) : undefined;
+        const isOvertaken = (known !== undefined && isOlder(item, known)) ||
+            (removed !== undefined && removed.startTime > 0 &&
+                (isOlder(item, removed) || isSameRegistration(item, removed)));
+        if (isOvertaken) {
+            const knownSequence = (known ?? removed)!.sequence;
+            this.#record("entry-overtaken", { key, sequence: item.sequence, knownSequence });
             return;
         }
+        this.#removedUpstreams.delete(key);
         this.#upstreams.set(key, item);
         this.#isChanged ||= known === undefined || !isRenewal(known, item);
     }
@@ -126,11 +165,12 @@
     }
 
     /** Applies a configuration document, unless its version is not newer than the one in force. */
-    #applyDocument(document: SuppliedDocument): void {
+    #applyDocument(document: SuppliedDocument, value: string): void {
         if (this.#document !== undefined && document.version <= this.#document.version) {
             return;
         }
         this.#document = document;
+        this.#documentValue = value;
         this.#isChanged = true;
         this.#options.decisions.record({
             decision: Decision.ConfigurationApplied,
@@ -141,7 +181,7 @@
 
     #removeOrDelay(key: string): void {
         const { clock, getStoreRegainedTime: getRegainedTime } = this.#options;
-        const delayEnd = Math.max(getRegainedTime(), this.#ownRemovalTime) + REMOVAL_DELAY_MS;
+        const delayEnd = Math.max(getRegainedTime(), this.#ownRemovalTime, this.#historyLossTime) + REMOVAL_DELAY_MS;
         const remainingMs = delayEnd - clock.getTime();
         if (remainingMs <= 0 || (!this.#upstreams.has(key) && !this.#hosts.has(key))) {
             this.#remove(key);
@@ -157,7 +197,11 @@
     }
 
     #remove(key: string): void {
-        if (this.#upstreams.delete(key)) {
+        this.#storedVersions.delete(key);
+        const upstream = this.#upstreams.get(key);
+        if (upstream !== undefined) {
+            this.#upstreams.delete(key);
+            this.#recordRemoved(key, upstream);
             this.#isChanged = true;
             this.#record("upstream-removed", { key });
         }
@@ -167,6 +211,14 @@
         }
     }
 
+    #recordRemoved(key: string, upstream: RegisteredUpstream): void {
+        this.#removedUpstreams.delete(key);
+        this.#removedUpstreams.set(key, upstream);
+        if (this.#removedUpstreams.size > MAX_REMOVED_UPSTREAMS) {
+            this.#removedUpstreams.delete(this.#removedUpstreams.keys().next().value!);
+        }
+    }
+
     #publish(): void {
         if (!this.#isChanged) {
             return;
@@ -184,6 +236,14 @@
     }
 }
 
+function isOlder(item: RegisteredUpstream, known: RegisteredUpstream): boolean {
+    return item.startTime < known.startTime || (item.startTime === known.startTime && item.sequence < known.sequence);
+}
+
+function isSameRegistration(item: RegisteredUpstream, known: RegisteredUpstream): boolean {
+    return item.startTime === known.startTime && item.sequence === known.sequence;
+}
+
 function createConfiguration(
     document: SuppliedDocument,
     registered: readonly RegisteredUpstream[],
--- a/tests/forwarding/malformedMessages.test.ts
+++ b/tests/forwarding/malformedMessages.test.ts
@@ -75,7 +75,7 @@
         decisions: new DecisionHistory(clock),
         replica: new Replica(() => false),
         store: {
-            readAll: async () => [],
+            readAll: async () => ({ epoch: 0, parts: [] }),
             watch: async () => ({ kind: WatchResultKind.HistoryLost }),
         },
         transport: new FakeNetwork(clock).createTransport(self.peerAddress),
--- a/tests/platform/PlatformStore.test.ts
+++ b/tests/platform/PlatformStore.test.ts
@@ -36,13 +36,13 @@
         mockStore.write(`servers/i-${String(index).padStart(3, "0")}`, "{}");
     }
     mockStore.write("other/key", "x");
-    const parts = await store.readAll();
+    const { parts } = await store.readAll();
     assert.is(parts.find(part => part.prefix === STORE_KEYS.upstreams)!.items.length, 120);
     assert.is(parts.flatMap(part => part.items).length, 120);
 });
 
 test("a watch returns changes and removals, and reports when the store has discarded the history", async () => {
-    const [part] = await store.readAll();
+    const [part] = (await store.readAll()).parts;
     mockStore.write("servers/a", "1");
     mockStore.remove("servers/a");
     const result = await store.watch(part!.revision, 1_000);
@@ -54,9 +54,10 @@
 });
 
 test("a watch without changes ends after its maximum wait", async () => {
-    const [part] = await store.readAll();
+    const [part] = (await store.readAll()).parts;
     assert.equal(await store.watch(part!.revision, 20), {
         kind: WatchResultKind.Events,
+        epoch: 1,
         revision: part!.revision,
         events: [],
     });
--- a/tests/replica/Replica.test.ts
+++ b/tests/replica/Replica.test.ts
@@ -22,6 +22,29 @@
     assert.is(replica.getRevision(), 9);
 });
 
+test("a snapshot of a later epoch replaces all items whatever their revisions, and one of an earlier epoch is ignored", () => {
+    const { replica, seen } = createReplica();
+    const epochs: number[] = [];
+    replica.addEpochListener(epoch => epochs.push(epoch));
+    const before = [
+        { key: "a", revision: 50, value: "new" },
+        { key: "b", revision: 51, value: "same" },
+        { key: "c", revision: 52, value: "lost" },
+    ];
+    replica.applySnapshot([{ prefix: "", revision: 60, items: before }], 1);
+    seen.length = 0;
+    const after = [{ key: "a", revision: 20, value: "old" }, { key: "b", revision: 21, value: "same" }];
+    replica.applySnapshot([{ prefix: "", revision: 30, items: after }], 2);
+    assert.equal(seen, [{ key: "a", revision: 20, value: "old" }, { key: "c", revision: 30 }]);
+    assert.equal([replica.getEpoch(), replica.getRevision(), epochs], [2, 30, [2]]);
+    assert.is(replica.findChanges(29), undefined);
+    replica.applyEvents([{ key: "a", revision: 31, value: "next" }], 31);
+    assert.equal(replica.findChanges(30), [{ key: "a", revision: 31, value: "next" }]);
+    replica.applySnapshot([{ prefix: "", revision: 90, items: before }], 1);
+    assert.is(replica.getRevision(), 31);
+    assert.is(seen.at(-1)!.value, "next");
+});
+
 test("an item never returns to an earlier revision, also after its removal", () => {
     const { replica, seen } = createReplica();
     replica.applySnapshot([{ prefix: "", revision: 1, items: [] }]);
--- a/tests/supply/Supply.test.ts
+++ b/tests/supply/Supply.test.ts
@@ -64,6 +64,35 @@
     assert.equal(getUpstreams(), [["i-1", false]]);
 });
 
+test("after the store's return from an older copy, what was in force stays in force until it is written again", async () => {
+    write("configuration", createDocument(9));
+    write("stays", createUpstream({}, 5, 100));
+    write("drains", createUpstream({ draining: true }, 6, 100));
+    write("left", createUpstream({}, 7, 100));
+    write("gone", createUpstream({}, 7, 100));
+    remove("left");
+    assert.is(getUpstreams().length, 3);
+    supply.recordHistoryLoss();
+    write("configuration", createDocument(4));
+    write("drains", createUpstream({}, 2, 100));
+    write("left", createUpstream({}, 7, 100));
+    remove("stays");
+    remove("gone");
+    assert.is(supply.getConfiguration()!.version, 9);
+    assert.match(supply.findLostDocument()!, /^configuration/);
+    assert.equal(getUpstreams().map(([, isDraining]) => isDraining), [false, true, false]);
+    write("stays", createUpstream({}, 6, 100));
+    await clock.run(REGISTRATION_BOUND_MS);
+    assert.equal(getUpstreams().map(([, isDraining]) => isDraining), [false, true]);
+    assert.is(supply.hasEntry("left"), false);
+    write("left", createUpstream({}, 8, 100));
+    assert.is(supply.hasEntry("left"), true);
+    write("configuration", createDocument(9));
+    assert.is(supply.findLostDocument(), undefined);
+    write("configuration", createDocument(10));
+    assert.is(supply.getConfiguration()!.version, 10);
+});
+
 test("an entry of another writer that can't be decoded removes the upstream", () => {
     write("u1", createUpstream());
     write("u1", { kind: StoreItemKind.Invalid, reason: "no address" });
--- a/tests/support/FakeReplicatedStore.ts
+++ b/tests/support/FakeReplicatedStore.ts
@@ -1,7 +1,7 @@
 import { StoreUnavailableError } from "../../src/errors/index.js";
 import type { FakeClock, FakeLink } from "../../src/fakes/index.js";
 import { WatchResultKind } from "../../src/replica/index.js";
-import type { ReplicaEvent, ReplicatedStore, SnapshotPart, WatchResult } from "../../src/replica/index.js";
+import type { ReplicaEvent, ReplicaSnapshot, ReplicatedStore, WatchResult } from "../../src/replica/index.js";
 
 const CALL_MS = 4;
 /** Time until a call without an answer fails, in milliseconds. */
@@ -10,6 +10,12 @@
 /** Length of a value's base64 text by the length of the value; answers carry values as base64. */
 const BASE64_FACTOR = 4 / 3;
 
+interface StoreCopy {
+    readonly items: ReadonlyMap<string, ReplicaEvent>;
+    readonly history: readonly ReplicaEvent[];
+    readonly revision: number;
+}
+
 /** A replicated store in memory that can refuse the calls of some hosts or leave them unanswered. */
 export class FakeReplicatedStore {
     /** Calls of all hosts so far. */
@@ -27,6 +33,7 @@
     #history: ReplicaEvent[] = [];
     #historyStart = 0;
     #revision = 1;
+    #epoch = 1;
 
     /** @param clock - The source of time. */
     constructor(clock: FakeClock) {
@@ -56,6 +63,23 @@
         this.#historyStart = this.#revision;
     }
 
+    /** Creates a copy from which the store can return later. */
+    createCopy(): StoreCopy {
+        return { items: new Map(this.#items), history: [...this.#history], revision: this.#revision };
+    }
+
+    /**
+     * Returns from a copy: what was written since is lost, and revisions are given out again.
+     * @param copy - The copy.
+     */
+    restoreCopy({ items, history, revision }: StoreCopy): void {
+        this.#items.clear();
+        items.forEach((item, key) => this.#items.set(key, item));
+        this.#history = [...history];
+        this.#revision = revision;
+        this.#epoch++;
+    }
+
     /**
      * Creates the interface of one host to the store.
      * @param hostId - The host.
@@ -86,17 +110,18 @@
         return result;
     }
 
-    async #read(): Promise<readonly SnapshotPart[]> {
-        return [{ prefix: "", revision: this.#revision, items: [...this.#items.values()] }];
+    async #read(): Promise<ReplicaSnapshot> {
+        const items = [...this.#items.values()];
+        return { epoch: this.#epoch, parts: [{ prefix: "", revision: this.#revision, items }] };
     }
 
     async #watch(revision: number, waitMs: number): Promise<WatchResult> {
         const end = this.#clock.getTime() + waitMs;
-        while (revision >= this.#historyStart) {
+        while (revision >= this.#historyStart && revision <= this.#revision) {
             const events = this.losesWatchEvents ? [] : this.#history.filter(event => event.revision > revision);
             if (events.length > 0 || this.#clock.getTime() >= end) {
                 const known = this.losesWatchEvents ? revision : this.#revision;
-                return { kind: WatchResultKind.Events, revision: known, events };
+                return { kind: WatchResultKind.Events, epoch: this.#epoch, revision: known, events };
             }
             await this.#clock.wait(POLL_MS);
         }
