Take no request in a planned stop that could not end within the grace

Cause: the intake ended at a share of the grace, whatever requests take. The service host does the same by the 99th percentile of the route's latencies, and the next one gets the request.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -15,6 +15,7 @@
 import { findAuthorizedRoute } from "./findAuthorizedRoute.js";
 import type { GatewayOptions } from "./GatewayOptions.js";
 import type { GatewayRequest } from "./GatewayRequest.js";
+import { RouteDurations } from "./RouteDurations.js";
 import { selectService } from "./selectService.js";
 
 const ANONYMOUS_ACCOUNT = "anonymous";
@@ -55,6 +56,8 @@
 export class Gateway {
     readonly #options: GatewayOptions;
     #runningRequests = 0;
+    readonly #durations = new RouteDurations();
+    #endTime: number | undefined;
     #isStopping = false;
     readonly #idleListeners: (() => void)[] = [];
 
@@ -68,6 +71,14 @@
         this.#isStopping = true;
     }
 
+    /**
+     * Refuses new requests that can't be expected to end in time; `stop` refuses all.
+     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
+     */
+    leave(endTime: number): void {
+        this.#endTime = endTime;
+    }
+
     /** Waits until no request is in progress. */
     async waitForIdle(): Promise<void> {
         if (this.#runningRequests > 0) {
@@ -123,6 +134,7 @@
         const { route, account } = await this.#findAuthorizedRoute(request);
         context.route = route.name;
         context.account = account?.name;
+        this.#checkEnd(route);
         const body = await readBody(route.maxBodyBytes) ?? await this.#refuseBody(route);
         const timeoutMs = Math.min(request.timeoutMs ?? route.deadlineMs, route.deadlineMs);
         const remainingMs = context.startTime + timeoutMs - this.#options.clock.getTime();
@@ -133,9 +145,32 @@
         const answerMs = Math.min(remainingMs + DEADLINE_MARGIN_MS, this.#getCallerRemaining(request, context));
         const outcome = await this.#runUntilDeadline(callerRequest, Math.max(0, answerMs), context, signal);
         this.#scheduleResponseTimeout(outcome, context.startTime + timeoutMs + DEADLINE_MARGIN_MS);
+        this.#recordDuration(outcome, route, context.startTime);
         return outcome;
     }
 
+    /** A stopping host takes no request that it would have to abort. */
+    #checkEnd(route: Route): void {
+        const usualMs = this.#durations.findLongest(route.name) ?? route.targetMs ?? route.deadlineMs;
+        if (this.#endTime !== undefined && this.#options.clock.getTime() + usualMs > this.#endTime) {
+            throw new RefusalError(
+                RefusalReason.HostStopping,
+                "This host is stopping before the request could end.",
+                STOPPING_RETRY_MS,
+            );
+        }
+    }
+
+    #recordDuration(outcome: Outcome, route: Route, startTime: number): void {
+        if (outcome.kind === OutcomeKind.Done) {
+            finished(outcome.body, error => {
+                if (!error) {
+                    this.#durations.record(route.name, this.#options.clock.getTime() - startTime);
+                }
+            });
+        }
+    }
+
     #getConfiguration(): SuppliedConfiguration {
         if (this.#isStopping) {
             throw new RefusalError(RefusalReason.HostStopping, "This host is stopping.", STOPPING_RETRY_MS);
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -105,10 +105,15 @@
         decisions.record({ decision: Decision.Started, reason: `incarnation ${self.incarnation}`, member: self.id });
     }
 
-    /** Removes this host from lookups and from the host registry; requests in progress continue. */
-    async leave(): Promise<void> {
+    /**
+     * Removes this host from lookups and from the host registry; requests in progress continue.
+     * @param endTime - When they are aborted, in milliseconds of the clock.
+     */
+    async leave(endTime: number): Promise<void> {
         const { decisions, self } = this.#options;
         this.#isLeaving = true;
+        this.gateway.leave(endTime);
+        this.serviceHost.leave(endTime);
         this.#membership.leave();
         this.lookup.leave();
         decisions.record({ decision: Decision.Drained, reason: "planned stop", member: self.id });
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -72,7 +72,7 @@
         const graceMs = this.#options.settings.graceSeconds * MS_PER_SECOND;
         const drainTimeout = this.#clock.wait(graceMs * DRAIN_GRACE_SHARE);
         this.#callerListener.drain();
-        const leaveDone = this.#host.leave();
+        const leaveDone = this.#host.leave(this.#clock.getTime() + graceMs * DRAIN_GRACE_SHARE);
         await this.#clock.wait(graceMs * INTAKE_GRACE_SHARE);
         this.#host.gateway.stop();
         await Promise.race([Promise.all([leaveDone, this.#host.waitForIdle()]), drainTimeout]);
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -51,6 +51,7 @@
     readonly #pools = new Map<string, HostedPool>();
     #configuration: Configuration | undefined;
     #isStopping = false;
+    #endTime: number | undefined;
     #task = new AbortController();
 
     /** @param options - Dependencies and settings of the service host. */
@@ -110,6 +111,9 @@
             const detail = "The service has no upstream in this zone.";
             return createAnswer(createNotRun(RefusalReason.NoUpstream, detail, NO_UPSTREAM_RETRY_AFTER_MS));
         }
+        if (this.#isEndingBefore(hosted.pool.getLongLatency(request))) {
+            return createAnswer(createNotRun(RefusalReason.HostStopping, "The service host is stopping.", 0));
+        }
         if (this.#checkHandOver(hosted)) {
             return createAnswer(createCutOffRefusal());
         }
@@ -127,6 +131,14 @@
         this.#pools.forEach(({ pool }) => pool.removeCrash(requestId));
     }
 
+    /**
+     * Refuses new requests that can't be expected to end in time.
+     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
+     */
+    leave(endTime: number): void {
+        this.#endTime = endTime;
+    }
+
     /** Refuses new requests and waits until the accepted ones have ended. */
     async drain(): Promise<void> {
         this.#isStopping = true;
@@ -160,6 +172,10 @@
         }
     }
 
+    #isEndingBefore(durationMs: number): boolean {
+        return this.#endTime !== undefined && this.#options.clock.getTime() + durationMs > this.#endTime;
+    }
+
     #findKnownAnswer(requestId: string): ServiceAnswer | undefined {
         const found = this.#outcomes.find(requestId);
         switch (found?.state) {
--- a/src/services/detection/RouteLatencies.ts
+++ b/src/services/detection/RouteLatencies.ts
@@ -7,6 +7,7 @@
 const MEDIAN = 0.5;
 const P10 = 0.1;
 const P75 = 0.75;
+const P99 = 0.99;
 
 /** The latencies of each route of a service, as routes may differ by orders of magnitude. */
 export class RouteLatencies {
@@ -50,6 +51,14 @@
         return this.#findQuantile(route, P75);
     }
 
+    /**
+     * Gets the 99th percentile of a route's latencies in milliseconds; undefined while there are too few samples.
+     * @param route - The route's name; undefined if the request has none.
+     */
+    findP99(route: string | undefined): number | undefined {
+        return this.#findQuantile(route, P99);
+    }
+
     #findQuantile(route: string | undefined, quantile: number): number | undefined {
         const latencies = route === undefined ? undefined : this.#routes.get(route);
         return latencies === undefined || latencies.getCount() < MIN_SAMPLES
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -180,6 +180,14 @@
         return this.#service;
     }
 
+    /**
+     * Gets the time within which nearly all answers to such requests start, in milliseconds.
+     * @param request - The request.
+     */
+    getLongLatency({ route, targetMs, timeoutMs }: ServiceRequest): number {
+        return this.#routeLatencies.findP99(route) ?? targetMs ?? timeoutMs;
+    }
+
     /** Waits until no request is queued or running. */
     async drain(): Promise<void> {
         if (this.#pending > 0) {
