--- a/src/time/SystemClock.ts
+++ b/src/time/SystemClock.ts
@@ -2,6 +2,9 @@
 import type { Clock } from "./Clock.js";
 import type { ScheduledCall } from "./ScheduledCall.js";
 
+/** Longest delay of a timer, in milliseconds; Node.js runs a longer one at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /** The system clock. */
 export class SystemClock implements Clock {
     /** Gets the monotonic time in milliseconds. */
@@ -20,7 +23,7 @@
      * @param callback - The callback to run.
      */
     schedule(delayMs: number, callback: () => void): ScheduledCall {
-        const timer = setTimeout(callback, delayMs);
+        const timer = setTimeout(callback, Math.min(delayMs, MAX_DELAY_MS));
         return { cancel: () => clearTimeout(timer) };
     }
 
@@ -30,6 +33,6 @@
      * @param signal - Ends the wait early.
      */
     async wait(delayMs: number, signal?: AbortSignal): Promise<void> {
-        await waitForTimeout(delayMs, undefined, { signal });
+        await waitForTimeout(Math.min(delayMs, MAX_DELAY_MS), undefined, { signal });
     }
 }
--- a/tests/platform/PlatformDecoder.test.ts
+++ b/tests/platform/PlatformDecoder.test.ts
@@ -34,6 +34,21 @@
         ["servers/i-1", JSON.stringify(createRegistration({ addr: "somewhere" }))],
         ["servers/i-1", JSON.stringify(createRegistration({ slots: "6" }))],
         ["op/config", JSON.stringify({ ...createDocument(), limits: undefined })],
+        ["op/config", "[".repeat(100_000)],
+        ["servers/i-1", "[".repeat(100_000) + "]".repeat(100_000)],
+        ...["1.2.3.4:99999", "1.2.3.4:0", "999.999.1.1:80", "1.2.3:80", "1.2.3.4:80:80"].map((
+            addr,
+        ): [string, string] => [
+            "servers/i-1",
+            JSON.stringify(createRegistration({ addr })),
+        ]),
+        ["servers/i-1", JSON.stringify(createRegistration()).replace("\"slots\":6", "\"slots\":1e999")],
+        ["servers/i-1", JSON.stringify(createRegistration({ slots: Number.MAX_SAFE_INTEGER }))],
+        ["servers/i-1", JSON.stringify(createRegistration({ cold_left_s: 1e300 }))],
+        ["servers/i-1", JSON.stringify(createRegistration({ seq: 1e300 }))],
+        ...[{ peerAddress: "1.2.3.4:99999" }, { callerAddress: "999.1.1.1:80" }, { capacity: 1e300 }].map(
+            (change): [string, string] => ["fuchsiapath/hosts/a", JSON.stringify({ ...createMember(0), ...change })],
+        ),
         ["fuchsiapath/hosts/a", JSON.stringify({ id: "a" })],
     ];
     for (const [key, value] of bad) {
