--- a/src/fakes/FakeUpstreamFaults.ts
+++ b/src/fakes/FakeUpstreamFaults.ts
@@ -16,6 +16,8 @@
     readonly isShedding?: boolean;
     /** The rate that its responses name as its limit, in requests per second; NaN if they name one that can't be read. */
     readonly requestRate?: number;
+    /** Whether its responses say that it leaves. */
+    readonly isLeaving?: boolean;
     /** Whether only its successful responses name the limit. */
     readonly hasSilentFailures?: boolean;
 }
--- a/src/fakes/FakeUpstreams.ts
+++ b/src/fakes/FakeUpstreams.ts
@@ -242,9 +242,9 @@
 }
 
 function createNotice({ faults }: FakeUpstream, isSuccess: boolean): UpstreamNotice {
-    const { requestRate = Infinity, hasSilentFailures = false } = faults;
+    const { requestRate = Infinity, isLeaving = false, hasSilentFailures = false } = faults;
     const isNamed = isSuccess || !hasSilentFailures;
-    return { requestRate: Number.isNaN(requestRate) ? undefined : isNamed ? requestRate : Infinity };
+    return { requestRate: Number.isNaN(requestRate) ? undefined : isNamed ? requestRate : Infinity, isLeaving };
 }
 
 function createConnectFailure(detail: string): UpstreamAnswer {
--- a/src/services/ServiceAnswer.ts
+++ b/src/services/ServiceAnswer.ts
@@ -15,6 +15,6 @@
     readonly queued: number;
     /** Recent load reports of the service's other parts, if any. */
     readonly otherLoads?: readonly PartLoadReport[];
-    /** What the upstreams of the part have said about themselves, if anything. */
+    /** What the upstreams of the service have said about themselves, if anything. */
     readonly notices?: readonly UpstreamNoticeReport[];
 }
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -58,11 +58,13 @@
     constructor(options: ServiceHostOptions) {
         this.#options = options;
         this.notices = new UpstreamNotices(options.clock);
+        this.notices.addLeavingListener(() => this.#pools.forEach(({ pool }) => pool.applyNotices()));
         this.#outcomes = new OutcomeCache(options.clock);
         this.#sharer = new BaselineSharer(options.membership, options.peers);
-        options.handlers.add(PeerMethod.ShareBaseline, params => ({
-            isUsed: this.#sharer.record([...this.#pools.values()], params),
-        }));
+        options.handlers.add(PeerMethod.ShareBaseline, params => {
+            this.notices.recordReports(params.notices ?? []);
+            return { isUsed: this.#sharer.record([...this.#pools.values()], params) };
+        });
         options.handlers.add(PeerMethod.FindOutcome, params => this.#outcomes.findOrRefuse(params));
         options.handlers.add(PeerMethod.IsServing, () => ({ isServing: !this.#isStopping }));
         options.handlers.add(PeerMethod.RemoveCrash, ({ requestId }) => {
--- a/src/services/exchange/ProductUpstreamProtocol.ts
+++ b/src/services/exchange/ProductUpstreamProtocol.ts
@@ -12,6 +12,8 @@
 const NOT_RUN_HEADER = "x-request-not-run";
 /** Requests per second that the upstream accepts from all hosts together, a decimal number. */
 const REQUEST_RATE_HEADER = "x-upstream-request-rate";
+/** "1" if the upstream leaves and wants no more requests. */
+const LEAVING_HEADER = "x-upstream-leaving";
 const SHED_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
 /** The product's own protocol of header fields. */
@@ -70,6 +72,9 @@
      * @param headers - The header fields of the response.
      */
     decodeNotice(headers: IncomingHttpHeaders): UpstreamNotice {
-        return { requestRate: parseRequestRate(headers[REQUEST_RATE_HEADER]) };
+        return {
+            requestRate: parseRequestRate(headers[REQUEST_RATE_HEADER]),
+            isLeaving: headers[LEAVING_HEADER] === "1",
+        };
     }
 }
--- a/src/services/exchange/UpstreamNotice.ts
+++ b/src/services/exchange/UpstreamNotice.ts
@@ -2,4 +2,6 @@
 export interface UpstreamNotice {
     /** Requests per second that it accepts from all hosts together; Infinity for no limit, undefined if the field can't be read. */
     readonly requestRate: number | undefined;
+    /** Whether it leaves and wants no more requests. */
+    readonly isLeaving: boolean;
 }
--- a/src/services/notices/UpstreamNoticeReport.ts
+++ b/src/services/notices/UpstreamNoticeReport.ts
@@ -6,6 +6,8 @@
     readonly incarnation?: string;
     /** Requests per second that it accepts from all hosts together; no limit if undefined. */
     readonly requestRate?: number;
+    /** Whether it leaves and wants no more requests. */
+    readonly isLeaving?: true;
     /** The age of the response, in milliseconds. */
     readonly ageMs: number;
 }
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -14,6 +14,7 @@
 import { FirstByteLimit } from "../exchange/FirstByteLimit.js";
 import { getPatience } from "../exchange/getPatience.js";
 import type { UpstreamNotice } from "../exchange/UpstreamNotice.js";
+import type { UpstreamNoticeReport } from "../notices/UpstreamNoticeReport.js";
 import { encodeOutcome } from "../outcomes/encodeOutcome.js";
 import { RetryBudget } from "../queue/RetryBudget.js";
 import { SlotQueue } from "../queue/SlotQueue.js";
@@ -143,6 +144,12 @@
         this.#runQueue();
     }
 
+    /** Applies what upstreams have said about themselves to other hosts. */
+    applyNotices(): void {
+        this.#upstreams.applyNotices();
+        this.#runQueue();
+    }
+
     /**
      * Runs one attempt; never rejects.
      * @param request - The request.
@@ -241,6 +248,11 @@
         };
     }
 
+    /** Gets what the upstreams of the service, of all its parts, have said about themselves. */
+    getNotices(): readonly UpstreamNoticeReport[] {
+        return this.#options.notices.getReports(this.#service.upstreams);
+    }
+
     /** Gets the load of this part, which entry hosts use to select a part. */
     getPartLoad(): Omit<PartLoadReport, "part"> {
         return { freeSlots: this.#upstreams.getFreeSlots(), queued: this.#queue.getSize(), ageMs: 0 };
@@ -271,11 +283,14 @@
     }
 
     /**
-     * Records the request rate that an upstream names in a response. An upstream with a limit names it in its responses, but not
-     * each failure is written by the upstream itself, so that only a success without the field ends the limit.
+     * Records what an upstream says in a response. An upstream with a limit names it in its responses, but not each failure is
+     * written by the upstream itself, so that only a success without the field ends the limit.
      */
-    #recordNotice(pooled: PooledUpstream, { requestRate }: UpstreamNotice, isSuccess: boolean): void {
+    #recordNotice(pooled: PooledUpstream, { requestRate, isLeaving }: UpstreamNotice, isSuccess: boolean): void {
         const upstream = pooled.getUpstream();
+        if (isLeaving) {
+            this.#options.notices.recordLeaving(upstream);
+        }
         if (requestRate === undefined || (requestRate === Infinity && !isSuccess)) {
             return;
         }
@@ -378,7 +393,7 @@
     #createAnswer(outcome: Outcome, pooled: PooledUpstream | undefined, isCrashSuspected: boolean): ServiceAnswer {
         const { freeSlots, queued } = this.getPartLoad();
         const upstream = pooled?.getUpstream().name;
-        const notices = this.#options.notices.getReports(this.#upstreams.getAll().map(other => other.getUpstream()));
+        const notices = this.getNotices();
         return {
             outcome,
             upstream,
--- a/src/services/pools/UpstreamSet.ts
+++ b/src/services/pools/UpstreamSet.ts
@@ -68,6 +68,11 @@
         before.forEach(pooled => this.#drain(pooled, "it was removed from the configuration"));
     }
 
+    /** Drains the upstreams that have said that they leave. */
+    applyNotices(): void {
+        this.#upstreams.forEach(pooled => this.#applyUpstream(pooled, pooled.getUpstream()));
+    }
+
     /**
      * Releases a slot and closes the idle connections of an upstream that has drained.
      * @param pooled - The upstream.
@@ -107,6 +112,9 @@
         if (upstream.draining === true) {
             this.#drain(pooled, "the configuration marks it as draining");
         }
+        else if (this.#options.notices.isLeaving(upstream)) {
+            this.#drain(pooled, "it says that it leaves");
+        }
         else {
             pooled.send(UpstreamEvent.CancelDrain, "the configuration no longer marks it as draining");
         }
--- a/src/services/queue/SlotRunner.ts
+++ b/src/services/queue/SlotRunner.ts
@@ -10,6 +10,7 @@
 import type { UpstreamAttempt } from "../exchange/UpstreamAttempt.js";
 import { encodeOutcome } from "../outcomes/encodeOutcome.js";
 import type { PooledUpstream } from "../pools/PooledUpstream.js";
+import { UpstreamState } from "../pools/UpstreamState.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
 import type { SlotRunnerOptions } from "./SlotRunnerOptions.js";
 
@@ -105,9 +106,10 @@
         return request.isIdempotent ? await readBodyAhead(outcome, READ_AHEAD_BYTES, signal) : outcome;
     }
 
-    /** A retry at the same upstream counts towards its rate limit too. */
+    /** A retry at the same upstream counts towards its rate limit too, and none goes to one that leaves or wants no requests now. */
     #spendRetry(pooled: PooledUpstream): boolean {
-        return pooled.rateLimiter.getPauseMs() === 0 && this.#options.budget.spend() && pooled.rateLimiter.spend();
+        return pooled.getState() !== UpstreamState.Draining && pooled.getPauseMs() === 0 &&
+            this.#options.budget.spend() && pooled.rateLimiter.spend();
     }
 
     #createDone(
--- a/src/services/sharing/BaselineSharer.ts
+++ b/src/services/sharing/BaselineSharer.ts
@@ -31,7 +31,7 @@
         for (const hosted of pools) {
             const params = createParams(hosted);
             this.record(pools.filter(other => other !== hosted), params);
-            if (params.upstreams.length > 0 || params.served.requests > 0) {
+            if (params.upstreams.length > 0 || params.served.requests > 0 || params.notices !== undefined) {
                 this.#sendToOthers(params, configuration);
             }
         }
@@ -69,11 +69,13 @@
 }
 
 function createParams({ service, partKey, pool }: HostedPool): ShareBaselineParams {
+    const notices = pool.getNotices();
     return {
         service,
         part: partKey,
         upstreams: pool.baseline.getSummary(),
         served: pool.unservedRate.getCounts(),
         load: pool.getPartLoad(),
+        ...(notices.length === 0 ? {} : { notices }),
     };
 }
--- a/tests/support/DispatchBench.ts
+++ b/tests/support/DispatchBench.ts
@@ -137,6 +137,7 @@
             transport: network.createTransport(member.peerAddress),
             forwarder: network.createForwarder(member.peerAddress),
             serviceRunner,
+            notices: serviceRunner.notices,
             decisionLog: this.#decisions,
             waitsUntilDeadline: true,
             isLocalFallbackEnabled: true,
