Send nothing to an upstream before the time that it names in a 503

Cause: the time was read only from refusals with proof, and cut at 5 s; and a refusal by one upstream excluded all of its part. Now any 503 with a readable time pauses the upstream for this host for so long, five minutes at most, and a part of which one upstream refused is used again if no other is left. Dates, negative numbers and garbage are no time.

A paused upstream no longer counts as free slots in the eyes of other zones.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -20,6 +20,8 @@
 interface DispatchState {
     /** Keys of the parts that refused the request or had no reachable service host. */
     readonly excludedParts: Set<string>;
+    /** Keys of the parts of which one upstream refused the request; the others may still run it. */
+    readonly shedParts: Set<string>;
     /** The upstreams that it was sent to, as far as their names are known. */
     readonly excludedUpstreams: string[];
     /** Number of upstreams that it was, or may have been, sent to. */
@@ -64,6 +66,7 @@
     async run(call: DispatchCall, signal: AbortSignal): Promise<Outcome> {
         const state: DispatchState = {
             excludedParts: new Set(),
+            shedParts: new Set(),
             excludedUpstreams: [],
             sent: 0,
             lostHostParts: new Set(),
@@ -122,13 +125,18 @@
      * Selects the next part, preferably one whose service host was not lost with this request. A lost service host fails many
      * requests at once, too many for the retry budget of its zone.
      */
-    #selectPart(call: DispatchCall, { excludedParts, lostHostParts }: DispatchState): ServicePart | undefined {
+    #selectPart(
+        call: DispatchCall,
+        { excludedParts, shedParts, lostHostParts }: DispatchState,
+    ): ServicePart | undefined {
         const options = {
             hasLargeAnswer: call.request.route.kind === RouteKind.Bulk,
             isAnyZoneAllowed: lostHostParts.size > 0,
         };
-        return this.#parts.select(call.service, new Set([...excludedParts, ...lostHostParts]), options) ??
-            this.#parts.select(call.service, excludedParts, options);
+        const select = (...excluded: ReadonlySet<string>[]): ServicePart | undefined =>
+            this.#parts.select(call.service, new Set(excluded.flatMap(keys => [...keys])), options);
+        return select(excludedParts, shedParts, lostHostParts) ?? select(excludedParts, shedParts) ??
+            select(excludedParts);
     }
 
     async #recordAnswer(
@@ -145,7 +153,8 @@
             state.excludedUpstreams.push(upstream);
         }
         if (outcome.kind === OutcomeKind.NotRun) {
-            state.excludedParts.add(part.key);
+            const parts = upstream === undefined ? state.excludedParts : state.shedParts;
+            parts.add(part.key);
         }
         else {
             closeEarlierOutcome(state.earlierOutcome);
--- a/src/fakes/FakeUpstreamFaults.ts
+++ b/src/fakes/FakeUpstreamFaults.ts
@@ -16,6 +16,10 @@
     readonly isShedding?: boolean;
     /** The rate that its responses name as its limit, in requests per second; NaN if they name one that can't be read. */
     readonly requestRate?: number;
+    /** The time for which its refusals say that it wants no requests, in milliseconds. */
+    readonly retryAfterMs?: number;
+    /** Whether every request is refused with status 503 and no proof that it did not run. */
+    readonly isUnavailable?: boolean;
     /** Whether its responses say that it leaves. */
     readonly isLeaving?: boolean;
     /** Whether only its successful responses name the limit. */
--- a/src/fakes/FakeUpstreams.ts
+++ b/src/fakes/FakeUpstreams.ts
@@ -21,6 +21,7 @@
 const TAIL_FACTOR = 10;
 const OK = 200;
 const INTERNAL_ERROR = 500;
+const UNAVAILABLE = 503;
 
 /** Upstreams in memory with slots, service times and gray failures, which record the requests they receive. */
 export class FakeUpstreams implements UpstreamTransport {
@@ -93,7 +94,8 @@
         this.#record(upstream, request, options, !isShed, state.running);
         if (isShed) {
             state.release(connection);
-            return { kind: UpstreamAnswerKind.Shed, retryAfterMs: undefined, notice: createNotice(state, false) };
+            const { retryAfterMs } = state.faults;
+            return { kind: UpstreamAnswerKind.Shed, retryAfterMs, notice: createNotice(state, false, retryAfterMs) };
         }
         return await this.#runRequest(state, connection, request, deadline, options.signal);
     }
@@ -141,11 +143,20 @@
 
     #createAnswer(state: FakeUpstream, connection: FakeConnection): UpstreamAnswer {
         const { random, healthyErrorRate } = this.#options;
-        const { cutRate, lossRate, errorRate } = state.faults;
+        const { cutRate, lossRate, errorRate, isUnavailable = false, retryAfterMs } = state.faults;
         if (random.getNext() < (lossRate ?? 0)) {
             state.running--;
             return { kind: UpstreamAnswerKind.ConnectionLost, detail: "The upstream closed the connection." };
         }
+        if (isUnavailable) {
+            return {
+                kind: UpstreamAnswerKind.Answered,
+                status: UNAVAILABLE,
+                headers: {},
+                body: this.#createBody(state, connection, 0, false),
+                notice: createNotice(state, false, retryAfterMs),
+            };
+        }
         const isFailing = random.getNext() < (errorRate ?? healthyErrorRate ?? 0);
         const bytes = this.#options.answerBytes ?? DEFAULT_ANSWER_BYTES;
         return {
@@ -241,10 +252,14 @@
     }
 }
 
-function createNotice({ faults }: FakeUpstream, isSuccess: boolean): UpstreamNotice {
+function createNotice({ faults }: FakeUpstream, isSuccess: boolean, retryAfterMs?: number): UpstreamNotice {
     const { requestRate = Infinity, isLeaving = false, hasSilentFailures = false } = faults;
     const isNamed = isSuccess || !hasSilentFailures;
-    return { requestRate: Number.isNaN(requestRate) ? undefined : isNamed ? requestRate : Infinity, isLeaving };
+    return {
+        requestRate: Number.isNaN(requestRate) ? undefined : isNamed ? requestRate : Infinity,
+        isLeaving,
+        retryAfterMs,
+    };
 }
 
 function createConnectFailure(detail: string): UpstreamAnswer {
--- a/src/services/detection/AttemptRecorder.ts
+++ b/src/services/detection/AttemptRecorder.ts
@@ -9,7 +9,8 @@
 
 const FIRST_FAILURE_STATUS = 500;
 const SHED_PAUSE_MS = 100;
-const MAX_SHED_PAUSE_MS = 5_000;
+/** An upstream that names a longer time is tried again after this one, in milliseconds. */
+const MAX_PAUSE_MS = 300_000;
 /** Results whose time counts as a latency. */
 const LATENCY_KINDS: ReadonlySet<UpstreamAnswerKind> = new Set([
     UpstreamAnswerKind.Answered,
@@ -38,7 +39,7 @@
             upstream.recordAnswer();
         }
         if (answer.kind === UpstreamAnswerKind.Shed) {
-            this.#recordShed(upstream, answer.retryAfterMs);
+            this.#recordPause(upstream, answer.retryAfterMs ?? SHED_PAUSE_MS);
         }
         if (LATENCY_KINDS.has(answer.kind)) {
             this.#options.limit.record(latencyMs);
@@ -61,6 +62,10 @@
     recordNotice(upstream: PooledUpstream, { answer }: UpstreamAttempt): void {
         const isAnswered = answer.kind === UpstreamAnswerKind.Answered;
         if ((isAnswered || answer.kind === UpstreamAnswerKind.Shed) && answer.notice !== undefined) {
+            const { retryAfterMs } = answer.notice;
+            if (retryAfterMs !== undefined) {
+                this.#recordPause(upstream, retryAfterMs);
+            }
             this.#options.onNotice(upstream, answer.notice, isAnswered && answer.status < FIRST_FAILURE_STATUS);
         }
     }
@@ -109,9 +114,9 @@
         return route === undefined ? undefined : this.#options.routeLatencies.findMedian(route) ?? Infinity;
     }
 
-    #recordShed(upstream: PooledUpstream, retryAfterMs: number | undefined): void {
-        const pauseMs = Math.min(retryAfterMs ?? SHED_PAUSE_MS, MAX_SHED_PAUSE_MS);
-        upstream.recordShed(pauseMs);
+    #recordPause(upstream: PooledUpstream, retryAfterMs: number): void {
+        const pauseMs = Math.min(retryAfterMs, MAX_PAUSE_MS);
+        upstream.recordPause(pauseMs);
         this.#options.clock.schedule(pauseMs, this.#options.onCapacityChange);
     }
 }
--- a/src/services/exchange/ProductUpstreamProtocol.ts
+++ b/src/services/exchange/ProductUpstreamProtocol.ts
@@ -14,7 +14,8 @@
 const REQUEST_RATE_HEADER = "x-upstream-request-rate";
 /** "1" if the upstream leaves and wants no more requests. */
 const LEAVING_HEADER = "x-upstream-leaving";
-const SHED_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+const STATUS_UNAVAILABLE = 503;
+const SHED_STATUSES: ReadonlySet<number> = new Set([429, STATUS_UNAVAILABLE]);
 
 /** The product's own protocol of header fields. */
 export class ProductUpstreamProtocol implements UpstreamProtocol {
@@ -69,12 +70,14 @@
 
     /**
      * Decodes what a response says about the upstream that sent it.
+     * @param status - The status of the response.
      * @param headers - The header fields of the response.
      */
-    decodeNotice(headers: IncomingHttpHeaders): UpstreamNotice {
+    decodeNotice(status: number, headers: IncomingHttpHeaders): UpstreamNotice {
         return {
             requestRate: parseRequestRate(headers[REQUEST_RATE_HEADER]),
             isLeaving: headers[LEAVING_HEADER] === "1",
+            ...(status === STATUS_UNAVAILABLE ? { retryAfterMs: parseRetryAfter(headers["retry-after"]) } : {}),
         };
     }
 }
--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -114,7 +114,7 @@
                     status,
                     headers: createAnswerHeaders(headers),
                     body,
-                    notice: protocol.decodeNotice(headers),
+                    notice: protocol.decodeNotice(status, headers),
                 });
                 return;
             case AnswerCheckKind.Shed:
@@ -123,7 +123,7 @@
                 this.#resolve({
                     kind: UpstreamAnswerKind.Shed,
                     retryAfterMs: result.retryAfterMs,
-                    notice: protocol.decodeNotice(headers),
+                    notice: protocol.decodeNotice(status, headers),
                 });
                 return;
             case AnswerCheckKind.Misdirected:
--- a/src/services/exchange/UpstreamNotice.ts
+++ b/src/services/exchange/UpstreamNotice.ts
@@ -4,4 +4,6 @@
     readonly requestRate: number | undefined;
     /** Whether it leaves and wants no more requests. */
     readonly isLeaving: boolean;
+    /** For how long it wants no request from this host, in milliseconds; undefined if it doesn't say. */
+    readonly retryAfterMs?: number | undefined;
 }
--- a/src/services/exchange/UpstreamProtocol.ts
+++ b/src/services/exchange/UpstreamProtocol.ts
@@ -40,7 +40,8 @@
     ): AnswerCheckResult;
     /**
      * Decodes what a response says about the upstream that sent it.
-     * @param headers - The header fields of the response.
+     * @param status - The status of the response.
+     * @param headers - Its header fields.
      */
-    decodeNotice(headers: IncomingHttpHeaders): UpstreamNotice;
+    decodeNotice(status: number, headers: IncomingHttpHeaders): UpstreamNotice;
 }
--- a/src/services/pools/PooledUpstream.ts
+++ b/src/services/pools/PooledUpstream.ts
@@ -50,7 +50,7 @@
     #ejectedTime = Number.NEGATIVE_INFINITY;
     #rampSlots = 1;
     #rampAnswers = 0;
-    #shedUntil = Number.NEGATIVE_INFINITY;
+    #pausedUntil = Number.NEGATIVE_INFINITY;
 
     /**
      * @param upstream - The upstream as configured.
@@ -144,7 +144,7 @@
 
     /** Gets the time until it may be sent a request, whether or not a slot is free, in milliseconds. */
     getPauseMs(): number {
-        return Math.max(0, this.#shedUntil - this.#clock.getTime(), this.rateLimiter.getPauseMs());
+        return Math.max(0, this.#pausedUntil - this.#clock.getTime(), this.rateLimiter.getPauseMs());
     }
 
     /** Whether it is in service: neither ejected, draining nor on probation. */
@@ -204,11 +204,11 @@
     }
 
     /**
-     * Records that it shed load, and pauses new requests to it.
+     * Records that it wants no requests for a time; a longer pause that has begun before stays.
      * @param pauseMs - The length of the pause, in milliseconds.
      */
-    recordShed(pauseMs: number): void {
-        this.#shedUntil = this.#clock.getTime() + pauseMs;
+    recordPause(pauseMs: number): void {
+        this.#pausedUntil = Math.max(this.#pausedUntil, this.#clock.getTime() + pauseMs);
     }
 
     /** Records an answer in time during the ramp; returns whether the ramp has reached all slots. */
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -87,6 +87,7 @@
         this.#selector = new UpstreamSelector(policy, () => this.#budget.hasSpareRetry());
         this.#queue = new SlotQueue({
             clock,
+            random,
             selector: this.#selector,
             getFastLatency: request => this.#routeLatencies.findP10(request.route) ?? this.#limit.getFastLatency(),
             getUsualLatency: request => this.#routeLatencies.findP75(request.route) ?? this.#limit.getFastLatency(),
--- a/src/services/pools/UpstreamSet.ts
+++ b/src/services/pools/UpstreamSet.ts
@@ -146,7 +146,10 @@
 }
 
 function getFreeSlots(upstream: PooledUpstream): number {
-    const free = upstream.isReservedForLookups() ? 0 : Math.max(0, upstream.getLimit() - upstream.getRunning());
+    if (upstream.isReservedForLookups() || upstream.getPauseMs() > 0) {
+        return 0;
+    }
+    const free = Math.max(0, upstream.getLimit() - upstream.getRunning());
     return Math.min(free, upstream.rateLimiter.getAllowance());
 }
 
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -11,6 +11,8 @@
 const SMOOTHING = 1 / 32;
 const DEFAULT_SLOT_TIME_MS = 10;
 const MIN_RETRY_AFTER_MS = 100;
+/** Callers that are refused while no upstream wants requests return spread over this share of the time named to them. */
+const RETURN_SPREAD_SHARE = 0.25;
 
 /** Queues requests for slots, fairly among accounts, and refuses those that would miss their deadlines. */
 export class SlotQueue {
@@ -189,12 +191,18 @@
     }
 
     #createDeadlineRefusal(waitMs: number): NotRunOutcome {
-        const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
+        const retryAfterMs = this.#getRetryAfter(waitMs);
         return createNotRun(RefusalReason.Overloaded, "No slot would be free before the deadline.", retryAfterMs);
     }
 
     #createFullRefusal(account: string, weight: number): NotRunOutcome {
-        const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(this.#measureWait(account, weight)));
+        const retryAfterMs = this.#getRetryAfter(this.#measureWait(account, weight));
         return createNotRun(RefusalReason.Overloaded, "The account's share of the queue is full.", retryAfterMs);
     }
+
+    #getRetryAfter(waitMs: number): number {
+        const { selector, random } = this.#options;
+        const spreadMs = selector.getPauseMs() > 0 ? random.getNext() * RETURN_SPREAD_SHARE * waitMs : 0;
+        return Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs + spreadMs));
+    }
 }
--- a/src/services/queue/SlotQueueOptions.ts
+++ b/src/services/queue/SlotQueueOptions.ts
@@ -1,3 +1,4 @@
+import type { RandomSource } from "../../random/index.js";
 import type { Clock } from "../../time/index.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
 import type { UpstreamSelector } from "./UpstreamSelector.js";
@@ -5,6 +6,7 @@
 /** Dependencies and limits of a slot queue. */
 export interface SlotQueueOptions {
     readonly clock: Clock;
+    readonly random: RandomSource;
     readonly selector: UpstreamSelector;
     /** Gets a low quantile of the latencies of such requests, in milliseconds; 0 while there are too few samples. */
     readonly getFastLatency: (request: ServiceRequest) => number;
--- a/tests/platform/protocols.test.ts
+++ b/tests/platform/protocols.test.ts
@@ -110,12 +110,24 @@
 });
 
 test("decodes the request rate that an upstream names, and tells no limit from one that can't be read", () => {
-    const decode = (value: string): number | undefined => upstreams.decodeNotice({ "server-limit": value }).requestRate;
-    assert.is(upstreams.decodeNotice({}).requestRate, Infinity);
+    const decode = (value: string): number | undefined =>
+        upstreams.decodeNotice(200, { "server-limit": value }).requestRate;
+    assert.is(upstreams.decodeNotice(200, {}).requestRate, Infinity);
     assert.equal(["2.5", "0.25", "1", "0", ".5", "3.", "1e-3"].map(decode), [2.5, 0.25, 1, 0, 0.5, 3, 0.001]);
     for (const value of ["", " ", "-1", "1,5", "1, 2", "NaN", "Infinity", "1e999", "0x10", "fast"]) {
         assert.is(decode(value), undefined, value);
     }
 });
 
+test("decodes for how long an upstream wants no requests from a 503 only, and takes what can't be read for no time", () => {
+    const decode = (value: string, status = 503): number | undefined =>
+        upstreams.decodeNotice(status, { "retry-after": value }).retryAfterMs;
+    assert.equal(["8", "0.25", "0", "31536000"].map(value => decode(value)), [8_000, 250, 0, 31_536_000_000]);
+    for (const value of ["", "-1", "soon", "Fri, 31 Dec 1999 23:59:59 GMT", "1e999", "NaN"]) {
+        assert.is(decode(value), undefined, value);
+    }
+    assert.is(decode("8", 200), undefined);
+    assert.is(decode("8", 500), undefined);
+});
+
 test.run();
--- a/tests/platform/upstreamNotices.test.ts
+++ b/tests/platform/upstreamNotices.test.ts
@@ -9,6 +9,10 @@
 const LOAD_MS = 6_500;
 /** Time after the first response from which a notice is kept, in milliseconds. */
 const LEAVING_BOUND_MS = 2_000;
+const RETRY_AFTER_BOUND_MS = 500;
+const RETRY_AFTER_MS = 6_000;
+/** Requests that may still come while the upstream wants none. */
+const ALLOWED_IN_PAUSE = 2;
 
 const test = suite("what an upstream says in its responses");
 let fleet: EdgeFleet;
@@ -29,6 +33,22 @@
     assert.is(getCountSince(LEAVING_BOUND_MS), 0);
 });
 
+for (
+    const { name, proof } of [{ name: "with proof", proof: { "fuchsiapath-not-executed": "1" } }, {
+        name: "without",
+        proof: {},
+    }]
+) {
+    test(`an upstream that refuses with a time to return gets nothing until then, ${name} that it did not run`, async () => {
+        upstream.status = 503;
+        upstream.extraHeaders = { "retry-after": String(RETRY_AFTER_MS / 1_000), ...proof };
+        const statuses = await runLoad();
+        assert.is(statuses.filter(status => status !== 200).length, 0);
+        const count = getCountSince(RETRY_AFTER_BOUND_MS, RETRY_AFTER_MS);
+        assert.ok(count <= ALLOWED_IN_PAUSE, `${count} requests while it wants none`);
+    });
+}
+
 test.run();
 
 async function runLoad(): Promise<number[]> {
