--- a/tests/services/HttpUpstreamTransport.test.ts
+++ b/tests/services/HttpUpstreamTransport.test.ts
@@ -82,7 +82,7 @@
     assert.equal(await send(), {
         kind: UpstreamAnswerKind.Shed,
         retryAfterMs: 2_000,
-        notice: { requestRate: 4, isLeaving: false },
+        notice: { requestRate: 4, isLeaving: false, retryAfterMs: 2_000 },
     });
     listener = (_, response) => response.writeHead(503).end();
     assert.is((await send()).kind, UpstreamAnswerKind.Answered);
