Move host shares and the recording of notices out of the service host and its pool

ServiceHost and ServicePool had grown by the rate limit; each part is a class of its own now, the schema of addresses is that of the configuration, and three tests share one bench.

--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -34,7 +34,7 @@
 export type { Route } from "./Route.js";
 export { RouteAccess } from "./RouteAccess.js";
 export { RouteKind } from "./RouteKind.js";
-export { checkSchema } from "./schema/index.js";
+export { addressSchema, checkSchema } from "./schema/index.js";
 export type { Section } from "./Section.js";
 export type { Service } from "./Service.js";
 export type { ServicePart } from "./ServicePart.js";
--- a/src/configuration/schema/index.ts
+++ b/src/configuration/schema/index.ts
@@ -1,5 +1,6 @@
 export { accountKeySchema } from "./accountKeySchema.js";
 export { accountSchema } from "./accountSchema.js";
+export { addressSchema } from "./addressSchema.js";
 export { checkSchema } from "./checkSchema.js";
 export { documentFrameSchema } from "./documentFrameSchema.js";
 export { formatPlace } from "./formatPlace.js";
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -18,23 +18,12 @@
 import type { ServiceRequest } from "./ServiceRequest.js";
 import type { ServiceRunner } from "./ServiceRunner.js";
 import { BaselineSharer } from "./sharing/BaselineSharer.js";
+import { HostShares } from "./sharing/HostShares.js";
 
 /** Interval between reports, in milliseconds: two within the two-second window over which the floor is measured. */
 const SHARE_INTERVAL_MS = 1_000;
 const DEFAULT_WEIGHT = 1;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
-/** Number of service hosts of a part that entry hosts try in turn. */
-const SERVICE_HOST_RANKS = 3;
-/** Share of the retry budget that a service host may spend, relative to the one ranked before it. */
-const RANK_FACTOR = 0.5;
-/**
- * Shares of an upstream's request rate by the rank of the service host. Hosts that send to the upstream at once, as after a network
- * partition, can't know of each other, so all shares together exceed the rate by half only.
- */
-const RATE_SHARES = [1, 0.25, 0.125];
-/** Share of the rate that all other hosts have together. */
-const OTHER_HOSTS_RATE_SHARE = 0.125;
-
 /**
  * How long a pool with unreachable upstreams is handed over to another host, in milliseconds. Network partitions last five to
  * twelve seconds. If the pool returned earlier, requests to upstreams that are still unreachable would fail.
@@ -260,6 +249,7 @@
 
     #createPool(service: Service, zone: string, partKey: string): ServicePool {
         const { clock, random, transport, decisions, policy, stallMeter, lateAnswerMs, endsByDeadline } = this.#options;
+        const shares = new HostShares(this.#options.membership, service.name, zone, partKey);
         return new ServicePool(service, { zone, key: partKey, upstreams: findUpstreams(service, partKey) }, {
             clock,
             random,
@@ -272,32 +262,10 @@
             lateAnswerMs,
             endsByDeadline,
             getWeight: account => this.#getWeight(account),
-            getRetryShare: () => this.#getRetryShare(service.name, zone, partKey),
-            getRateShare: () => this.#getRateShare(service.name, zone, partKey),
+            getRetryShare: () => shares.getRetryShare(),
+            getRateShare: () => shares.getRateShare(),
         });
     }
-
-    /** The first service host of a part may spend all retries, the next ones less; all other hosts share the budget evenly. */
-    #getRetryShare(service: string, zone: string, partKey: string): number {
-        const rank = this.#getRank(service, zone, partKey);
-        return rank < 0 ? 1 / this.#getHostCount() : RANK_FACTOR ** rank;
-    }
-
-    #getRateShare(service: string, zone: string, partKey: string): number {
-        return RATE_SHARES[this.#getRank(service, zone, partKey)] ?? OTHER_HOSTS_RATE_SHARE / this.#getHostCount();
-    }
-
-    /** Gets this host's rank among the service hosts of a part; -1 if it is not one of the first. */
-    #getRank(service: string, zone: string, partKey: string): number {
-        const { membership } = this.#options;
-        const { peerAddress } = membership.getSelf();
-        return membership.getServiceHosts(service, zone, partKey).slice(0, SERVICE_HOST_RANKS)
-            .findIndex(host => host.peerAddress === peerAddress);
-    }
-
-    #getHostCount(): number {
-        return Math.max(1, this.#options.membership.getView().members.length);
-    }
 }
 
 function findUpstreams(service: Service | undefined, partKey: string): readonly Upstream[] {
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -13,7 +13,7 @@
 import type { AttemptPatience } from "../exchange/AttemptPatience.js";
 import { FirstByteLimit } from "../exchange/FirstByteLimit.js";
 import { getPatience } from "../exchange/getPatience.js";
-import type { UpstreamNotice } from "../exchange/UpstreamNotice.js";
+import { NoticeRecorder } from "../notices/NoticeRecorder.js";
 import type { UpstreamNoticeReport } from "../notices/UpstreamNoticeReport.js";
 import { encodeOutcome } from "../outcomes/encodeOutcome.js";
 import { RetryBudget } from "../queue/RetryBudget.js";
@@ -103,6 +103,7 @@
             hasCapacityElsewhere: () => this.#hasCapacityInOtherParts(),
             onCapacityChange: () => this.#runQueue(),
         });
+        const noticeRecorder = new NoticeRecorder(notices, decisions);
         const recorder = new AttemptRecorder({
             clock,
             outlierDetector: this.#outlierDetector,
@@ -110,7 +111,8 @@
             routeLatencies: this.#routeLatencies,
             getMinFailureWait: (pooled, request) => this.#getMinFailureWait(pooled, request),
             onCapacityChange: () => this.#runQueue(),
-            onNotice: (pooled, notice, isSuccess) => this.#recordNotice(pooled, notice, isSuccess),
+            onNotice: (pooled, notice, isSuccess) =>
+                noticeRecorder.record(this.#service.name, pooled.getUpstream(), notice, isSuccess),
         });
         this.#runner = new SlotRunner({
             ...options,
@@ -283,29 +285,6 @@
         return this.#upstreams.getSlots(this.#queue.getSlotTime());
     }
 
-    /**
-     * Records what an upstream says in a response. An upstream with a limit names it in its responses, but not each failure is
-     * written by the upstream itself, so that only a success without the field ends the limit.
-     */
-    #recordNotice(pooled: PooledUpstream, { requestRate, isLeaving }: UpstreamNotice, isSuccess: boolean): void {
-        const upstream = pooled.getUpstream();
-        if (isLeaving) {
-            this.#options.notices.recordLeaving(upstream);
-        }
-        if (requestRate === undefined || (requestRate === Infinity && !isSuccess)) {
-            return;
-        }
-        if (this.#options.notices.recordRequestRate(upstream, requestRate)) {
-            this.#options.decisions.record({
-                decision: Decision.RequestRateNamed,
-                reason: requestRate === Infinity ? "the limit has ended" : "the upstream names a limit",
-                service: this.#service.name,
-                upstream: upstream.name,
-                figures: requestRate === Infinity ? {} : { requestsPerSecond: requestRate },
-            });
-        }
-    }
-
     #ejectSilent(upstream: PooledUpstream): void {
         if (this.#options.policy === EjectionPolicy.Prompt) {
             this.#outlierDetector.ejectSilent(upstream);
--- a/tests/services/leavingUpstream.test.ts
+++ b/tests/services/leavingUpstream.test.ts
@@ -1,9 +1,8 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { ServiceBench } from "../../src/fakes/index.js";
-import { GATEWAY_SERVICE_DEFAULTS } from "../../src/gateway/index.js";
+import type { ServiceBench } from "../../src/fakes/index.js";
 import { OutcomeKind } from "../../src/outcomes/index.js";
-import { EjectionPolicy } from "../../src/services/index.js";
+import { createPromptBench } from "../support/createPromptBench.js";
 import { DispatchBench } from "../support/DispatchBench.js";
 
 const SECOND_MS = 1_000;
@@ -14,7 +13,7 @@
 
 for (const isIdempotent of [true, false]) {
     test(`gets no request after its first such response, and none is refused, ${isIdempotent ? "lookups" : "orders"}`, async () => {
-        const bench = createBench();
+        const bench = createPromptBench(3);
         await bench.runLoad(40, SECOND_MS, { isIdempotent });
         bench.upstreams.applyFaults(LEAVING, { isLeaving: true });
         const before = bench.clock.getTime();
@@ -27,7 +26,7 @@
 }
 
 test("counts neither as free slots nor as capacity for the floor", async () => {
-    const bench = createBench();
+    const bench = createPromptBench(3);
     bench.upstreams.applyFaults(LEAVING, { isLeaving: true });
     await bench.runLoad(40, SECOND_MS);
     const [load] = bench.host.getLoads();
@@ -35,7 +34,7 @@
 });
 
 test("stays out of use while its registration says ready, and a new incarnation is used", async () => {
-    const bench = createBench();
+    const bench = createPromptBench(3);
     const applyIncarnation = (incarnation: string): void =>
         bench.apply({ upstreams: bench.service.upstreams.map(upstream => ({ ...upstream, incarnation })) });
     applyIncarnation("1");
@@ -52,7 +51,7 @@
 });
 
 test("is used again after a minute if its restarts can't be detected", async () => {
-    const bench = createBench();
+    const bench = createPromptBench(3);
     bench.upstreams.applyFaults(LEAVING, { isLeaving: true });
     await bench.runLoad(40, SECOND_MS);
     bench.upstreams.applyFaults(LEAVING, {});
@@ -86,16 +85,6 @@
 
 test.run();
 
-function createBench(): ServiceBench {
-    return new ServiceBench({
-        upstreams: 3,
-        policy: EjectionPolicy.Prompt,
-        isFirstOfTwo: true,
-        service: GATEWAY_SERVICE_DEFAULTS,
-        fakes: { serviceTimeMs: SERVICE_TIME_MS },
-    });
-}
-
 function getTimes(bench: ServiceBench): number[] {
     return bench.upstreams.records.filter(({ upstream }) => upstream === LEAVING).map(({ time }) => time);
 }
--- a/tests/services/upstreamPause.test.ts
+++ b/tests/services/upstreamPause.test.ts
@@ -1,14 +1,11 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import type { FakeUpstreamFaults } from "../../src/fakes/index.js";
-import { ServiceBench } from "../../src/fakes/index.js";
-import { GATEWAY_SERVICE_DEFAULTS } from "../../src/gateway/index.js";
+import type { FakeUpstreamFaults, ServiceBench } from "../../src/fakes/index.js";
 import type { NotRunOutcome } from "../../src/outcomes/index.js";
 import { OutcomeKind } from "../../src/outcomes/index.js";
-import { EjectionPolicy } from "../../src/services/index.js";
+import { createPromptBench } from "../support/createPromptBench.js";
 
 const SECOND_MS = 1_000;
-const SERVICE_TIME_MS = 40;
 const RETRY_AFTER_MS = 8_000;
 const REFUSING = "u0";
 /** Requests in progress when the upstream refuses the first may be refused too. */
@@ -25,7 +22,7 @@
 for (const { name, faults } of FAULTS) {
     for (const isIdempotent of [true, false]) {
         test(`gets nothing until then, ${name} that it did not run, ${isIdempotent ? "lookups" : "orders"}`, async () => {
-            const bench = createBench(3);
+            const bench = createPromptBench(3);
             await bench.runLoad(20, SECOND_MS, { isIdempotent });
             bench.upstreams.applyFaults(REFUSING, faults);
             const before = bench.clock.getTime();
@@ -42,7 +39,7 @@
 }
 
 test("a time of a year is cut to five minutes", async () => {
-    const bench = createBench(3);
+    const bench = createPromptBench(3);
     bench.upstreams.applyFaults(REFUSING, { isShedding: true, retryAfterMs: YEAR_MS });
     await bench.runLoad(20, 2 * SECOND_MS);
     bench.upstreams.applyFaults(REFUSING, {});
@@ -54,7 +51,7 @@
 });
 
 test("a shorter time that is named later does not end a longer one", async () => {
-    const bench = createBench(1, 2);
+    const bench = createPromptBench(1, 2);
     bench.upstreams.applyFaults(REFUSING, { isShedding: true, retryAfterMs: RETRY_AFTER_MS });
     const first = bench.send({ timeoutMs: 500 });
     await bench.clock.run(0.5);
@@ -70,7 +67,7 @@
 });
 
 test("while all upstreams want no requests, callers are refused at once with times that are spread", async () => {
-    const bench = createBench(2);
+    const bench = createPromptBench(2);
     [REFUSING, "u1"].forEach(name =>
         bench.upstreams.applyFaults(name, { isShedding: true, retryAfterMs: RETRY_AFTER_MS })
     );
@@ -90,7 +87,7 @@
 });
 
 test("a request that can wait until an upstream wants requests again is served", async () => {
-    const bench = createBench(1);
+    const bench = createPromptBench(1);
     bench.upstreams.applyFaults(REFUSING, { isShedding: true, retryAfterMs: SECOND_MS });
     await bench.runLoad(5, 500, { isIdempotent: false });
     bench.upstreams.applyFaults(REFUSING, { isShedding: true, retryAfterMs: SECOND_MS });
@@ -105,17 +102,6 @@
 
 test.run();
 
-function createBench(upstreams: number, slots = 6): ServiceBench {
-    return new ServiceBench({
-        upstreams,
-        slots,
-        policy: EjectionPolicy.Prompt,
-        isFirstOfTwo: true,
-        service: GATEWAY_SERVICE_DEFAULTS,
-        fakes: { serviceTimeMs: SERVICE_TIME_MS },
-    });
-}
-
 function getTimes(bench: ServiceBench): number[] {
     return bench.upstreams.records.filter(({ upstream }) => upstream === REFUSING).map(({ time }) => time);
 }
--- a/tests/services/upstreamRateLimit.test.ts
+++ b/tests/services/upstreamRateLimit.test.ts
@@ -1,12 +1,10 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import type { FakeUpstreamFaults } from "../../src/fakes/index.js";
-import { ServiceBench } from "../../src/fakes/index.js";
-import { GATEWAY_SERVICE_DEFAULTS } from "../../src/gateway/index.js";
+import type { FakeUpstreamFaults, ServiceBench } from "../../src/fakes/index.js";
 import type { NotRunOutcome } from "../../src/outcomes/index.js";
 import { OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
-import { EjectionPolicy } from "../../src/services/index.js";
 import type { ServiceRequest } from "../../src/services/index.js";
+import { createPromptBench } from "../support/createPromptBench.js";
 import { DispatchBench } from "../support/DispatchBench.js";
 import { measureMostInWindow } from "../support/measureMostInWindow.js";
 
@@ -24,7 +22,7 @@
 for (const requestRate of [0.25, 1, 2.5, 10]) {
     for (const request of [ORDER, LOOKUP]) {
         test(`a limit of ${requestRate} a second is kept and used, ${request.route}`, async () => {
-            const bench = createBench();
+            const bench = createPromptBench(5);
             bench.upstreams.applyFaults(LIMITED, { requestRate });
             await bench.runLoad(60, 20 * SECOND_MS, request);
             const times = getTimes(bench).filter(time => time > IN_FORCE_MS);
@@ -46,7 +44,7 @@
     ]
 ) {
     test(`trials, retries and returns of an upstream that ${name} keep to its limit`, async () => {
-        const bench = createBench();
+        const bench = createPromptBench(5);
         bench.upstreams.applyFaults(LIMITED, { requestRate: 1 });
         await bench.runLoad(30, 2 * SECOND_MS, LOOKUP);
         for (const change of [faults, {}, faults, {}]) {
@@ -60,7 +58,7 @@
 }
 
 test("a limit of a quarter a second lets the next request through after four seconds", async () => {
-    const bench = createBench(1);
+    const bench = createPromptBench(1);
     bench.upstreams.applyFaults(LIMITED, { requestRate: 0.25 });
     await bench.runLoad(20, SECOND_MS, ORDER);
     const before = getTimes(bench).at(-1)!;
@@ -72,7 +70,7 @@
 });
 
 test("a limit that rises, falls or is no longer named applies from the next response on", async () => {
-    const bench = createBench();
+    const bench = createPromptBench(5);
     const measureRate = async (faults: FakeUpstreamFaults): Promise<number> => {
         bench.upstreams.applyFaults(LIMITED, faults);
         await bench.runLoad(60, 5 * SECOND_MS, LOOKUP);
@@ -92,7 +90,7 @@
 });
 
 test("a limit of zero leaves one request in twenty seconds, which finds out when the limit ends", async () => {
-    const bench = createBench();
+    const bench = createPromptBench(5);
     bench.upstreams.applyFaults(LIMITED, { requestRate: 0 });
     await bench.runLoad(60, 2 * SECOND_MS, LOOKUP);
     const before = getTimes(bench).length;
@@ -104,7 +102,7 @@
 });
 
 test("orders beyond the limits of all upstreams are refused at once with the time at which one may be sent", async () => {
-    const bench = createBench(2);
+    const bench = createPromptBench(2);
     [LIMITED, "u1"].forEach(name => bench.upstreams.applyFaults(name, { requestRate: 0.5 }));
     await bench.runLoad(30, 4 * SECOND_MS, ORDER);
     const start = bench.clock.getTime();
@@ -124,21 +122,21 @@
 });
 
 test("requests that are above one upstream's limit go to the others, and none is refused", async () => {
-    const bench = createBench(3);
+    const bench = createPromptBench(3);
     bench.upstreams.applyFaults(LIMITED, { requestRate: 1 });
     const answers = await bench.runLoad(40, 10 * SECOND_MS, ORDER);
     assert.ok(answers.every(({ outcome }) => outcome.kind === OutcomeKind.Done));
 });
 
 test("an upstream below its limit is neither taken for silent nor for slow", async () => {
-    const bench = createBench();
+    const bench = createPromptBench(5);
     bench.upstreams.applyFaults(LIMITED, { requestRate: 0.25 });
     await bench.runLoad(40, 40 * SECOND_MS, ORDER);
     assert.ok(bench.getStates().every(state => state === "healthy"), bench.getStates().join());
 });
 
 test("an upstream that was removed and returns as the same incarnation keeps its limit, a new one has none", async () => {
-    const bench = createBench(3);
+    const bench = createPromptBench(3);
     const applyIncarnation = (incarnation: string): void =>
         bench.apply({ upstreams: bench.service.upstreams.map(upstream => ({ ...upstream, incarnation })) });
     applyIncarnation("1");
@@ -187,16 +185,6 @@
 
 test.run();
 
-function createBench(upstreams = 5): ServiceBench {
-    return new ServiceBench({
-        upstreams,
-        policy: EjectionPolicy.Prompt,
-        isFirstOfTwo: true,
-        service: GATEWAY_SERVICE_DEFAULTS,
-        fakes: { serviceTimeMs: SERVICE_TIME_MS },
-    });
-}
-
 function getTimes(bench: ServiceBench): number[] {
     return bench.upstreams.records.filter(({ upstream }) => upstream === LIMITED).map(({ time }) => time);
 }
