Let the upstream stand-in say what an upstream says of itself

A limit of its request rate, that it leaves, and a 503 with a time to return, with and without proof that the work did not run. The test reads each with the product's protocol.

--- a/src/standins/UpstreamStandIn.ts
+++ b/src/standins/UpstreamStandIn.ts
@@ -140,8 +140,13 @@
         const record = this.#records.add(request, this.getFaults().isDraining);
         const controller = new AbortController();
         response.on("close", () => controller.abort());
+        this.#writeNotices(response);
         try {
             await readWhole(request);
+            const { refusalMs, isRefusalProven } = this.getFaults();
+            if (refusalMs > 0) {
+                return this.#refuse(response, record, controller.signal, refusalMs, isRefusalProven);
+            }
             await this.#runInSlot(request, response, record, controller.signal);
         }
         catch {
@@ -150,6 +155,17 @@
         this.#recordState();
     }
 
+    /** Writes the header fields with what the upstream says about itself. */
+    #writeNotices(response: ServerResponse): void {
+        const { requestRate, isLeaving } = this.getFaults();
+        if (requestRate !== null) {
+            response.setHeader("x-upstream-request-rate", String(requestRate));
+        }
+        if (isLeaving) {
+            response.setHeader("x-upstream-leaving", "1");
+        }
+    }
+
     async #runInSlot(
         request: IncomingMessage,
         response: ServerResponse,
@@ -199,13 +215,21 @@
         await this.#answers.write(request, response, record, work, signal);
     }
 
-    #refuse(response: ServerResponse, record: UpstreamRecord, signal: AbortSignal): void {
+    #refuse(
+        response: ServerResponse,
+        record: UpstreamRecord,
+        signal: AbortSignal,
+        retryAfterMs = this.#settings.retryAfterMs,
+        isProven = true,
+    ): void {
         if (signal.aborted) {
             return this.#records.recordEnd(record, RecordEnd.Cancelled);
         }
         this.#records.recordEnd(record, RecordEnd.Shed, STATUS_UNAVAILABLE);
-        response.setHeader("x-request-not-run", "1");
-        response.setHeader("retry-after", Math.ceil(this.#settings.retryAfterMs / MS_PER_SECOND));
+        if (isProven) {
+            response.setHeader("x-request-not-run", "1");
+        }
+        response.setHeader("retry-after", Math.ceil(retryAfterMs / MS_PER_SECOND));
         sendJson(response, STATUS_UNAVAILABLE, { detail: "No slot is free." });
     }
 
--- a/src/standins/upstreamFaults.ts
+++ b/src/standins/upstreamFaults.ts
@@ -25,6 +25,14 @@
     isRefusing: z.boolean().default(false),
     /** Whether the upstream is leaving. */
     isDraining: z.boolean().default(false),
+    /** The requests per second that its answers name as its limit; null for none. */
+    requestRate: z.number().min(0).nullable().default(null),
+    /** Whether its answers say that it leaves. */
+    isLeaving: z.boolean().default(false),
+    /** Work is refused with this time to return; 0 if it is not refused. */
+    refusalMs: duration.default(0),
+    /** Whether such a refusal proves that the work did not run. */
+    isRefusalProven: z.boolean().default(true),
     healthMode: z.enum(ReportMode).default(ReportMode.Lagging),
     loadMode: z.enum(ReportMode).default(ReportMode.Lagging),
 });
--- a/tests/standins/UpstreamStandIn.test.ts
+++ b/tests/standins/UpstreamStandIn.test.ts
@@ -2,6 +2,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { FakeClock } from "../../src/fakes/index.js";
+import { ProductUpstreamProtocol } from "../../src/services/index.js";
 import { RecordEnd, UpstreamControl, upstreamSettings, UpstreamStandIn } from "../../src/standins/index.js";
 import { SystemClock } from "../../src/time/index.js";
 
@@ -42,6 +43,24 @@
     assert.is((JSON.parse(text.slice(0, text.indexOf("\n"))) as { bytes: number; }).bytes, 200_000);
 });
 
+test("what an upstream says of itself is read by the product's protocol", async () => {
+    const protocol = new ProductUpstreamProtocol();
+    await start({ faults: { requestRate: 2.5, isLeaving: true } });
+    const answer = await get("/a");
+    assert.equal(protocol.decodeNotice(answer.statusCode, answer.headers), { requestRate: 2.5, isLeaving: true });
+    for (const isRefusalProven of [true, false]) {
+        upstream.applyFaults({ ...upstream.getFaults(), isLeaving: false, refusalMs: 8_000, isRefusalProven });
+        const refusal = await get("/b");
+        assert.equal([refusal.statusCode, refusal.headers["x-request-not-run"] === "1"], [503, isRefusalProven]);
+        assert.equal(protocol.decodeNotice(refusal.statusCode, refusal.headers), {
+            requestRate: 2.5,
+            isLeaving: false,
+            retryAfterMs: 8_000,
+        });
+    }
+    assert.equal(upstream.getRecords().map(({ ran }) => ran), [true, false, false]);
+});
+
 test("work beyond slots and queue is shed as not run", async () => {
     const clock = new FakeClock();
     await start({ serviceTime: { kind: "fixed", ms: LONG_MS } }, clock);
