Name the upstreams with a limited request rate in the explanation of a refusal

A caller refused for lack of slots was told of ejected upstreams only. explain now lists the limits in force at the host that refused, from the lines request-rate-named. What an upstream says of leaving is in its drained line; a pause that a 503 asked for has no line of its own yet.

--- a/src/explanation/findCause.ts
+++ b/src/explanation/findCause.ts
@@ -3,6 +3,7 @@
 import { RateBasis } from "../rates/index.js";
 import type { Cause } from "./Cause.js";
 import { CauseKind } from "./CauseKind.js";
+import { findLimitedUpstreams } from "./findLimitedUpstreams.js";
 import { findUnhealthyUpstreams } from "./findUnhealthyUpstreams.js";
 import { isFinal } from "./isFinal.js";
 import type { LoggedDecision } from "./LoggedDecision.js";
@@ -156,10 +157,12 @@
         return undefined;
     }
     const unhealthy = refusals.flatMap(item => findUnhealthyUpstreams(item, context));
+    const limited = refusals.flatMap(item => findLimitedUpstreams(item, context));
     const hosts = [...new Set(refusals.map(item => `${item.host} (${item.reason})`))].join(", ");
     const summary = `${last.service} had no free slot in time at ${hosts}; ` +
-        `${unhealthy.length} of its upstreams were ejected or unhealthy there.`;
-    return createCause(CauseKind.InsufficientCapacity, summary, unhealthy);
+        `${unhealthy.length} of its upstreams were ejected or unhealthy there` +
+        (limited.length === 0 ? "." : `, ${limited.length} had named a limit of their request rate.`);
+    return createCause(CauseKind.InsufficientCapacity, summary, [...unhealthy, ...limited]);
 }
 
 function getEarlierDecisions(item: LoggedDecision, context: readonly LoggedDecision[]): readonly LoggedDecision[] {
--- a/src/explanation/findUnhealthyUpstreams.ts
+++ b/src/explanation/findUnhealthyUpstreams.ts
@@ -15,7 +15,7 @@
 ): readonly LoggedDecision[] {
     const unhealthy = new Map<string, LoggedDecision>();
     const isRelevant = (item: LoggedDecision): boolean =>
-        item.file === decision.file && item.line < decision.line &&
+        item.file === decision.file && item.line < decision.line && item.decision !== Decision.RequestRateNamed &&
         (item.service === decision.service || item.decision === Decision.Started);
     for (const item of context.filter(isRelevant)) {
         const upstream = item.upstream ?? "";
--- a/src/explanation/readLogs.ts
+++ b/src/explanation/readLogs.ts
@@ -10,6 +10,7 @@
 /** Decisions that change a host's state or its view of upstreams, other hosts and the store. */
 const CONTEXT_DECISIONS: ReadonlySet<Decision> = new Set([
     Decision.ConfigurationApplied,
+    Decision.RequestRateNamed,
     Decision.DependencyChanged,
     Decision.Drained,
     Decision.Ejected,
--- a/tests/explanation/explanation.test.ts
+++ b/tests/explanation/explanation.test.ts
@@ -46,6 +46,33 @@
     await checkExplanation("service-short", "r2", [second, first, entry]);
 });
 
+test("a refusal for lack of capacity names the upstreams whose request rate was limited then", async () => {
+    const createLimit = (upstream: string, requestsPerSecond?: number): DecisionRecord => ({
+        decision: Decision.RequestRateNamed,
+        reason: requestsPerSecond === undefined ? "the limit has ended" : "the upstream names a limit",
+        service: "orders",
+        upstream,
+        figures: requestsPerSecond === undefined ? {} : { requestsPerSecond },
+    });
+    const entry = writeLog("entry", [
+        createRetry("r9", "overloaded", 1),
+        { decision: Decision.Refused, reason: "overloaded", requestId: "r9", ...FINAL, detail: "No slot." },
+    ]);
+    const host = writeLog("zone-a", [
+        createLimit("u1", 2.5),
+        createEjection("u3"),
+        createLimit("u2", 1),
+        createLimit("u3", 1),
+        createLimit("u2"),
+        createRefusal("r9", "overloaded"),
+        createLimit("u4", 1),
+    ]);
+    const { cause } = await findExplanation("r9", [entry, host]);
+    assert.is(cause.kind, CauseKind.InsufficientCapacity);
+    assert.match(cause.summary, "1 of its upstreams were ejected or unhealthy there, 2 had named a limit");
+    assert.equal(cause.evidence.map(({ upstream }) => upstream), ["u3", "u1", "u3"]);
+});
+
 test("an order whose service host was killed is explained by the lost connection and the host's restarts", async () => {
     const entry = writeLog("entry", [
         {
