--- a/review/lib/Backend.mjs
+++ b/review/lib/Backend.mjs
@@ -2,16 +2,37 @@
 import { createServer } from "node:http";
 
 const HEARTBEAT_MS = 1_500;
+/** Idle connections are closed after this time, which the Keep-Alive header states. */
+const IDLE_MS = 10_000;
+
+/** Longer bodies are recorded by their length only. */
+const MAX_RECORDED_BYTES = 1_000;
+
+/** Reads a body; undefined if its sender has broken off. */
+async function readWhole(request) {
+    const chunks = [];
+    try {
+        for await (const chunk of request) {
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        return undefined;
+    }
+    return Buffer.concat(chunks);
+}
 
 export class Backend {
     /** The requests that it began to work on. */
     runs = [];
     workMs = 20;
+    getWorkMs = () => this.workMs;
+    getBody = id => `answer to ${id}`;
     #id;
     #entry;
     #store;
     #timer;
-    #server = createServer((request, response) => void this.#serve(request, response));
+    #server = createServer({ keepAliveTimeout: IDLE_MS }, (request, response) => void this.#serve(request, response));
 
     constructor(id, service, store, entry = {}) {
         this.#id = id;
@@ -36,6 +57,10 @@
         this.#timer = setInterval(() => this.#beat(), HEARTBEAT_MS);
     }
 
+    closeConnections() {
+        this.#server.closeAllConnections();
+    }
+
     stop() {
         clearInterval(this.#timer);
         this.#server.close();
@@ -50,9 +75,9 @@
     async #serve(request, response) {
         const headers = request.headers;
         const id = String(headers["fuchsiapath-attempt-id"]);
-        const chunks = [];
-        for await (const chunk of request) {
-            chunks.push(chunk);
+        const body = await readWhole(request);
+        if (body === undefined) {
+            return;
         }
         if (request.url === "/health") {
             response.writeHead(200, { "fuchsiapath-instance-id": this.#id }).end();
@@ -68,16 +93,16 @@
             backend: this.#id,
             method: request.method,
             path: request.url,
-            body: Buffer.concat(chunks).toString(),
+            body: body.length > MAX_RECORDED_BYTES ? `${body.length} bytes` : body.toString(),
             tenant: headers["fuchsiapath-tenant"],
             key: headers.authorization,
             time: performance.now(),
         });
-        await new Promise(resolve => setTimeout(resolve, this.workMs));
+        await new Promise(resolve => setTimeout(resolve, this.getWorkMs()));
         response.writeHead(200, {
             "fuchsiapath-attempt-id": id,
             "fuchsiapath-response-seal": `seal.${this.#id}.${id}`,
         });
-        response.end(`answer to ${id}`);
+        response.end(this.getBody(id, request.url));
     }
 }
--- a/review/lib/Edge.mjs
+++ b/review/lib/Edge.mjs
@@ -32,6 +32,10 @@
     });
 }
 
+const children = new Set();
+process.on("exit", () => children.forEach(child => child.kill("SIGKILL")));
+["SIGINT", "SIGTERM", "SIGHUP"].forEach(name => process.on(name, () => process.exit(2)));
+
 export class Edge {
     /** Each end of the process that the test did not order: { time, code, signal }. */
     ends = [];
@@ -87,9 +91,11 @@
             stdio: ["ignore", "pipe", "pipe"],
         });
         this.#child = child;
+        children.add(child);
         child.stdout.on("data", chunk => this.#output += chunk);
         child.stderr.on("data", chunk => this.#output += chunk);
         child.once("exit", (code, signal) => {
+            children.delete(child);
             if (!this.#ordered) {
                 this.ends.push({ time: performance.now(), code, signal });
             }
@@ -99,6 +105,10 @@
         });
     }
 
+    get pid() {
+        return this.#child.pid;
+    }
+
     getOutput() {
         return this.#output;
     }
--- a/review/lib/Store.mjs
+++ b/review/lib/Store.mjs
@@ -44,8 +44,13 @@
 
     async #serve(request, response) {
         const chunks = [];
-        for await (const chunk of request) {
-            chunks.push(chunk);
+        try {
+            for await (const chunk of request) {
+                chunks.push(chunk);
+            }
+        }
+        catch {
+            return;
         }
         if (this.mode === "silent" || this.silentFor.has(request.socket.remoteAddress)) {
             return;
