--- a/review/lib/Edge.mjs
+++ b/review/lib/Edge.mjs
@@ -153,14 +153,20 @@
     }
 }
 
+/** Below the range from which the system takes the ports of outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORTS = 18_000;
+let nextPort = Math.floor(Math.random() * PORTS);
+
 async function findPorts(ip, count) {
-    const servers = [];
-    for (let index = 0; index < count; index++) {
-        const server = createServer().listen(0, ip);
-        await once(server, "listening");
-        servers.push(server);
+    const ports = [];
+    while (ports.length < count) {
+        const port = FIRST_PORT + nextPort++ % PORTS;
+        const server = createServer().listen(port, ip);
+        if (await once(server, "listening").then(() => true, () => false)) {
+            ports.push(port);
+            await new Promise(resolve => server.close(resolve));
+        }
     }
-    const ports = servers.map(server => server.address().port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
     return ports;
 }
