--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,45 +1,91 @@
-// While the store is away, restarted processes wait for it; a SIGHUP in that time must not end them.
+// Orders with long bodies, inside the limits of the configuration, reach two machines at once; neither may exceed its memory.
+import { readFileSync } from "node:fs";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { send, wait } from "../lib/client.mjs";
+import { createDocument } from "../lib/createDocument.mjs";
 import { runCase } from "../lib/Fleet.mjs";
 
-const HOSTS = 8;
-const RESTARTED_HOSTS = 2;
-const RESTART_MS = 500;
-/** The longest outage of the store in the trouble list of the site. */
-const OUTAGE_MS = 4_500;
-/** Longer than a second after the start, so that no end lies within a second of a disturbance on its machine. */
-const FIRST_SIGNAL_MS = 1_300;
-const SIGNAL_GAP_MS = 850;
-const SIGNALS = 3;
+const HOSTS = 6;
+const BURDENED_HOSTS = 2;
+/** Of the settings of the site's machines, in MB of 2^20 bytes. */
+const MEMORY_MB = 350;
+const MEMORY_CHECK_MS = 20;
+/** The limit in the example of the wire, and the length of the bodies, which is below it; in bytes. */
+const MAX_BODY_BYTES = 67_108_864;
+const BODY_BYTES = 60_000_000;
+/** Long orders that come to a machine at once. */
+const ORDERS_AT_ONCE = 6;
+const ROUNDS = 4;
+const ROUND_MS = 9_000;
 const FAULT_ENDS = 3;
+const SMALL_ORDERS_PER_S = 10;
+const DEADLINE_MS = 8_000;
+
+/** Kills a process that exceeds its memory, as the platform does. */
+function watchMemory(fleet, peaks) {
+    return setInterval(() => {
+        for (const edge of fleet.edges.filter(each => each.isRunning())) {
+            const mb = readResidentMb(edge.pid);
+            peaks.set(edge.name, Math.max(peaks.get(edge.name) ?? 0, mb));
+            if (mb > MEMORY_MB) {
+                fleet.log(`${edge.name} uses ${mb.toFixed(0)} MB of ${MEMORY_MB} MB: the platform kills it`);
+                edge.signal("SIGKILL");
+            }
+        }
+    }, MEMORY_CHECK_MS);
+}
+
+function readResidentMb(pid) {
+    try {
+        return Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1] ?? 0) / 1_024;
+    }
+    catch {
+        return 0;
+    }
+}
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (fleet, hasTrouble) => {
-    await fleet.start({ hosts: HOSTS, restartMs: RESTART_MS });
-    const restarted = fleet.edges.slice(0, RESTARTED_HOSTS);
-    if (hasTrouble) {
-        fleet.store.mode = "silent";
-        fleet.log("the store does not answer any more");
+    const limits = { max_header_bytes: 16_384, max_body_bytes: MAX_BODY_BYTES, header_timeout_s: 3, idle_timeout_s: 15 };
+    await fleet.start({ hosts: HOSTS, document: createDocument({ limits }) });
+    const peaks = new Map();
+    const timer = watchMemory(fleet, peaks);
+    const burdened = fleet.edges.slice(0, BURDENED_HOSTS);
+    const small = [];
+    let isRunning = true;
+    const sendSmall = async () => {
+        for (let count = 0; isRunning; count++) {
+            await wait(1_000 / SMALL_ORDERS_PER_S);
+            const edge = burdened[count % burdened.length];
+            const options = { method: "POST", key: "key-1", body: "one pair", deadlineMs: DEADLINE_MS };
+            small.push(send(edge.front, `/order/small/${count}`, options));
+        }
+    };
+    const sender = sendSmall();
+    const body = Buffer.alloc(BODY_BYTES, "x");
+    for (let round = 1; round <= ROUNDS; round++) {
+        const begin = performance.now();
+        const count = hasTrouble ? ORDERS_AT_ONCE : 1;
+        fleet.log(`round ${round}: ${count} orders of ${BODY_BYTES} bytes to each of ${BURDENED_HOSTS} machines`);
+        const answers = await Promise.all(burdened.flatMap(edge =>
+            Array.from({ length: count }, (_, index) => {
+                const options = { method: "POST", key: "key-1", body, deadlineMs: DEADLINE_MS };
+                return send(edge.front, `/order/long/${round}/${index}`, options);
+            })
+        ));
+        fleet.log(`answers: ${answers.map(answer => answer.status ?? answer.error).join(" ")}`);
+        await wait(Math.max(0, begin + ROUND_MS - performance.now()));
     }
-    restarted.forEach(edge => edge.kill());
-    fleet.log(`${RESTARTED_HOSTS} of ${HOSTS} processes were killed; they start again after ${RESTART_MS} ms`);
-    await wait(RESTART_MS + FIRST_SIGNAL_MS);
-    const outageEnd = performance.now() + OUTAGE_MS - RESTART_MS - FIRST_SIGNAL_MS;
-    for (let count = 1; count <= SIGNALS; count++) {
-        const running = fleet.edges.filter(edge => edge.isRunning());
-        running.forEach(edge => edge.signal("SIGHUP"));
-        fleet.log(`SIGHUP number ${count} to ${running.length} running processes`);
-        await wait(SIGNAL_GAP_MS);
-        const ends = fleet.edges.flatMap(edge => edge.ends);
-        fleet.log(`processes that ended by themselves so far: ${ends.length} ${JSON.stringify(ends.map(end => end.signal))}`);
+    isRunning = false;
+    await sender;
+    clearInterval(timer);
+    const counts = {};
+    for (const { status, error } of await Promise.all(small)) {
+        counts[status ?? error] = (counts[status ?? error] ?? 0) + 1;
     }
-    await wait(Math.max(0, outageEnd - performance.now()));
-    fleet.store.mode = "up";
-    await wait(6_000);
-    const answer = await send(fleet.edges[0].front, "/lookup/1", { key: "key-1" });
-    fleet.log(`after the outage: status ${answer.status ?? answer.error}`);
+    fleet.log(`small orders of other clients: ${JSON.stringify(counts)}`);
+    fleet.log(`peak memory in MB: ${JSON.stringify([...peaks].map(([name, mb]) => [name, Math.round(mb)]))}`);
     const failed = fleet.edges.filter(edge => edge.ends.length >= FAULT_ENDS);
-    fleet.log(`machines whose process ended by itself ${FAULT_ENDS} times or more: ${failed.length} of ${HOSTS}`);
+    fleet.log(`machines whose process ended ${FAULT_ENDS} times or more with no disturbance: ${failed.length} of ${HOSTS}`);
     return failed.length >= Math.max(2, HOSTS / 10);
 });
