--- a/review/lib/Edge.mjs
+++ b/review/lib/Edge.mjs
@@ -128,10 +128,13 @@
         this.#child.kill("SIGKILL");
     }
 
-    /** Asks the process to stop; it is started again after it has ended. */
+    /** Asks the process to stop, and kills it after grace_s; it is started again after it has ended. */
     terminate() {
         this.#ordered = true;
-        this.#child.kill("SIGTERM");
+        const child = this.#child;
+        child.kill("SIGTERM");
+        const timer = setTimeout(() => child.kill("SIGKILL"), BOUNDS.grace_s * 1_000);
+        child.once("exit", () => clearTimeout(timer));
     }
 
     /** Waits until another process has been started. */
--- a/review/lib/Fleet.mjs
+++ b/review/lib/Fleet.mjs
@@ -1,7 +1,7 @@
 // A small deployment: a store, backends of two services and entry hosts as processes.
 import { writeFileSync } from "node:fs";
 import { Backend } from "./Backend.mjs";
-import { isReady, wait, waitUntil } from "./client.mjs";
+import { exchanges, isReady, wait, waitUntil } from "./client.mjs";
 import { createDocument } from "./createDocument.mjs";
 import { Edge } from "./Edge.mjs";
 import { Store } from "./Store.mjs";
@@ -58,8 +58,27 @@
         this.store.stop();
     }
 
+    /** Lists what was sent, answered and run, a line for each request. */
+    #listRequests() {
+        const names = new Map(this.edges.map(edge => [edge.front.port, edge.name]));
+        const byId = new Map();
+        this.getRuns().forEach(run => byId.set(run.id, [...byId.get(run.id) ?? [], run]));
+        const at = time => ((time - this.#start) / 1_000).toFixed(3);
+        return [
+            "sent at, id, machine, request, key, bytes | answered at, answer | run at, by, tenant",
+            ...exchanges.map(({ id, port, method, path, key, bytes, sent, answer }) => {
+                const answered = answer === undefined
+                    ? "no answer"
+                    : `${at(answer.ended)} ${answer.status ?? answer.error}${answer.isWhole === false ? " cut" : ""}`;
+                const ran = (byId.get(id) ?? []).map(run => `${at(run.time)} ${run.backend} ${run.tenant ?? "(no tenant)"}`);
+                const line = `${at(sent)} ${id} ${names.get(port)} ${method} ${path} ${key ?? "-"} ${bytes}`;
+                return `${line} | ${answered} | ${ran.length === 0 ? "not run" : ran.join(", ")}`;
+            }),
+        ];
+    }
+
     write(folder) {
-        writeFileSync(`${folder}/record.txt`, `${this.#lines.join("\n")}\n`);
+        writeFileSync(`${folder}/record.txt`, `${[...this.#lines, "", ...this.#listRequests()].join("\n")}\n`);
     }
 }
 
@@ -68,7 +87,7 @@
     const fleet = new Fleet();
     let code = 2;
     try {
-        code = await run(fleet, process.env.TROUBLE !== "0") ? 1 : 0;
+        code = await run(fleet) ? 1 : 0;
     }
     catch (error) {
         fleet.log(`the case could not run: ${error.stack ?? error}`);
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -3,11 +3,21 @@
 
 let next = 0;
 
+/** Every request that was sent, with its answer; readiness checks are left out. */
+export const exchanges = [];
+
 /** Sends one request; resolves with its answer or with the error. */
 export function send({ host, port }, path, options = {}) {
     const id = options.id ?? `a${(next++).toString(16).padStart(8, "0")}`;
     const sent = performance.now();
-    return new Promise(resolve => {
+    const method = options.method ?? "GET";
+    const bytes = Buffer.byteLength(options.body ?? "");
+    const exchange = { id, port, method, path, key: options.key, bytes, sent };
+    if (options.isRecorded !== false) {
+        exchanges.push(exchange);
+    }
+    return new Promise(resolveAnswer => {
+        const resolve = answer => resolveAnswer(exchange.answer = answer);
         const headers = {
             "host": "shop.example",
             "fuchsiapath-attempt-id": id,
@@ -15,7 +25,7 @@
             ...(options.key === undefined ? {} : { authorization: `Bearer ${options.key}` }),
             ...options.headers,
         };
-        const call = request({ host, port, path, method: options.method ?? "GET", headers, agent: false }, answer => {
+        const call = request({ host, port, path, method, headers, agent: false }, answer => {
             const chunks = [];
             answer.on("data", chunk => chunks.push(chunk));
             answer.on("error", () => {});
@@ -37,7 +47,7 @@
 }
 
 export async function isReady(edge) {
-    return (await send(edge.ready, "/fuchsiapath/ready", { limitMs: 1_000 })).status === 200;
+    return (await send(edge.ready, "/fuchsiapath/ready", { limitMs: 1_000, isRecorded: false })).status === 200;
 }
 
 export const wait = ms => new Promise(resolve => setTimeout(resolve, ms));
