Tell requests without an account from accounts of any name

Cause: requests without an API key were given the account name "anonymous", so they shared one space of names with the operators' accounts, and the upstream protocol left the name out for that word. Queues, crash records and order records mixed the two as well.

A request without an account now has no account (undefined) all the way: gateway, account host, order records and claims, crash records, the service host's queue, what upstreams get. No name is reserved any more, so no name an operator chooses can meet one. Ids of order records and the hash keys that select account hosts keep the two apart ("undefined" and "null" are names like others).

While hosts of both versions run, an older host still sends the word for requests on open routes; and claims of plain order keys by callers without an account, made before the update, are not found after it.

--- a/src/accounts/AccountHost.ts
+++ b/src/accounts/AccountHost.ts
@@ -14,8 +14,6 @@
 import { Quarantine } from "./Quarantine.js";
 import { RequestAdmission } from "./RequestAdmission.js";
 
-/** The account name under which requests without an API key are run. */
-const ANONYMOUS_ACCOUNT = "anonymous";
 const RETRY_AFTER_MS = 1_000;
 const CLEAN_UP_INTERVAL_MS = 30_000;
 
@@ -79,7 +77,7 @@
      * @param key - The order's key.
      */
     async findOutcome(account: string | undefined, key: string): Promise<Outcome> {
-        return await this.#orders.findOutcome(account ?? ANONYMOUS_ACCOUNT, key);
+        return await this.#orders.findOutcome(account, key);
     }
 
     /**
@@ -113,7 +111,7 @@
     }
 
     async #run(request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
-        const account = request.account?.name ?? ANONYMOUS_ACCOUNT;
+        const account = request.account?.name;
         const isIdempotent = request.route.kind !== RouteKind.Order;
         const fingerprint = getFingerprint(account, request);
         const deadline = this.#options.clock.getTime() + request.timeoutMs;
@@ -170,7 +168,7 @@
 
     #recordOutcome(request: CallerRequest, outcome: Outcome): void {
         const { requestId, account, route } = request;
-        const base = { requestId, account: account?.name ?? ANONYMOUS_ACCOUNT, service: route.service };
+        const base = { requestId, account: account?.name, service: route.service };
         switch (outcome.kind) {
             case OutcomeKind.Done:
                 return;
--- a/src/accounts/Quarantine.ts
+++ b/src/accounts/Quarantine.ts
@@ -48,11 +48,11 @@
 
     /**
      * Records a crash here and on the account's other hosts, and adds the crashes that they report.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for a caller without an API key.
      * @param fingerprint - The request's fingerprint.
      * @param event - The crash.
      */
-    async recordCrash(account: string, fingerprint: string, event: CrashEvent): Promise<void> {
+    async recordCrash(account: string | undefined, fingerprint: string, event: CrashEvent): Promise<void> {
         if (this.#hasSucceeded(fingerprint)) {
             return;
         }
@@ -122,7 +122,7 @@
         }
     }
 
-    #addEvents(account: string, fingerprint: string, events: readonly CrashEvent[]): void {
+    #addEvents(account: string | undefined, fingerprint: string, events: readonly CrashEvent[]): void {
         const time = this.#options.clock.getTime();
         const record = this.#crashes.get(fingerprint) ?? { events: new Map<string, CrashEvent>(), time };
         const wasQuarantined = record.events.size >= this.#crashThreshold;
--- a/src/fakes/FakeMembership.ts
+++ b/src/fakes/FakeMembership.ts
@@ -50,11 +50,11 @@
 
     /**
      * Gets the account hosts of a client account, first choice first.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for callers without an API key.
      * @param view - The view to look in.
      */
-    getAccountHosts(account: string, view = this.#view): readonly Member[] {
-        return getRanking(account, view.members).slice(0, ACCOUNT_HOST_COUNT);
+    getAccountHosts(account: string | undefined, view = this.#view): readonly Member[] {
+        return getRanking(account ?? "", view.members).slice(0, ACCOUNT_HOST_COUNT);
     }
 
     /**
--- a/src/fakes/FakeUpstreamRecord.ts
+++ b/src/fakes/FakeUpstreamRecord.ts
@@ -3,7 +3,7 @@
 /** One request that reached a fake upstream. */
 export interface FakeUpstreamRecord {
     readonly requestId: string;
-    readonly account: string;
+    readonly account: string | undefined;
     readonly upstream: string;
     readonly path: string;
     readonly isIdempotent: boolean;
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -18,7 +18,6 @@
 import { RouteDurations } from "./RouteDurations.js";
 import { selectService } from "./selectService.js";
 
-const ANONYMOUS_ACCOUNT = "anonymous";
 /** Retry delay sent while this host has no current configuration, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** Retry delay sent while this host is stopping, in milliseconds; another host can serve the retry. */
@@ -249,7 +248,7 @@
     }
 
     async #runWithAdmission(request: CallerRequest, context: RequestContext, signal: AbortSignal): Promise<Outcome> {
-        const account = request.account?.name ?? ANONYMOUS_ACCOUNT;
+        const account = request.account?.name;
         const deadline = this.#options.clock.getTime() + request.timeoutMs;
         const fingerprint = getFingerprint(account, request);
         if (request.account !== undefined) {
@@ -278,7 +277,12 @@
         throw new RefusalError(RefusalReason.RateExceeded, detail, decision.retryAfterMs);
     }
 
-    #createDispatchCall(request: CallerRequest, account: string, deadline: number, fingerprint: string): DispatchCall {
+    #createDispatchCall(
+        request: CallerRequest,
+        account: string | undefined,
+        deadline: number,
+        fingerprint: string,
+    ): DispatchCall {
         const configuration = this.#getConfiguration();
         const name = selectService(request.route, this.#options.random);
         const service = configuration.getService(name);
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -17,10 +17,10 @@
     isIsolated?(): boolean;
     /**
      * Gets the account hosts of a client account, first choice first.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for callers without an API key.
      * @param view - The view to select from; the active view if undefined.
      */
-    getAccountHosts(account: string, view?: MembershipView): readonly Member[];
+    getAccountHosts(account: string | undefined, view?: MembershipView): readonly Member[];
     /**
      * Gets the service hosts of a part of a service, first choice first.
      * @param service - The service's name.
--- a/src/membership/MembershipService.ts
+++ b/src/membership/MembershipService.ts
@@ -2,6 +2,7 @@
 import { Decision } from "../logging/index.js";
 import { ContactTimes } from "./ContactTimes.js";
 import { Freshness } from "./Freshness.js";
+import { getAccountKey } from "./getAccountKey.js";
 import { Gossip } from "./Gossip.js";
 import { HeadTracker } from "./HeadTracker.js";
 import { LayoutHistory } from "./LayoutHistory.js";
@@ -130,12 +131,12 @@
 
     /**
      * Gets the account hosts of a client account, first choice first.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for callers without an API key.
      * @param view - The view to select from; the active view if undefined.
      */
-    getAccountHosts(account: string, view?: MembershipView): readonly Member[] {
+    getAccountHosts(account: string | undefined, view?: MembershipView): readonly Member[] {
         const count = this.#options.accountHostCount ?? DEFAULT_ACCOUNT_HOSTS;
-        return this.#getTable(view ?? this.getView()).selectAcrossZones(`account ${account}`, count);
+        return this.#getTable(view ?? this.getView()).selectAcrossZones(getAccountKey(account), count);
     }
 
     /**
--- a/src/membership/RegisteredMembership.ts
+++ b/src/membership/RegisteredMembership.ts
@@ -1,6 +1,7 @@
 import { isDeepStrictEqual } from "node:util";
 import type { Member, MembershipView } from "../head/index.js";
 import { compareMembers } from "./compareMembers.js";
+import { getAccountKey } from "./getAccountKey.js";
 import type { Membership } from "./Membership.js";
 import type { PeerReachability } from "./PeerReachability.js";
 import { RendezvousTable } from "./RendezvousTable.js";
@@ -66,10 +67,10 @@
 
     /**
      * Gets the account hosts of a client account, which enforce its rate limit, first choice first.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for callers without an API key.
      */
-    getAccountHosts(account: string): readonly Member[] {
-        return this.#table.selectAcrossZones(`account ${account}`, ACCOUNT_HOST_CANDIDATES);
+    getAccountHosts(account: string | undefined): readonly Member[] {
+        return this.#table.selectAcrossZones(getAccountKey(account), ACCOUNT_HOST_CANDIDATES);
     }
 
     /**
--- a/src/orders/OrderCall.ts
+++ b/src/orders/OrderCall.ts
@@ -3,8 +3,8 @@
 /** A caller's order, as it is deduplicated. */
 export interface OrderCall {
     readonly request: CallerRequest;
-    /** The client account's name; "anonymous" for callers without an API key. */
-    readonly account: string;
+    /** The client account's name; undefined for callers without an API key. */
+    readonly account: string | undefined;
     /** When the first byte of the answer is due, in milliseconds of the clock. */
     readonly deadline: number;
     /** Digest of account, method, path and body. */
--- a/src/orders/OrderClaims.ts
+++ b/src/orders/OrderClaims.ts
@@ -44,11 +44,11 @@
 
     /**
      * Finds the holder of a key's claim; never rejects.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for callers without an API key.
      * @param key - The key.
      * @param deadline - When to give up, in milliseconds of the clock.
      */
-    async find(account: string, key: string, deadline: number): Promise<ClaimAnswer> {
+    async find(account: string | undefined, key: string, deadline: number): Promise<ClaimAnswer> {
         const { id, incarnation } = this.#options.membership.getSelf();
         const holder = { memberId: id, incarnation };
         return await this.#runUntil(deadline, { ...getBucketAndDigest(account, key), holder });
@@ -88,7 +88,7 @@
     }
 }
 
-function getBucketAndDigest(account: string, key: string): { bucket: number; digest: string; } {
-    const hash = createHash("sha256").update(JSON.stringify([account, key])).digest();
+function getBucketAndDigest(account: string | undefined, key: string): { bucket: number; digest: string; } {
+    const hash = createHash("sha256").update(JSON.stringify([account ?? null, key])).digest();
     return { bucket: hash.readUInt32BE(0) % BUCKET_COUNT, digest: hash.toString("base64url").slice(0, DIGEST_LENGTH) };
 }
--- a/src/orders/OrderIdentity.ts
+++ b/src/orders/OrderIdentity.ts
@@ -2,7 +2,8 @@
 
 /** Identifies an order and its content. */
 export interface OrderIdentity {
-    readonly account: string;
+    /** The account's name; undefined for a caller without an API key. */
+    readonly account?: string | undefined;
     readonly key: string;
     /** Digest of account, method, path and body. */
     readonly fingerprint: string;
--- a/src/orders/OrderLocator.ts
+++ b/src/orders/OrderLocator.ts
@@ -38,10 +38,10 @@
     /**
      * Finds the outcome of an order at its holder; never rejects.
      * @param holder - The holder.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for a caller without an API key.
      * @param key - The order's key.
      */
-    async findOutcome(holder: OrderHolder, account: string, key: string): Promise<Outcome> {
+    async findOutcome(holder: OrderHolder, account: string | undefined, key: string): Promise<Outcome> {
         const member = this.#findMember(holder);
         const candidates = member === undefined
             ? this.#getSuccessors(holder)
--- a/src/orders/OrderRecord.ts
+++ b/src/orders/OrderRecord.ts
@@ -5,7 +5,7 @@
 
 /** The record of one order and its outcome. It is created before the order is dispatched. */
 export class OrderRecord {
-    readonly account: string;
+    readonly account: string | undefined;
     readonly key: string;
     /** Digest of account, method, path and body. */
     readonly fingerprint: string;
--- a/src/orders/OrderRecords.ts
+++ b/src/orders/OrderRecords.ts
@@ -10,7 +10,7 @@
 export class OrderRecords {
     readonly #clock: Clock;
     readonly #records = new Map<string, OrderRecord>();
-    readonly #countsByAccount = new Map<string, number>();
+    readonly #countsByAccount = new Map<string | undefined, number>();
     readonly #recordsWithBody = new Set<OrderRecord>();
     #bodyBytes = 0;
 
@@ -21,18 +21,18 @@
 
     /**
      * Finds the record of an order.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for callers without an API key.
      * @param key - The order's key.
      */
-    find(account: string, key: string): OrderRecord | undefined {
+    find(account: string | undefined, key: string): OrderRecord | undefined {
         return this.#records.get(getId(account, key));
     }
 
     /**
      * Whether one more record of an account may be added.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for callers without an API key.
      */
-    hasCapacity(account: string): boolean {
+    hasCapacity(account: string | undefined): boolean {
         this.removeExpired(EXPIRY_CHECKS_FOR_EACH_NEW_RECORD);
         return this.#records.size < ORDER_LIMITS.maxRecords &&
             (this.#countsByAccount.get(account) ?? 0) < ORDER_LIMITS.maxRecordsOfAccount;
@@ -150,6 +150,6 @@
     }
 }
 
-function getId(account: string, key: string): string {
-    return `${account}\n${key}`;
+function getId(account: string | undefined, key: string): string {
+    return JSON.stringify([account ?? null, key]);
 }
--- a/src/orders/OrderRunner.ts
+++ b/src/orders/OrderRunner.ts
@@ -103,10 +103,10 @@
 
     /**
      * Finds the outcome of an order by its key; never rejects.
-     * @param account - The account's name.
+     * @param account - The account's name; undefined for callers without an API key.
      * @param key - The order's key.
      */
-    async findOutcome(account: string, key: string): Promise<Outcome> {
+    async findOutcome(account: string | undefined, key: string): Promise<Outcome> {
         const record = this.#records.find(account, key);
         if (record !== undefined) {
             return getCurrentOutcome(record);
@@ -236,7 +236,7 @@
         return this.#incarnations.getAge(holder) !== undefined;
     }
 
-    async #findClaimHolder(account: string, key: string): Promise<OrderHolder | undefined> {
+    async #findClaimHolder(account: string | undefined, key: string): Promise<OrderHolder | undefined> {
         const claim = await this.#claims.find(account, key, this.#options.clock.getTime() + RETRY_AFTER_MS);
         return claim.state === ClaimState.Taken ? claim.holder : undefined;
     }
@@ -267,7 +267,7 @@
 
     #findOrder(params: FindOrderParams): FindOrderResult {
         const isHolder = this.#incarnations.getAge(params) !== undefined;
-        if (params.account === undefined || params.key === undefined) {
+        if (params.key === undefined) {
             return { isHolder };
         }
         const record = this.#records.find(params.account, params.key);
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -238,8 +238,8 @@
     }
 
     /** Gets the weight of an account. Without a rate limit or a key, it is the mean weight of the accounts with a limit. */
-    #getWeight(account: string): number {
-        const rate = this.#configuration?.getAccount(account)?.rate ?? 0;
+    #getWeight(account: string | undefined): number {
+        const rate = account === undefined ? 0 : this.#configuration?.getAccount(account)?.rate ?? 0;
         if (rate > 0) {
             return rate;
         }
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -3,7 +3,8 @@
 /** A request that an account host sends to a service host. */
 export interface ServiceRequest {
     readonly requestId: string;
-    readonly account: string;
+    /** The client account's name; undefined for callers without an API key. */
+    readonly account?: string | undefined;
     readonly service: string;
     /** The route whose usual latency applies to the request; undefined if latencies are not measured by route. */
     readonly route?: string;
--- a/src/services/exchange/createUpstreamHeaders.ts
+++ b/src/services/exchange/createUpstreamHeaders.ts
@@ -15,7 +15,9 @@
         }
     }
     headers["x-request-id"] = request.requestId;
-    headers["x-account"] = request.account;
+    if (request.account !== undefined) {
+        headers["x-account"] = request.account;
+    }
     headers["x-deadline-ms"] = String(Math.max(0, Math.floor(deadlineMs)));
     return headers;
 }
--- a/src/services/pools/ServicePoolOptions.ts
+++ b/src/services/pools/ServicePoolOptions.ts
@@ -26,7 +26,7 @@
     /** Measures the time in which this process was stalled, which is subtracted from latencies. */
     readonly stallMeter?: StallMeter | undefined;
     /** Gets an account's share of the slots relative to others, above 0. */
-    readonly getWeight: (account: string) => number;
+    readonly getWeight: (account: string | undefined) => number;
     /** Gets this pool's share of the part's retry rate and of its token bucket, from 0 to 1. */
     readonly getRetryShare: () => number;
     /** Gets this host's share of the request rate that an upstream of the part accepts, above 0. */
--- a/src/services/queue/FairQueue.ts
+++ b/src/services/queue/FairQueue.ts
@@ -12,7 +12,7 @@
 
 /** A queue that divides slot time among accounts by their weights (start-time fair queueing). */
 export class FairQueue<T extends FairQueueItem> {
-    readonly #accounts = new Map<string, AccountQueue<T>>();
+    readonly #accounts = new Map<string | undefined, AccountQueue<T>>();
     #virtualTime = 0;
     #size = 0;
 
@@ -74,7 +74,7 @@
      * @param account - The account of the item.
      * @param differenceMs - The used minus the expected time, in milliseconds.
      */
-    recordCost(account: string, differenceMs: number): void {
+    recordCost(account: string | undefined, differenceMs: number): void {
         const queue = this.#accounts.get(account);
         if (queue !== undefined) {
             queue.startTag += differenceMs / queue.weight;
@@ -86,7 +86,7 @@
      * @param account - The account.
      * @param weight - The weight of the account.
      */
-    measureItemsAhead(account: string, weight: number): number {
+    measureItemsAhead(account: string | undefined, weight: number): number {
         const own = this.#accounts.get(account)?.items.length ?? 0;
         const rounds = (own + 1) / weight;
         let ahead = own;
@@ -113,7 +113,7 @@
      * Measures the length of an account's queue divided by its weight.
      * @param account - The account.
      */
-    measureWeightedLength(account: string): number {
+    measureWeightedLength(account: string | undefined): number {
         const queue = this.#accounts.get(account);
         return queue === undefined ? 0 : getWeightedLength(queue);
     }
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -84,7 +84,7 @@
      * @param expectedMs - The expected time, in milliseconds.
      * @param usedMs - The time used, in milliseconds.
      */
-    recordSlotTime(account: string, expectedMs: number, usedMs: number): void {
+    recordSlotTime(account: string | undefined, expectedMs: number, usedMs: number): void {
         this.#slotTimeMs = this.#hasSlotTime ? this.#slotTimeMs + SMOOTHING * (usedMs - this.#slotTimeMs) : usedMs;
         this.#hasSlotTime = true;
         this.#queue.recordCost(account, usedMs - expectedMs);
@@ -181,7 +181,7 @@
         return undefined;
     }
 
-    #measureWait(account: string, weight: number): number {
+    #measureWait(account: string | undefined, weight: number): number {
         const pauseMs = this.#options.selector.getPauseMs();
         if (!this.#hasSlotTime) {
             return pauseMs;
@@ -195,7 +195,7 @@
         return createNotRun(RefusalReason.Overloaded, "No slot would be free before the deadline.", retryAfterMs);
     }
 
-    #createFullRefusal(account: string, weight: number): NotRunOutcome {
+    #createFullRefusal(account: string | undefined, weight: number): NotRunOutcome {
         const retryAfterMs = this.#getRetryAfter(this.#measureWait(account, weight));
         return createNotRun(RefusalReason.Overloaded, "The account's share of the queue is full.", retryAfterMs);
     }
--- a/tests/platform/edge.test.ts
+++ b/tests/platform/edge.test.ts
@@ -153,6 +153,28 @@
     assert.is((await fleet.send(fleet.hosts[1]!, "/lookup/back")).status, 200);
 });
 
+test("an account named like a word of the program runs under its name, beside requests without an account", async () => {
+    const hosts = fleet.hosts.slice(0, 2);
+    const { tenants } = createDocument() as { tenants: Record<string, object>; };
+    store.write(
+        "op/config",
+        createDocument({ version: 12, tenants: { ...tenants, anonymous: { api_keys: ["key-4"] } } }),
+    );
+    await fleet.waitUntil(async () =>
+        (await Promise.all(hosts.map(host => fleet.send(host, "/lookup/n", { key: "key-4" }))))
+            .every(({ status }) => status === 200)
+    );
+    for (const host of hosts) {
+        await fleet.send(host, "/order/n", { key: "key-4", method: "POST", body: "x" });
+        await fleet.send(host, "/lookup/open/n", { key: undefined });
+    }
+    const received = [...upstreams.values()].flatMap(upstream => upstream.received);
+    const getAccounts = (path: string): unknown[] =>
+        received.filter(item => item.path === path).map(item => item.account);
+    assert.equal(getAccounts("/order/n"), ["anonymous", "anonymous"]);
+    assert.equal(getAccounts("/lookup/open/n"), [undefined, undefined]);
+});
+
 test("a truncated response without a content length is never forwarded as complete", async () => {
     upstreams.forEach(upstream => (upstream.isTruncating = true));
     const sends = fleet.hosts.slice(0, 2).flatMap(host =>
--- a/tests/platform/protocols.test.ts
+++ b/tests/platform/protocols.test.ts
@@ -29,7 +29,7 @@
     },
 };
 
-function createRequest(headers: Record<string, string>, account: string): ServiceRequest {
+function createRequest(headers: Record<string, string>, account?: string): ServiceRequest {
     return {
         requestId: "a1",
         account,
@@ -96,6 +96,14 @@
     );
 });
 
+test("every account is named to upstreams, whatever its name, and a request without an account names none", () => {
+    for (const account of ["anonymous", "undefined", "null"]) {
+        const headers = upstreams.createHeaders(UPSTREAM, createRequest({}, account), 1_000);
+        assert.is(headers["fuchsiapath-tenant"], account);
+    }
+    assert.not("fuchsiapath-tenant" in upstreams.createHeaders(UPSTREAM, createRequest({}), 1_000));
+});
+
 test("accepts only responses to the same request, and treats one as not run only if the upstream says so", () => {
     const request = createRequest({ "fuchsiapath-attempt-id": "a1" }, "clogs");
     const check = (status: number, headers: Record<string, string>): AnswerCheckKind =>
