Hand an account's tokens over when its owners change

At the same time a hot tenant got 80 where rate and burst allow 120, as owners' buckets began nearly empty after each restart.

Cause: a host that ceased to be an owner of an account kept its bucket, which went on filling at a share of the rate that the new owner granted too, and spent it when it became an owner again; each new owner also began with the refill of half a second.

A host that is no longer an owner now drains its bucket and sends the tokens to the host that replaces it (rate.handOverTokens); it keeps none. The giver debits first, so a lost message loses tokens. A bucket is filled from the last change of the view on, from zero: nobody else grants that share since. The owner's part of OwnedRateLimiter is a class of its own (RateOwner), as is the part of hosts that reach no owner (FallbackBuckets, unchanged in what it grants). The key by which empty owners are remembered can't join two names to a third one.

A property over random restarts and kills (40 plays in virtual time, views that reach hosts up to 400 ms apart) holds.

--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -20,4 +20,5 @@
     PullReplica = "replica.pull",
     CheckHost = "replica.check",
     SpendToken = "rate.spend",
+    HandOverTokens = "rate.handOverTokens",
 }
--- /dev/null
+++ b/src/rates/HandOverTokensResult.ts
@@ -0,0 +1,4 @@
+/** The answer to a hand-over of tokens. */
+export interface HandOverTokensResult {
+    readonly isReceived: true;
+}
--- /dev/null
+++ b/src/rates/OwnedBucket.ts
@@ -0,0 +1,10 @@
+import type { TokenBucket } from "./TokenBucket.js";
+
+/** The bucket of an account of whose rate this host is an owner. */
+export interface OwnedBucket {
+    readonly bucket: TokenBucket;
+    /** From when on the bucket fills, in milliseconds of the clock. */
+    readonly since: number;
+    /** The ids of the account's owners in the current view. */
+    owners: ReadonlySet<string>;
+}
--- a/src/rates/OwnedRateLimiter.ts
+++ b/src/rates/OwnedRateLimiter.ts
@@ -3,31 +3,18 @@
 import { Decision } from "../logging/index.js";
 import { PeerMethod, PeerSuspicion } from "../peers/index.js";
 import type { AdmitOptions } from "./AdmitOptions.js";
+import { FallbackBuckets } from "./FallbackBuckets.js";
 import { RateBasis } from "./RateBasis.js";
 import type { RateDecision } from "./RateDecision.js";
 import type { RateGrant } from "./RateGrant.js";
 import type { RateLimiter } from "./RateLimiter.js";
 import type { RateLimiterOptions } from "./RateLimiterOptions.js";
-import type { RateShare } from "./RateShare.js";
+import { RateOwner } from "./RateOwner.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
 import type { SpendTokenResult } from "./SpendTokenResult.js";
-import { TokenBucket } from "./TokenBucket.js";
 
-const MS_PER_SECOND = 1_000;
 /** Timeout of a call to an owner; a call to another availability zone takes a few milliseconds. */
 const SPEND_TIMEOUT_MS = 250;
-/**
- * Fraction of its even share of the rate that a host which reaches no owner may spend. It is below 1 because these tokens come on
- * top of those that the owners grant to the hosts that reach them.
- */
-const FALLBACK_FRACTION = 0.5;
-/** Smallest burst, in tokens, of a host that reaches no owner; with 1, the second of two requests in a row is refused. */
-const MIN_FALLBACK_BURST = 2;
-/**
- * A new bucket starts with the refill of this time, in milliseconds. It does not start full because the previous owner may just have
- * spent the burst.
- */
-const INITIAL_REFILL_MS = 500;
 /** Most owners whose empty buckets are remembered, over all accounts. */
 const MAX_EMPTY_OWNERS = 10_000;
 
@@ -39,16 +26,14 @@
 
 /**
  * Divides each account's rate evenly over a few hosts, the account's owners, which keep its token buckets. Each request asks the
- * owners in turn until one has a token, so an owner that does not answer costs its share of the rate only. A new owner's bucket starts
- * almost empty. A host that reaches no owner, or is asked for a token without being an owner, spends at most half of its even share
- * of the rate, so a network partition does not multiply the rate.
+ * owners in turn until one has a token, so an owner that does not answer costs its share of the rate only. A host that reaches no
+ * owner, or is asked for a token without being an owner, spends at most half of its even share of the rate, so a network partition does
+ * not multiply the rate.
  */
 export class OwnedRateLimiter implements RateLimiter {
     readonly #options: RateLimiterOptions;
-    readonly #ownerBuckets = new Map<string, TokenBucket>();
-    readonly #fallbackBuckets = new Map<string, TokenBucket>();
-    /** When this host created its bucket of an account as an owner, in milliseconds of the clock. */
-    readonly #ownedSince = new Map<string, number>();
+    readonly #owner: RateOwner;
+    readonly #fallback: FallbackBuckets;
     /** When an owner with an empty bucket has a token again, in milliseconds of the clock, by account and owner. */
     readonly #emptyUntil = new Map<string, number>();
     readonly #suspicion: PeerSuspicion;
@@ -57,7 +42,10 @@
     /** @param options - Dependencies of the limiter. */
     constructor(options: RateLimiterOptions) {
         this.#options = options;
-        this.#suspicion = new PeerSuspicion(options.clock);
+        const { clock, membership } = options;
+        this.#suspicion = new PeerSuspicion(clock);
+        this.#owner = new RateOwner(options);
+        this.#fallback = new FallbackBuckets(clock, membership);
         options.handlers.add(PeerMethod.SpendToken, params => this.#spendAsOwner(params));
     }
 
@@ -81,7 +69,7 @@
      * @param grant - The grant of the token.
      */
     restore(account: Account, grant: RateGrant): void {
-        this.#ownerBuckets.get(account.name)?.restore(grant.time, this.#options.clock.getTime());
+        this.#owner.restore(account.name, grant.time);
     }
 
     /** Asks each owner for a token without a wait first, and only then waits at the owner that has one soonest. */
@@ -106,7 +94,7 @@
         }
         const soonest = findSoonest(refusals);
         if (soonest === undefined) {
-            return this.#spendFallback({ ...params, maxWaitMs: options?.maxWaitMs ?? 0 });
+            return this.#fallback.spend({ ...params, maxWaitMs: options?.maxWaitMs ?? 0 });
         }
         const result = await this.#spendWithWait(soonest, params, options?.maxWaitMs ?? 0);
         return refusals.length < owners.length ? { ...result, basis: RateBasis.Partial } : result;
@@ -131,7 +119,7 @@
         if (this.#isSuspected(owner)) {
             return undefined;
         }
-        const key = `${params.account} ${owner.id}`;
+        const key = JSON.stringify([params.account, owner.id]);
         const emptyForMs = (this.#emptyUntil.get(key) ?? Number.NEGATIVE_INFINITY) - clock.getTime();
         if (emptyForMs > params.maxWaitMs) {
             return createEmptyResult(emptyForMs);
@@ -195,68 +183,7 @@
         if (params.fingerprint !== undefined && this.#options.isQuarantined?.(params.fingerprint) === true) {
             return { isSpent: false, waitMs: 0, retryAfterMs: 0, isQuarantined: true, basis: RateBasis.Whole };
         }
-        const { rate, burst } = this.#options.getConfiguration().getAccount(params.account) ?? params;
-        const share = this.#findShare(params.account, { rate, burst });
-        if (share === undefined) {
-            return this.#spendFallback(params);
-        }
-        const result = this.#spendFrom(this.#ownerBuckets, params, share);
-        return this.#isFilling(params.account, share) ? { ...result, basis: RateBasis.NewOwner } : result;
-    }
-
-    /**
-     * Finds this host's share of an account's rate, with a burst in whole tokens. The rate is divided over the owners that this host
-     * can reach; undefined if this host is not an owner or is isolated by a partition.
-     */
-    #findShare(account: string, { rate, burst }: RateShare): RateShare | undefined {
-        const { membership } = this.#options;
-        const self = membership.getSelf().id;
-        const reachable = membership.getAccountHosts(account).filter(({ id }) =>
-            id === self || membership.isReachable(id)
-        );
-        const index = reachable.findIndex(({ id }) => id === self);
-        if (index < 0 || membership.isIsolated?.() === true) {
-            return undefined;
-        }
-        return { rate: rate / reachable.length, burst: Math.floor((burst + index) / reachable.length) };
-    }
-
-    #spendFallback(params: SpendTokenParams): SpendTokenResult {
-        const hosts = Math.max(1, this.#options.membership.getView().members.length);
-        const fraction = FALLBACK_FRACTION / hosts;
-        const burst = Math.max(MIN_FALLBACK_BURST, fraction * params.burst);
-        const result = this.#spendFrom(this.#fallbackBuckets, params, { rate: fraction * params.rate, burst });
-        return { ...result, basis: RateBasis.Partial };
-    }
-
-    /** Whether this host has been an owner of the account for less time than the burst takes to fill. */
-    #isFilling(account: string, { rate, burst }: RateShare): boolean {
-        const since = this.#ownedSince.get(account) ?? Number.NEGATIVE_INFINITY;
-        return this.#options.clock.getTime() - since < burst / rate * MS_PER_SECOND;
-    }
-
-    #spendFrom(
-        buckets: Map<string, TokenBucket>,
-        params: SpendTokenParams,
-        { rate, burst }: RateShare,
-    ): SpendTokenResult {
-        const defaults = { waitMs: 0, retryAfterMs: 0, isQuarantined: false, basis: RateBasis.Whole };
-        if (rate === 0) {
-            return { ...defaults, isSpent: true };
-        }
-        const now = this.#options.clock.getTime();
-        const share = { rate, burst: Math.max(1, burst) };
-        const startTokens = Math.max(1, rate * INITIAL_REFILL_MS / MS_PER_SECOND);
-        const bucket = buckets.get(params.account) ?? new TokenBucket(share, startTokens, now);
-        if (buckets === this.#ownerBuckets && !buckets.has(params.account)) {
-            this.#ownedSince.set(params.account, now);
-        }
-        buckets.set(params.account, bucket);
-        bucket.applyShare(share, now);
-        const waitMs = bucket.spendAhead(now, params.maxWaitMs);
-        return waitMs === undefined
-            ? { ...defaults, isSpent: false, retryAfterMs: Math.ceil(bucket.getWaitMs(now)) }
-            : { ...defaults, isSpent: true, waitMs };
+        return this.#owner.spend(params) ?? this.#fallback.spend(params);
     }
 }
 
--- /dev/null
+++ b/src/rates/RateOwner.ts
@@ -0,0 +1,171 @@
+import type { Member } from "../head/index.js";
+import { Decision } from "../logging/index.js";
+import { PeerMethod } from "../peers/index.js";
+import type { OwnedBucket } from "./OwnedBucket.js";
+import { RateBasis } from "./RateBasis.js";
+import type { RateLimiterOptions } from "./RateLimiterOptions.js";
+import type { RateShare } from "./RateShare.js";
+import { spendFromBucket } from "./spendFromBucket.js";
+import type { SpendTokenParams } from "./SpendTokenParams.js";
+import type { SpendTokenResult } from "./SpendTokenResult.js";
+import { TokenBucket } from "./TokenBucket.js";
+
+const MS_PER_SECOND = 1_000;
+/** Timeout of a hand-over, in milliseconds; a lost one loses tokens and never adds any. */
+const HAND_OVER_TIMEOUT_MS = 500;
+/**
+ * This host as one of the owners of accounts' rates. Each owner holds a share in a token bucket. A host that ceases to be an owner
+ * gives its tokens to the new one and keeps no bucket, so no token is granted twice.
+ */
+export class RateOwner {
+    readonly #options: RateLimiterOptions;
+    readonly #buckets = new Map<string, OwnedBucket>();
+    /** When the view of the fleet last changed, in milliseconds of the clock; an owner in it has held its share at least since then. */
+    #viewTime: number;
+
+    /** @param options - Dependencies of the limiter. */
+    constructor(options: RateLimiterOptions) {
+        this.#options = options;
+        this.#viewTime = options.clock.getTime();
+        options.membership.addViewListener(() => this.#applyView());
+        options.handlers.add(PeerMethod.HandOverTokens, ({ tokens }) => {
+            tokens.forEach(item => this.#receive(item.account, item.tokens));
+            return { isReceived: true };
+        });
+    }
+
+    /**
+     * Spends a token of this host's share; undefined if the host holds no share of the account's rate now.
+     * @param params - The request for a token.
+     */
+    spend(params: SpendTokenParams): SpendTokenResult | undefined {
+        const { rate, burst } = this.#options.getConfiguration().getAccount(params.account) ?? params;
+        const share = this.#findShare(params.account, { rate, burst });
+        if (share === undefined) {
+            return undefined;
+        }
+        if (rate === 0) {
+            return { isSpent: true, waitMs: 0, retryAfterMs: 0, isQuarantined: false, basis: RateBasis.Whole };
+        }
+        const owned = this.#getBucket(params.account, share);
+        const now = this.#options.clock.getTime();
+        owned.bucket.applyShare(share, now);
+        const isFilling = now - owned.since < share.burst / share.rate * MS_PER_SECOND;
+        return spendFromBucket(
+            owned.bucket,
+            now,
+            params.maxWaitMs,
+            isFilling ? RateBasis.NewOwner : RateBasis.Whole,
+        );
+    }
+
+    /**
+     * Gives back a token of a request that has not run; lost if this host is no owner of the account.
+     * @param account - The account's name.
+     * @param spentTime - When the token was spent, in milliseconds of the clock.
+     */
+    restore(account: string, spentTime: number): void {
+        this.#buckets.get(account)?.bucket.restore(spentTime, this.#options.clock.getTime());
+    }
+
+    /**
+     * Finds this host's share, with a burst in whole tokens. The rate is divided over the owners that this host reaches.
+     */
+    #findShare(account: string, { rate, burst }: RateShare): RateShare | undefined {
+        const { membership } = this.#options;
+        const self = membership.getSelf().id;
+        const owners = membership.getAccountHosts(account).filter(({ id }) =>
+            id === self || membership.isReachable(id)
+        );
+        const index = owners.findIndex(({ id }) => id === self);
+        if (index < 0) {
+            return undefined;
+        }
+        if (membership.isIsolated?.() === true) {
+            this.#removeAll();
+            return undefined;
+        }
+        return {
+            rate: rate / owners.length,
+            burst: Math.max(1, Math.floor((burst + index) / owners.length)),
+        };
+    }
+
+    #getBucket(account: string, share: RateShare): OwnedBucket {
+        const existing = this.#buckets.get(account);
+        if (existing !== undefined) {
+            return existing;
+        }
+        const now = this.#options.clock.getTime();
+        // The share has been unused since the view changed, whether or not this host has a bucket for it.
+        const since = this.#viewTime;
+        const bucket = new TokenBucket(share, share.rate * (now - since) / MS_PER_SECOND, now);
+        const created = { bucket, since, owners: this.#getOwnerIds(account) };
+        this.#buckets.set(account, created);
+        return created;
+    }
+
+    /** Empties the shares, which the owners on the other side of a partition spend now. */
+    #removeAll(): void {
+        this.#buckets.clear();
+        this.#viewTime = this.#options.clock.getTime();
+    }
+
+    #getOwnerIds(account: string): ReadonlySet<string> {
+        return new Set(this.#options.membership.getAccountHosts(account).map(({ id }) => id));
+    }
+
+    #applyView(): void {
+        const { clock, membership } = this.#options;
+        this.#viewTime = clock.getTime();
+        const self = membership.getSelf().id;
+        const tokensByHost = new Map<Member, { account: string; tokens: number; }[]>();
+        for (const [account, { bucket, owners: former }] of [...this.#buckets]) {
+            const owners = membership.getAccountHosts(account);
+            if (owners.some(({ id }) => id === self)) {
+                this.#buckets.get(account)!.owners = new Set(owners.map(({ id }) => id));
+                continue;
+            }
+            this.#buckets.delete(account);
+            const successor = owners.find(({ id }) => !former.has(id)) ?? owners[0];
+            const tokens = bucket.drain(clock.getTime());
+            if (successor !== undefined && tokens >= 1) {
+                tokensByHost.set(successor, [...tokensByHost.get(successor) ?? [], { account, tokens }]);
+            }
+        }
+        tokensByHost.forEach((tokens, host) => void this.#sendTokens(host, tokens));
+    }
+
+    async #sendTokens(host: Member, tokens: readonly { account: string; tokens: number; }[]): Promise<void> {
+        const { decisionLog, transport } = this.#options;
+        const figures = {
+            accounts: tokens.length,
+            tokens: Math.floor(tokens.reduce((sum, each) => sum + each.tokens, 0)),
+        };
+        try {
+            await transport.send(host.peerAddress, PeerMethod.HandOverTokens, { tokens }, HAND_OVER_TIMEOUT_MS);
+            decisionLog.record({ decision: Decision.HandedOver, reason: "rates", member: host.id, figures });
+        }
+        catch (error) {
+            const detail = error instanceof Error ? error.message : String(error);
+            const reason = "rates-not-handed-over";
+            decisionLog.record({ decision: Decision.DependencyChanged, reason, member: host.id, figures, detail });
+        }
+    }
+
+    /** Adds tokens that the former owner has given up; its message may come before or after the view that makes this host an owner. */
+    #receive(account: string, tokens: number): void {
+        const configured = this.#options.getConfiguration().getAccount(account);
+        if (configured === undefined || configured.rate === 0 || !(tokens > 0)) {
+            return;
+        }
+        const now = this.#options.clock.getTime();
+        const owners = this.#options.membership.getAccountHosts(account);
+        const count = Math.max(1, owners.length);
+        const share = { rate: configured.rate / count, burst: Math.max(1, Math.floor(configured.burst / count)) };
+        const owned = this.#buckets.get(account) ??
+            { bucket: new TokenBucket(share, 0, now), since: now, owners: this.#getOwnerIds(account) };
+        this.#buckets.set(account, owned);
+        owned.bucket.add(tokens, now);
+    }
+}
--- a/src/rates/peerMethods.ts
+++ b/src/rates/peerMethods.ts
@@ -3,6 +3,8 @@
 import type { BorrowTokensResult } from "./BorrowTokensResult.js";
 import type { HandOverRatesParams } from "./HandOverRatesParams.js";
 import type { HandOverRatesResult } from "./HandOverRatesResult.js";
+import type { HandOverTokensParams } from "./HandOverTokensParams.js";
+import type { HandOverTokensResult } from "./HandOverTokensResult.js";
 import type { ReceiveTokensParams } from "./ReceiveTokensParams.js";
 import type { ReceiveTokensResult } from "./ReceiveTokensResult.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
@@ -14,6 +16,7 @@
         [PeerMethod.BorrowTokens]: { params: BorrowTokensParams; result: BorrowTokensResult; };
         [PeerMethod.ReceiveTokens]: { params: ReceiveTokensParams; result: ReceiveTokensResult; };
         [PeerMethod.HandOverRates]: { params: HandOverRatesParams; result: HandOverRatesResult; };
+        [PeerMethod.HandOverTokens]: { params: HandOverTokensParams; result: HandOverTokensResult; };
         [PeerMethod.SpendToken]: { params: SpendTokenParams; result: SpendTokenResult; };
     }
 }
