Evacuate zones: their upstreams get nothing new

The supply reads the key with the operators' configuration, in the same call, and marks the zone's upstreams as draining in the configuration that it publishes. So parts in the zone have no slots, service hosts refuse what is queued there or still forwarded to them as not run, and neither trials, the floor nor retries reach it. An entry that can't be read changes nothing and is logged with its key; so is a zone that nothing is in.

--- a/src/configuration/Upstream.ts
+++ b/src/configuration/Upstream.ts
@@ -10,6 +10,8 @@
     readonly connections: number;
     /** Whether it is draining and gets no new requests. */
     readonly draining?: boolean;
+    /** Whether it drains because operators have evacuated its zone. */
+    readonly isEvacuated?: boolean;
     /** Identifies one start of the upstream's process; undefined if restarts can't be detected. */
     readonly incarnation?: string;
     /** Remaining warm-up time after its start, during which it is slow, in milliseconds. */
--- a/src/logging/Decision.ts
+++ b/src/logging/Decision.ts
@@ -13,6 +13,10 @@
     HandedOver = "handed-over",
     /** An upstream has named another limit of its request rate, or none any more. */
     RequestRateNamed = "request-rate-named",
+    /** Operators want nothing more sent to a zone's upstreams. */
+    ZoneEvacuated = "zone-evacuated",
+    /** Operators have ended the evacuation of a zone. */
+    ZoneTakenBack = "zone-taken-back",
     ViewChanged = "view-changed",
     ConfigurationApplied = "configuration-applied",
     Quarantined = "quarantined",
--- a/src/services/pools/UpstreamSet.ts
+++ b/src/services/pools/UpstreamSet.ts
@@ -109,7 +109,10 @@
 
     #applyUpstream(pooled: PooledUpstream, upstream: Upstream): void {
         pooled.apply(upstream);
-        if (upstream.draining === true) {
+        if (upstream.isEvacuated === true) {
+            this.#drain(pooled, "its zone is evacuated");
+        }
+        else if (upstream.draining === true) {
             this.#drain(pooled, "the configuration marks it as draining");
         }
         else if (this.#options.notices.isLeaving(upstream)) {
--- a/src/supply/StoreItem.ts
+++ b/src/supply/StoreItem.ts
@@ -16,5 +16,6 @@
         readonly sequence: number;
     }
     | { readonly kind: StoreItemKind.Host; readonly member: Member; }
+    | { readonly kind: StoreItemKind.Evacuation; readonly zone: string; }
     | { readonly kind: StoreItemKind.Other; }
     | { readonly kind: StoreItemKind.Invalid; readonly reason: string; };
--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -4,6 +4,7 @@
 import type { Member } from "../head/index.js";
 import { Decision } from "../logging/index.js";
 import type { ReplicaEvent } from "../replica/index.js";
+import { EvacuatedZones } from "./EvacuatedZones.js";
 import { isRenewal } from "./isRenewal.js";
 import type { StoreItem } from "./StoreItem.js";
 import { StoreItemKind } from "./StoreItemKind.js";
@@ -26,6 +27,7 @@
     readonly #options: SupplyOptions;
     readonly #upstreams = new Map<string, RegisteredUpstream>();
     readonly #hosts = new Map<string, Member>();
+    readonly #evacuatedZones: EvacuatedZones;
     /** The last registration of each removed upstream by key, removed least recently first. */
     readonly #removedUpstreams = new Map<string, RegisteredUpstream>();
     /** The versions of the documents that the store holds, by key. */
@@ -47,6 +49,7 @@
     /** @param options - Dependencies of the supply. */
     constructor(options: SupplyOptions) {
         this.#options = options;
+        this.#evacuatedZones = new EvacuatedZones(options.decisions);
     }
 
     /** Gets the configuration in force with the registered upstreams; undefined before the first one. */
@@ -130,10 +133,16 @@
             case StoreItemKind.Host:
                 this.#applyHost(event.key, item.member);
                 break;
+            case StoreItemKind.Evacuation:
+                this.#isChanged = this.#evacuatedZones.add(event.key, item.zone) || this.#isChanged;
+                break;
             case StoreItemKind.Other:
                 break;
             case StoreItemKind.Invalid:
-                this.#remove(event.key);
+                // A value that can't be read takes no zone back.
+                if (!this.#evacuatedZones.hasKey(event.key)) {
+                    this.#remove(event.key);
+                }
                 this.#record("entry-not-readable", { key: event.key, revision: event.revision, detail: item.reason });
                 break;
         }
@@ -205,6 +214,7 @@
             this.#isChanged = true;
             this.#record("upstream-removed", { key });
         }
+        this.#isChanged = this.#evacuatedZones.remove(key) || this.#isChanged;
         if (this.#hosts.delete(key)) {
             this.#isChanged = true;
             this.#record("host-removed", { key });
@@ -225,8 +235,17 @@
         }
         this.#isChanged = false;
         this.#hostList = [...this.#hosts.values()];
+        const upstreams = [...this.#upstreams.values()];
+        this.#evacuatedZones.recordChanges(
+            upstreams.map(({ upstream }) => upstream.zone),
+            this.#hostList.map(({ zone }) => zone),
+        );
         if (this.#document !== undefined) {
-            this.#configuration = createConfiguration(this.#document, [...this.#upstreams.values()]);
+            const registered = upstreams.map(item => ({
+                ...item,
+                upstream: this.#evacuatedZones.apply(item.upstream),
+            }));
+            this.#configuration = createConfiguration(this.#document, registered);
         }
         this.#listeners.forEach(listener => listener());
     }
--- a/tests/platform/PlatformDecoder.test.ts
+++ b/tests/platform/PlatformDecoder.test.ts
@@ -67,6 +67,15 @@
     }
 });
 
+test("decodes an evacuated zone", () => {
+    for (const value of ["{}", "{\"since\":1}"]) {
+        assert.equal(decoder.decode("op/evacuate/kudus", value), { kind: StoreItemKind.Evacuation, zone: "kudus" });
+    }
+    for (const [key, value] of [["kudus", "{"], ["kudus", "7"], ["kudus", "[]"], ["kudus", ""], ["", "{}"]]) {
+        assert.is(decoder.decode(`op/evacuate/${key}`, value!).kind, StoreItemKind.Invalid, `${key} ${value}`);
+    }
+});
+
 test("ignores unknown keys", () => {
     assert.equal(decoder.decode("op/other", "x"), { kind: StoreItemKind.Other });
 });
--- a/tests/replica/ReplicaSynchronizer.test.ts
+++ b/tests/replica/ReplicaSynchronizer.test.ts
@@ -39,6 +39,24 @@
     assert.equal(fleet.getHostsWithout("configuration", "new"), []);
 });
 
+test("an evacuation reaches all hosts while the store refuses half of them, and a host that starts then has it at once", async () => {
+    const fleet = createReplicaFleet(HOSTS);
+    await fleet.start();
+    const refused = fleet.getWatchRanking().filter((_, index) => index % 2 === 0);
+    refused.forEach(id => fleet.store.refused.add(id));
+    await fleet.clock.run(500);
+    fleet.store.write("evacuate/zone-a", "{}");
+    await fleet.clock.run(APPLY_BOUND_MS);
+    assert.equal(fleet.getHostsWithout("evacuate/zone-a", "{}"), []);
+    fleet.store.write(`hosts/host-${HOSTS}`, `host-${HOSTS}`);
+    await fleet.startHost(`host-${HOSTS}`);
+    await fleet.clock.run(100);
+    assert.equal(fleet.getHostsWithout("evacuate/zone-a", "{}"), []);
+    fleet.store.remove("evacuate/zone-a");
+    await fleet.clock.run(APPLY_BOUND_MS);
+    assert.equal(fleet.getHostsWithout("evacuate/zone-a", undefined), []);
+});
+
 test("a watcher that the store no longer answers but that peers reach does not delay changes", async () => {
     const fleet = createReplicaFleet(HOSTS);
     await fleet.start();
--- a/tests/support/DispatchBench.ts
+++ b/tests/support/DispatchBench.ts
@@ -26,6 +26,7 @@
 interface DispatchHost {
     readonly membership: FakeMembership;
     readonly dispatcher: Dispatcher;
+    readonly serviceHost: ServiceHost;
 }
 
 interface DispatchBenchOptions {
@@ -50,7 +51,8 @@
     readonly network = new FakeNetwork(this.clock);
     readonly upstreams: FakeUpstreams;
     readonly hosts: readonly DispatchHost[];
-    readonly service: Service;
+    /** The service as the hosts that send requests know it. */
+    service: Service;
     readonly #options: DispatchBenchOptions;
     readonly #members: readonly Member[];
     readonly #decisions = new DecisionHistory(this.clock);
@@ -94,6 +96,14 @@
         this.service.upstreams.forEach(({ name }) => this.upstreams.applyFaults(name, { errorRate: 1 }));
     }
 
+    /**
+     * Applies a change of the service at the hosts that run requests.
+     * @param service - The service as they know it from now on.
+     */
+    applyAtServiceHosts(service: Service): void {
+        this.hosts.forEach(({ serviceHost }) => applyService(serviceHost, service));
+    }
+
     /**
      * Sends a request from one host.
      * @param index - The host's number.
@@ -121,10 +131,7 @@
             decisions: this.#decisions,
             policy: EjectionPolicy.Prompt,
         });
-        serviceRunner.apply({
-            getService: () => this.service,
-            getAccount: () => undefined,
-        } as unknown as Configuration);
+        applyService(serviceRunner, this.service);
         serviceRunner.start();
         const { getHostCapacity } = this.#options;
         const host = { handlers, serviceRunner };
@@ -142,7 +149,7 @@
             waitsUntilDeadline: true,
             isLocalFallbackEnabled: true,
         };
-        return { membership, dispatcher: new Dispatcher(options, new Quarantine(options)) };
+        return { membership, serviceHost: serviceRunner, dispatcher: new Dispatcher(options, new Quarantine(options)) };
     }
 
     #createUpstreamTransport(index: number): UpstreamTransport {
@@ -199,3 +206,7 @@
 function getCapacity({ cores, linkMbps }: HostCapacity): number {
     return cores * linkMbps;
 }
+
+function applyService(serviceHost: ServiceHost, service: Service): void {
+    serviceHost.apply({ getService: () => service, getAccount: () => undefined } as unknown as Configuration);
+}
