Keep to what cold upstreams can take, in all hosts together

Cause: cold_left_s was read and not used, cold_start_s and cold_per_s were not read; a cold upstream got its whole share at once and its slowness counted against it.

The supply turns the cold time of a registration into the time at which the upstream is warm by this host's clock, and counts the upstreams of a zone that is taken back as cold for the time that a start takes, as they may have become cold unseen. Until then the upstream's rate limiter holds the service's cold rate, shared among hosts as a limit that an upstream names. A pause that the cold time causes ends with it, so that callers are refused with the time that warming takes. A part with half of its upstreams cold gives requests that would wait to other parts with capacity, and is no such capacity itself. Slow answers and timeouts of a cold upstream are no evidence and no usual latency.

--- a/src/configuration/Service.ts
+++ b/src/configuration/Service.ts
@@ -13,5 +13,9 @@
     readonly retryRate?: number;
     /** Longest queue per upstream slot, in requests. */
     readonly queuePerSlot: number;
+    /** Requests per second that a cold upstream accepts from all hosts together; no limit if undefined. */
+    readonly coldRate?: number;
+    /** For how long an upstream is cold after its start, in milliseconds; 0 if undefined. */
+    readonly coldStartMs?: number;
     readonly detection: DetectionSettings;
 }
--- a/src/configuration/Upstream.ts
+++ b/src/configuration/Upstream.ts
@@ -16,4 +16,6 @@
     readonly incarnation?: string;
     /** Remaining warm-up time after its start, during which it is slow, in milliseconds. */
     readonly coldMs?: number;
+    /** Until when it is cold, or may be, in milliseconds of this host's clock; it is warm if undefined. */
+    readonly warmTime?: number;
 }
--- a/src/services/detection/AttemptRecorder.ts
+++ b/src/services/detection/AttemptRecorder.ts
@@ -17,6 +17,12 @@
     UpstreamAnswerKind.TimedOut,
     UpstreamAnswerKind.Overdue,
 ]);
+/** Results that show no more than slowness, which is usual while an upstream is cold. */
+const SLOW_KINDS: ReadonlySet<UpstreamAnswerKind> = new Set([
+    UpstreamAnswerKind.TimedOut,
+    UpstreamAnswerKind.Overdue,
+    UpstreamAnswerKind.Aborted,
+]);
 
 /** Records the results of attempts as health observations of their upstreams. */
 export class AttemptRecorder {
@@ -41,16 +47,21 @@
         if (answer.kind === UpstreamAnswerKind.Shed) {
             this.#recordPause(upstream, answer.retryAfterMs ?? SHED_PAUSE_MS);
         }
-        if (LATENCY_KINDS.has(answer.kind)) {
+        const isCold = upstream.isCold(latencyMs);
+        if (LATENCY_KINDS.has(answer.kind) && !isCold) {
             this.#options.limit.record(latencyMs);
         }
+        if (SLOW_KINDS.has(answer.kind) && isCold) {
+            return;
+        }
         const observation = createObservation(
             attempt,
             request.requestId,
             this.#options.getMinFailureWait(upstream, request),
         );
         if (observation !== undefined) {
-            this.#options.outlierDetector.record(upstream, { ...observation, usualMs: this.#findUsual(request) });
+            const usualMs = isCold ? Infinity : this.#findUsual(request);
+            this.#options.outlierDetector.record(upstream, { ...observation, usualMs });
         }
     }
 
@@ -103,8 +114,10 @@
         const observation = error === undefined
             ? { kind: ObservationKind.Success, requestId, latencyMs, detail: "answered" }
             : { kind: ObservationKind.Failure, requestId, latencyMs, detail: "cut answer" };
-        this.#options.outlierDetector.record(upstream, { ...observation, usualMs: this.#findUsual(request) });
-        if (error === undefined && request.route !== undefined) {
+        const isCold = upstream.isCold(latencyMs);
+        const usualMs = isCold ? Infinity : this.#findUsual(request);
+        this.#options.outlierDetector.record(upstream, { ...observation, usualMs });
+        if (error === undefined && request.route !== undefined && !isCold) {
             this.#options.routeLatencies.record(request.route, latencyMs);
         }
     }
--- a/src/services/pools/PooledUpstream.ts
+++ b/src/services/pools/PooledUpstream.ts
@@ -44,6 +44,8 @@
     readonly #trialsToPass: number | undefined;
     readonly #machine: MachineService<Machine>;
     #upstream: Upstream;
+    /** When it was or will be warm, in milliseconds of the clock. */
+    #warmTime = Number.NEGATIVE_INFINITY;
     #running = 0;
     #lastClaimTime = Number.NEGATIVE_INFINITY;
     #since: number;
@@ -72,6 +74,7 @@
         this.probation = new ProbationTest(trialsToPass);
         this.#since = clock.getTime();
         this.#machine = interpret(createUpstreamMachine(initial), () => {});
+        this.apply(upstream);
     }
 
     /** Gets the upstream as configured. */
@@ -85,6 +88,20 @@
      */
     apply(upstream: Upstream): void {
         this.#upstream = upstream;
+        this.#warmTime = upstream.warmTime ?? Math.min(this.#warmTime, this.#clock.getTime());
+    }
+
+    /**
+     * Whether it is cold, or was within a time.
+     * @param ageMs - The time, in milliseconds.
+     */
+    isCold(ageMs = 0): boolean {
+        return this.#warmTime > this.#clock.getTime() - ageMs;
+    }
+
+    /** Gets the time until it is warm, in milliseconds. */
+    getColdMs(): number {
+        return Math.max(0, this.#warmTime - this.#clock.getTime());
     }
 
     /** Gets the state of its lifecycle. */
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -27,6 +27,7 @@
 import { PartLoads } from "../sharing/PartLoads.js";
 import { createUpstreamCounts } from "./createUpstreamCounts.js";
 import { createUpstreamStatus } from "./createUpstreamStatus.js";
+import { isWarming } from "./isWarming.js";
 import { PooledUpstream } from "./PooledUpstream.js";
 import type { PoolLoad } from "./PoolLoad.js";
 import type { ServicePoolOptions } from "./ServicePoolOptions.js";
@@ -271,6 +272,10 @@
         if (!this.#selector.hasCandidate(request)) {
             return createNoUpstreamRefusal();
         }
+        if (this.#isWarming() && !this.#selector.hasFreeSlot() && this.#hasCapacityInOtherParts()) {
+            const detail = "The upstreams of this part are cold, and others have capacity.";
+            return createNotRun(RefusalReason.Overloaded, detail, Math.ceil(this.#selector.getPauseMs()));
+        }
         if (request.sentBefore === 0) {
             this.#budget.grant(this.#service.retryBudget, this.#getRetryRate());
         }
@@ -325,13 +330,20 @@
         return (this.#service.retryRate ?? 0) / Math.max(1, getServiceParts(this.#service).length);
     }
 
-    /** A part without a recent load report counts as having free slots. */
+    /** A part without a recent load report counts as having free slots, unless its upstreams are cold. */
     #hasCapacityInOtherParts(): boolean {
-        return getServiceParts(this.#service).some(({ key, slots }) =>
-            key !== this.#part.key && slots > 0 && !this.otherLoads.isFull(key)
+        const time = this.#options.clock.getTime();
+        return getServiceParts(this.#service).some(({ key, slots, upstreams }) =>
+            key !== this.#part.key && slots > 0 && !this.otherLoads.isFull(key) &&
+            !isWarming(this.#service, upstreams, time)
         );
     }
 
+    #isWarming(): boolean {
+        const upstreams = this.#upstreams.getAll().map(pooled => pooled.getUpstream());
+        return isWarming(this.#service, upstreams, this.#options.clock.getTime());
+    }
+
     /** Refuses queued requests that no upstream may run any more, and starts others as slots are free. */
     #runQueue(): void {
         this.#queue.refuse(request => !this.#selector.hasCandidate(request), createNoUpstreamRefusal());
--- a/src/services/pools/UpstreamSet.ts
+++ b/src/services/pools/UpstreamSet.ts
@@ -86,15 +86,21 @@
         const isWarm = isFirst || this.#options.policy === EjectionPolicy.Baseline;
         const initial = isWarm ? UpstreamState.Healthy : UpstreamState.Ramping;
         const { clock, notices, getRateShare } = this.#options;
-        return new PooledUpstream(upstream, initial, this.#createDetector(), {
+        const pooled: PooledUpstream = new PooledUpstream(upstream, initial, this.#createDetector(), {
             clock,
             rateLimiter: new UpstreamRateLimiter({
                 clock,
-                getRate: () => notices.getRequestRate(upstream),
+                getRate: () => Math.min(notices.getRequestRate(upstream), this.#getColdRate(pooled)),
+                getRemainingMs: () => Number.isFinite(notices.getRequestRate(upstream)) ? Infinity : pooled.getColdMs(),
                 getShare: getRateShare,
             }),
             trialsToPass: this.#options.policy === EjectionPolicy.Prompt ? PROMPT_TRIALS_TO_PASS : undefined,
         });
+        return pooled;
+    }
+
+    #getColdRate(pooled: PooledUpstream): number {
+        return pooled.isCold() ? this.#service?.coldRate ?? Infinity : Infinity;
     }
 
     #createDetector(): UpstreamDetector {
--- a/src/services/queue/UpstreamRateLimiter.ts
+++ b/src/services/queue/UpstreamRateLimiter.ts
@@ -14,24 +14,27 @@
 export class UpstreamRateLimiter {
     readonly #clock: Clock;
     readonly #getRate: () => number;
+    readonly #getRemainingMs: () => number;
     readonly #getShare: () => number;
     #bucket: TokenBucket | undefined;
 
     /** @param options - The source of time, the upstream's rate and this host's share of it. */
-    constructor({ clock, getRate, getShare }: UpstreamRateLimiterOptions) {
+    constructor({ clock, getRate, getRemainingMs, getShare }: UpstreamRateLimiterOptions) {
         this.#clock = clock;
         this.#getRate = getRate;
+        this.#getRemainingMs = getRemainingMs;
         this.#getShare = getShare;
     }
 
-    /** Whether the upstream has named a limit. */
+    /** Whether the upstream has named a limit or is cold. */
     isLimited(): boolean {
         return this.#findBucket() !== undefined;
     }
 
     /** Gets the time until the next request may be sent, in milliseconds; 0 without a limit. */
     getPauseMs(): number {
-        const waitMs = this.#findBucket()?.getWaitMs(this.#clock.getTime()) ?? 0;
+        const tokenMs = this.#findBucket()?.getWaitMs(this.#clock.getTime()) ?? 0;
+        const waitMs = Math.min(tokenMs, this.#getRemainingMs());
         return waitMs <= TOLERANCE_MS ? 0 : waitMs;
     }
 
--- a/src/supply/EvacuatedZones.ts
+++ b/src/supply/EvacuatedZones.ts
@@ -27,11 +27,13 @@
     }
 
     /**
-     * Takes a zone back; returns whether it was evacuated.
+     * Takes a zone back and returns it; undefined if it was not evacuated.
      * @param key - The key of its entry.
      */
-    remove(key: string): boolean {
-        return this.#zones.delete(key);
+    remove(key: string): string | undefined {
+        const zone = this.#zones.get(key);
+        this.#zones.delete(key);
+        return zone;
     }
 
     /**
--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -10,6 +10,7 @@
 import { StoreItemKind } from "./StoreItemKind.js";
 import type { SuppliedDocument } from "./SuppliedDocument.js";
 import type { SupplyOptions } from "./SupplyOptions.js";
+import { WarmTimes } from "./WarmTimes.js";
 
 /**
  * Delay of removals after a store outage. The platform states that entries which expired during the outage are registered again within
@@ -28,6 +29,7 @@
     readonly #upstreams = new Map<string, RegisteredUpstream>();
     readonly #hosts = new Map<string, Member>();
     readonly #evacuatedZones: EvacuatedZones;
+    readonly #warmTimes: WarmTimes;
     /** The last registration of each removed upstream by key, removed least recently first. */
     readonly #removedUpstreams = new Map<string, RegisteredUpstream>();
     /** The versions of the documents that the store holds, by key. */
@@ -50,6 +52,7 @@
     constructor(options: SupplyOptions) {
         this.#options = options;
         this.#evacuatedZones = new EvacuatedZones(options.decisions);
+        this.#warmTimes = new WarmTimes(options.clock);
     }
 
     /** Gets the configuration in force with the registered upstreams; undefined before the first one. */
@@ -165,6 +168,7 @@
         }
         this.#removedUpstreams.delete(key);
         this.#upstreams.set(key, item);
+        this.#warmTimes.recordUpstream(key, item.upstream);
         this.#isChanged ||= known === undefined || !isRenewal(known, item);
     }
 
@@ -210,11 +214,16 @@
         const upstream = this.#upstreams.get(key);
         if (upstream !== undefined) {
             this.#upstreams.delete(key);
+            this.#warmTimes.removeUpstream(key);
             this.#recordRemoved(key, upstream);
             this.#isChanged = true;
             this.#record("upstream-removed", { key });
         }
-        this.#isChanged = this.#evacuatedZones.remove(key) || this.#isChanged;
+        const takenBack = this.#evacuatedZones.remove(key);
+        if (takenBack !== undefined) {
+            this.#isChanged = true;
+            this.#warmTimes.recordTakenBack(takenBack);
+        }
         if (this.#hosts.delete(key)) {
             this.#isChanged = true;
             this.#record("host-removed", { key });
@@ -235,21 +244,28 @@
         }
         this.#isChanged = false;
         this.#hostList = [...this.#hosts.values()];
-        const upstreams = [...this.#upstreams.values()];
         this.#evacuatedZones.recordChanges(
-            upstreams.map(({ upstream }) => upstream.zone),
+            [...this.#upstreams.values()].map(({ upstream }) => upstream.zone),
             this.#hostList.map(({ zone }) => zone),
         );
         if (this.#document !== undefined) {
-            const registered = upstreams.map(item => ({
-                ...item,
-                upstream: this.#evacuatedZones.apply(item.upstream),
-            }));
-            this.#configuration = createConfiguration(this.#document, registered);
+            this.#configuration = this.#createConfiguration(this.#document);
         }
         this.#listeners.forEach(listener => listener());
     }
 
+    #createConfiguration(document: SuppliedDocument): SuppliedConfiguration {
+        const registered = [...this.#upstreams];
+        const services: readonly Service[] = document.services.map(({ connections, ...service }) => ({
+            ...service,
+            upstreams: registered.filter(([, item]) => item.service === service.name).map(([key, { upstream }]) => {
+                const warming = this.#warmTimes.apply(key, { ...upstream, connections }, service.coldStartMs ?? 0);
+                return this.#evacuatedZones.apply(warming);
+            }),
+        }));
+        return new SuppliedConfiguration({ ...document, services });
+    }
+
     #record(reason: string, figures: Record<string, string | number>): void {
         this.#options.decisions.record({ decision: Decision.SupplyChanged, reason, figures });
     }
@@ -262,15 +278,3 @@
 function isSameRegistration(item: RegisteredUpstream, known: RegisteredUpstream): boolean {
     return item.startTime === known.startTime && item.sequence === known.sequence;
 }
-
-function createConfiguration(
-    document: SuppliedDocument,
-    registered: readonly RegisteredUpstream[],
-): SuppliedConfiguration {
-    const services: readonly Service[] = document.services.map(({ connections, ...service }) => ({
-        ...service,
-        upstreams: registered.filter(item => item.service === service.name)
-            .map(item => ({ ...item.upstream, connections })),
-    }));
-    return new SuppliedConfiguration({ ...document, services });
-}
--- a/tests/platform/PlatformDecoder.test.ts
+++ b/tests/platform/PlatformDecoder.test.ts
@@ -26,6 +26,22 @@
     checkSnapshot("platform/registration", decoder.decode("servers/i-1", JSON.stringify(entry)));
 });
 
+test("a cold time that is missing, negative or no number counts as not cold", () => {
+    for (const cold of [undefined, null, -1, "3", [], {}, 0]) {
+        const item = decoder.decode("servers/i-1", JSON.stringify(createRegistration({ cold_left_s: cold })));
+        assert.ok(item.kind === StoreItemKind.Upstream && item.upstream.coldMs === 0, JSON.stringify(cold));
+    }
+});
+
+test("decodes how long upstreams are cold and what they accept meanwhile", () => {
+    const { services } = createDocument() as { services: Record<string, object>; };
+    const changed = { ...services, orders: { ...services["orders"], cold_start_s: 3, cold_per_s: 4.6 } };
+    const item = decoder.decode("op/config", JSON.stringify(createDocument({ services: changed })));
+    assert.ok(item.kind === StoreItemKind.Configuration);
+    const found = item.document.services.map(({ name, coldStartMs, coldRate }) => [name, coldStartMs, coldRate]);
+    assert.equal(found, [["catalogue", undefined, undefined], ["orders", 3_000, 4.6], ["books", undefined, undefined]]);
+});
+
 test("an invalid entry decodes to the reason why it is invalid", () => {
     const bad: [string, string][] = [
         ["servers/i-1", "no json"],
--- a/tests/supply/evacuatedZones.test.ts
+++ b/tests/supply/evacuatedZones.test.ts
@@ -8,17 +8,19 @@
 import { StoreItemKind, Supply } from "../../src/supply/index.js";
 import type { StoreItem } from "../../src/supply/index.js";
 
+const COLD_START_MS = 3_000;
 const EVACUATION_A: StoreItem = { kind: StoreItemKind.Evacuation, zone: "a" };
 const INVALID: StoreItem = { kind: StoreItemKind.Invalid, reason: "no JSON" };
 
 const test = suite("evacuated zones");
+let clock: FakeClock;
 let decisions: DecisionHistory;
 let supply: Supply;
 let items: Map<string, StoreItem>;
 let revision: number;
 
 test.before.each(() => {
-    const clock = new FakeClock();
+    clock = new FakeClock();
     decisions = new DecisionHistory(clock);
     items = new Map();
     revision = 1;
@@ -67,6 +69,29 @@
     assert.equal(reports.map(({ figures }) => figures?.["key"]), ["evacuate/a", "evacuate/a"]);
 });
 
+test("the upstreams of a zone that is taken back count as cold for the time that a start takes", () => {
+    write("evacuate/a", EVACUATION_A);
+    remove("evacuate/a");
+    const time = clock.getTime();
+    assert.equal(getWarmTimes(), [["u1", time + COLD_START_MS], ["u2", undefined]]);
+});
+
+test("an upstream that registers as cold is so from the arrival of that until it is warm by the clock or registers so", async () => {
+    write("u1", createUpstream("u1", "a", 2_000, 2));
+    const warmTime = clock.getTime() + 2_000;
+    assert.equal(getWarmTimes(), [["u1", warmTime], ["u2", undefined]]);
+    await clock.run(1_000);
+    write("u2", createUpstream("u2", "b", 100, 2));
+    assert.equal(getWarmTimes(), [["u1", warmTime], ["u2", clock.getTime() + 100]]);
+    write("u1", createUpstream("u1", "a", 0, 3));
+    assert.equal(getWarmTimes()[0], ["u1", undefined]);
+    write("u1", createUpstream("u1", "a", 3_000, 4));
+    assert.equal(getWarmTimes()[0], ["u1", clock.getTime() + 3_000]);
+    await clock.run(3_100);
+    write("u2", createUpstream("u2", "b", 0, 4));
+    assert.equal(getWarmTimes(), [["u1", undefined], ["u2", undefined]]);
+});
+
 test("an evacuation of a zone that doesn't exist is logged with its name and changes nothing", () => {
     write("evacuate/z", { kind: StoreItemKind.Evacuation, zone: "z" });
     assert.equal(getDraining(), []);
@@ -95,9 +120,14 @@
     return upstreams.filter(upstream => upstream.draining === true).map(({ name }) => name);
 }
 
-function createUpstream(name: string, zone: string): StoreItem {
-    const upstream = { name, address: "127.0.0.1:1", zone, slots: 6, connections: 1 };
-    return { kind: StoreItemKind.Upstream, service: "orders", sequence: 1, startTime: 0, upstream };
+function getWarmTimes(): (readonly [string, number | undefined])[] {
+    const { upstreams } = supply.getConfiguration()!.getService("orders")!;
+    return upstreams.map(({ name, warmTime }) => [name, warmTime] as const);
+}
+
+function createUpstream(name: string, zone: string, coldMs = 0, sequence = 1): StoreItem {
+    const upstream = { name, address: "127.0.0.1:1", zone, slots: 6, connections: 1, coldMs };
+    return { kind: StoreItemKind.Upstream, service: "orders", sequence, startTime: 0, upstream };
 }
 
 function createDocument(): StoreItem {
@@ -109,7 +139,14 @@
             accounts: [],
             accountsByKey: new Map(),
             routes: [{ ...route, access: RouteAccess.Open, deadlineMs: 1_000, maxBodyBytes: 1_000 }],
-            services: [{ ...GATEWAY_SERVICE_DEFAULTS, name: "orders", floor: 0.7, retryBudget: 0.2, connections: 330 }],
+            services: [{
+                ...GATEWAY_SERVICE_DEFAULTS,
+                name: "orders",
+                floor: 0.7,
+                retryBudget: 0.2,
+                connections: 330,
+                coldStartMs: COLD_START_MS,
+            }],
             limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 },
         },
     };
