--- a/src/services/pools/UpstreamSet.ts
+++ b/src/services/pools/UpstreamSet.ts
@@ -86,15 +86,21 @@
         const isWarm = isFirst || this.#options.policy === EjectionPolicy.Baseline;
         const initial = isWarm ? UpstreamState.Healthy : UpstreamState.Ramping;
         const { clock, notices, getRateShare } = this.#options;
-        return new PooledUpstream(upstream, initial, this.#createDetector(), {
+        const pooled: PooledUpstream = new PooledUpstream(upstream, initial, this.#createDetector(), {
             clock,
             rateLimiter: new UpstreamRateLimiter({
                 clock,
-                getRate: () => notices.getRequestRate(upstream),
+                getRate: () => Math.min(notices.getRequestRate(upstream), this.#getColdRate(pooled)),
+                getRemainingMs: () => Number.isFinite(notices.getRequestRate(upstream)) ? Infinity : pooled.getColdMs(),
                 getShare: getRateShare,
             }),
             trialsToPass: this.#options.policy === EjectionPolicy.Prompt ? PROMPT_TRIALS_TO_PASS : undefined,
         });
+        return pooled;
+    }
+
+    #getColdRate(pooled: PooledUpstream): number {
+        return pooled.isCold() ? this.#service?.coldRate ?? Infinity : Infinity;
     }
 
     #createDetector(): UpstreamDetector {
@@ -109,7 +115,10 @@
 
     #applyUpstream(pooled: PooledUpstream, upstream: Upstream): void {
         pooled.apply(upstream);
-        if (upstream.draining === true) {
+        if (upstream.isEvacuated === true) {
+            this.#drain(pooled, "its zone is evacuated");
+        }
+        else if (upstream.draining === true) {
             this.#drain(pooled, "the configuration marks it as draining");
         }
         else if (this.#options.notices.isLeaving(upstream)) {
