Count bytes between hosts by kind and zone

A host's bytes to others were one sum for calls and one for answers, so what crosses zones could not be told from what stays. Each sender now counts them by kind and by whether the receiver is in its own zone, as a metric and in load-reported; callers name their zone to the host that answers.

--- a/src/forwarding/HttpPeerForwarder.ts
+++ b/src/forwarding/HttpPeerForwarder.ts
@@ -3,7 +3,7 @@
 import { createOutcome } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { createPeerError, peerProtocol } from "../peers/index.js";
-import type { HttpPeerOptions, PeerConnections } from "../peers/index.js";
+import type { HttpPeerOptions, PeerConnections, PeerTraffic } from "../peers/index.js";
 import type { CallerRequest } from "../requests/index.js";
 import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
 import { decodeJson, encodeJson } from "../utils/index.js";
@@ -18,11 +18,15 @@
 export class HttpPeerForwarder implements PeerForwarder {
     readonly #connections: PeerConnections;
     readonly #secret: string;
+    readonly #zoneHeaders: Readonly<Record<string, string>>;
+    readonly #traffic: PeerTraffic | undefined;
 
     /** @param options - The connections, and the secret shared by all entry hosts. */
     constructor(options: HttpPeerOptions) {
         this.#connections = options.connections;
         this.#secret = options.secret;
+        this.#zoneHeaders = options.zone === undefined ? {} : { [peerProtocol.zoneHeader]: options.zone };
+        this.#traffic = options.traffic;
     }
 
     /**
@@ -70,13 +74,16 @@
         body: Buffer,
         signal: AbortSignal,
     ): Promise<Dispatcher.ResponseData> {
+        const encodedHead = encodeJson(head);
+        this.#traffic?.recordRequest(address, encodedHead.length + body.length);
         try {
             return await this.#connections.get(address).request({
                 method: "POST",
                 path: peerProtocol.forwardPath,
                 headers: {
                     [peerProtocol.secretHeader]: this.#secret,
-                    [peerProtocol.requestHeader]: encodeJson(head),
+                    [peerProtocol.requestHeader]: encodedHead,
+                    ...this.#zoneHeaders,
                 },
                 body,
                 signal,
--- a/src/forwarding/PeerListener.ts
+++ b/src/forwarding/PeerListener.ts
@@ -25,10 +25,15 @@
 const KEEP_ALIVE_MS = 60_000;
 const RETRY_AFTER_MS = 1000;
 
+/** What a call's answer is counted as. */
+interface CallContext {
+    method?: PeerMethod;
+}
+
 /** Serves peer calls and forwarded requests from other entry hosts. */
 export class PeerListener {
     readonly #options: PeerListenerOptions;
-    readonly #rpc = new JSONRPCServer({ errorListener: () => {} });
+    readonly #rpc = new JSONRPCServer<CallContext>({ errorListener: () => {} });
     readonly #server: Server;
 
     /** @param options - The listener's dependencies. */
@@ -54,7 +59,10 @@
 
     #addMethods(): void {
         for (const method of this.#options.handlers.getMethods()) {
-            this.#rpc.addMethod(method, params => this.#options.handlers.run(method as PeerMethod, params));
+            this.#rpc.addMethod(method, (params, context) => {
+                context.method = method;
+                return this.#options.handlers.run(method, params);
+            });
         }
     }
 
@@ -81,8 +89,12 @@
             response.writeHead(413, { connection: "close" }).end();
             return;
         }
-        const answer = await this.#rpc.receiveJSON(body.toString());
-        response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(answer));
+        const context: CallContext = {};
+        const result = JSON.stringify(await this.#rpc.receiveJSON(body.toString(), context));
+        if (context.method !== undefined) {
+            this.#options.traffic?.recordResult(findZone(request), context.method, Buffer.byteLength(result));
+        }
+        response.writeHead(200, { "content-type": "application/json" }).end(result);
     }
 
     async #runForwarded(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -108,7 +120,7 @@
         }
         finally {
             // A connection carries one answer at a time, so the difference is the size of this answer.
-            this.#options.traffic?.recordAnswer((socket?.bytesWritten ?? 0) - bytesWrittenBefore);
+            this.#options.traffic?.recordAnswer(findZone(request), (socket?.bytesWritten ?? 0) - bytesWrittenBefore);
         }
     }
 
@@ -161,3 +173,9 @@
         await writeStream(outcome.body, response);
     }
 }
+
+/** Finds the availability zone of the host that sent a message; undefined if it doesn't name one. */
+function findZone(request: IncomingMessage): string | undefined {
+    const zone = request.headers[peerProtocol.zoneHeader];
+    return typeof zone === "string" ? zone : undefined;
+}
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -98,6 +98,14 @@
         return this.#replicator.getAge();
     }
 
+    /**
+     * Finds the availability zone of another entry host; undefined if it is not registered.
+     * @param peerAddress - Its address for peers.
+     */
+    findZone(peerAddress: string): string | undefined {
+        return this.#membership.findZone(peerAddress);
+    }
+
     /** Starts all components. */
     async start(): Promise<void> {
         await this.#supervisor.start();
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -36,7 +36,7 @@
         maxConnections: MAX_PEER_CONNECTIONS,
         connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     });
-    readonly #traffic = new PeerTraffic();
+    readonly #traffic: PeerTraffic;
     readonly #upstreamTransport: HttpUpstreamTransport;
     readonly #host: GatewayHost;
     readonly #callerListener: GatewayListener;
@@ -46,6 +46,11 @@
     constructor(options: GatewayProcessOptions) {
         this.#options = options;
         this.#metrics = new GatewayMetrics(options.getDroppedLogLines, () => this.#host.getCopyAge());
+        this.#traffic = new PeerTraffic({
+            ownZone: options.settings.zone,
+            findZone: address => this.#host.findZone(address),
+            onSent: count => this.#metrics.recordPeerBytes(count),
+        });
         this.#decisions = new DecisionHistory(this.#clock, decision => {
             this.#metrics.recordDecision(decision);
             options.logger.info(decision, decision.reason);
@@ -86,14 +91,20 @@
         const { id, region, zone, peerAddress, callerAddress, cpuShare, cores, linkMbps } = settings;
         // Each request needs both CPU and network, so the product: neither can compensate for a lack of the other.
         const capacity = cpuShare * cores * linkMbps;
-        const peerOptions = { connections: this.#connections, clock: this.#clock, secret };
+        const peerOptions = {
+            connections: this.#connections,
+            clock: this.#clock,
+            secret,
+            zone,
+            traffic: this.#traffic,
+        };
         const incarnation = createIncarnation(this.#clock);
         return new GatewayHost({
             self: { id, region, zone, peerAddress, callerAddress, incarnation, capacity },
             clock: this.#clock,
             random: new SystemRandom(),
             decisions: this.#decisions,
-            transport: new HttpPeerTransport({ ...peerOptions, traffic: this.#traffic }),
+            transport: new HttpPeerTransport(peerOptions),
             forwarder: new HttpPeerForwarder(peerOptions),
             upstreamTransport: this.#upstreamTransport,
             source,
--- a/src/gateway/LoadReporter.ts
+++ b/src/gateway/LoadReporter.ts
@@ -1,4 +1,5 @@
 import { Decision } from "../logging/index.js";
+import type { PeerTrafficCount } from "../peers/index.js";
 import type { Child } from "../supervision/index.js";
 import type { LoadReporterOptions } from "./LoadReporterOptions.js";
 
@@ -53,7 +54,7 @@
 
     #record(maxAgeMs: number, stalledMs: number): void {
         const { decisions, memberId, traffic, getCopyAge } = this.#options;
-        const { calls, failures, bytes, slowestMs, answeredBytes } = traffic.readSummary();
+        const { calls, failures, bytes, slowestMs, answeredBytes, counts } = traffic.readSummary();
         decisions.record({
             decision: Decision.LoadReported,
             reason: "load",
@@ -67,11 +68,21 @@
                 peerKb: getRoundedFigure(bytes / BYTES_PER_KB),
                 slowestPeerMs: getRoundedFigure(slowestMs),
                 answeredKb: getRoundedFigure(answeredBytes / BYTES_PER_KB),
+                ...createByteFigures(counts),
             },
         });
     }
 }
 
+/** Creates a figure for each kind and zone of bytes. */
+function createByteFigures(counts: readonly PeerTrafficCount[]): Readonly<Record<string, number>> {
+    return Object.fromEntries(
+        counts.map((
+            { kind, isOwnZone, bytes },
+        ) => [`${kind}${isOwnZone ? "OwnZone" : "OtherZone"}Kb`, getRoundedFigure(bytes / BYTES_PER_KB)]),
+    );
+}
+
 function getRoundedFigure(value: number): number {
     return Math.round(Math.min(value, MAX_LOGGED_AGE_MS));
 }
--- a/src/membership/RegisteredMembership.ts
+++ b/src/membership/RegisteredMembership.ts
@@ -18,6 +18,7 @@
     readonly #listeners: ViewListener[] = [];
     #isLeaving = false;
     #view: MembershipView = { version: 0, members: [] };
+    #zones: ReadonlyMap<string, string> = new Map();
     #table = new RendezvousTable([]);
 
     /**
@@ -88,6 +89,14 @@
         return this.#table.getZoneRankings("watch");
     }
 
+    /**
+     * Finds the availability zone of a member; undefined if there is none.
+     * @param peerAddress - The member's address for peers.
+     */
+    findZone(peerAddress: string): string | undefined {
+        return this.#zones.get(peerAddress);
+    }
+
     /**
      * Adds a listener that runs after each change of the active view.
      * @param listener - Receives the new and the previous view.
@@ -108,6 +117,7 @@
         }
         this.#view = { version: previous.version + 1, members: sorted };
         this.#table = new RendezvousTable(sorted);
+        this.#zones = new Map(sorted.map(({ peerAddress, zone }) => [peerAddress, zone]));
         this.#listeners.forEach(listener => listener(this.#view, previous));
     }
 }
--- a/src/metrics/GatewayMetrics.ts
+++ b/src/metrics/GatewayMetrics.ts
@@ -3,6 +3,7 @@
 import type { DecisionRecord } from "../logging/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { OutcomeKind } from "../outcomes/index.js";
+import type { PeerTrafficCount } from "../peers/index.js";
 
 const MS_PER_SECOND = 1_000;
 const BUCKETS_S = [0.005, 0.02, 0.1, 0.25, 0.5, 1, 2, 4, 8];
@@ -24,6 +25,13 @@
         registers: [this.#registry],
     });
 
+    readonly #peerBytes = new Counter({
+        name: "fuchsiapath_peer_bytes_total",
+        help: "Bytes sent to other entry hosts, by what they carry and whether the receiver is in the own zone.",
+        labelNames: ["kind", "zone"],
+        registers: [this.#registry],
+    });
+
     /**
      * @param getDroppedLogLines - Gets the number of log lines dropped so far.
      * @param getCopyAge - Gets the time since the replica of the store was last known to be current, in milliseconds.
@@ -61,6 +69,14 @@
         this.#decisions.inc({ decision: record.decision, service: record.service ?? "" });
     }
 
+    /**
+     * Records bytes that were sent to another entry host.
+     * @param count - The bytes, their kind and zone.
+     */
+    recordPeerBytes({ kind, isOwnZone, bytes }: PeerTrafficCount): void {
+        this.#peerBytes.inc({ kind, zone: isOwnZone ? "own" : "other" }, bytes);
+    }
+
     /**
      * Adds the endpoint that serves the metrics.
      * @param app - The listener's application.
--- a/src/peers/HttpPeerOptions.ts
+++ b/src/peers/HttpPeerOptions.ts
@@ -8,6 +8,8 @@
     readonly clock: Clock;
     /** The secret that all entry hosts share. */
     readonly secret: string;
+    /** This host's availability zone, which is named to other hosts; not named if undefined. */
+    readonly zone?: string;
     /** Counts the calls; left out if they are not measured. */
     readonly traffic?: PeerTraffic;
 }
--- a/src/peers/HttpPeerTransport.ts
+++ b/src/peers/HttpPeerTransport.ts
@@ -11,6 +11,7 @@
 
 interface CallTarget {
     readonly address: string;
+    readonly method: PeerMethod;
     readonly signal: AbortSignal;
     /** The error of the HTTP client, kept because the JSON-RPC client passes on its message only. */
     error?: unknown;
@@ -21,6 +22,7 @@
     readonly #connections: PeerConnections;
     readonly #clock: Clock;
     readonly #secret: string;
+    readonly #zoneHeaders: Readonly<Record<string, string>>;
     readonly #traffic: PeerTraffic | undefined;
     readonly #client: JSONRPCClient<CallTarget>;
 
@@ -29,6 +31,7 @@
         this.#connections = options.connections;
         this.#clock = options.clock;
         this.#secret = options.secret;
+        this.#zoneHeaders = options.zone === undefined ? {} : { [peerProtocol.zoneHeader]: options.zone };
         this.#traffic = options.traffic;
         this.#client = new JSONRPCClient<CallTarget>((payload, target) => this.#sendPayload(payload, target));
     }
@@ -49,7 +52,7 @@
         const start = this.#clock.getTime();
         let isAnswered = false;
         const controller = new AbortController();
-        const target: CallTarget = { address, signal: controller.signal };
+        const target: CallTarget = { address, method, signal: controller.signal };
         const timer = this.#clock.schedule(timeoutMs, () => controller.abort(new Error("The call timed out.")));
         try {
             const result = await this.#client.request(method, params, target);
@@ -70,12 +73,16 @@
 
     async #sendPayload(payload: unknown, target: CallTarget): Promise<void> {
         const body = JSON.stringify(payload);
-        this.#traffic?.recordSent(Buffer.byteLength(body));
+        this.#traffic?.recordCall(target.address, target.method, Buffer.byteLength(body));
         try {
             const response = await this.#connections.get(target.address).request({
                 method: "POST",
                 path: peerProtocol.callPath,
-                headers: { "content-type": "application/json", [peerProtocol.secretHeader]: this.#secret },
+                headers: {
+                    "content-type": "application/json",
+                    [peerProtocol.secretHeader]: this.#secret,
+                    ...this.#zoneHeaders,
+                },
                 body,
                 signal: target.signal,
             });
--- /dev/null
+++ b/src/peers/getTrafficKind.ts
@@ -0,0 +1,36 @@
+import { PeerMethod } from "./PeerMethod.js";
+import { PeerTrafficKind } from "./PeerTrafficKind.js";
+
+/**
+ * Gets the kind of traffic to which the calls of a method belong.
+ * @param method - The method.
+ */
+export function getTrafficKind(method: PeerMethod): PeerTrafficKind {
+    switch (method) {
+        case PeerMethod.BorrowTokens:
+        case PeerMethod.ReceiveTokens:
+        case PeerMethod.HandOverRates:
+        case PeerMethod.SpendToken:
+            return PeerTrafficKind.Tokens;
+        case PeerMethod.ShareBaseline:
+        case PeerMethod.RemoveCrash:
+        case PeerMethod.RecordCrash:
+            return PeerTrafficKind.Sharing;
+        case PeerMethod.GetChunks:
+        case PeerMethod.PullGossip:
+        case PeerMethod.GetHead:
+        case PeerMethod.GetInstalled:
+        case PeerMethod.EditView:
+        case PeerMethod.PullReplica:
+            return PeerTrafficKind.Copies;
+        case PeerMethod.FindOutcome:
+        case PeerMethod.FindOrder:
+        case PeerMethod.ClaimOrder:
+        case PeerMethod.HandOverOrders:
+            return PeerTrafficKind.Outcomes;
+        case PeerMethod.Probe:
+        case PeerMethod.IsServing:
+        case PeerMethod.CheckHost:
+            return PeerTrafficKind.Checks;
+    }
+}
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -10,5 +10,8 @@
 export { peerProtocol } from "./peerProtocol.js";
 export { PeerSuspicion } from "./PeerSuspicion.js";
 export { PeerTraffic } from "./PeerTraffic.js";
+export type { PeerTrafficCount } from "./PeerTrafficCount.js";
+export { PeerTrafficKind } from "./PeerTrafficKind.js";
+export type { PeerTrafficOptions } from "./PeerTrafficOptions.js";
 export type { PeerTrafficSummary } from "./PeerTrafficSummary.js";
 export type { PeerTransport } from "./PeerTransport.js";
--- a/src/peers/peerProtocol.ts
+++ b/src/peers/peerProtocol.ts
@@ -3,6 +3,8 @@
     callPath: "/rpc",
     forwardPath: "/forward",
     secretHeader: "x-peer-secret",
+    /** The sender's availability zone. */
+    zoneHeader: "x-peer-zone",
     requestHeader: "x-peer-request",
     answerHeader: "x-peer-answer",
     /** Largest total size of the header fields of a message, in bytes. */
--- a/tests/forwarding/PeerListener.test.ts
+++ b/tests/forwarding/PeerListener.test.ts
@@ -7,7 +7,7 @@
 import type { Configuration } from "../../src/configuration/index.js";
 import { HttpPeerForwarder, PeerListener } from "../../src/forwarding/index.js";
 import { OutcomeKind } from "../../src/outcomes/index.js";
-import { PeerConnections, PeerHandlers, PeerTraffic } from "../../src/peers/index.js";
+import { PeerConnections, PeerHandlers, PeerTraffic, PeerTrafficKind } from "../../src/peers/index.js";
 import { SystemClock } from "../../src/time/index.js";
 import { createServiceRequest } from "../support/createServiceRequest.js";
 
@@ -19,7 +19,7 @@
 const test = suite("PeerListener");
 
 test("the traffic counter counts head and body of each answer to a forwarded request", async () => {
-    const traffic = new PeerTraffic();
+    const traffic = new PeerTraffic({ ownZone: "a", findZone: () => "b" });
     const listener = new PeerListener({
         handlers: new PeerHandlers(),
         serviceRunner: {
@@ -41,7 +41,7 @@
         traffic,
     });
     const connections = new PeerConnections({ maxConnections: 1, connectTimeoutMs: CONNECT_TIMEOUT_MS });
-    const forwarder = new HttpPeerForwarder({ connections, clock: new SystemClock(), secret: "s" });
+    const forwarder = new HttpPeerForwarder({ connections, clock: new SystemClock(), secret: "s", zone: "a", traffic });
     const address = await findFreeAddress();
     await listener.start(address);
     for (let count = 1; count <= REQUESTS; count++) {
@@ -51,7 +51,11 @@
     }
     await connections.close();
     await listener.stop();
-    const { answeredBytes } = traffic.readSummary();
+    const { answeredBytes, counts } = traffic.readSummary();
+    assert.equal(counts.map(({ kind, isOwnZone }) => [kind, isOwnZone]), [
+        [PeerTrafficKind.Requests, false],
+        [PeerTrafficKind.Answers, true],
+    ]);
     assert.ok(answeredBytes >= REQUESTS * BODY_BYTES, `${answeredBytes} bytes`);
     assert.ok(answeredBytes < REQUESTS * (BODY_BYTES + MAX_HEAD_BYTES), `${answeredBytes} bytes`);
 });
--- a/tests/gateway/LoadReporter.test.ts
+++ b/tests/gateway/LoadReporter.test.ts
@@ -4,7 +4,7 @@
 import { LoadReporter } from "../../src/gateway/index.js";
 import { Decision, DecisionHistory } from "../../src/logging/index.js";
 import type { DecisionRecord } from "../../src/logging/index.js";
-import { PeerTraffic } from "../../src/peers/index.js";
+import { PeerMethod, PeerTraffic } from "../../src/peers/index.js";
 
 const test = suite("LoadReporter");
 
@@ -12,7 +12,7 @@
     const clock = new FakeClock();
     const lines: DecisionRecord[] = [];
     const decisions = new DecisionHistory(clock, record => lines.push(record));
-    const traffic = new PeerTraffic();
+    const traffic = new PeerTraffic({ ownZone: "a", findZone: () => "b" });
     let copyAgeMs = 40;
     let stalledMs = 0;
     const getCopyAge = (): number => copyAgeMs;
@@ -22,9 +22,9 @@
     await clock.run(1_000);
     copyAgeMs = 2_600;
     stalledMs = 70;
-    traffic.recordSent(3_000);
+    traffic.recordCall("10.0.0.2:1", PeerMethod.SpendToken, 3_000);
     traffic.recordEnd(800, false);
-    traffic.recordAnswer(90_000);
+    traffic.recordAnswer("a", 90_000);
     await clock.run(1_000);
     copyAgeMs = 100;
     await clock.run(9_000);
@@ -40,6 +40,8 @@
             peerKb: 3,
             slowestPeerMs: 800,
             answeredKb: 90,
+            tokensOtherZoneKb: 3,
+            answersOwnZoneKb: 90,
         },
         {
             copyAgeMs: 100,
