Leave a zone by expected wait and served share, not by free slots

A request left its zone as soon as under a quarter of the zone's slots was free by report: ejected upstreams report none, so a zone with spare room was left, and free slots of failing upstreams drew requests. Service hosts now report usable slots, slot time, wait and served share; an entry host keeps a request in its zone while the wait there is a drawn share of what the target leaves. Answers repeat the loads of the other parts only to callers that don't know them yet.

--- a/src/accounts/DispatchAttempt.ts
+++ b/src/accounts/DispatchAttempt.ts
@@ -10,6 +10,8 @@
     readonly sentBefore: number;
     /** Names of those upstreams, as far as they are known. */
     readonly excludedUpstreams: readonly string[];
+    /** Whether the loads of the service's parts are known from a recent answer. */
+    readonly hasRecentLoads: boolean;
     /** Whether no other upstream may be tried after this attempt. */
     readonly isLast: boolean;
 }
--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -8,7 +8,7 @@
 import type { DispatcherOptions } from "./DispatcherOptions.js";
 import type { HostAnswer } from "./HostAnswer.js";
 import { isRetriable } from "./isRetriable.js";
-import { PartSelector } from "./PartSelector.js";
+import { PartSelector, RequestSlack } from "./placing/index.js";
 import type { Quarantine } from "./Quarantine.js";
 import { ServiceSender } from "./ServiceSender.js";
 
@@ -16,6 +16,8 @@
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 /** The least time left for a retry, in milliseconds: no upstream answers in less. */
 const MIN_RETRY_TIME_MS = 50;
+/** Length from which a body counts as large, in bytes: several times the head of a forwarded request. */
+const LARGE_BODY_BYTES = 16 * 1024;
 
 interface DispatchState {
     /** Keys of the parts that refused the request or had no reachable service host. */
@@ -44,6 +46,7 @@
     readonly #quarantine: Quarantine;
     readonly #sender: ServiceSender;
     readonly #parts: PartSelector;
+    readonly #slacks: RequestSlack;
     readonly #budgets = new Map<string, RetryBudget>();
 
     /**
@@ -55,6 +58,7 @@
         this.#quarantine = quarantine;
         this.#sender = new ServiceSender(options);
         const { clock, random } = options;
+        this.#slacks = new RequestSlack(clock);
         this.#parts = new PartSelector({ clock, random, ownZone: options.membership.getSelf().zone });
     }
 
@@ -113,6 +117,7 @@
             part,
             sentBefore: state.sent,
             excludedUpstreams: state.excludedUpstreams,
+            hasRecentLoads: this.#parts.hasRecentLoads(call.service.name),
             isLast: attempt === MAX_ATTEMPTS || state.sent + 1 >= getMaxUpstreams(call),
         }, signal);
         const isSent = isPossiblySent(answer);
@@ -130,7 +135,8 @@
         { excludedParts, shedParts, lostHostParts }: DispatchState,
     ): ServicePart | undefined {
         const options = {
-            hasLargeAnswer: call.request.route.kind === RouteKind.Bulk,
+            slackMs: this.#slacks.getSlack(call),
+            isLarge: call.request.route.kind === RouteKind.Bulk || call.request.body.length >= LARGE_BODY_BYTES,
             isAnyZoneAllowed: lostHostParts.size > 0,
         };
         const select = (...excluded: ReadonlySet<string>[]): ServicePart | undefined =>
@@ -164,9 +170,7 @@
             state.lostHostParts.add(part.key);
         }
         if (upstream !== undefined || outcome.kind === OutcomeKind.Done || isOutOfSlots(outcome)) {
-            const { freeSlots, queued, otherLoads } = answer;
-            this.#parts.recordLoad(call.service.name, { part: part.key, freeSlots, queued, ageMs: 0 });
-            otherLoads?.forEach(report => this.#parts.recordLoad(call.service.name, report));
+            this.#recordLoads(call, part, answer);
         }
         if (answer.isCrashSuspected && answer.host !== undefined) {
             const event = { attemptId: answer.attemptId ?? "", hostAddress: answer.host.peerAddress };
@@ -177,6 +181,19 @@
         }
     }
 
+    #recordLoads(call: DispatchCall, part: ServicePart, answer: HostAnswer): void {
+        const { freeSlots, queued, capacity, usualMs, otherLoads = [] } = answer;
+        const load = { part: part.key, freeSlots, queued, ageMs: 0, ...(capacity === undefined ? {} : { capacity }) };
+        this.#parts.recordLoad(call.service.name, load);
+        if (otherLoads.length > 0) {
+            this.#parts.recordLoads(call.service.name);
+        }
+        otherLoads.forEach(report => this.#parts.recordLoad(call.service.name, report));
+        if (usualMs !== undefined) {
+            this.#slacks.recordUsual(call, usualMs);
+        }
+    }
+
     /** Charges the retry budget unless the request was refused before it reached an upstream, as that puts no load on the service. */
     #isRetryAllowed(call: DispatchCall, { outcome, isSent }: AttemptResult, signal: AbortSignal): boolean {
         const remainingMs = call.deadline - this.#options.clock.getTime();
--- a/src/accounts/PartLoad.ts
+++ b/src/accounts/placing/PartLoad.ts
@@ -1,7 +1,8 @@
+import type { PartLoadReport } from "../../services/index.js";
+
 /** The last load report of a part of a service, and the number of attempts sent to the part since then. */
 export interface PartLoad {
-    readonly freeSlots: number;
-    readonly queued: number;
+    readonly report: PartLoadReport;
     /** Time of the report, in milliseconds of the clock. */
     readonly time: number;
     sentSinceReport: number;
--- a/src/accounts/PartSelectorOptions.ts
+++ b/src/accounts/placing/PartSelectorOptions.ts
@@ -1,5 +1,5 @@
-import type { RandomSource } from "../random/index.js";
-import type { Clock } from "../time/index.js";
+import type { RandomSource } from "../../random/index.js";
+import type { Clock } from "../../time/index.js";
 
 /** The dependencies of a part selector. */
 export interface PartSelectorOptions {
--- /dev/null
+++ b/src/accounts/placing/index.ts
@@ -0,0 +1,2 @@
+export { PartSelector } from "./PartSelector.js";
+export { RequestSlack } from "./RequestSlack.js";
--- a/src/forwarding/HttpPeerForwarder.ts
+++ b/src/forwarding/HttpPeerForwarder.ts
@@ -39,12 +39,15 @@
         const { body, ...head } = request;
         const answer = await this.#send(address, { kind: PeerRequestKind.Service, request: head }, body, signal);
         const answerHead = this.#getAnswerHead(address, answer);
+        const { capacity, usualMs } = answerHead;
         return {
             outcome: createOutcome(answerHead.outcome, answer.body),
             upstream: answerHead.upstream,
             isCrashSuspected: answerHead.isCrashSuspected ?? false,
             freeSlots: answerHead.freeSlots ?? 0,
             queued: answerHead.queued ?? 0,
+            ...(capacity === undefined ? {} : { capacity }),
+            ...(usualMs === undefined ? {} : { usualMs }),
             otherLoads: answerHead.otherLoads ?? [],
             notices: answerHead.notices ?? [],
         };
--- a/src/forwarding/PeerAnswerHead.ts
+++ b/src/forwarding/PeerAnswerHead.ts
@@ -1,5 +1,5 @@
 import type { OutcomeHead } from "../outcomes/index.js";
-import type { PartLoadReport, UpstreamNoticeReport } from "../services/index.js";
+import type { PartCapacityReport, PartLoadReport, UpstreamNoticeReport } from "../services/index.js";
 
 /** The answer to a forwarded request without its body. */
 export interface PeerAnswerHead {
@@ -8,6 +8,8 @@
     readonly isCrashSuspected?: boolean;
     readonly freeSlots?: number;
     readonly queued?: number;
+    readonly capacity?: PartCapacityReport;
+    readonly usualMs?: number;
     readonly otherLoads?: readonly PartLoadReport[];
     readonly notices?: readonly UpstreamNoticeReport[];
 }
--- a/src/services/ServiceAnswer.ts
+++ b/src/services/ServiceAnswer.ts
@@ -1,5 +1,6 @@
 import type { Outcome } from "../outcomes/index.js";
 import type { UpstreamNoticeReport } from "./notices/UpstreamNoticeReport.js";
+import type { PartCapacityReport } from "./sharing/PartCapacityReport.js";
 import type { PartLoadReport } from "./sharing/PartLoadReport.js";
 
 /** A service host's answer to one attempt. */
@@ -13,6 +14,10 @@
     readonly freeSlots: number;
     /** Requests that are queued for a slot there. */
     readonly queued: number;
+    /** How much the part can run; undefined if the answer doesn't tell it. */
+    readonly capacity?: PartCapacityReport;
+    /** The time within which most answers of the request's route start, in milliseconds; undefined while it is not known. */
+    readonly usualMs?: number;
     /** Recent load reports of the service's other parts, if any. */
     readonly otherLoads?: readonly PartLoadReport[];
     /** What the upstreams of the service have said about themselves, if anything. */
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -27,6 +27,8 @@
     readonly targetMs?: number;
     /** Whether it may be sent to another upstream if this attempt fails. */
     readonly hasOtherAttempt?: boolean;
+    /** Whether the sender knows the recent loads of the service's parts, so that the answer need not repeat them. */
+    readonly hasRecentLoads?: boolean;
     /** Number of upstreams that the request was, or may have been, sent to before. */
     readonly sentBefore: number;
     /** The names of those upstreams, as far as they are known. */
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -27,6 +27,7 @@
 export type { FindOutcomeParams } from "./sharing/FindOutcomeParams.js";
 export type { FindOutcomeResult } from "./sharing/FindOutcomeResult.js";
 export type { IsServingResult } from "./sharing/IsServingResult.js";
+export type { PartCapacityReport } from "./sharing/PartCapacityReport.js";
 export type { PartLoadReport } from "./sharing/PartLoadReport.js";
 export type { RemoveCrashParams } from "./sharing/RemoveCrashParams.js";
 export type { RemoveCrashResult } from "./sharing/RemoveCrashResult.js";
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -7,6 +7,7 @@
 import { EjectionPolicy } from "../detection/EjectionPolicy.js";
 import { OutlierDetector } from "../detection/OutlierDetector.js";
 import { RouteLatencies } from "../detection/RouteLatencies.js";
+import { ServedShare } from "../detection/ServedShare.js";
 import { ServiceBaseline } from "../detection/ServiceBaseline.js";
 import { SilentUpstreamMonitor } from "../detection/SilentUpstreamMonitor.js";
 import { UnservedRateMonitor } from "../detection/UnservedRateMonitor.js";
@@ -23,6 +24,7 @@
 import { UpstreamSelector } from "../queue/UpstreamSelector.js";
 import type { ServiceAnswer } from "../ServiceAnswer.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
+import type { PartCapacityReport } from "../sharing/PartCapacityReport.js";
 import type { PartLoadReport } from "../sharing/PartLoadReport.js";
 import { PartLoads } from "../sharing/PartLoads.js";
 import { createUpstreamCounts } from "./createUpstreamCounts.js";
@@ -62,6 +64,7 @@
     readonly #budget: RetryBudget;
     readonly #silentUpstreamMonitor: SilentUpstreamMonitor;
     readonly #routeLatencies = new RouteLatencies();
+    readonly #servedShare: ServedShare;
     #service: Service;
     #pending = 0;
     #onIdle: (() => void)[] = [];
@@ -82,6 +85,7 @@
         this.#options = options;
         this.#budget = new RetryBudget(clock, options.getRetryShare);
         this.baseline = new ServiceBaseline(clock);
+        this.#servedShare = new ServedShare(clock);
         this.unservedRate = new UnservedRateMonitor(clock);
         this.otherLoads = new PartLoads(clock);
         this.#selector = new UpstreamSelector(policy, () => this.#budget.hasSpareRetry());
@@ -167,13 +171,13 @@
         if (!(slot instanceof PooledUpstream)) {
             this.#recordFinish();
             this.unservedRate.record(false);
-            return this.#createAnswer(this.#refuse(request, slot), undefined, false);
+            return this.#createAnswer(request, this.#refuse(request, slot), undefined, false);
         }
         this.#silentUpstreamMonitor.start();
         const outcome = await this.#runner.run(slot, request, start + request.timeoutMs, signal);
         this.#recordServed(request, outcome);
         const isLost = outcome.kind === OutcomeKind.Unknown && outcome.reason === UnknownReason.ConnectionLost;
-        return this.#createAnswer(outcome, slot, isLost);
+        return this.#createAnswer(request, outcome, slot, isLost);
     }
 
     /**
@@ -258,7 +262,26 @@
 
     /** Gets the load of this part, which entry hosts use to select a part. */
     getPartLoad(): Omit<PartLoadReport, "part"> {
-        return { freeSlots: this.#upstreams.getFreeSlots(), queued: this.#queue.getSize(), ageMs: 0 };
+        return {
+            freeSlots: this.#upstreams.getFreeSlots(),
+            queued: this.#queue.getSize(),
+            capacity: this.#getCapacity(),
+            ageMs: 0,
+        };
+    }
+
+    #getCapacity(): PartCapacityReport {
+        const queued = this.#queue.getSize();
+        const slotTimeMs = this.#queue.getSlotTime();
+        const waitMs = queued === 0 && this.#selector.hasFreeSlot()
+            ? 0
+            : this.#selector.getPauseMs() + queued * slotTimeMs / (this.#getSlots() || 1);
+        return {
+            slots: Math.round(this.#upstreams.getSoundSlots(slotTimeMs)),
+            slotTimeMs: Math.round(slotTimeMs),
+            waitMs: Math.round(waitMs),
+            servedShare: this.#servedShare.getShare(),
+        };
     }
 
     /** Gets the status of each upstream for operators. */
@@ -292,9 +315,10 @@
         }
     }
 
-    /** A failed idempotent request is not counted here: it is retried elsewhere, and its last attempt counts. */
+    /** A failed idempotent request is not counted as unserved: it is retried elsewhere, and its last attempt counts. */
     #recordServed(request: ServiceRequest, outcome: Outcome): void {
         const isServed = outcome.kind === OutcomeKind.Done && outcome.status < FIRST_FAILURE_STATUS;
+        this.#servedShare.record(isServed);
         if (isServed || !request.isIdempotent) {
             this.unservedRate.record(isServed);
         }
@@ -370,8 +394,14 @@
         }
     }
 
-    #createAnswer(outcome: Outcome, pooled: PooledUpstream | undefined, isCrashSuspected: boolean): ServiceAnswer {
-        const { freeSlots, queued } = this.getPartLoad();
+    #createAnswer(
+        { route, hasRecentLoads }: ServiceRequest,
+        outcome: Outcome,
+        pooled: PooledUpstream | undefined,
+        isCrashSuspected: boolean,
+    ): ServiceAnswer {
+        const { freeSlots, queued, capacity } = this.getPartLoad();
+        const usualMs = this.#routeLatencies.findP75(route);
         const upstream = pooled?.getUpstream().name;
         const notices = this.getNotices();
         return {
@@ -380,7 +410,9 @@
             isCrashSuspected,
             freeSlots,
             queued,
-            otherLoads: this.otherLoads.getReports(),
+            ...(capacity === undefined ? {} : { capacity }),
+            ...(usualMs === undefined ? {} : { usualMs: Math.round(usualMs) }),
+            otherLoads: hasRecentLoads === true ? [] : this.otherLoads.getReports(),
             ...(notices.length === 0 ? {} : { notices }),
         };
     }
--- a/src/services/pools/UpstreamSet.ts
+++ b/src/services/pools/UpstreamSet.ts
@@ -40,6 +40,17 @@
         );
     }
 
+    /**
+     * Gets the slots that may be used now, free or not, without those of upstreams whose ejection is withheld.
+     * @param slotTimeMs - Mean time for which a request uses a slot, in milliseconds.
+     */
+    getSoundSlots(slotTimeMs: number): number {
+        return this.#upstreams.reduce(
+            (sum, upstream) => sum + (isSound(upstream) ? getUsableSlots(upstream, slotTimeMs) : 0),
+            0,
+        );
+    }
+
     /** Gets the slots that are free and may be used at once. */
     getFreeSlots(): number {
         return this.#upstreams.reduce(
@@ -156,3 +167,7 @@
 function getUsableSlots(upstream: PooledUpstream, slotTimeMs: number): number {
     return Math.min(upstream.getLimit(), upstream.rateLimiter.getUsableSlots(slotTimeMs));
 }
+
+function isSound(upstream: PooledUpstream): boolean {
+    return upstream.getState() !== UpstreamState.EjectionWithheld && !upstream.isReservedForLookups();
+}
