--- a/src/forwarding/PeerListener.ts
+++ b/src/forwarding/PeerListener.ts
@@ -6,7 +6,7 @@
 import { UnexpectedVariantError } from "../errors/index.js";
 import { createNotRun, getOutcomeHead, OutcomeKind, RefusalReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
-import { peerProtocol } from "../peers/index.js";
+import { encodeResult, peerProtocol } from "../peers/index.js";
 import type { PeerMethod } from "../peers/index.js";
 import {
     closeServer,
@@ -90,11 +90,12 @@
             return;
         }
         const context: CallContext = {};
-        const result = JSON.stringify(await this.#rpc.receiveJSON(body.toString(), context));
+        const answer = JSON.stringify(await this.#rpc.receiveJSON(body.toString(), context));
+        const result = await encodeResult(answer, request.headers["accept-encoding"]);
         if (context.method !== undefined) {
-            this.#options.traffic?.recordResult(findZone(request), context.method, Buffer.byteLength(result));
+            this.#options.traffic?.recordResult(findZone(request), context.method, result.body.length);
         }
-        response.writeHead(200, { "content-type": "application/json" }).end(result);
+        response.writeHead(200, { "content-type": "application/json", ...result.headers }).end(result.body);
     }
 
     async #runForwarded(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/peers/HttpPeerTransport.ts
+++ b/src/peers/HttpPeerTransport.ts
@@ -1,6 +1,7 @@
 import { JSONRPCClient } from "json-rpc-2.0";
 import type { Clock } from "../time/index.js";
 import { createPeerError } from "./createPeerError.js";
+import { decodeResult } from "./decodeResult.js";
 import type { HttpPeerOptions } from "./HttpPeerOptions.js";
 import type { PeerConnections } from "./PeerConnections.js";
 import type { PeerMethod } from "./PeerMethod.js";
@@ -80,13 +81,15 @@
                 path: peerProtocol.callPath,
                 headers: {
                     "content-type": "application/json",
+                    "accept-encoding": "gzip",
                     [peerProtocol.secretHeader]: this.#secret,
                     ...this.#zoneHeaders,
                 },
                 body,
                 signal: target.signal,
             });
-            this.#client.receive(await response.body.json() as never);
+            const received = Buffer.from(await response.body.arrayBuffer());
+            this.#client.receive(await decodeResult(received, response.headers["content-encoding"]) as never);
         }
         catch (error) {
             target.error = error;
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -1,4 +1,5 @@
 export { createPeerError } from "./createPeerError.js";
+export { encodeResult } from "./encodeResult.js";
 export type { HttpPeerOptions } from "./HttpPeerOptions.js";
 export { HttpPeerTransport } from "./HttpPeerTransport.js";
 export { PeerConnections } from "./PeerConnections.js";
--- a/tests/forwarding/PeerListener.test.ts
+++ b/tests/forwarding/PeerListener.test.ts
@@ -7,13 +7,23 @@
 import type { Configuration } from "../../src/configuration/index.js";
 import { HttpPeerForwarder, PeerListener } from "../../src/forwarding/index.js";
 import { OutcomeKind } from "../../src/outcomes/index.js";
-import { PeerConnections, PeerHandlers, PeerTraffic, PeerTrafficKind } from "../../src/peers/index.js";
+import {
+    HttpPeerTransport,
+    PeerConnections,
+    PeerHandlers,
+    PeerMethod,
+    peerProtocol,
+    PeerTraffic,
+    PeerTrafficKind,
+} from "../../src/peers/index.js";
 import { SystemClock } from "../../src/time/index.js";
 import { createServiceRequest } from "../support/createServiceRequest.js";
 
 const REQUESTS = 2;
 const CONNECT_TIMEOUT_MS = 10_000;
 const BODY_BYTES = 90_000;
+/** Makes a result of about 60 kB. */
+const RESULT_REPEATS = 10_000;
 const MAX_HEAD_BYTES = 2_000;
 
 const test = suite("PeerListener");
@@ -60,6 +70,39 @@
     assert.ok(answeredBytes < REQUESTS * (BODY_BYTES + MAX_HEAD_BYTES), `${answeredBytes} bytes`);
 });
 
+test("the large result of a call is compressed for callers that accept that, and counted as sent", async () => {
+    const traffic = new PeerTraffic({ ownZone: "a", findZone: () => "b" });
+    const handlers = new PeerHandlers();
+    const id = "route-".repeat(RESULT_REPEATS);
+    handlers.add(PeerMethod.CheckHost, () => ({ id }));
+    const listener = new PeerListener({
+        handlers,
+        serviceRunner: { run: () => Promise.reject(new Error("It is not called.")) },
+        getConfiguration: () => ({}) as Configuration,
+        secret: "s",
+        traffic,
+    });
+    const connections = new PeerConnections({ maxConnections: 1, connectTimeoutMs: CONNECT_TIMEOUT_MS });
+    const transport = new HttpPeerTransport({ connections, clock: new SystemClock(), secret: "s", zone: "c" });
+    const address = await findFreeAddress();
+    await listener.start(address);
+    const result = await transport.send(address, PeerMethod.CheckHost, { sender: "host-1" }, CONNECT_TIMEOUT_MS);
+    const plain = await connections.get(address).request({
+        method: "POST",
+        path: peerProtocol.callPath,
+        headers: { [peerProtocol.secretHeader]: "s" },
+        body: JSON.stringify({ jsonrpc: "2.0", id: 1, method: PeerMethod.CheckHost, params: { sender: "host-2" } }),
+    });
+    const plainResult = await plain.body.json() as { readonly result: { readonly id: string; }; };
+    await connections.close();
+    await listener.stop();
+    assert.is(result.id, id);
+    assert.is(plainResult.result.id, id, "an older host, which names no encoding, gets the plain result");
+    const [count] = traffic.readSummary().counts;
+    assert.is(count?.isOwnZone, false);
+    assert.ok(count.bytes > id.length && count.bytes < 1.1 * id.length, `${count.bytes} bytes`);
+});
+
 test.run();
 
 async function findFreeAddress(): Promise<string> {
