--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -1,5 +1,5 @@
-import { getServiceParts, RouteKind } from "../configuration/index.js";
-import type { Service, ServicePart } from "../configuration/index.js";
+import { RouteKind } from "../configuration/index.js";
+import type { ServicePart } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import type { NotRunOutcome, Outcome, UnknownOutcome } from "../outcomes/index.js";
 import { closeBody, createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
@@ -132,18 +132,16 @@
      */
     #selectPart(
         call: DispatchCall,
-        { excludedParts, shedParts, lostHostParts, excludedUpstreams }: DispatchState,
+        { excludedParts, shedParts, lostHostParts }: DispatchState,
     ): ServicePart | undefined {
         const options = {
             slackMs: this.#slacks.getSlack(call),
             isLarge: call.request.route.kind === RouteKind.Bulk || call.request.body.length >= LARGE_BODY_BYTES,
             isAnyZoneAllowed: lostHostParts.size > 0,
-            shedParts,
         };
         const select = (...excluded: ReadonlySet<string>[]): ServicePart | undefined =>
             this.#parts.select(call.service, new Set(excluded.flatMap(keys => [...keys])), options);
-        const triedParts = findTriedParts(call.service, shedParts, excludedUpstreams);
-        return select(excludedParts, triedParts, lostHostParts) ?? select(excludedParts, triedParts) ??
+        return select(excludedParts, shedParts, lostHostParts) ?? select(excludedParts, shedParts) ??
             select(excludedParts);
     }
 
@@ -237,18 +235,6 @@
     return call.request.route.maxAttempts ?? MAX_ATTEMPTS;
 }
 
-/** Finds the parts that shed a request and have no upstream that it was not sent to. */
-function findTriedParts(
-    service: Service,
-    shedParts: ReadonlySet<string>,
-    excludedUpstreams: readonly string[],
-): ReadonlySet<string> {
-    const tried = getServiceParts(service).filter(({ key, upstreams }) =>
-        shedParts.has(key) && upstreams.every(({ name }) => excludedUpstreams.includes(name))
-    );
-    return new Set(tried.map(({ key }) => key));
-}
-
 /** Treats an attempt without a named upstream as sent unless it was refused: an abandoned service host may have sent it on. */
 function isPossiblySent({ outcome, upstream }: HostAnswer): boolean {
     return upstream !== undefined || outcome.kind !== OutcomeKind.NotRun;
--- a/src/accounts/placing/PartSelectOptions.ts
+++ b/src/accounts/placing/PartSelectOptions.ts
@@ -4,8 +4,6 @@
     readonly isLarge?: boolean;
     /** How long it may wait for a slot without missing its target, in milliseconds. */
     readonly slackMs: number;
-    /** Keys of the parts of which an upstream shed the request; others of the same zone are preferred. */
-    readonly shedParts?: ReadonlySet<string>;
     /** Whether parts of all zones are candidates, as the own zone's retry budget may be spent. */
     readonly isAnyZoneAllowed?: boolean;
 }
--- a/src/accounts/placing/PartSelector.ts
+++ b/src/accounts/placing/PartSelector.ts
@@ -38,15 +38,11 @@
     select(
         service: Service,
         excluded: ReadonlySet<string>,
-        { slackMs, isLarge = false, isAnyZoneAllowed: isAnyZone = false, shedParts = new Set() }: PartSelectOptions,
+        { slackMs, isLarge = false, isAnyZoneAllowed: isAnyZone = false }: PartSelectOptions,
     ): ServicePart | undefined {
         const parts = getServiceParts(service).filter(part => part.slots > 0 && !excluded.has(part.key));
         const estimates = parts.map(part => this.#estimator.createEstimate(service, part));
-        const candidates = isAnyZone
-            ? estimates
-            : this.#zones.select(estimates, { slackMs, isLarge, wasShed: shedParts.size > 0 });
-        const preferred = candidates.filter(({ part }) => !shedParts.has(part.key));
-        return this.#selectByWeight(preferred.length > 0 ? preferred : candidates)?.part;
+        return this.#selectByWeight(isAnyZone ? estimates : this.#zones.select(estimates, slackMs, isLarge))?.part;
     }
 
     /**
--- a/src/accounts/placing/ZoneSelector.ts
+++ b/src/accounts/placing/ZoneSelector.ts
@@ -1,7 +1,6 @@
 import type { RandomSource } from "../../random/index.js";
 import { createZoneEstimates } from "./createZoneEstimates.js";
 import type { PartEstimate } from "./PartEstimate.js";
-import type { RequestNeed } from "./RequestNeed.js";
 import type { ZoneEstimate } from "./ZoneEstimate.js";
 
 /**
@@ -20,9 +19,6 @@
 /** Another zone replaces a failing one only if it serves this much more, so that a failure of all zones keeps requests in place. */
 const MIN_SERVED_GAIN = 0.25;
 
-/** The same for a request that an upstream of the zone has shed, as each further attempt spends the retry budget. */
-const MIN_SERVED_GAIN_OF_RETRY = 0.1;
-
 /** Selects the zones whose parts may run a request: the own zone alone while that serves it in time, or no other is known to be better. */
 export class ZoneSelector {
     readonly #random: RandomSource;
@@ -40,31 +36,33 @@
     /**
      * Selects the parts that may run a request.
      * @param parts - The estimates of all parts that may be selected.
-     * @param need - What the request needs.
+     * @param slackMs - How long the request may wait without missing its target, in milliseconds.
+     * @param isLarge - Whether its body or its answer is large.
      */
-    select(parts: readonly PartEstimate[], need: RequestNeed): readonly PartEstimate[] {
+    select(parts: readonly PartEstimate[], slackMs: number, isLarge: boolean): readonly PartEstimate[] {
         const zones = createZoneEstimates(parts);
         const own = zones.find(({ zone }) => zone === this.#ownZone);
         const others = zones.filter(zone => zone !== own);
         if (own === undefined || others.length === 0) {
             return parts;
         }
-        const minGain = need.wasShed ? MIN_SERVED_GAIN_OF_RETRY : MIN_SERVED_GAIN;
-        const better = isFailing(own) || need.wasShed
-            ? others.filter(other => other.waitMs !== undefined && other.servedShare >= own.servedShare + minGain)
-            : [];
-        const candidates = better.length > 0 ? better : this.#findFaster(own, others, need);
-        return [own, ...candidates].flatMap(zone => zone.parts);
+        const better = isFailing(own)
+            ? others.filter(other =>
+                other.waitMs !== undefined && other.servedShare >= own.servedShare + MIN_SERVED_GAIN
+            )
+            : this.#findFaster(own, others, slackMs, isLarge);
+        return [own, ...better].flatMap(zone => zone.parts);
     }
 
     /** Finds the zones that start a request sooner. Those without reports are candidates only if the own zone can't start it at all. */
     #findFaster(
         own: ZoneEstimate,
         others: readonly ZoneEstimate[],
-        need: RequestNeed,
+        slackMs: number,
+        isLarge: boolean,
     ): readonly ZoneEstimate[] {
         const { waitMs } = own;
-        if (waitMs === undefined || waitMs === 0 || waitMs <= this.#createWaitLimit(need)) {
+        if (waitMs === undefined || waitMs === 0 || waitMs <= this.#createWaitLimit(slackMs, isLarge)) {
             return [];
         }
         const maxWaitMs = MAX_RELATIVE_WAIT * waitMs - ZONE_ROUND_TRIP_MS;
@@ -76,7 +74,7 @@
             : others.filter(other => other.waitMs !== Number.POSITIVE_INFINITY);
     }
 
-    #createWaitLimit({ slackMs, isLarge }: RequestNeed): number {
+    #createWaitLimit(slackMs: number, isLarge: boolean): number {
         const { min, max } = isLarge ? WAIT_SHARE_OF_LARGE : WAIT_SHARE;
         return slackMs * (min + (max - min) * this.#random.getNext());
     }
