Order, admit and refuse queued requests by what it costs callers

The queue was first in, first out within an account, folded priorities into the account's weight, measured every wait by one mean slot time and evicted the newest request of the longest queue whatever its priority.

Within a bounded lead of each account over its share of the slot time, the order now goes by priority, then by whether the target can still be met; what would start last is refused first. Each priority keeps a part of its share. Slot times are known by route, the wait is that of the request itself, and what can no longer be served in time is refused when this is known.

--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -34,8 +34,6 @@
 import { UpstreamState } from "./UpstreamState.js";
 import type { UpstreamStatus } from "./UpstreamStatus.js";
 
-/** Factor between the queue weights of two adjacent priorities. */
-const PRIORITY_FACTOR = 2;
 /** Fewer unreachable upstreams may be at fault themselves, rather than this host's network. */
 const MIN_UNREACHABLE_UPSTREAMS = 2;
 /** Share of unreachable upstreams from which this host counts as cut off. */
@@ -119,7 +117,7 @@
             recorder,
             limit: this.#limit,
             budget: this.#budget,
-            getSlotTime: () => this.#queue.getSlotTime(),
+            getSlotTime: request => this.#queue.getRouteSlotTime(request),
             findPatience: (request, deadline) => this.#findPatience(request, deadline),
             onRelease: (pooled, request, use) => this.#release(pooled, request, use),
         });
@@ -277,8 +275,7 @@
         else if (!this.#budget.spend()) {
             return createNotRun(RefusalReason.RetryBudgetSpent, "The service's retry budget is spent.");
         }
-        const weight = this.#options.getWeight(request.account) / PRIORITY_FACTOR ** (request.priority ?? 0);
-        return await this.#queue.wait(request, weight, signal);
+        return await this.#queue.wait(request, this.#options.getWeight(request.account), signal);
     }
 
     #getSlots(): number {
@@ -338,6 +335,7 @@
         this.#queue.run();
         if (this.#options.policy === EjectionPolicy.Prompt) {
             this.#queue.refuseExcess();
+            this.#queue.refuseHopeless();
         }
     }
 
@@ -356,8 +354,8 @@
         return outcome;
     }
 
-    #release(pooled: PooledUpstream, { account }: ServiceRequest, { expectedMs, usedMs }: SlotUsage): void {
-        this.#queue.recordSlotTime(account, expectedMs, usedMs);
+    #release(pooled: PooledUpstream, request: ServiceRequest, { expectedMs, usedMs }: SlotUsage): void {
+        this.#queue.recordSlotTime(request, expectedMs, usedMs);
         this.#upstreams.release(pooled);
         this.#queue.run();
         this.#recordFinish();
--- a/src/services/queue/FairQueueItem.ts
+++ b/src/services/queue/FairQueueItem.ts
@@ -6,4 +6,8 @@
     readonly weight: number;
     /** The expected slot time, in milliseconds. */
     readonly cost: number;
+    /** The priority, 0 the highest. */
+    readonly priority: number;
+    /** The time until which the item can start and still meet its target, in milliseconds of the clock. */
+    readonly dueTime: number;
 }
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -3,28 +3,44 @@
 import type { ScheduledCall } from "../../time/index.js";
 import type { PooledUpstream } from "../pools/PooledUpstream.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
+import { compareRanks } from "./compareRanks.js";
 import { FairQueue } from "./FairQueue.js";
+import { PriorityWork } from "./PriorityWork.js";
 import type { QueuedRequest } from "./QueuedRequest.js";
+import type { QueueEntry } from "./QueueEntry.js";
+import { RouteSlotTimes } from "./RouteSlotTimes.js";
 import type { SlotQueueOptions } from "./SlotQueueOptions.js";
 
-/** Weight of a new sample in the moving average of the slot time. */
-const SMOOTHING = 1 / 32;
-const DEFAULT_SLOT_TIME_MS = 10;
 const MIN_RETRY_AFTER_MS = 100;
 /** Callers that are refused while no upstream wants requests return spread over this share of the time named to them. */
 const RETURN_SPREAD_SHARE = 0.25;
+/** Share of the slots that counts as left to a request whatever more urgent ones ask for, as lower priorities keep a share. */
+const MIN_SLOT_SHARE = 0.1;
+/** Queued requests are refused if their expected wait exceeds the time left by this factor, as the expectation varies. */
+const HOPELESS_FACTOR = 1.25;
+/** Share of the queue from which requests are refused at once that rank no higher than one that was refused in the queue lately. */
+const CONTENDED_SHARE = 0.5;
+/** How long such a refusal tells that more urgent requests keep coming, in milliseconds. */
+const DISPLACED_LIFETIME_MS = 1_000;
+/** The least time between two checks for queued requests that can't be served in time, in milliseconds. */
+const CHECK_INTERVAL_MS = 50;
 
-/** Queues requests for slots, fairly among accounts, and refuses those that would miss their deadlines. */
+/** Queues requests for slots, fairly among accounts, and refuses those that would miss their deadlines or cost callers least. */
 export class SlotQueue {
     readonly #options: SlotQueueOptions;
-    readonly #queue = new FairQueue<QueuedRequest>();
-    #slotTimeMs = DEFAULT_SLOT_TIME_MS;
-    #hasSlotTime = false;
+    readonly #queue: FairQueue<QueuedRequest>;
+    readonly #slotTimes = new RouteSlotTimes();
+    readonly #demand: PriorityWork;
+    /** The last request that was refused in the queue for a more urgent one, and when. */
+    #displaced: { readonly entry: QueueEntry<QueuedRequest>; readonly time: number; } | undefined;
+    #checkTime = Number.NEGATIVE_INFINITY;
     #pauseEnd: ScheduledCall | undefined;
 
     /** @param options - Dependencies and limits of the queue. */
     constructor(options: SlotQueueOptions) {
         this.#options = options;
+        this.#queue = new FairQueue(options.clock, () => options.getSlots());
+        this.#demand = new PriorityWork(options.clock);
     }
 
     /** Gets the number of queued requests. */
@@ -43,19 +59,29 @@
         weight: number,
         signal: AbortSignal,
     ): Promise<PooledUpstream | NotRunOutcome> {
-        const isTrial = this.#options.selector.hasTrial(request);
-        const refusal = isTrial
-            ? undefined
-            : this.#checkDeadline(request, weight) ?? this.#checkCapacity(request, weight);
-        if (refusal !== undefined) {
-            return refusal;
-        }
-        return await new Promise(resolve => this.#add(request, weight, signal, resolve));
+        return await new Promise(resolve => {
+            const item = this.#createItem(request, weight, signal, resolve);
+            this.#recordAsked(item);
+            const refusal = this.#options.selector.hasTrial(request)
+                ? undefined
+                : this.#checkDeadline(item) ?? this.#checkCapacity(item);
+            if (refusal === undefined) {
+                this.#queue.add(item);
+                this.run();
+            }
+            else {
+                this.#queue.recordRefused(item);
+                item.onRefused(refusal);
+            }
+        });
     }
 
     /** Starts queued requests while upstreams have free slots for them. */
     run(): void {
         this.#runAll();
+        if (this.#options.clock.getTime() >= this.#checkTime + CHECK_INTERVAL_MS) {
+            this.refuseHopeless();
+        }
         this.#pauseEnd?.cancel();
         const pauseMs = this.#queue.getSize() === 0 ? undefined : this.#options.selector.findNextPauseMs();
         this.#pauseEnd = pauseMs === undefined
@@ -80,27 +106,53 @@
 
     /**
      * Records how long a request used its slot.
-     * @param account - The account.
+     * @param request - The request.
      * @param expectedMs - The expected time, in milliseconds.
      * @param usedMs - The time used, in milliseconds.
      */
-    recordSlotTime(account: string | undefined, expectedMs: number, usedMs: number): void {
-        this.#slotTimeMs = this.#hasSlotTime ? this.#slotTimeMs + SMOOTHING * (usedMs - this.#slotTimeMs) : usedMs;
-        this.#hasSlotTime = true;
+    recordSlotTime({ account, route }: ServiceRequest, expectedMs: number, usedMs: number): void {
+        this.#slotTimes.record(route, usedMs);
         this.#queue.recordCost(account, usedMs - expectedMs);
     }
 
     /** Gets the mean time for which a request uses a slot, in milliseconds. */
     getSlotTime(): number {
-        return this.#slotTimeMs;
+        return this.#slotTimes.getMean();
     }
 
-    /** Refuses queued requests beyond the capacity, which shrinks with the usable slots; the newest of the longest queue first. */
+    /**
+     * Gets the mean time for which requests of a request's route use a slot, in milliseconds.
+     * @param request - The request.
+     */
+    getRouteSlotTime({ route }: ServiceRequest): number {
+        return this.#slotTimes.getRouteMean(route);
+    }
+
+    /** Refuses queued requests beyond the capacity, which shrinks with the usable slots; those that cost callers least first. */
     refuseExcess(): void {
         const capacity = this.#options.getCapacity();
         while (this.#queue.getSize() > capacity) {
-            const newest = this.#queue.findNewestOfLongest()!;
-            newest.onRefused(this.#createFullRefusal(newest.account, newest.weight));
+            this.#refuseFull(this.#queue.findLeastUrgent()!);
+        }
+    }
+
+    /** Refuses the queued requests that can no longer be served in time as the usable slots, the requests and their times are now. */
+    refuseHopeless(): void {
+        const { clock } = this.#options;
+        this.#checkTime = clock.getTime();
+        if (this.#queue.getSize() === 0) {
+            return;
+        }
+        let workMs = 0;
+        for (const { item, isAheadOfShare } of this.#queue.getEntries()) {
+            const waitMs = this.#measureWaitFor(workMs, item, isAheadOfShare);
+            if (waitMs > HOPELESS_FACTOR * (item.lastStartTime - clock.getTime())) {
+                this.#queue.recordRefused(item);
+                item.onRefused(this.#createDeadlineRefusal(waitMs));
+            }
+            else {
+                workMs += item.cost;
+            }
         }
     }
 
@@ -119,28 +171,41 @@
             (selector.hasFreeSlot() || this.#queue.getItems().some(item => selector.hasTrial(item.request)));
     }
 
-    #add(
+    /** Requests of accounts that are ahead of their shares don't delay others. */
+    #recordAsked(item: QueuedRequest): void {
+        this.#queue.recordAsked(item);
+        if (!this.#queue.getEntry(item).isAheadOfShare) {
+            this.#demand.add(item.priority, item.cost);
+        }
+    }
+
+    #createItem(
         request: ServiceRequest,
         weight: number,
         signal: AbortSignal,
         resolve: (result: PooledUpstream | NotRunOutcome) => void,
-    ): void {
+    ): QueuedRequest {
         const { clock, getUsualLatency } = this.#options;
-        const cancel = (): void =>
+        const now = clock.getTime();
+        const usualMs = getUsualLatency(request);
+        const leave = (): void =>
             item.onRefused(createNotRun(RefusalReason.DeadlineExceeded, "The caller left while the request waited."));
         const timer = clock.schedule(
-            Math.max(0, request.timeoutMs - getUsualLatency(request)),
-            () => item.onRefused(this.#createDeadlineRefusal(this.#slotTimeMs)),
+            Math.max(0, request.timeoutMs - usualMs),
+            () => item.onRefused(this.#createDeadlineRefusal(this.#measureWait(item))),
         );
         const sendResult = (result: PooledUpstream | NotRunOutcome): void => {
             timer.cancel();
-            signal.removeEventListener("abort", cancel);
+            signal.removeEventListener("abort", leave);
             resolve(result);
         };
         const item: QueuedRequest = {
             account: request.account,
             weight,
-            cost: this.#slotTimeMs,
+            cost: this.getRouteSlotTime(request),
+            priority: getPriority(request),
+            dueTime: now + Math.min(request.targetMs ?? request.timeoutMs, request.timeoutMs) - usualMs,
+            lastStartTime: now + request.timeoutMs - usualMs,
             request,
             onSelected: sendResult,
             onRefused: refusal => {
@@ -148,46 +213,86 @@
                 sendResult(refusal);
             },
         };
-        signal.addEventListener("abort", cancel, { once: true });
-        this.#queue.add(item);
-        this.run();
+        signal.addEventListener("abort", leave, { once: true });
+        return item;
     }
 
-    #checkDeadline(request: ServiceRequest, weight: number): NotRunOutcome | undefined {
-        const { selector, getFastLatency, getUsualLatency } = this.#options;
-        if (request.timeoutMs < getFastLatency(request)) {
-            return this.#createDeadlineRefusal(this.#slotTimeMs);
+    #checkDeadline(item: QueuedRequest): NotRunOutcome | undefined {
+        const { selector, clock, getFastLatency } = this.#options;
+        if (item.request.timeoutMs < getFastLatency(item.request)) {
+            return this.#createDeadlineRefusal(this.getSlotTime());
         }
         const mustWait = !selector.hasFreeSlot() || this.#queue.getSize() > 0;
         if (!mustWait) {
             return undefined;
         }
-        const waitMs = this.#measureWait(request.account, weight);
-        return waitMs + getUsualLatency(request) > request.timeoutMs ? this.#createDeadlineRefusal(waitMs) : undefined;
+        const waitMs = this.#measureWait(item);
+        return waitMs > item.lastStartTime - clock.getTime() ? this.#createDeadlineRefusal(waitMs) : undefined;
     }
 
-    #checkCapacity(request: ServiceRequest, weight: number): NotRunOutcome | undefined {
+    #checkCapacity(item: QueuedRequest): NotRunOutcome | undefined {
         const size = this.#queue.getSize();
-        if (size < this.#options.getCapacity() || (size === 0 && this.#options.selector.hasFreeSlot())) {
+        const capacity = this.#options.getCapacity();
+        if (size === 0 && this.#options.selector.hasFreeSlot()) {
+            return undefined;
+        }
+        if (size >= CONTENDED_SHARE * capacity && this.#isLikelyDisplaced(item)) {
+            return this.#createFullRefusal(item);
+        }
+        if (size < capacity) {
             return undefined;
         }
-        const newest = this.#queue.findNewestOfLongest();
-        const own = this.#queue.measureWeightedLength(request.account) + 1 / weight;
-        const longest = newest === undefined ? 0 : this.#queue.measureWeightedLength(newest.account);
-        if (newest === undefined || own >= longest) {
-            return this.#createFullRefusal(request.account, weight);
+        const refused = this.#queue.findLeastUrgent(item)!;
+        if (refused === item) {
+            return this.#createFullRefusal(item);
         }
-        newest.onRefused(this.#createFullRefusal(newest.account, newest.weight));
+        this.#displaced = { entry: this.#queue.getEntry(refused), time: this.#options.clock.getTime() };
+        this.#refuseFull(refused);
         return undefined;
     }
 
-    #measureWait(account: string | undefined, weight: number): number {
-        const pauseMs = this.#options.selector.getPauseMs();
-        if (!this.#hasSlotTime) {
+    /** A request that would soon be refused for a more urgent one, or one of an account with a smaller share, is refused at once. */
+    #isLikelyDisplaced(item: QueuedRequest): boolean {
+        const displaced = this.#displaced;
+        if (displaced === undefined || this.#options.clock.getTime() - displaced.time >= DISPLACED_LIFETIME_MS) {
+            return false;
+        }
+        const difference = compareRanks(this.#queue.getEntry(item), displaced.entry);
+        return difference > 0 || (difference === 0 && item.account === displaced.entry.item.account);
+    }
+
+    #refuseFull(item: QueuedRequest): void {
+        this.#queue.recordRefused(item);
+        item.onRefused(this.#createFullRefusal(item));
+    }
+
+    #measureWait(item: QueuedRequest): number {
+        return this.#measureWaitFor(
+            this.#queue.measureWorkAhead(item),
+            item,
+            this.#queue.getEntry(item).isAheadOfShare,
+        );
+    }
+
+    /**
+     * Measures the wait behind work of the queue and for the next slot, while more urgent requests keep coming as they did lately.
+     * Others of the same priority go first too once the target is missed, and all others if the account is ahead of its share.
+     */
+    #measureWaitFor(workMs: number, { priority, dueTime }: QueuedRequest, isAheadOfShare: boolean): number {
+        const { selector, clock } = this.#options;
+        const pauseMs = selector.getPauseMs();
+        if (!this.#slotTimes.hasSamples()) {
             return pauseMs;
         }
         const slots = this.#options.getSlots() || 1;
-        return pauseMs + this.#queue.measureItemsAhead(account, weight) * this.#slotTimeMs / slots;
+        const startMs = pauseMs + (selector.hasFreeSlot() ? 0 : this.getSlotTime() / slots);
+        const measure = (lowest: number): number =>
+            startMs + workMs / Math.max(MIN_SLOT_SHARE * slots, slots - this.#demand.getSlotsAbove(lowest));
+        if (isAheadOfShare) {
+            return measure(Infinity);
+        }
+        const waitMs = measure(priority);
+        return clock.getTime() + waitMs > dueTime ? measure(priority + 1) : waitMs;
     }
 
     #createDeadlineRefusal(waitMs: number): NotRunOutcome {
@@ -195,9 +300,9 @@
         return createNotRun(RefusalReason.Overloaded, "No slot would be free before the deadline.", retryAfterMs);
     }
 
-    #createFullRefusal(account: string | undefined, weight: number): NotRunOutcome {
-        const retryAfterMs = this.#getRetryAfter(this.#measureWait(account, weight));
-        return createNotRun(RefusalReason.Overloaded, "The account's share of the queue is full.", retryAfterMs);
+    #createFullRefusal(item: QueuedRequest): NotRunOutcome {
+        const retryAfterMs = this.#getRetryAfter(this.#measureWait(item));
+        return createNotRun(RefusalReason.Overloaded, "More urgent requests fill the queue.", retryAfterMs);
     }
 
     #getRetryAfter(waitMs: number): number {
@@ -206,3 +311,8 @@
         return Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs + spreadMs));
     }
 }
+
+/** A priority that is missing or no number counts as the highest. */
+function getPriority({ priority = 0 }: ServiceRequest): number {
+    return priority > 0 ? priority : 0;
+}
--- a/src/services/queue/SlotRunner.ts
+++ b/src/services/queue/SlotRunner.ts
@@ -77,7 +77,7 @@
         deadlinePassed: AbortSignal,
     ): Promise<Outcome> {
         const start = this.#options.clock.getTime();
-        const expectedMs = this.#options.getSlotTime();
+        const expectedMs = this.#options.getSlotTime(request);
         const attempt = await this.#runner.run(
             pooled.getUpstream(),
             request,
--- a/src/services/queue/SlotRunnerOptions.ts
+++ b/src/services/queue/SlotRunnerOptions.ts
@@ -14,8 +14,8 @@
     readonly recorder: AttemptRecorder;
     readonly limit: FirstByteLimit;
     readonly budget: RetryBudget;
-    /** Gets the mean time for which a request uses a slot, in milliseconds. */
-    readonly getSlotTime: () => number;
+    /** Gets the time for which a request is expected to use a slot, in milliseconds. */
+    readonly getSlotTime: (request: ServiceRequest) => number;
     /**
      * Finds when an attempt makes way for one at another upstream; undefined if it lasts until its deadline.
      * @param request - The request.
