--- a/src/peers/getTrafficKind.ts
+++ b/src/peers/getTrafficKind.ts
@@ -11,6 +11,7 @@
         case PeerMethod.ReceiveTokens:
         case PeerMethod.HandOverRates:
         case PeerMethod.SpendToken:
+        case PeerMethod.HandOverTokens:
             return PeerTrafficKind.Tokens;
         case PeerMethod.ShareBaseline:
         case PeerMethod.RemoveCrash:
