Run the tests below crowds folders one at a time

Tests that measure the memory of processes can't share the machine with other test files, of which four run at once. Files below a folder named crowds now run after all others, one at a time.

--- a/src/tools/run-tests.ts
+++ b/src/tools/run-tests.ts
@@ -3,10 +3,11 @@
 import type { KnownRed } from "./testing/KnownRed.js";
 import { parseKnownRed } from "./testing/parseKnownRed.js";
 import { runTestFile } from "./testing/runTestFile.js";
+import { selectSerialFiles } from "./testing/selectSerialFiles.js";
 import type { TestFileResult } from "./testing/TestFileResult.js";
 
 /*
- * Runs all compiled test files, a few at a time, and prints what failed.
+ * Runs all compiled test files, a few at a time and those with crowds one at a time, and prints what failed.
  * Usage: node dist/src/tools/run-tests.js [text that the file's path contains]
  */
 const TEST_FOLDER = "dist/tests";
@@ -25,6 +26,12 @@
 }
 
 async function runAll(files: string[]): Promise<TestFileResult[]> {
+    const serial = selectSerialFiles(files);
+    const others = files.filter(file => !serial.includes(file));
+    return [...await runConcurrently(others, CONCURRENT_FILES), ...await runConcurrently(serial, 1)];
+}
+
+async function runConcurrently(files: readonly string[], concurrent: number): Promise<TestFileResult[]> {
     const remaining = [...files];
     const finished: TestFileResult[] = [];
     const runNext = async (): Promise<void> => {
@@ -34,7 +41,7 @@
             console.log(`${result.isSuccessful ? "ok  " : "FAIL"} ${result.passed}/${result.total} ${file}`);
         }
     };
-    await Promise.all(Array.from({ length: CONCURRENT_FILES }, runNext));
+    await Promise.all(Array.from({ length: concurrent }, runNext));
     return finished;
 }
 
