Bound what callers' requests hold in memory, and their connections

Cause: bodies were read whole before anything was looked at, in pieces that were joined at the end; requests sent ahead were bounded for each connection only; answers that nobody read, and connections, not at all. A forwarded body above 16 MiB ended as 503.

Change: one budget a process (src/memory), derived from the machine's memory. A body waits for room before it is read, the smallest first, and one that stops makes way; its buffer grows in place and is given back at once if it is not used. While memory is short one request a connection is kept and no answer is fetched ahead; the slowest reader's connection is closed. Half of the descriptors are for callers' connections, the longest idle closes first. Forwarded bodies are counted too and no longer limited to 16 MiB. An answer that its reader kept waiting for more than half of its time no longer counts against its upstream.

--- a/src/callers/CallerConnection.ts
+++ b/src/callers/CallerConnection.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { MemoryKind } from "../memory/index.js";
 import { drainBody, refuseSocket } from "../utils/index.js";
 import type { CallerConnectionOptions } from "./CallerConnectionOptions.js";
 import type { PendingRequest } from "./PendingRequest.js";
@@ -8,6 +9,10 @@
 const MAX_RUNNING_REQUESTS = 4;
 /** Requests of one connection that are kept unanswered; while there are as many, nothing more is read from it. */
 const MAX_PENDING_REQUESTS = 16;
+/** What a request holds besides its header fields, in bytes: two streams and their objects. */
+const REQUEST_BYTES = 8 * 1024;
+/** What an answer may hold while it waits: what is read ahead of the caller, and the buffers behind it, in bytes. */
+const ANSWER_AHEAD_BYTES = 320 * 1024;
 
 /**
  * Runs the requests of one connection and sends the answers in the order of the requests. Requests that were passed on are
@@ -45,8 +50,11 @@
             return;
         }
         const prepared = this.#options.prepare(request);
-        this.#pending.push({ request, response, prepared, controller: new AbortController(), answer: undefined });
-        if (this.#pending.length >= MAX_PENDING_REQUESTS) {
+        const controller = new AbortController();
+        const queuedBytes = REQUEST_BYTES + getHeadLength(request);
+        this.#options.memory?.budget.claim(MemoryKind.QueuedRequest, queuedBytes);
+        this.#pending.push({ request, response, prepared, controller, answer: undefined, queuedBytes, aheadBytes: 0 });
+        if (this.#isFull()) {
             this.#isPaused = true;
             this.#socket.pause();
         }
@@ -76,8 +84,9 @@
         }
         const isDraining = this.#options.isDraining();
         for (const [index, pending] of this.#pending.slice(0, MAX_RUNNING_REQUESTS).entries()) {
-            const canStart = index === 0 || (pending.prepared.canRunAhead && !isDraining);
-            if (pending.answer === undefined && !canStart) {
+            const canStart = pending.answer !== undefined || index === 0 ||
+                (pending.prepared.canRunAhead && !isDraining && this.#claimAhead(pending));
+            if (!canStart) {
                 return;
             }
             pending.answer ??= pending.prepared.run(pending.controller.signal);
@@ -91,8 +100,10 @@
         this.#isSending = true;
         try {
             for (let head = this.#pending[0]; head !== undefined && !this.#isClosing; head = this.#pending[0]) {
+                this.#releaseAhead(head);
                 await this.#sendAnswer(head);
                 this.#pending.shift();
+                this.#releaseQueued(head);
                 this.#startRequests();
                 this.#restoreReading();
             }
@@ -128,7 +139,7 @@
     }
 
     #restoreReading(): void {
-        if (!this.#isPaused || this.#pending.length >= MAX_PENDING_REQUESTS) {
+        if (!this.#isPaused || this.#isFull()) {
             return;
         }
         this.#isPaused = false;
@@ -139,9 +150,39 @@
         this.#socket.resume();
     }
 
+    /** While memory is short, one request a connection is kept. */
+    #isFull(): boolean {
+        const budget = this.#options.memory?.budget;
+        return this.#pending.length >= MAX_PENDING_REQUESTS ||
+            (this.#pending.length > 0 && budget?.hasRoom(MemoryKind.QueuedRequest, REQUEST_BYTES) === false);
+    }
+
+    #claimAhead(pending: PendingRequest): boolean {
+        const budget = this.#options.memory?.budget;
+        if (budget?.hasRoom(MemoryKind.AnswerAhead, ANSWER_AHEAD_BYTES) === false) {
+            return false;
+        }
+        budget?.claim(MemoryKind.AnswerAhead, ANSWER_AHEAD_BYTES);
+        pending.aheadBytes = ANSWER_AHEAD_BYTES;
+        return true;
+    }
+
+    #releaseAhead(pending: PendingRequest): void {
+        this.#options.memory?.budget.release(MemoryKind.AnswerAhead, pending.aheadBytes);
+        pending.aheadBytes = 0;
+    }
+
+    #releaseQueued(pending: PendingRequest): void {
+        this.#options.memory?.budget.release(MemoryKind.QueuedRequest, pending.queuedBytes);
+        pending.queuedBytes = 0;
+    }
+
     #cancelRequests(): void {
         this.#isClosing = true;
-        for (const [index, { controller, answer }] of this.#pending.entries()) {
+        for (const [index, pending] of this.#pending.entries()) {
+            const { controller, answer } = pending;
+            this.#releaseAhead(pending);
+            this.#releaseQueued(pending);
             controller.abort(new Error("The caller has left."));
             const isBeingSent = index === 0 && this.#isSending;
             if (!isBeingSent) {
@@ -159,6 +200,10 @@
     }
 }
 
+function getHeadLength(request: IncomingMessage): number {
+    return request.rawHeaders.reduce((sum, text) => sum + text.length, request.url?.length ?? 0);
+}
+
 async function waitForEnd(response: ServerResponse): Promise<void> {
     if (!response.writableFinished && !response.destroyed) {
         await new Promise<void>(resolve => response.once("finish", resolve).once("close", resolve));
--- a/src/callers/CallerConnections.ts
+++ b/src/callers/CallerConnections.ts
@@ -3,6 +3,7 @@
 import { refuseSocket } from "../utils/index.js";
 import { CallerConnection } from "./CallerConnection.js";
 import type { CallerConnectionsOptions } from "./CallerConnectionsOptions.js";
+import { ConnectionLimit } from "./ConnectionLimit.js";
 
 const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
 
@@ -13,11 +14,22 @@
     /** Connections with a request in progress. */
     readonly #busy = new Set<CallerConnection>();
     readonly #idleListeners: (() => void)[] = [];
+    readonly #limit: ConnectionLimit<Socket>;
     #isDraining = false;
 
     /** @param options - Dependencies of the connections. */
     constructor(options: CallerConnectionsOptions) {
         this.#options = options;
+        const { memory } = options;
+        this.#limit = new ConnectionLimit({
+            maxConnections: options.maxConnections ?? Number.POSITIVE_INFINITY,
+            closeSlowest: () => memory?.closeSlowest() ?? false,
+            onClosed: () => memory?.recordClosedConnection(),
+        });
+        options.server.on("connection", socket => {
+            socket.once("close", () => this.#limit.remove(socket));
+            this.#limit.add(socket);
+        });
         options.server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
             const isOverflow = error.code === HEADER_OVERFLOW_CODE;
             this.#refuse(socket as Socket, isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request");
@@ -34,6 +46,7 @@
         connection.add(request, response);
         if (connection.isBusy()) {
             this.#busy.add(connection);
+            this.#limit.record(request.socket, true);
         }
     }
 
@@ -53,12 +66,16 @@
     }
 
     #createConnection(socket: Socket): CallerConnection {
-        const { clock, prepare } = this.#options;
+        const { clock, memory, prepare } = this.#options;
         const connection: CallerConnection = new CallerConnection(socket, {
             clock,
+            memory,
             prepare,
             isDraining: () => this.#isDraining,
-            onIdle: () => this.#removeBusy(connection),
+            onIdle: () => {
+                this.#limit.record(socket, false);
+                this.#removeBusy(connection);
+            },
         });
         this.#connections.set(socket, connection);
         return connection;
--- a/src/callers/PendingRequest.ts
+++ b/src/callers/PendingRequest.ts
@@ -11,4 +11,8 @@
     readonly controller: AbortController;
     /** Its answer; undefined until the request has been passed on. */
     answer: Promise<PreparedAnswer> | undefined;
+    /** Memory counted for the request, in bytes. */
+    queuedBytes: number;
+    /** Memory counted for its answer while it waits for those to earlier requests, in bytes. */
+    aheadBytes: number;
 }
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -3,6 +3,7 @@
 export type { Finding } from "./Finding.js";
 export { FindingsError } from "./FindingsError.js";
 export { FuchsiapathError } from "./FuchsiapathError.js";
+export { MemoryShortError } from "./MemoryShortError.js";
 export { OperatorUnreachableError } from "./OperatorUnreachableError.js";
 export { PeerUnavailableError } from "./PeerUnavailableError.js";
 export { SlowReaderError } from "./SlowReaderError.js";
--- a/src/forwarding/PeerListener.ts
+++ b/src/forwarding/PeerListener.ts
@@ -1,9 +1,12 @@
 import { JSONRPCServer } from "json-rpc-2.0";
+import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import polka from "polka";
-import { UnexpectedVariantError } from "../errors/index.js";
+import { MemoryShortError, UnexpectedVariantError } from "../errors/index.js";
+import { createUnreadAnswer } from "../memory/index.js";
+import type { HeldBody } from "../memory/index.js";
 import { createNotRun, getOutcomeHead, OutcomeKind, RefusalReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { peerProtocol } from "../peers/index.js";
@@ -24,6 +27,8 @@
 
 const KEEP_ALIVE_MS = 60_000;
 const RETRY_AFTER_MS = 1000;
+/** Time in which a forwarded body must come, in milliseconds: the first host has it whole. */
+const BODY_TIMEOUT_MS = 10_000;
 
 /** Serves peer calls and forwarded requests from other entry hosts. */
 export class PeerListener {
@@ -96,12 +101,22 @@
         });
         try {
             const head = decodeJson(request.headers[peerProtocol.requestHeader] as string) as PeerRequestHead;
-            const body = await readBody(request, peerProtocol.maxBodyBytes);
+            const body = await this.#readBody(request);
             if (body === undefined) {
                 response.writeHead(413, { connection: "close" }).end();
                 return;
             }
-            await this.#runByKind(head, body, response, controller.signal);
+            if (body instanceof MemoryShortError) {
+                const outcome = createNotRun(RefusalReason.Overloaded, body.message, RETRY_AFTER_MS);
+                await this.#sendAnswer(response, outcome, { outcome: getOutcomeHead(outcome) }, head.request.requestId);
+                return;
+            }
+            try {
+                await this.#runByKind(head, body.bytes, response, controller.signal);
+            }
+            finally {
+                body.release();
+            }
         }
         catch {
             response.destroy();
@@ -112,6 +127,32 @@
         }
     }
 
+    /** Reads a body; one for which there is no memory is read to its end, so that the refusal reaches the other host. */
+    async #readBody(request: IncomingMessage): Promise<HeldBody | MemoryShortError | undefined> {
+        const { memory } = this.#options;
+        if (memory === undefined) {
+            const bytes = await readBody(request, peerProtocol.maxBodyBytes);
+            return bytes === undefined ? undefined : { bytes, release: () => {} };
+        }
+        const isChunked = request.headers["transfer-encoding"] !== undefined;
+        try {
+            return await memory.forwardedBodies.read(request, {
+                maxBytes: peerProtocol.maxBodyBytes,
+                length: isChunked ? undefined : Number(request.headers["content-length"] ?? 0),
+                timeoutMs: BODY_TIMEOUT_MS,
+            });
+        }
+        catch (error) {
+            if (!(error instanceof MemoryShortError)) {
+                throw error;
+            }
+            if (!request.readableEnded) {
+                await once(request.resume(), "end");
+            }
+            return error;
+        }
+    }
+
     async #runByKind(
         head: PeerRequestHead,
         body: Buffer,
@@ -121,12 +162,13 @@
         switch (head.kind) {
             case PeerRequestKind.Service: {
                 const { outcome, ...rest } = await this.#options.serviceRunner.run({ ...head.request, body }, signal);
-                await this.#sendAnswer(response, outcome, { outcome: getOutcomeHead(outcome), ...rest });
+                const answer = { outcome: getOutcomeHead(outcome), ...rest };
+                await this.#sendAnswer(response, outcome, answer, head.request.requestId);
                 return;
             }
             case PeerRequestKind.Account: {
                 const outcome = await this.#runAccount(head, body, signal);
-                await this.#sendAnswer(response, outcome, { outcome: getOutcomeHead(outcome) });
+                await this.#sendAnswer(response, outcome, { outcome: getOutcomeHead(outcome) }, head.request.requestId);
                 return;
             }
             default:
@@ -152,12 +194,23 @@
         return await accountRunner.run({ ...head.request, account, route, body }, signal);
     }
 
-    async #sendAnswer(response: ServerResponse, outcome: Outcome, head: PeerAnswerHead): Promise<void> {
+    async #sendAnswer(
+        response: ServerResponse,
+        outcome: Outcome,
+        head: PeerAnswerHead,
+        requestId: string,
+    ): Promise<void> {
         response.writeHead(200, { [peerProtocol.answerHeader]: encodeJson(head) });
         if (outcome.kind !== OutcomeKind.Done) {
             response.end();
             return;
         }
-        await writeStream(outcome.body, response);
+        const remove = this.#options.memory?.answers.add(createUnreadAnswer(response, outcome.headers, requestId));
+        try {
+            await writeStream(outcome.body, response);
+        }
+        finally {
+            remove?.();
+        }
     }
 }
--- a/src/forwarding/PeerListenerOptions.ts
+++ b/src/forwarding/PeerListenerOptions.ts
@@ -1,4 +1,5 @@
 import type { Configuration } from "../configuration/index.js";
+import type { ProcessMemory } from "../memory/index.js";
 import type { PeerHandlers, PeerTraffic } from "../peers/index.js";
 import type { AccountRunner } from "../requests/index.js";
 import type { ServiceRunner } from "../services/index.js";
@@ -13,6 +14,8 @@
     readonly getConfiguration: () => Configuration;
     /** The secret shared by all entry hosts. */
     readonly secret: string;
+    /** What requests may hold in this process; no limit if undefined. */
+    readonly memory?: ProcessMemory;
     /** Counts the answers to forwarded requests. */
     readonly traffic?: PeerTraffic;
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -98,13 +98,13 @@
     /**
      * Runs a request to its final outcome; never rejects.
      * @param request - The request, without its body.
-     * @param readBody - Reads the body; undefined if it exceeds the limit.
+     * @param readBody - Reads the body, which is of use for `timeoutMs` milliseconds; undefined if it exceeds the limit.
      * @param signal - Aborted when the caller disconnects.
      * @param startTime - Clock time at which the request was read, in milliseconds.
      */
     async run(
         request: GatewayRequest,
-        readBody: (maxBytes: number) => Promise<Buffer | undefined>,
+        readBody: (maxBytes: number, timeoutMs: number) => Promise<Buffer | undefined>,
         signal: AbortSignal,
         startTime = this.#options.clock.getTime(),
     ): Promise<Outcome> {
@@ -127,7 +127,7 @@
 
     async #run(
         request: GatewayRequest,
-        readBody: (maxBytes: number) => Promise<Buffer | undefined>,
+        readBody: (maxBytes: number, timeoutMs: number) => Promise<Buffer | undefined>,
         context: RequestContext,
         signal: AbortSignal,
     ): Promise<Outcome> {
@@ -135,8 +135,9 @@
         context.route = route.name;
         context.account = account?.name;
         this.#checkEnd(route);
-        const body = await readBody(route.maxBodyBytes) ?? await this.#refuseBody(route);
         const timeoutMs = Math.min(request.timeoutMs ?? route.deadlineMs, route.deadlineMs);
+        const bodyMs = Math.max(0, context.startTime + timeoutMs - this.#options.clock.getTime());
+        const body = await readBody(route.maxBodyBytes, bodyMs) ?? await this.#refuseBody(route);
         const remainingMs = context.startTime + timeoutMs - this.#options.clock.getTime();
         if (remainingMs <= 0) {
             throw new RefusalError(RefusalReason.DeadlineExceeded, "The deadline passed before the request was sent.");
--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -4,12 +4,14 @@
 import { CallerConnections, checkBody, RefusalError } from "../callers/index.js";
 import type { PreparedAnswer, PreparedRequest } from "../callers/index.js";
 import type { CallerLimits } from "../configuration/index.js";
+import { createUnreadAnswer } from "../memory/index.js";
 import { closeBody, OutcomeKind, RefusalReason } from "../outcomes/index.js";
 import type { DoneOutcome, Outcome } from "../outcomes/index.js";
-import { openServer, readBody, writeStream } from "../utils/index.js";
+import { openServer, writeStream } from "../utils/index.js";
 import type { GatewayErrorResponse } from "./GatewayErrorResponse.js";
 import type { GatewayListenerOptions } from "./GatewayListenerOptions.js";
 import type { GatewayRequest } from "./GatewayRequest.js";
+import { RequestBody } from "./RequestBody.js";
 
 /** Upper bound of the header size, which must be set before the configuration is known, in bytes. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -36,6 +38,8 @@
         this.#connections = new CallerConnections({
             clock: options.clock,
             server: this.#server,
+            memory: options.memory,
+            maxConnections: options.maxConnections,
             prepare: request => this.#createPreparedRequest(request),
         });
         this.#server.on("request", (request, response) => app.handler(request as polka.Request, response));
@@ -78,21 +82,23 @@
     }
 
     #createPreparedRequest(request: IncomingMessage): PreparedRequest {
-        const { clock, gateway } = this.#options;
+        const { clock, gateway, memory } = this.#options;
         const receivedTime = clock.getTime();
         const decoded = this.#decodeRequest(request);
         if (decoded instanceof RefusalError) {
             return {
                 canRunAhead: true,
-                run: async () => this.#createPreparedAnswer(decoded.outcome, undefined, receivedTime),
+                run: async () => this.#createPreparedAnswer(decoded.outcome, undefined, receivedTime, undefined),
             };
         }
         return {
             canRunAhead: gateway.isIdempotent(decoded),
             run: async signal => {
-                const readRequestBody = (maxBytes: number): Promise<Buffer | undefined> => readBody(request, maxBytes);
-                const outcome = await gateway.run(decoded, readRequestBody, signal, receivedTime);
-                return this.#createPreparedAnswer(outcome, decoded.requestId, receivedTime);
+                const body = new RequestBody(request, memory, clock);
+                const readBody = (maxBytes: number, timeoutMs: number): Promise<Buffer | undefined> =>
+                    body.read(maxBytes, timeoutMs);
+                const outcome = await gateway.run(decoded, readBody, signal, receivedTime);
+                return this.#createPreparedAnswer(outcome, decoded.requestId, receivedTime, body);
             },
         };
     }
@@ -108,8 +114,13 @@
         }
     }
 
-    #createPreparedAnswer(outcome: Outcome, requestId: string | undefined, receivedTime: number): PreparedAnswer {
-        const { clock, protocol, recordDuration } = this.#options;
+    #createPreparedAnswer(
+        outcome: Outcome,
+        requestId: string | undefined,
+        receivedTime: number,
+        requestBody: RequestBody | undefined,
+    ): PreparedAnswer {
+        const { clock, memory, protocol, recordDuration } = this.#options;
         const record = (sent: Outcome): void => recordDuration(sent, clock.getTime() - receivedTime);
         if (outcome.kind === OutcomeKind.Done) {
             // The body may fail while the answers to earlier requests are being sent.
@@ -121,14 +132,24 @@
                 record(current);
                 if (current.kind === OutcomeKind.Done) {
                     const headers = { ...protocol.createHeaders(current) } as Record<string, string>;
+                    const remove = memory.answers.add(createUnreadAnswer(response, current.headers, requestId ?? ""));
                     await sendBody(current, headers, response);
+                    remove();
+                    requestBody?.release();
                     return;
                 }
+                if (current.kind === OutcomeKind.Unknown) {
+                    requestBody?.releaseLate();
+                }
+                else {
+                    requestBody?.release();
+                }
                 sendErrorResponse(protocol.createErrorResponse(current, requestId), response);
             },
             cancel: () => {
                 record(outcome);
                 closeBody(outcome);
+                requestBody?.releaseLate();
             },
         };
     }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,5 +1,6 @@
 import { HttpPeerForwarder, PeerListener } from "../forwarding/index.js";
 import { DecisionHistory } from "../logging/index.js";
+import { ProcessMemory } from "../memory/index.js";
 import { GatewayMetrics } from "../metrics/index.js";
 import { HttpPeerTransport, PeerConnections, PeerTraffic } from "../peers/index.js";
 import { SystemRandom } from "../random/index.js";
@@ -25,6 +26,15 @@
 /** Share of the grace period after which requests in progress are aborted. */
 const DRAIN_GRACE_SHARE = 0.96;
 
+/** Descriptors that are kept for files, of those that a process may have. */
+const FILE_DESCRIPTORS = 200;
+/** Share of the other descriptors for callers' connections; each request may need one more to an upstream or a peer. */
+const CALLER_DESCRIPTOR_SHARE = 0.5;
+/** Fewest connections of callers, so that a host with few descriptors still serves. */
+const MIN_CALLER_CONNECTIONS = 16;
+/** Time for the next bytes of a body before a configuration is known, in milliseconds. */
+const DEFAULT_IDLE_TIMEOUT_MS = 10_000;
+
 /** The process of an entry host: its components, listeners and connections. */
 export class GatewayProcess {
     readonly #options: GatewayProcessOptions;
@@ -37,6 +47,7 @@
         connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     });
     readonly #traffic = new PeerTraffic();
+    readonly #memory: ProcessMemory;
     readonly #upstreamTransport: HttpUpstreamTransport;
     readonly #host: GatewayHost;
     readonly #callerListener: GatewayListener;
@@ -45,17 +56,31 @@
     /** @param options - Settings and platform adapters. */
     constructor(options: GatewayProcessOptions) {
         this.#options = options;
-        this.#metrics = new GatewayMetrics(options.getDroppedLogLines, () => this.#host.getCopyAge());
+        this.#metrics = new GatewayMetrics(
+            options.getDroppedLogLines,
+            () => this.#host.getCopyAge(),
+            () => this.#memory.budget.getFigures(),
+        );
         this.#decisions = new DecisionHistory(this.#clock, decision => {
             this.#metrics.recordDecision(decision);
             options.logger.info(decision, decision.reason);
         }, MAX_KEPT_DECISIONS);
+        this.#memory = new ProcessMemory({
+            clock: this.#clock,
+            decisions: this.#decisions,
+            memoryBytes: options.settings.memoryBytes,
+            getIdleTimeout: () =>
+                this.#host.supply.getConfiguration()?.getLimits().idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
+            collect: options.collectGarbage,
+        });
         this.#upstreamTransport = new HttpUpstreamTransport(this.#clock, options.upstreamProtocol);
         this.#host = this.#createHost();
         this.#callerListener = new GatewayListener({
             clock: this.#clock,
             gateway: this.#host.gateway,
             protocol: options.callerProtocol,
+            memory: this.#memory,
+            maxConnections: getMaxCallerConnections(options.settings.maxDescriptors),
             recordDuration: (outcome, durationMs) => this.#metrics.recordDuration(outcome, durationMs),
         });
         this.#host.supply.addListener(() => this.#applyLimits());
@@ -116,6 +141,7 @@
             serviceRunner: host.serviceHost,
             getConfiguration,
             secret,
+            memory: this.#memory,
             traffic: this.#traffic,
         });
         const lookupListener = new RouteListener(app => addLookupRoutes(app, host));
@@ -177,3 +203,8 @@
         }
     }
 }
+
+function getMaxCallerConnections(maxDescriptors: number): number {
+    const share = Math.floor((maxDescriptors - FILE_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE);
+    return Math.max(MIN_CALLER_CONNECTIONS, share);
+}
--- a/src/gateway/GatewayProcessOptions.ts
+++ b/src/gateway/GatewayProcessOptions.ts
@@ -13,6 +13,8 @@
 export interface GatewayProcessOptions {
     readonly settings: GatewaySettings;
     readonly logger: Logger;
+    /** Collects the young generation of objects; undefined if the process can't ask for it. */
+    readonly collectGarbage?: (() => void) | undefined;
     /** Gets the number of log lines dropped so far. */
     readonly getDroppedLogLines: () => number;
     /** The secret by which entry hosts authenticate their calls to each other. */
--- a/src/logging/Decision.ts
+++ b/src/logging/Decision.ts
@@ -24,6 +24,8 @@
     /** A dependency of this process became unavailable or available again. */
     DependencyChanged = "dependency-changed",
     BecameStale = "became-stale",
+    /** An answer was cut or a connection closed, as memory or connections were short. */
+    Cut = "cut",
     /** Periodic load metrics of this process. */
     LoadReported = "load-reported",
 }
--- /dev/null
+++ b/src/memory/BodyKind.ts
@@ -0,0 +1,4 @@
+import type { MemoryKind } from "./MemoryKind.js";
+
+/** The kinds of bodies. */
+export type BodyKind = MemoryKind.Body | MemoryKind.ForwardedBody;
--- /dev/null
+++ b/src/memory/HeldBody.ts
@@ -0,0 +1,6 @@
+/** A body in memory. */
+export interface HeldBody {
+    readonly bytes: Buffer;
+    /** Gives up its memory. */
+    release(): void;
+}
--- /dev/null
+++ b/src/memory/index.ts
@@ -0,0 +1,15 @@
+export { BodyReader } from "./BodyReader.js";
+export { BodyRoom } from "./BodyRoom.js";
+export { createMemoryLimits } from "./createMemoryLimits.js";
+export { createUnreadAnswer } from "./createUnreadAnswer.js";
+export { GarbageCollector } from "./GarbageCollector.js";
+export type { HeldBody } from "./HeldBody.js";
+export { MemoryAction } from "./MemoryAction.js";
+export { MemoryBudget } from "./MemoryBudget.js";
+export type { MemoryFigures } from "./MemoryFigures.js";
+export { MemoryKind } from "./MemoryKind.js";
+export type { MemoryLimits } from "./MemoryLimits.js";
+export { ProcessMemory } from "./ProcessMemory.js";
+export type { ProcessMemoryOptions } from "./ProcessMemoryOptions.js";
+export type { UnreadAnswer } from "./UnreadAnswer.js";
+export { UnreadAnswers } from "./UnreadAnswers.js";
--- a/src/metrics/GatewayMetrics.ts
+++ b/src/metrics/GatewayMetrics.ts
@@ -1,6 +1,7 @@
 import type { Polka } from "polka";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { DecisionRecord } from "../logging/index.js";
+import type { MemoryFigures } from "../memory/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { OutcomeKind } from "../outcomes/index.js";
 
@@ -27,8 +28,32 @@
     /**
      * @param getDroppedLogLines - Gets the number of log lines dropped so far.
      * @param getCopyAge - Gets the time since the replica of the store was last known to be current, in milliseconds.
+     * @param getMemory - Gets what callers' requests hold, by kind.
      */
-    constructor(getDroppedLogLines: () => number, getCopyAge: () => number) {
+    constructor(
+        getDroppedLogLines: () => number,
+        getCopyAge: () => number,
+        getMemory: () => readonly MemoryFigures[],
+    ) {
+        const held: Gauge<"kind"> = new Gauge({
+            name: "fuchsiapath_memory_held_bytes",
+            help: "What callers' requests hold in memory, by kind.",
+            labelNames: ["kind"],
+            registers: [this.#registry],
+            collect: () => getMemory().forEach(({ kind, heldBytes }) => held.set({ kind }, heldBytes)),
+        });
+        const actions: Gauge<"kind" | "action"> = new Gauge({
+            name: "fuchsiapath_memory_actions",
+            help:
+                "Requests refused, evicted or cut and connections closed since the start, as memory or descriptors were short.",
+            labelNames: ["kind", "action"],
+            registers: [this.#registry],
+            collect: () => {
+                for (const { kind, actions: counts } of getMemory()) {
+                    counts.forEach((count, action) => actions.set({ kind, action }, count));
+                }
+            },
+        });
         const droppedLogLines: Gauge = new Gauge({
             name: "fuchsiapath_log_lines_left_out",
             help: "Log lines that were left out since the start, by the rate limit or a slow reader.",
--- a/src/peers/peerProtocol.ts
+++ b/src/peers/peerProtocol.ts
@@ -9,6 +9,6 @@
     maxHeaderBytes: 64 * 1024,
     /** Largest size of a call's parameters or result, in bytes. */
     maxCallBytes: 8 * 1024 * 1024,
-    /** Largest size of a forwarded request's body, in bytes. */
-    maxBodyBytes: 16 * 1024 * 1024,
+    /** Largest size of a forwarded request's body, in bytes: far above what routes allow, which the first host has checked. */
+    maxBodyBytes: 1024 * 1024 * 1024,
 } as const;
--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -14,6 +14,8 @@
 import type { UpstreamExchangeOptions } from "./UpstreamExchangeOptions.js";
 
 const BODILESS_STATUSES = new Set([204, 304]);
+/** A body that its reader has kept waiting for this share of its time is late by the reader, not by the upstream. */
+const SLOW_READER_SHARE = 0.5;
 
 /** Sends one request over a connection and receives its response. */
 export class UpstreamExchange {
@@ -27,6 +29,9 @@
     #isIdentified = false;
     #isEndDetectable = true;
     #timer: ScheduledCall | undefined;
+    /** Clock time at which the reader began to keep the body waiting, in milliseconds. */
+    #pauseTime: number | undefined;
+    #pausedMs = 0;
     #resolve: (answer: UpstreamAnswer) => void = () => {};
 
     /**
@@ -84,6 +89,7 @@
             },
             onResponseData: (controller, chunk) => {
                 if (chunk.length > 0 && this.#body !== undefined && !this.#body.push(chunk)) {
+                    this.#pauseTime ??= this.#options.clock.getTime();
                     controller.pause();
                 }
             },
@@ -99,7 +105,10 @@
         const result = this.#checkAnswer(status, headers);
         this.#isEndDetectable = this.#isFramed(status, headers) || protocol.hasCloseDelimitedBodies;
         const body = new Readable({
-            read: () => controller.resume(),
+            read: () => {
+                this.#recordPauseEnd();
+                controller.resume();
+            },
             destroy: (error, callback) => {
                 this.#close(false);
                 callback(error);
@@ -154,16 +163,27 @@
             return;
         }
         const { clock } = this.#options;
-        const remainingMs = Math.max(0, this.#startTime + timeoutMs - clock.getTime());
+        const startTime = clock.getTime();
+        const remainingMs = Math.max(0, this.#startTime + timeoutMs - startTime);
         this.#timer = clock.schedule(remainingMs, () => {
+            const isPaused = this.#pauseTime !== undefined;
+            this.#recordPauseEnd();
+            const bodyMs = clock.getTime() - startTime;
             body.destroy(
-                this.#controller?.paused === true
+                isPaused || this.#pausedMs > bodyMs * SLOW_READER_SHARE
                     ? new SlowReaderError("The answer was not read in time.")
                     : new TruncatedAnswerError("The answer did not end in time."),
             );
         });
     }
 
+    #recordPauseEnd(): void {
+        if (this.#pauseTime !== undefined) {
+            this.#pausedMs += this.#options.clock.getTime() - this.#pauseTime;
+            this.#pauseTime = undefined;
+        }
+    }
+
     #isFramed(status: number, headers: IncomingHttpHeaders): boolean {
         return this.#request.method === "HEAD" || BODILESS_STATUSES.has(status) ||
             headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
--- a/src/settings/gatewaySettingsSchema.ts
+++ b/src/settings/gatewaySettingsSchema.ts
@@ -30,6 +30,10 @@
     cores: z.number().positive().default(1),
     /** Bandwidth of the host's network link, in megabits per second. */
     linkMbps: z.number().positive().default(1),
+    /** Memory that the process may have, in bytes. */
+    memoryBytes: z.number().positive().default(1_000_000_000),
+    /** Descriptors that the process may have open. */
+    maxDescriptors: z.int().positive().default(4_096),
     /** Minimum fraction of a service's upstreams that ejection must leave in service. */
     floor: fraction,
     /** Retries allowed, as a fraction of a service's requests. */
--- a/tests/platform/support/EdgeFleet.ts
+++ b/tests/platform/support/EdgeFleet.ts
@@ -7,6 +7,7 @@
 import { createDocument } from "./createDocument.js";
 import { createRegistration } from "./createRegistration.js";
 import { EdgeProcess } from "./EdgeProcess.js";
+import type { EdgeProcessOptions } from "./EdgeProcessOptions.js";
 import type { EdgeResponse } from "./EdgeResponse.js";
 import type { EdgeSendOptions } from "./EdgeSendOptions.js";
 import { MockPlatformStore } from "./MockPlatformStore.js";
@@ -29,8 +30,9 @@
      * Starts the hosts and two upstreams for each service; waits until all hosts are ready and know each other.
      * @param hosts - Number of hosts.
      * @param services - Names of the services.
+     * @param options - What differs from the defaults of the hosts.
      */
-    async start(hosts: number, services: readonly string[]): Promise<void> {
+    async start(hosts: number, services: readonly string[], options: EdgeProcessOptions = {}): Promise<void> {
         const address = await this.store.start();
         this.store.write("op/config", createDocument());
         for (const service of services) {
@@ -39,7 +41,7 @@
         }
         this.hosts = Array.from(
             { length: hosts },
-            (_, index) => new EdgeProcess(`edge-${index}`, address, this.#folder),
+            (_, index) => new EdgeProcess(`edge-${index}`, address, this.#folder, options),
         );
         await Promise.all(this.hosts.map(host => host.start()));
         await this.waitUntil(async () =>
--- a/tests/platform/support/EdgeProcess.ts
+++ b/tests/platform/support/EdgeProcess.ts
@@ -3,6 +3,7 @@
 import { writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { join } from "node:path";
+import type { EdgeProcessOptions } from "./EdgeProcessOptions.js";
 
 const PROGRAM = "dist/platform/bin/fuchsiapath-edge.js";
 const GRACE_SECONDS = 3;
@@ -24,6 +25,7 @@
     metricsAddress = "";
     readonly #folder: string;
     readonly #storeAddress: string;
+    readonly #options: EdgeProcessOptions;
     #child: ChildProcess | undefined;
     #output = "";
     #ports: readonly number[] | undefined;
@@ -32,11 +34,13 @@
      * @param id - The host's id.
      * @param storeAddress - Address of the platform's store.
      * @param folder - Folder of its settings file.
+     * @param options - Arguments of Node and settings that differ from the defaults.
      */
-    constructor(id: string, storeAddress: string, folder: string) {
+    constructor(id: string, storeAddress: string, folder: string, options: EdgeProcessOptions = {}) {
         this.id = id;
         this.#storeAddress = storeAddress;
         this.#folder = folder;
+        this.#options = options;
     }
 
     /**
@@ -55,13 +59,18 @@
         const preloadArguments = preload === undefined
             ? []
             : ["--import", `data:text/javascript,${encodeURIComponent(preload)}`];
-        this.#child = spawn(process.execPath, [...preloadArguments, PROGRAM], {
+        this.#child = spawn(process.execPath, [...this.#options.nodeArguments ?? [], ...preloadArguments, PROGRAM], {
             env: { ...process.env, FUCHSIAPATH_NODE_FILE: file },
             stdio: ["ignore", "pipe", "inherit"],
         });
         this.#child.stdout!.on("data", (chunk: Buffer) => (this.#output += chunk.toString()));
     }
 
+    /** Gets the id of the running process; undefined if there is none. */
+    getProcessId(): number | undefined {
+        return this.#child?.exitCode === null && this.#child.signalCode === null ? this.#child.pid : undefined;
+    }
+
     /** Gets the log output so far. */
     getLog(): string {
         return this.#output;
@@ -107,6 +116,7 @@
             retryBudget: 0.2,
             retrySlack: 58,
             retryWindowSeconds: 10,
+            ...this.#options.settings,
         };
     }
 }
--- a/tests/platform/support/MockPlatformUpstream.ts
+++ b/tests/platform/support/MockPlatformUpstream.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { closeServer, openServer, readBody } from "../../../src/utils/index.js";
 
-const MAX_BODY_BYTES = 1024 * 1024;
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
 const ENDLESS_CHUNK = Buffer.alloc(16 * 1024);
 
 interface ReceivedRequest {
@@ -33,6 +33,8 @@
     status = 200;
     /** Header fields that are added to each response. */
     extraHeaders: Readonly<Record<string, string>> = {};
+    /** What all its responses carry; undefined for a short text that names the request. */
+    answer: Buffer | undefined;
     readonly id: string;
     readonly #server: Server;
 
@@ -85,7 +87,8 @@
             setImmediate(() => socket.resetAndDestroy());
             return;
         }
-        response.writeHead(this.isFailing ? 500 : this.status, headers).end(`answer of ${this.id} to ${request.url}`);
+        const answer = this.answer ?? `answer of ${this.id} to ${request.url}`;
+        response.writeHead(this.isFailing ? 500 : this.status, headers).end(answer);
     }
 
     #sendEndless(response: ServerResponse, chunkIntervalMs: number): void {
--- a/tests/services/HttpUpstreamTransport.test.ts
+++ b/tests/services/HttpUpstreamTransport.test.ts
@@ -220,6 +220,17 @@
     assert.instance(error, SlowReaderError);
 });
 
+test("a reader that takes little at a time has kept a response waiting, also if it is not paused at its timeout", async () => {
+    listener = (_, response) => response.writeHead(200, { "content-length": String(LARGE_BYTES) }).write(CHUNK);
+    const slow = await send({}, { answerTimeoutMs: 400 });
+    assert.ok(slow.kind === UpstreamAnswerKind.Answered);
+    const failed = once(slow.body, "error") as Promise<[Error]>;
+    await new SystemClock().wait(300);
+    slow.body.resume();
+    const [error] = await failed;
+    assert.instance(error, SlowReaderError);
+});
+
 test("no more connections are opened than the upstream's limit", async () => {
     listener = () => {};
     const waiting = [send(), send(), send()];
--- a/tests/support/PipelineBench.ts
+++ b/tests/support/PipelineBench.ts
@@ -5,6 +5,7 @@
 import { RefusalError } from "../../src/callers/index.js";
 import type { Gateway, GatewayProtocol, GatewayRequest } from "../../src/gateway/index.js";
 import { GatewayListener } from "../../src/gateway/index.js";
+import { ProcessMemory } from "../../src/memory/index.js";
 import { createNotRun, OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
 import type { HeaderFields, NotRunOutcome, Outcome, UnknownOutcome } from "../../src/outcomes/index.js";
 import { SystemClock } from "../../src/time/index.js";
@@ -12,6 +13,10 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_BAD_GATEWAY = 502;
 const POLL_MS = 10;
+/** Far more than the tests need. */
+const MEMORY_BYTES = 1_000_000_000;
+const IDLE_TIMEOUT_MS = 60_000;
+const MAX_CONNECTIONS = 100;
 /** Limit of a wait, in milliseconds; far above all expected times, so that a busy machine does not fail a test. */
 const LIMIT_MS = 5_000;
 
@@ -36,6 +41,14 @@
             clock: this.#clock,
             gateway: this as unknown as Gateway,
             protocol: createProtocol(() => this.decodedCount++),
+            memory: new ProcessMemory({
+                clock: this.#clock,
+                decisions: { record: () => {} },
+                memoryBytes: MEMORY_BYTES,
+                getIdleTimeout: () => IDLE_TIMEOUT_MS,
+                collect: undefined,
+            }),
+            maxConnections: MAX_CONNECTIONS,
             recordDuration: () => {},
         });
     }
