--- a/tests/platform/support/CrowdBench.ts
+++ b/tests/platform/support/CrowdBench.ts
@@ -27,6 +27,7 @@
     readonly fleet = new EdgeFleet();
     readonly #crowd = new Crowd();
     #maxDescriptors = 0;
+    #ordinaryAnswer = "";
 
     /**
      * Starts the hosts.
@@ -77,10 +78,16 @@
     }
 
     async #isOrdinaryAnswered(): Promise<boolean> {
-        return await this.fleet.send(this.fleet.hosts[0]!, "/lookup/ordinary").then(
-            ({ status, body }) => status === 200 && body.endsWith("to /lookup/ordinary"),
-            () => false,
+        const [host] = this.fleet.hosts;
+        const answer = await this.fleet.send(host!, "/lookup/ordinary").then(
+            ({ status, body }) => `${status} ${body}`,
+            (error: Error) => error.message,
         );
+        if (answer !== this.#ordinaryAnswer) {
+            this.#ordinaryAnswer = answer;
+            console.log(`ordinary request: ${answer}`);
+        }
+        return answer.startsWith("200 ") && answer.endsWith("to /lookup/ordinary");
     }
 
     #recordDescriptors(host: EdgeProcess): void {
