--- a/tests/replica/ReplicaSynchronizer.test.ts
+++ b/tests/replica/ReplicaSynchronizer.test.ts
@@ -4,6 +4,10 @@
 
 /** The platform's bound for a change to be in force on all hosts, in milliseconds. */
 const APPLY_BOUND_MS = 2_000;
+/** Time after its end from which lookups must not name a host, in milliseconds. */
+const CONTACT_BOUND_MS = 6_000;
+/** How long the entry of a host lasts after its end, in milliseconds. */
+const ENTRY_DURATION_MS = 30_000;
 const HOSTS = 12;
 const ZONES = 3;
 
@@ -57,6 +61,18 @@
     assert.equal(fleet.getHostsWithout("evacuate/zone-a", undefined), []);
 });
 
+test("hosts that end without leaving stay reported as unreachable everywhere while their entries last", async () => {
+    const fleet = createReplicaFleet(HOSTS);
+    await fleet.start();
+    const ended = [...fleet.getWatchRanking().slice(0, 2), fleet.getWatchRanking().at(-1)!];
+    ended.forEach(id => fleet.removeHost(id));
+    await fleet.clock.run(CONTACT_BOUND_MS);
+    for (let time = CONTACT_BOUND_MS; time < ENTRY_DURATION_MS; time += 250) {
+        await fleet.clock.run(250);
+        ended.forEach(id => assert.equal(fleet.getHostsThatReach(id), [], `${id} after ${time} ms`));
+    }
+});
+
 test("a watcher that the store no longer answers but that peers reach does not delay changes", async () => {
     const fleet = createReplicaFleet(HOSTS);
     await fleet.start();
