--- a/tests/services/coldUpstream.test.ts
+++ b/tests/services/coldUpstream.test.ts
@@ -48,6 +48,19 @@
     assert.is(bench.decisions.find({ upstream: "u0" }).filter(({ decision }) => decision === "ejected").length, 0);
 });
 
+test("is not taken for silent because its answers take long, and is if none comes", async () => {
+    const bench = createPromptBench(4);
+    const order = { route: "r", isIdempotent: false, timeoutMs: 4 * SECOND_MS };
+    await bench.runLoad(60, 5 * SECOND_MS, order);
+    bench.upstreams.applyFaults("u0", { slowFactor: 15 });
+    applyCold(bench, ["u0"], 20 * SECOND_MS);
+    await bench.runLoad(100, 10 * SECOND_MS, order);
+    assert.equal(bench.getStates(), ["healthy", "healthy", "healthy", "healthy"]);
+    bench.upstreams.applyFaults("u0", { hangRate: 1 });
+    await bench.runLoad(100, 5 * SECOND_MS, order);
+    assert.is(bench.getStates()[0], "ejected");
+});
+
 test("that fails is ejected, cold or not", async () => {
     const bench = createPromptBench(8);
     applyCold(bench, ["u0"], 20 * SECOND_MS);
