Keep the last retries for urgent requests, and grant unsent ones again

While upstreams shed, the retry budget went to whoever asked first, and a retry that the queue then refused was spent all the same. Each step down in priority now leaves 0.3 of the bucket to more urgent retries. The bound of the sum is unchanged.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -184,7 +184,8 @@
             return false;
         }
         const isFree = outcome.kind === OutcomeKind.NotRun && !isSent;
-        return isFree || this.#getBudget(call.service.name).spend();
+        const priority = call.request.account?.priority ?? call.request.route.priority;
+        return isFree || this.#getBudget(call.service.name).spend(priority);
     }
 
     #getBudget(service: string): RetryBudget {
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -272,10 +272,14 @@
         if (request.sentBefore === 0) {
             this.#budget.grant(this.#service.retryBudget, this.#getRetryRate());
         }
-        else if (!this.#budget.spend()) {
+        else if (!this.#budget.spend(request.priority)) {
             return createNotRun(RefusalReason.RetryBudgetSpent, "The service's retry budget is spent.");
         }
-        return await this.#queue.wait(request, this.#options.getWeight(request.account), signal);
+        const slot = await this.#queue.wait(request, this.#options.getWeight(request.account), signal);
+        if (request.sentBefore > 0 && !(slot instanceof PooledUpstream)) {
+            this.#budget.grantUnused();
+        }
+        return slot;
     }
 
     #getSlots(): number {
@@ -347,9 +351,11 @@
         this.#options.decisions.record({
             decision: Decision.Refused,
             reason: outcome.reason,
+            detail: outcome.detail,
             requestId,
             account,
             service,
+            figures: { priority: request.priority ?? 0, retryAfterMs: outcome.retryAfterMs ?? 0 },
         });
         return outcome;
     }
--- a/src/services/queue/RetryBudget.ts
+++ b/src/services/queue/RetryBudget.ts
@@ -5,9 +5,13 @@
 const RETRY_COST = 1;
 /** Tokens that are reserved for retries of failures other than those of trials. */
 const RESERVED_RETRIES = 3;
+/** Share of the bucket that each step down in priority leaves to more urgent retries. */
+const RESERVED_SHARE_PER_PRIORITY = 0.3;
+/** Less urgent priorities leave as much as this one, so that no priority is without retries while there is plenty. */
+const LOWEST_PRIORITY = 3;
 const MS_PER_SECOND = 1_000;
 
-/** Limits the retries of a service to a share of its requests plus an optional rate (token bucket). */
+/** Limits the retries of a service to a share of its requests plus an optional rate (token bucket), the last ones for urgent requests. */
 export class RetryBudget {
     readonly #clock: Clock;
     readonly #getShare: () => number;
@@ -47,12 +51,22 @@
         return this.#tokens >= RESERVED_RETRIES + RETRY_COST;
     }
 
-    /** Spends one retry; returns false if none is left. */
-    spend(): boolean {
-        if (this.#tokens < RETRY_COST) {
+    /**
+     * Spends one retry; returns false if none is left to requests of the priority.
+     * @param priority - The request's priority, 0 the highest.
+     */
+    spend(priority = 0): boolean {
+        const steps = priority > 0 ? Math.min(priority, LOWEST_PRIORITY) : 0;
+        const reserved = steps * RESERVED_SHARE_PER_PRIORITY * (this.#getMaxTokens() - RETRY_COST);
+        if (this.#tokens < RETRY_COST + reserved) {
             return false;
         }
         this.#tokens -= RETRY_COST;
         return true;
     }
+
+    /** Grants a retry again that was spent for a request which was then not sent. */
+    grantUnused(): void {
+        this.#tokens = Math.min(this.#getMaxTokens(), this.#tokens + RETRY_COST);
+    }
 }
