Reserve the ports of test processes

Each test process found its ports in a block selected by its process id modulo 100, and only probed whether a port was free: two processes whose ids agree could find the same port between probe and use. A process now holds the first port of its block open. Ruled out by reading: a host that says ready has at least one member, since isReady asks the same view as the lookup. The lookup of the tests now reports the status if it is not 200.

--- a/tests/platform/support/EdgeFleet.ts
+++ b/tests/platform/support/EdgeFleet.ts
@@ -112,7 +112,9 @@
     async findAddresses(host: EdgeProcess): Promise<readonly string[]> {
         const query = "name=shop.example&region=region-1&zone=zone-a";
         const response = await request(`http://${host.lookupAddress}/fuchsiapath/resolve?${query}`);
-        return ((await response.body.json()) as { addrs: string[]; }).addrs;
+        const body = await response.body.text();
+        assert.is(response.statusCode, 200, `the lookup at ${host.id} was answered ${response.statusCode} ${body}`);
+        return (JSON.parse(body) as { addrs: string[]; }).addrs;
     }
 
     /** Writes the log of each host so far into a file and returns the paths. */
--- a/tests/platform/support/EdgeProcess.ts
+++ b/tests/platform/support/EdgeProcess.ts
@@ -1,19 +1,14 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { join } from "node:path";
+import { ReservedPorts } from "./ReservedPorts.js";
 
 const PROGRAM = "dist/platform/bin/fuchsiapath-edge.js";
 const GRACE_SECONDS = 3;
 /** Number of ports of a process. */
 const PORTS = 5;
-/** Below the ephemeral port range, from which outgoing connections could take the ports of a stopped process. */
-const FIRST_PORT = 20_000;
-/** Test processes that run in parallel use different port blocks, selected by their process ids. */
-const PORT_BLOCKS = 100;
-const PORTS_PER_BLOCK = 120;
-let nextPort = FIRST_PORT + (process.pid % PORT_BLOCKS) * PORTS_PER_BLOCK;
+const reservedPorts = new ReservedPorts(process.pid);
 
 /** An entry host process on the loopback interface. */
 export class EdgeProcess {
@@ -22,8 +17,10 @@
     lookupAddress = "";
     readyAddress = "";
     metricsAddress = "";
+    peerAddress = "";
     readonly #folder: string;
     readonly #storeAddress: string;
+    readonly #change: Readonly<Record<string, unknown>>;
     #child: ChildProcess | undefined;
     #output = "";
     #ports: readonly number[] | undefined;
@@ -32,11 +29,13 @@
      * @param id - The host's id.
      * @param storeAddress - Address of the platform's store.
      * @param folder - Folder of its settings file.
+     * @param change - Fields that replace those of the default settings.
      */
-    constructor(id: string, storeAddress: string, folder: string) {
+    constructor(id: string, storeAddress: string, folder: string, change: Readonly<Record<string, unknown>> = {}) {
         this.id = id;
         this.#storeAddress = storeAddress;
         this.#folder = folder;
+        this.#change = change;
     }
 
     /**
@@ -44,14 +43,15 @@
      * @param preload - Source of a module that the process runs first.
      */
     async start(preload?: string): Promise<void> {
-        this.#ports ??= await Promise.all(Array.from({ length: PORTS }, findPort));
+        this.#ports ??= await findPorts();
         const [callers, ready, lookups, peers, metrics] = this.#ports.map(port => `127.0.0.1:${port}`);
+        this.peerAddress = peers!;
         this.callerAddress = callers!;
         this.readyAddress = ready!;
         this.lookupAddress = lookups!;
         this.metricsAddress = metrics!;
         const file = join(this.#folder, `${this.id}.json`);
-        writeFileSync(file, JSON.stringify(this.#createSettings(peers!)));
+        writeFileSync(file, JSON.stringify(this.#createSettings()));
         const preloadArguments = preload === undefined
             ? []
             : ["--import", `data:text/javascript,${encodeURIComponent(preload)}`];
@@ -90,7 +90,7 @@
         await this.waitForExit();
     }
 
-    #createSettings(peerAddress: string): object {
+    #createSettings(): object {
         return {
             id: this.id,
             region: "region-1",
@@ -98,7 +98,7 @@
             callerAddress: this.callerAddress,
             readyAddress: this.readyAddress,
             lookupAddress: this.lookupAddress,
-            peerAddress,
+            peerAddress: this.peerAddress,
             metricsAddress: this.metricsAddress,
             storeAddress: this.#storeAddress,
             graceSeconds: GRACE_SECONDS,
@@ -107,18 +107,24 @@
             retryBudget: 0.2,
             retrySlack: 58,
             retryWindowSeconds: 10,
+            ...this.#change,
         };
     }
 }
 
-async function findPort(): Promise<number> {
-    for (;;) {
-        const port = nextPort++;
-        const server = createServer().listen(port, "127.0.0.1");
-        const isFree = await once(server, "listening").then(() => true, () => false);
-        server.close();
-        if (isFree) {
-            return port;
+let running: Promise<unknown> = Promise.resolve();
+
+/** Finds the ports of one process; the calls run one after another. */
+async function findPorts(): Promise<readonly number[]> {
+    const previous = running;
+    const found = (async () => {
+        await previous;
+        const ports: number[] = [];
+        while (ports.length < PORTS) {
+            ports.push(await reservedPorts.findPort());
         }
-    }
+        return ports;
+    })();
+    running = found;
+    return await found;
 }
