--- a/tests/platform/support/MockPlatformStore.ts
+++ b/tests/platform/support/MockPlatformStore.ts
@@ -43,6 +43,8 @@
     #faultMode = StoreFaultMode.None;
     /** Method and path of each call, oldest first. */
     readonly calls: string[] = [];
+    /** Replaces the value of an item that a host writes; both are base64. */
+    changeValue: (key: string, value: string) => string = (_key, value) => value;
     readonly #server: Server;
     readonly #items = new Map<string, StoredItem>();
     readonly #leases = new Map<number, Lease>();
@@ -274,7 +276,7 @@
         if (body.writes.some(write => write.lease !== 0 && !this.#leases.has(write.lease))) {
             return { status: 404 };
         }
-        body.writes.forEach(write => this.#writeItem(write.key, write.value, write.lease));
+        body.writes.forEach(write => this.#writeItem(write.key, this.changeValue(write.key, write.value), write.lease));
         body.deletes.forEach(key => this.#removeItem(key));
         this.#publish();
         return { status: 200, body: { rev: this.#revision } };
--- a/tests/platform/support/MockPlatformUpstream.ts
+++ b/tests/platform/support/MockPlatformUpstream.ts
@@ -1,8 +1,11 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { closeServer, openServer, readBody } from "../../../src/utils/index.js";
+import { UpstreamFaultMode } from "./UpstreamFaultMode.js";
 
 const MAX_BODY_BYTES = 1024 * 1024;
+/** Latency of a late response beyond the usual one, in milliseconds. */
+const LATE_MS = 1_200;
 const ENDLESS_CHUNK = Buffer.alloc(16 * 1024);
 
 interface ReceivedRequest {
@@ -33,6 +36,10 @@
     status = 200;
     /** Header fields that are added to each response. */
     extraHeaders: Readonly<Record<string, string>> = {};
+    /** Selects the fault of each request. */
+    selectFault: () => UpstreamFaultMode = () => UpstreamFaultMode.None;
+    /** Whether it also runs requests that name no upstream, as those of the platform do. */
+    acceptsUnnamed = false;
     readonly id: string;
     readonly #server: Server;
 
@@ -54,11 +61,17 @@
 
     async #run(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const id = String(request.headers["fuchsiapath-attempt-id"]);
-        if (request.headers["fuchsiapath-expect-instance"] !== this.id) {
+        const expected = request.headers["fuchsiapath-expect-instance"];
+        if (expected !== this.id && !(expected === undefined && this.acceptsUnnamed)) {
             response.writeHead(421, { "fuchsiapath-instance-id": this.id }).end();
             return;
         }
         const body = await readBody(request, MAX_BODY_BYTES);
+        const fault = this.selectFault();
+        if (fault === UpstreamFaultMode.Shedding) {
+            response.writeHead(503, { "fuchsiapath-attempt-id": id, "fuchsiapath-not-executed": "1" }).end();
+            return;
+        }
         this.received.push({
             id,
             account: request.headers["fuchsiapath-tenant"] as string | undefined,
@@ -67,7 +80,12 @@
             hasKey: request.headers.authorization !== undefined,
             time: performance.now(),
         });
-        await new Promise(resolve => setTimeout(resolve, this.delayMs));
+        const extraDelayMs = fault === UpstreamFaultMode.Late ? LATE_MS : 0;
+        await new Promise(resolve => setTimeout(resolve, this.delayMs + extraDelayMs));
+        if (fault === UpstreamFaultMode.LosingResponses) {
+            response.destroy();
+            return;
+        }
         const headers = {
             "fuchsiapath-attempt-id": id,
             "fuchsiapath-response-seal": `seal-${this.id}`,
@@ -85,7 +103,8 @@
             setImmediate(() => socket.resetAndDestroy());
             return;
         }
-        response.writeHead(this.isFailing ? 500 : this.status, headers).end(`answer of ${this.id} to ${request.url}`);
+        const isFailing = this.isFailing || fault === UpstreamFaultMode.Failing;
+        response.writeHead(isFailing ? 500 : this.status, headers).end(`answer of ${this.id} to ${request.url}`);
     }
 
     #sendEndless(response: ServerResponse, chunkIntervalMs: number): void {
--- /dev/null
+++ b/tests/platform/support/UpstreamFaultMode.ts
@@ -0,0 +1,12 @@
+/** What a mock upstream does with a request. */
+export enum UpstreamFaultMode {
+    None = "well",
+    /** Runs it and responds with status 500. */
+    Failing = "failing",
+    /** Does not run it and says so. */
+    Shedding = "shedding",
+    /** Runs it and responds late. */
+    Late = "late",
+    /** Runs it and closes the connection without a response. */
+    LosingResponses = "losing-responses",
+}
