--- a/tests/platform/support/ReservedPorts.ts
+++ b/tests/platform/support/ReservedPorts.ts
@@ -49,7 +49,7 @@
 }
 
 async function openPort(port: number): Promise<Server | undefined> {
-    // Someone may connect: an open connection would keep the server from closing.
+    // An open connection would keep the process from ending.
     const server = createServer(socket => socket.destroy()).listen(port, "127.0.0.1");
     return await once(server, "listening").then(() => server, () => undefined);
 }
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -27,21 +27,30 @@
  * Runs a plan and checks the promises.
  * @param plan - The plan.
  * @param bounds - The bounds of promises with a time; undefined leaves those out.
+ * @param reportStage - Receives what the run does next.
  */
-export async function runSoak(plan: SoakPlan, bounds: PromiseBounds | undefined): Promise<SoakResult> {
+export async function runSoak(
+    plan: SoakPlan,
+    bounds: PromiseBounds | undefined,
+    reportStage: (stage: string) => void = () => {},
+): Promise<SoakResult> {
     const fleet = new SoakFleet(plan, bounds?.contactMs ?? DEFAULT_CONTACT_MS);
     const load = new SoakLoad(fleet, plan.seed);
     const meter = new DelayMeter(fleet.disturbances);
     const closeNow = (): void => fleet.closeNow();
     process.once("exit", closeNow);
     try {
+        reportStage("start");
         await fleet.start();
         meter.start();
         load.start();
         await wait(CALM_MS);
+        reportStage("faults");
         await new FaultRunner(fleet, plan).run();
+        reportStage("recovery");
         const recovery = await checkRecovery(fleet, load, bounds?.recoveryMs ?? RECOVERY_TIMEOUT_MS);
         await wait(END_MS);
+        reportStage("end of the load");
         await load.stop();
         const runs = getRuns(fleet);
         const calls = new Map(load.calls.map(call => [call.id, call]));
@@ -54,7 +63,9 @@
     }
     finally {
         meter.stop();
+        reportStage("stop of the load");
         await load.stop();
+        reportStage("stop of the fleet");
         await fleet.stop();
         process.off("exit", closeNow);
     }
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -13,6 +13,9 @@
 /** The bounds of the platform's sites. */
 const BOUNDS: PromiseBounds = { contactMs: 3_000, applyMs: 2_000, drainMs: 2_000, recoveryMs: 15_000 };
 const MAX_SEED = 1_000_000;
+/** Several times the usual duration of a run, in milliseconds. */
+const RUN_TIMEOUT_MS = 300_000;
+const STUCK_EXIT_CODE = 2;
 
 const options = await yargs(process.argv.slice(2))
     .option("seeds", { type: "number", default: 1, describe: "number of seeds" })
@@ -43,7 +46,13 @@
 process.exitCode = failedSeeds === 0 ? 0 : 1;
 
 async function runAndReport(plan: SoakPlan): Promise<SoakResult> {
-    const result = await runSoak(plan, BOUNDS);
+    let stage = "";
+    const timeout = setTimeout(() => {
+        console.log(`seed ${plan.seed}: stuck at: ${stage}; open: ${process.getActiveResourcesInfo().join(" ")}`);
+        process.exit(STUCK_EXIT_CODE);
+    }, RUN_TIMEOUT_MS);
+    const result = await runSoak(plan, BOUNDS, next => (stage = next));
+    clearTimeout(timeout);
     const { findings, calls, runs, longestDelayMs } = result;
     const served = [...calls.values()].filter(({ response }) => response?.status === 200).length;
     const load = `load ${loadavg()[0]!.toFixed(1)} of ${cpus().length}`;
