--- a/tests/soak/faults/DelayMeter.ts
+++ b/tests/soak/faults/DelayMeter.ts
@@ -23,7 +23,8 @@
             const delayMs = now - lastTime - INTERVAL_MS;
             this.longestMs = Math.max(this.longestMs, delayMs);
             if (delayMs > DISTURBING_MS) {
-                this.#disturbances.addPast(Disturbances.all, now - lastTime);
+                // Times of the soak's own records are doubtful; the hosts went on.
+                this.#disturbances.addPast(Disturbances.all, now - lastTime, 0);
             }
             lastTime = now;
         }, INTERVAL_MS);
--- a/tests/soak/faults/Disturbances.ts
+++ b/tests/soak/faults/Disturbances.ts
@@ -2,6 +2,7 @@
     readonly target: string;
     readonly start: number;
     end: number;
+    readonly contactMs: number;
 }
 
 /** The times in which hosts, links and the store were disturbed, in milliseconds of the monotonic clock. */
@@ -24,7 +25,12 @@
      * @returns Ends it.
      */
     add(target: string): () => void {
-        const disturbance = { target, start: performance.now(), end: Number.POSITIVE_INFINITY };
+        const disturbance = {
+            target,
+            start: performance.now(),
+            end: Number.POSITIVE_INFINITY,
+            contactMs: this.#contactMs,
+        };
         this.#disturbances.push(disturbance);
         return () => (disturbance.end = Math.min(disturbance.end, performance.now()));
     }
@@ -33,10 +39,11 @@
      * Adds a disturbance that has ended.
      * @param target - The host, upstream, store, or all.
      * @param durationMs - How long it lasted until now, in milliseconds.
+     * @param contactMs - How long the target counts as disturbed afterwards, in milliseconds.
      */
-    addPast(target: string, durationMs: number): void {
+    addPast(target: string, durationMs: number, contactMs = this.#contactMs): void {
         const now = performance.now();
-        this.#disturbances.push({ target, start: now - durationMs, end: now });
+        this.#disturbances.push({ target, start: now - durationMs, end: now, contactMs });
     }
 
     /**
@@ -48,7 +55,7 @@
     isCalm(targets: readonly string[], start: number, end: number): boolean {
         return !this.#disturbances.some(disturbance =>
             (disturbance.target === Disturbances.all || targets.includes(disturbance.target)) &&
-            disturbance.start <= end && disturbance.end >= start - this.#contactMs
+            disturbance.start <= end && disturbance.end >= start - disturbance.contactMs
         );
     }
 }
--- a/tests/soak/faults/FaultRunner.ts
+++ b/tests/soak/faults/FaultRunner.ts
@@ -15,7 +15,7 @@
 /** Time until a process is killed after SIGTERM: its grace period and a little more, in milliseconds. */
 const GRACE_MS = 3_500;
 /** How long a leaving upstream serves on, in milliseconds: longer than requests may still come. */
-const LEAVING_MS = 3_000;
+const LEAVING_MS = 6_000;
 
 /** Runs the faults of a plan at a fleet. */
 export class FaultRunner {
--- a/tests/soak/faults/LoopbackProxy.ts
+++ b/tests/soak/faults/LoopbackProxy.ts
@@ -35,10 +35,13 @@
         return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
     }
 
-    /** Resets all connections and stops. */
+    /** Closes all connections, also those that are still being opened, and stops. */
     stop(): void {
         this.#server.close();
-        this.closeConnections();
+        this.#connections.forEach(({ client, target }) => {
+            client.destroy();
+            target.destroy();
+        });
     }
 
     /** Resets all connections. */
--- a/tests/soak/faults/SoakHost.ts
+++ b/tests/soak/faults/SoakHost.ts
@@ -20,6 +20,8 @@
     readonly #disturbances: Disturbances;
     #isRunning = false;
     #isStopping = false;
+    #isKilled = false;
+    #exit: Promise<void> | undefined;
 
     /**
      * @param id - The host's id.
@@ -48,20 +50,24 @@
         return this.#isRunning;
     }
 
-    /** Starts the process unless it runs. */
+    /** Starts the process unless it runs; one that was killed ends first. */
     async start(): Promise<void> {
+        if (this.#isKilled) {
+            await this.#exit;
+        }
         if (this.#isRunning) {
             return;
         }
         this.#isRunning = true;
         this.#isStopping = false;
+        this.#isKilled = false;
         const endDisturbance = this.#disturbances.add(this.id);
         if (this.peerProxyAddress === "") {
             this.peerProxyAddress = await this.peerProxy.start();
         }
         await this.process.start();
         this.peerProxy.target = this.process.peerAddress;
-        void this.#watchExit();
+        this.#exit = this.#watchExit();
         void this.waitUntilReady().finally(endDisturbance);
     }
 
@@ -75,6 +81,7 @@
         }
         if (signal === "SIGTERM" || signal === "SIGKILL") {
             this.#isStopping = true;
+            this.#isKilled ||= signal === "SIGKILL";
             this.#disturbances.add(this.id)();
         }
         this.process.sendSignal(signal);
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -7,6 +7,13 @@
 
 const test = suite("a short soak of real processes, without the promises that hold within a time");
 
+/** Connections that a fault has left half closed stay open in this process; the result is out by then. */
+const EXIT_MS = 2_000;
+
+test.after(() => {
+    setTimeout(() => process.exit(), EXIT_MS);
+});
+
 for (const seed of [1, 2]) {
     test(`seed ${seed} breaks no promise`, async () => {
         const { findings, calls } = await runSoak(createSoakPlan(seed, SIZE), undefined);
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -43,7 +43,7 @@
     }
 }
 console.log(`${failedSeeds} of the seeds ${first} to ${first + options.seeds - 1} broke a promise`);
-process.exitCode = failedSeeds === 0 ? 0 : 1;
+process.exit(failedSeeds === 0 ? 0 : 1);
 
 async function runAndReport(plan: SoakPlan): Promise<SoakResult> {
     let stage = "";
