--- a/tests/platform/support/EdgeProcess.ts
+++ b/tests/platform/support/EdgeProcess.ts
@@ -1,20 +1,15 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { join } from "node:path";
 import type { EdgeProcessOptions } from "./EdgeProcessOptions.js";
+import { ReservedPorts } from "./ReservedPorts.js";
 
 const PROGRAM = "dist/platform/bin/fuchsiapath-edge.js";
 const GRACE_SECONDS = 3;
 /** Number of ports of a process. */
 const PORTS = 5;
-/** Below the ephemeral port range, from which outgoing connections could take the ports of a stopped process. */
-const FIRST_PORT = 20_000;
-/** Test processes that run in parallel use different port blocks, selected by their process ids. */
-const PORT_BLOCKS = 100;
-const PORTS_PER_BLOCK = 120;
-let nextPort = FIRST_PORT + (process.pid % PORT_BLOCKS) * PORTS_PER_BLOCK;
+const reservedPorts = new ReservedPorts(process.pid);
 
 /** An entry host process on the loopback interface. */
 export class EdgeProcess {
@@ -23,6 +18,7 @@
     lookupAddress = "";
     readyAddress = "";
     metricsAddress = "";
+    peerAddress = "";
     readonly #folder: string;
     readonly #storeAddress: string;
     readonly #options: EdgeProcessOptions;
@@ -48,14 +44,15 @@
      * @param preload - Source of a module that the process runs first.
      */
     async start(preload?: string): Promise<void> {
-        this.#ports ??= await Promise.all(Array.from({ length: PORTS }, findPort));
+        this.#ports ??= await findPorts();
         const [callers, ready, lookups, peers, metrics] = this.#ports.map(port => `127.0.0.1:${port}`);
+        this.peerAddress = peers!;
         this.callerAddress = callers!;
         this.readyAddress = ready!;
         this.lookupAddress = lookups!;
         this.metricsAddress = metrics!;
         const file = join(this.#folder, `${this.id}.json`);
-        writeFileSync(file, JSON.stringify(this.#createSettings(peers!)));
+        writeFileSync(file, JSON.stringify(this.#createSettings()));
         const preloadArguments = preload === undefined
             ? []
             : ["--import", `data:text/javascript,${encodeURIComponent(preload)}`];
@@ -99,7 +96,7 @@
         await this.waitForExit();
     }
 
-    #createSettings(peerAddress: string): object {
+    #createSettings(): object {
         return {
             id: this.id,
             region: "region-1",
@@ -107,7 +104,7 @@
             callerAddress: this.callerAddress,
             readyAddress: this.readyAddress,
             lookupAddress: this.lookupAddress,
-            peerAddress,
+            peerAddress: this.peerAddress,
             metricsAddress: this.metricsAddress,
             storeAddress: this.#storeAddress,
             graceSeconds: GRACE_SECONDS,
@@ -121,14 +118,19 @@
     }
 }
 
-async function findPort(): Promise<number> {
-    for (;;) {
-        const port = nextPort++;
-        const server = createServer().listen(port, "127.0.0.1");
-        const isFree = await once(server, "listening").then(() => true, () => false);
-        server.close();
-        if (isFree) {
-            return port;
+let running: Promise<unknown> = Promise.resolve();
+
+/** Finds the ports of one process; the calls run one after another. */
+async function findPorts(): Promise<readonly number[]> {
+    const previous = running;
+    const found = (async () => {
+        await previous;
+        const ports: number[] = [];
+        while (ports.length < PORTS) {
+            ports.push(await reservedPorts.findPort());
         }
-    }
+        return ports;
+    })();
+    running = found;
+    return await found;
 }
