--- a/src/services/queue/FairQueue.ts
+++ b/src/services/queue/FairQueue.ts
@@ -227,7 +227,7 @@
         };
         for (const account of this.#accounts.values()) {
             const items = added !== undefined && account === addedAccount ? [...account.items, added] : account.items;
-            addEntries(account, items.length > 1 ? sortItems(items, now) : items);
+            addEntries(account, items.length > 1 ? getSortedItems(items, now) : items);
         }
         if (added !== undefined && addedAccount === undefined) {
             addEntries(createAccountQueue(added.weight, this.#virtualTime), [added]);
@@ -286,7 +286,7 @@
 }
 
 /** Sorts the items of an account by priority, then by whether the target can be met, then by its time. */
-function sortItems<T extends FairQueueItem>(items: readonly T[], now: number): readonly T[] {
+function getSortedItems<T extends FairQueueItem>(items: readonly T[], now: number): readonly T[] {
     return [...items].sort((left, right) =>
         left.priority - right.priority || Number(left.dueTime < now) - Number(right.dueTime < now) ||
         left.dueTime - right.dueTime
