Ask for 200 alone beside an evacuation again

The check had been eased to no 503 and four fifths served after failures at a load of 32 to 42 that were not traced.

--- a/tests/platform/evacuation.test.ts
+++ b/tests/platform/evacuation.test.ts
@@ -9,7 +9,6 @@
 const IN_FORCE_MS = 2_000;
 const LOAD_MS = 5_000;
 const LONG_REQUEST_MS = 1_500;
-const REFUSED = 503;
 const ZONE_KEY = "op/evacuate/zone-b";
 const SERVICES = ["catalogue", "orders", "books"];
 
@@ -30,7 +29,7 @@
 
 test.after.each(() => fleet.stop());
 
-test("its upstreams get nothing new, running requests end, and none is refused", async () => {
+test("its upstreams get nothing new, running requests end, and no caller notices", async () => {
     fleet.upstreams.get("i-orders-2")!.delayMs = LONG_REQUEST_MS;
     const orders = Array.from({ length: 8 }, (_, index) => sendOrder(index));
     await fleet.waitUntil(async () => fleet.upstreams.get("i-orders-2")!.received.length > 0);
@@ -38,8 +37,8 @@
     const load = runLoad(LOAD_MS);
     await wait(IN_FORCE_MS);
     const before = getReceived();
-    checkServed(await load);
-    checkServed(await Promise.all(orders));
+    assert.equal(new Set(await load), new Set([200]));
+    assert.equal(new Set(await Promise.all(orders)), new Set([200]));
     assert.is(getReceived(), before);
 });
 
@@ -50,7 +49,7 @@
     await fleet.hosts[0]!.stop();
     await fleet.hosts[0]!.start();
     await fleet.waitUntil(() => fleet.isReady(fleet.hosts[0]!));
-    checkServed(await runLoad(LOAD_MS));
+    assert.equal(new Set(await runLoad(LOAD_MS)), new Set([200]));
     assert.is(getReceived(), before);
     fleet.store.remove(ZONE_KEY);
     await fleet.waitUntil(async () => (await runLoad(500), getReceived() > before));
@@ -62,7 +61,7 @@
     for (const host of fleet.hosts) {
         const start = performance.now();
         const response = await fleet.send(host, "/lookup/all", { key: "key-3" });
-        assert.is(response.status, REFUSED);
+        assert.is(response.status, 503);
         assert.ok(Number(response.headers["retry-after"]) > 0);
         assert.ok(performance.now() - start < 500);
     }
@@ -74,7 +73,7 @@
     fleet.store.write("op/evacuate/", {});
     await wait(IN_FORCE_MS);
     const before = getReceived();
-    checkServed(await runLoad(LOAD_MS));
+    assert.equal(new Set(await runLoad(LOAD_MS)), new Set([200]));
     assert.ok(getReceived() > before);
     const log = fleet.hosts[0]!.getLog();
     assert.ok(log.split("\n").some(line => line.includes("entry-not-readable") && line.includes(ZONE_KEY)));
@@ -89,12 +88,6 @@
         .reduce((sum, [, { received }]) => sum + received.length, 0);
 }
 
-/** Checks that no request was refused; those that fail because a process was stalled on a busy machine say nothing here. */
-function checkServed(statuses: readonly number[]): void {
-    assert.is(statuses.filter(status => status === REFUSED).length, 0);
-    assert.ok(statuses.filter(status => status === 200).length > 0.8 * statuses.length);
-}
-
 async function sendOrder(index: number): Promise<number> {
     const options = { method: "POST" as const, body: "{}", key: "key-3", id: `o${index}` };
     return (await fleet.send(fleet.hosts[index % HOSTS]!, "/order/1", options)).status;
