Move the soak to the platform's tests; ask for the whole burst beside a silent owner

The test of a refusal beside a silent owner sent 12 requests of a burst of 40 and expected refusals; owners now fill an idle share, so 12 are rightly served. It sends the whole burst, of which the reachable owners hold two thirds, and explains each refusal as before.

--- a/tests/platform/explain.test.ts
+++ b/tests/platform/explain.test.ts
@@ -15,6 +15,8 @@
 /** Latency of an order, in milliseconds; long enough to kill a host while the order runs. */
 const ORDER_LATENCY_MS = 1_500;
 
+/** Requests that an account may send at once; its reachable owners hold two thirds of it. */
+const BURST = 40;
 const test = suite("explanations of failures of real processes");
 const fleet = new EdgeFleet();
 const { upstreams } = fleet;
@@ -58,7 +60,7 @@
 });
 
 test("explains a refusal within the account's rate while its owner host is unreachable", async () => {
-    const tenants = { clogs: { api_keys: ["key-1"], rate_per_s: 4, burst: 40 } };
+    const tenants = { clogs: { api_keys: ["key-1"], rate_per_s: 4, burst: BURST } };
     fleet.store.write("op/config", createDocument({ version: 20, tenants }));
     await fleet.waitUntil(async () =>
         fleet.hosts.every(host => /"configuration-applied".*"version":20/.test(host.getLog()))
@@ -66,11 +68,11 @@
     const owner = findOwner("clogs");
     const entry = fleet.hosts.find(host => host !== owner)!;
     owner.sendSignal("SIGSTOP");
-    const ids = Array.from({ length: 12 }, (_, index) => `r${index}`);
+    const ids = Array.from({ length: BURST }, (_, index) => `r${index}`);
     const responses = await Promise.all(ids.map(id => fleet.send(entry, "/lookup/r", { id })));
     owner.sendSignal("SIGCONT");
     const refused = ids.filter((_, index) => responses[index]!.status === 429);
-    assert.ok(refused.length > 0, "some are refused inside the burst of 40");
+    assert.ok(refused.length > 0, `some are refused inside the burst of ${BURST}`);
     for (const id of refused) {
         const { cause } = await findCause(id, CauseKind.RateOwnerUnavailable);
         assert.ok(cause.evidence.some(item => item.member === owner.id), `${owner.id} is named`);
--- a/tests/platform/signals.test.ts
+++ b/tests/platform/signals.test.ts
@@ -12,7 +12,7 @@
 test.after(() => fleet.stop());
 
 test("SIGHUP does not end a process that still waits for the store", async () => {
-    const host = await restartWithoutStore();
+    const host = await startWithoutStore();
     host.sendSignal("SIGHUP");
     await fleet.waitUntil(async () => host.getLog().includes("the settings were checked"));
     fleet.store.faultMode = StoreFaultMode.None;
@@ -21,7 +21,7 @@
 });
 
 test("SIGTERM ends a process that still waits for the store, as one that has stopped", async () => {
-    const host = await restartWithoutStore();
+    const host = await startWithoutStore();
     host.sendSignal("SIGTERM");
     assert.is(await host.waitForExit(), 0);
     fleet.store.faultMode = StoreFaultMode.None;
@@ -47,7 +47,7 @@
 test.run();
 
 /** Restarts the host while the store refuses all calls, and waits until it has been refused. */
-async function restartWithoutStore(): Promise<EdgeProcess> {
+async function startWithoutStore(): Promise<EdgeProcess> {
     const host = fleet.hosts[0]!;
     fleet.store.faultMode = StoreFaultMode.Unavailable;
     await host.stop();
--- a/tests/soak/faults/FaultRunner.ts
+++ b/tests/platform/soak/faults/FaultRunner.ts
@@ -1,6 +1,6 @@
 import { setTimeout as wait } from "node:timers/promises";
-import type { StoreFaultMode } from "../../platform/support/StoreFaultMode.js";
-import { StoreFaultMode as StoreMode } from "../../platform/support/StoreFaultMode.js";
+import type { StoreFaultMode } from "../../support/StoreFaultMode.js";
+import { StoreFaultMode as StoreMode } from "../../support/StoreFaultMode.js";
 import { LinkKind } from "../plan/LinkKind.js";
 import type { SoakFault } from "../plan/SoakFault.js";
 import { SoakFaultKind } from "../plan/SoakFaultKind.js";
--- a/tests/soak/faults/LoopbackProxy.ts
+++ b/tests/platform/soak/faults/LoopbackProxy.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
-import { parseAddress } from "../../../src/utils/index.js";
+import { parseAddress } from "../../../../src/utils/index.js";
 import { LinkMode } from "../plan/LinkMode.js";
 
 /** Delay of each piece of data in a delayed link, in milliseconds. */
--- a/tests/soak/faults/SoakFleet.ts
+++ b/tests/platform/soak/faults/SoakFleet.ts
@@ -1,10 +1,10 @@
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { createDocument } from "../../platform/support/createDocument.js";
-import { createRegistration } from "../../platform/support/createRegistration.js";
-import { MockPlatformStore } from "../../platform/support/MockPlatformStore.js";
-import { StoreFaultMode } from "../../platform/support/StoreFaultMode.js";
+import { createDocument } from "../../support/createDocument.js";
+import { createRegistration } from "../../support/createRegistration.js";
+import { MockPlatformStore } from "../../support/MockPlatformStore.js";
+import { StoreFaultMode } from "../../support/StoreFaultMode.js";
 import type { SoakPlan } from "../plan/SoakPlan.js";
 import { Disturbances } from "./Disturbances.js";
 import { LoopbackProxy } from "./LoopbackProxy.js";
--- a/tests/soak/faults/SoakHost.ts
+++ b/tests/platform/soak/faults/SoakHost.ts
@@ -1,6 +1,6 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { request } from "undici";
-import { EdgeProcess } from "../../platform/support/EdgeProcess.js";
+import { EdgeProcess } from "../../support/EdgeProcess.js";
 import type { Disturbances } from "./Disturbances.js";
 import { LoopbackProxy } from "./LoopbackProxy.js";
 
--- a/tests/soak/faults/SoakUpstream.ts
+++ b/tests/platform/soak/faults/SoakUpstream.ts
@@ -1,6 +1,6 @@
-import { SeededRandom } from "../../../src/random/index.js";
-import { MockPlatformUpstream } from "../../platform/support/MockPlatformUpstream.js";
-import { UpstreamFaultMode } from "../../platform/support/UpstreamFaultMode.js";
+import { SeededRandom } from "../../../../src/random/index.js";
+import { MockPlatformUpstream } from "../../support/MockPlatformUpstream.js";
+import { UpstreamFaultMode } from "../../support/UpstreamFaultMode.js";
 import { LoopbackProxy } from "./LoopbackProxy.js";
 
 const DELAY_MS = 30;
--- a/tests/soak/load/SoakLoad.ts
+++ b/tests/platform/soak/load/SoakLoad.ts
@@ -1,6 +1,6 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { Pool } from "undici";
-import { SeededRandom } from "../../../src/random/index.js";
+import { SeededRandom } from "../../../../src/random/index.js";
 import type { SoakFleet } from "../faults/SoakFleet.js";
 import type { SoakHost } from "../faults/SoakHost.js";
 import type { SoakCall } from "./SoakCall.js";
--- a/tests/soak/plan/SoakFault.ts
+++ b/tests/platform/soak/plan/SoakFault.ts
@@ -1,5 +1,5 @@
-import type { StoreFaultMode } from "../../platform/support/StoreFaultMode.js";
-import type { UpstreamFaultMode } from "../../platform/support/UpstreamFaultMode.js";
+import type { StoreFaultMode } from "../../support/StoreFaultMode.js";
+import type { UpstreamFaultMode } from "../../support/UpstreamFaultMode.js";
 import type { LinkKind } from "./LinkKind.js";
 import type { LinkMode } from "./LinkMode.js";
 import type { SoakFaultKind } from "./SoakFaultKind.js";
--- a/tests/soak/plan/createFaultsArbitrary.ts
+++ b/tests/platform/soak/plan/createFaultsArbitrary.ts
@@ -1,6 +1,6 @@
 import * as fc from "fast-check";
-import { StoreFaultMode } from "../../platform/support/StoreFaultMode.js";
-import { UpstreamFaultMode } from "../../platform/support/UpstreamFaultMode.js";
+import { StoreFaultMode } from "../../support/StoreFaultMode.js";
+import { UpstreamFaultMode } from "../../support/UpstreamFaultMode.js";
 import { LinkKind } from "./LinkKind.js";
 import { LinkMode } from "./LinkMode.js";
 import type { SoakFault } from "./SoakFault.js";
