--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -137,7 +137,8 @@
         const options = {
             slackMs: this.#slacks.getSlack(call),
             isLarge: call.request.route.kind === RouteKind.Bulk || call.request.body.length >= LARGE_BODY_BYTES,
-            isAnyZoneAllowed: lostHostParts.size > 0,
+            // A part that refuses has no room now, and its neighbours in the zone rarely have.
+            isAnyZoneAllowed: lostHostParts.size > 0 || excludedParts.size > 0,
         };
         const select = (...excluded: ReadonlySet<string>[]): ServicePart | undefined =>
             this.#parts.select(call.service, new Set(excluded.flatMap(keys => [...keys])), options);
