--- a/src/rates/FallbackBuckets.ts
+++ b/src/rates/owned/FallbackBuckets.ts
@@ -1,12 +1,12 @@
-import type { Membership } from "../membership/index.js";
-import type { Clock } from "../time/index.js";
-import { getMixedHash, getTextHash } from "../utils/index.js";
+import type { Membership } from "../../membership/index.js";
+import type { Clock } from "../../time/index.js";
+import { getMixedHash, getTextHash } from "../../utils/index.js";
+import { RateBasis } from "../RateBasis.js";
+import { TokenBucket } from "../TokenBucket.js";
 import { FALLBACK_FRACTION } from "./FALLBACK_FRACTION.js";
-import { RateBasis } from "./RateBasis.js";
 import { spendFromBucket } from "./spendFromBucket.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
 import type { SpendTokenResult } from "./SpendTokenResult.js";
-import { TokenBucket } from "./TokenBucket.js";
 
 /**
  * Tokens of an account with which the buckets of all hosts together begin, beside their part of its burst. With a third of the hosts
--- a/src/rates/OwnedBucket.ts
+++ b/src/rates/owned/OwnedBucket.ts
@@ -1,4 +1,4 @@
-import type { TokenBucket } from "./TokenBucket.js";
+import type { TokenBucket } from "../TokenBucket.js";
 
 /** The bucket of an account of whose rate this host is an owner. */
 export interface OwnedBucket {
--- a/src/rates/RateOwner.ts
+++ b/src/rates/owned/RateOwner.ts
@@ -1,15 +1,15 @@
-import type { Member } from "../head/index.js";
-import { Decision } from "../logging/index.js";
-import { PeerMethod } from "../peers/index.js";
+import type { Member } from "../../head/index.js";
+import { Decision } from "../../logging/index.js";
+import { PeerMethod } from "../../peers/index.js";
+import { RateBasis } from "../RateBasis.js";
+import type { RateLimiterOptions } from "../RateLimiterOptions.js";
+import type { RateShare } from "../RateShare.js";
+import { TokenBucket } from "../TokenBucket.js";
 import type { OwnedBucket } from "./OwnedBucket.js";
-import { RateBasis } from "./RateBasis.js";
-import type { RateLimiterOptions } from "./RateLimiterOptions.js";
-import type { RateShare } from "./RateShare.js";
 import type { ReachableHosts } from "./ReachableHosts.js";
 import { spendFromBucket } from "./spendFromBucket.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
 import type { SpendTokenResult } from "./SpendTokenResult.js";
-import { TokenBucket } from "./TokenBucket.js";
 
 const MS_PER_SECOND = 1_000;
 /** Timeout of a hand-over, in milliseconds; a lost one loses tokens and never adds any. */
--- a/src/rates/ReachableHosts.ts
+++ b/src/rates/owned/ReachableHosts.ts
@@ -1,5 +1,5 @@
-import type { Membership } from "../membership/index.js";
-import type { Clock } from "../time/index.js";
+import type { Membership } from "../../membership/index.js";
+import type { Clock } from "../../time/index.js";
 import { FALLBACK_FRACTION } from "./FALLBACK_FRACTION.js";
 
 /** How long a count of the reachable hosts is used, in milliseconds; silent hosts are detected within seconds. */
--- a/src/rates/SpendTokenResult.ts
+++ b/src/rates/owned/SpendTokenResult.ts
@@ -1,4 +1,4 @@
-import type { RateBasis } from "./RateBasis.js";
+import type { RateBasis } from "../RateBasis.js";
 
 /** Result of the call that spends a token. */
 export interface SpendTokenResult {
--- a/src/rates/spendFromBucket.ts
+++ b/src/rates/owned/spendFromBucket.ts
@@ -1,6 +1,6 @@
-import type { RateBasis } from "./RateBasis.js";
+import type { RateBasis } from "../RateBasis.js";
+import type { TokenBucket } from "../TokenBucket.js";
 import type { SpendTokenResult } from "./SpendTokenResult.js";
-import type { TokenBucket } from "./TokenBucket.js";
 
 /**
  * Spends a token, or tells when there will be one.
--- a/src/rates/peerMethods.ts
+++ b/src/rates/peerMethods.ts
@@ -3,12 +3,12 @@
 import type { BorrowTokensResult } from "./BorrowTokensResult.js";
 import type { HandOverRatesParams } from "./HandOverRatesParams.js";
 import type { HandOverRatesResult } from "./HandOverRatesResult.js";
-import type { HandOverTokensParams } from "./HandOverTokensParams.js";
-import type { HandOverTokensResult } from "./HandOverTokensResult.js";
+import type { HandOverTokensParams } from "./owned/HandOverTokensParams.js";
+import type { HandOverTokensResult } from "./owned/HandOverTokensResult.js";
+import type { SpendTokenParams } from "./owned/SpendTokenParams.js";
+import type { SpendTokenResult } from "./owned/SpendTokenResult.js";
 import type { ReceiveTokensParams } from "./ReceiveTokensParams.js";
 import type { ReceiveTokensResult } from "./ReceiveTokensResult.js";
-import type { SpendTokenParams } from "./SpendTokenParams.js";
-import type { SpendTokenResult } from "./SpendTokenResult.js";
 
 declare module "../peers/PeerMethods.js" {
     /** The peer calls of the rate limiters. */
--- a/tests/rates/ownerChanges.test.ts
+++ b/tests/rates/owned/ownerChanges.test.ts
@@ -1,15 +1,15 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { Account, Configuration } from "../../src/configuration/index.js";
-import { FakeClock, FakeNetwork } from "../../src/fakes/index.js";
-import type { Member } from "../../src/head/index.js";
-import { DecisionHistory } from "../../src/logging/index.js";
-import { RegisteredMembership } from "../../src/membership/index.js";
-import { PeerHandlers } from "../../src/peers/index.js";
-import { SeededRandom } from "../../src/random/index.js";
-import { OwnedRateLimiter } from "../../src/rates/index.js";
-import { createMember } from "../support/createMember.js";
+import type { Account, Configuration } from "../../../src/configuration/index.js";
+import { FakeClock, FakeNetwork } from "../../../src/fakes/index.js";
+import type { Member } from "../../../src/head/index.js";
+import { DecisionHistory } from "../../../src/logging/index.js";
+import { RegisteredMembership } from "../../../src/membership/index.js";
+import { PeerHandlers } from "../../../src/peers/index.js";
+import { SeededRandom } from "../../../src/random/index.js";
+import { OwnedRateLimiter } from "../../../src/rates/index.js";
+import { createMember } from "../../support/createMember.js";
 
 const HOSTS = 9;
 const ACCOUNT: Account = { name: "shop", rate: 20, burst: 20 };
