--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -19,6 +19,7 @@
 /** Event loop stalls shorter than this hardly matter beside upstream latencies of some hundred milliseconds. */
 const STALL_TICK_MS = 250;
 const MS_PER_SECOND = 1_000;
+const BYTES_PER_MEGABYTE = 1_000_000;
 /** Number of decisions kept in memory; the log has all of them. */
 const MAX_KEPT_DECISIONS = 200;
 /** Share of the grace period in which new requests are still accepted; the rest is for those in progress. */
@@ -73,7 +74,7 @@
         this.#memory = new ProcessMemory({
             clock: this.#clock,
             decisions: this.#decisions,
-            memoryBytes: options.settings.memoryBytes,
+            memoryBytes: options.settings.memoryMegabytes * BYTES_PER_MEGABYTE,
             getIdleTimeout: () =>
                 this.#host.supply.getConfiguration()?.getLimits().idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
             collect: options.collectGarbage,
--- a/src/settings/gatewaySettingsSchema.ts
+++ b/src/settings/gatewaySettingsSchema.ts
@@ -6,6 +6,11 @@
 const fraction = z.number().min(0).max(1);
 const seconds = z.number().min(0);
 
+/** Memory of a small machine, of which most is free, in megabytes. */
+const DEFAULT_MEMORY_MEGABYTES = 1_000;
+/** Usual limit of a Linux service, in descriptors. */
+const DEFAULT_MAX_DESCRIPTORS = 4_096;
+
 /** The schema of a gateway's settings file. */
 export const gatewaySettingsSchema = z.object({
     id: name,
@@ -30,10 +35,10 @@
     cores: z.number().positive().default(1),
     /** Bandwidth of the host's network link, in megabits per second. */
     linkMbps: z.number().positive().default(1),
-    /** Memory that the process may have, in bytes. */
-    memoryBytes: z.number().positive().default(1_000_000_000),
-    /** Descriptors that the process may have open. */
-    maxDescriptors: z.int().positive().default(4_096),
+    /** Memory that the process may have, in megabytes; the default if the platform names none. */
+    memoryMegabytes: z.number().positive().nullish().transform(value => value ?? DEFAULT_MEMORY_MEGABYTES),
+    /** Descriptors that the process may have open; the default if the platform names none. */
+    maxDescriptors: z.int().positive().nullish().transform(value => value ?? DEFAULT_MAX_DESCRIPTORS),
     /** Minimum fraction of a service's upstreams that ejection must leave in service. */
     floor: fraction,
     /** Retries allowed, as a fraction of a service's requests. */
--- a/tests/platform/support/CrowdBench.ts
+++ b/tests/platform/support/CrowdBench.ts
@@ -21,6 +21,7 @@
 /** Time between two counts of descriptors, in milliseconds. */
 const SAMPLE_MS = 100;
 const BYTES_PER_KB = 1_024;
+const BYTES_PER_MEGABYTE = 1_000_000;
 
 /** Two hosts with the memory of small machines, and a crowd at the first of them. */
 export class CrowdBench {
@@ -36,7 +37,7 @@
     async start(document: Record<string, unknown> = {}): Promise<void> {
         await this.fleet.start(HOSTS, ["catalogue", "orders", "books"], {
             nodeArguments: NODE_ARGUMENTS,
-            settings: { memoryBytes: MEMORY_BYTES, maxDescriptors: MAX_DESCRIPTORS },
+            settings: { memoryMegabytes: MEMORY_BYTES / BYTES_PER_MEGABYTE, maxDescriptors: MAX_DESCRIPTORS },
         });
         this.fleet.store.write("op/config", createDocument({ version: 8, ...document }));
         for (const id of this.fleet.upstreams.keys()) {
