Count a test file as passed only if all of its tests have

What was seen: a new suite whose set-up failed (hosts that did not start) ran none of its two tests, ended with exit code 0, and the runner printed "ok 0/2"; among other files the whole run would have been green.

Cause: uvu leaves a suite whose before hook throws, without a failure and with exit code 0; the runner looked at the exit code alone.

A file now needs a test, and as many passed as there are.

--- a/src/tools/testing/runTestFile.ts
+++ b/src/tools/testing/runTestFile.ts
@@ -15,12 +15,15 @@
     return new Promise(resolve => {
         execFile(process.execPath, ["--enable-source-maps", file], options, (error, stdout, stderr) => {
             const output = stdout + stderr;
+            const passed = getCount(output, "Passed");
+            const total = getCount(output, "Total");
             resolve({
                 file,
-                passed: getCount(output, "Passed"),
-                total: getCount(output, "Total"),
+                passed,
+                total,
                 failures: [...output.matchAll(FAILURE_PATTERN)].map(match => match[1] ?? ""),
-                isSuccessful: error === null,
+                // A suite whose set-up fails runs no test and still ends with exit code 0.
+                isSuccessful: error === null && total > 0 && passed === total,
                 output,
             });
         });
