Run an account under its own name or not at all

An account named "" or with an unreadable entry kept the whole document from coming into force; one named "__proto__" got 401.

Cause: the account's name goes into a header field as it is, and recipients strip the blanks at its ends. Names that no field can carry at all reached the HTTP client, which refused them. The document's tables were read as a whole, through plain objects.

Now a name that a field does not carry unchanged (RFC 9110, 5.5) has its requests refused at once as not run (503). Entries of the document are read one by one: a defective one costs only itself, is logged with its place and counted in fuchsiapath_configuration_findings; a defective route keeps its host name and prefix, so that its requests don't run by another route. An upstream whose id no field carries is not used.

--- a/src/callers/getRefusalStatus.ts
+++ b/src/callers/getRefusalStatus.ts
@@ -36,6 +36,7 @@
         case RefusalReason.HostUnreachable:
         case RefusalReason.StoreUnavailable:
         case RefusalReason.RetryBudgetSpent:
+        case RefusalReason.EntryDefective:
             return 503;
         case RefusalReason.DeadlineExceeded:
             return 504;
--- a/src/configuration/Account.ts
+++ b/src/configuration/Account.ts
@@ -7,4 +7,6 @@
     readonly burst: number;
     /** Priority of its requests, 0 is the highest; the route's priority applies if undefined. */
     readonly priority?: number;
+    /** Why its requests can't be served and are refused; undefined if they can. */
+    readonly defect?: string;
 }
--- a/src/configuration/Route.ts
+++ b/src/configuration/Route.ts
@@ -28,4 +28,6 @@
     /** Longest time from the acceptance of a request to the first byte of its response, in milliseconds. */
     readonly deadlineMs: number;
     readonly maxBodyBytes: number;
+    /** Why its requests can't be served and are refused; undefined if they can. */
+    readonly defect?: string;
 }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -61,6 +61,7 @@
             options.getDroppedLogLines,
             () => this.#host.getCopyAge(),
             () => this.#memory.budget.getFigures(),
+            () => this.#host.supply.getFindingCount(),
         );
         this.#traffic = new PeerTraffic({
             ownZone: options.settings.zone,
--- a/src/gateway/findAuthorizedRoute.ts
+++ b/src/gateway/findAuthorizedRoute.ts
@@ -6,13 +6,23 @@
 import type { GatewayRequest } from "./GatewayRequest.js";
 
 /**
- * Finds the route and the client account of a request; throws a RefusalError if no route matches or the key is invalid.
+ * Finds the route and the client account of a request; throws a RefusalError if no route matches, the key is invalid, or the
+ * configuration's entry of either can't be served.
  * @param configuration - The configuration in force.
  * @param request - The request.
  */
 export function findAuthorizedRoute(configuration: SuppliedConfiguration, request: GatewayRequest): AuthorizedRoute {
     const route = findRoute(configuration, request);
-    return { route, account: findAccount(configuration, route, request.key) };
+    checkDefect(`Route ${route.name}`, route.defect);
+    const account = findAccount(configuration, route, request.key);
+    checkDefect(`Account ${account?.name}`, account?.defect);
+    return { route, account };
+}
+
+function checkDefect(entry: string, defect: string | undefined): void {
+    if (defect !== undefined) {
+        throw new RefusalError(RefusalReason.EntryDefective, `${entry} can't be served: ${defect}.`);
+    }
 }
 
 function findRoute(configuration: SuppliedConfiguration, request: GatewayRequest): Route {
--- a/src/metrics/GatewayMetrics.ts
+++ b/src/metrics/GatewayMetrics.ts
@@ -37,11 +37,13 @@
      * @param getDroppedLogLines - Gets the number of log lines dropped so far.
      * @param getCopyAge - Gets the time since the replica of the store was last known to be current, in milliseconds.
      * @param getMemory - Gets what callers' requests hold, by kind.
+     * @param getFindingCount - Gets the number of findings on the configuration in force.
      */
     constructor(
         getDroppedLogLines: () => number,
         getCopyAge: () => number,
         getMemory: () => readonly MemoryFigures[],
+        getFindingCount: () => number,
     ) {
         const held: Gauge<"kind"> = new Gauge({
             name: "fuchsiapath_memory_held_bytes",
@@ -68,6 +70,12 @@
             registers: [this.#registry],
             collect: () => droppedLogLines.set(getDroppedLogLines()),
         });
+        const findings: Gauge = new Gauge({
+            name: "fuchsiapath_configuration_findings",
+            help: "Findings on entries of the configuration in force that can't be served.",
+            registers: [this.#registry],
+            collect: () => findings.set(getFindingCount()),
+        });
         const copyAge: Gauge = new Gauge({
             name: "fuchsiapath_store_copy_age_seconds",
             help: "How long ago the copy of the platform's store is known to have been current.",
--- a/src/outcomes/RefusalReason.ts
+++ b/src/outcomes/RefusalReason.ts
@@ -22,4 +22,6 @@
     DeadlineExceeded = "deadline-exceeded",
     RequestQuarantined = "request-quarantined",
     RetryBudgetSpent = "retry-budget-spent",
+    /** The configuration's entry of the route or the account can't be served; all other entries are in force. */
+    EntryDefective = "entry-defective",
 }
--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -60,6 +60,11 @@
         return this.#configuration;
     }
 
+    /** Gets the number of findings on entries of the document in force that can't be served. */
+    getFindingCount(): number {
+        return this.#document?.findings.length ?? 0;
+    }
+
     /** Gets the registered entry hosts. */
     getHosts(): readonly Member[] {
         return this.#hostList;
@@ -190,6 +195,9 @@
             reason: "a newer version was read",
             version: document.version,
         });
+        document.findings.forEach(({ place, message }) =>
+            this.#record("entry-defective", { place, detail: message, version: document.version })
+        );
     }
 
     #removeOrDelay(key: string): void {
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -6,6 +6,7 @@
 export { formatIncarnation } from "./formatIncarnation.js";
 export { getMixedHash } from "./getMixedHash.js";
 export { getTextHash } from "./getTextHash.js";
+export { isHeaderValue } from "./isHeaderValue.js";
 export { isTimingSafeEqual } from "./isTimingSafeEqual.js";
 export { openServer } from "./openServer.js";
 export { parseAddress } from "./parseAddress.js";
--- a/tests/platform/PlatformDecoder.test.ts
+++ b/tests/platform/PlatformDecoder.test.ts
@@ -45,6 +45,10 @@
 test("an invalid entry decodes to the reason why it is invalid", () => {
     const bad: [string, string][] = [
         ["servers/i-1", "no json"],
+        ...["", " i-1", "i\n1", "\u0e23"].map((id): [string, string] => [
+            `servers/${id}`,
+            JSON.stringify(createRegistration()),
+        ]),
         ["servers/i-1", "{}"],
         ["servers/i-1", JSON.stringify(createRegistration({ state: "sleeping" }))],
         ["servers/i-1", JSON.stringify(createRegistration({ addr: "somewhere" }))],
--- a/tests/platform/edge.test.ts
+++ b/tests/platform/edge.test.ts
@@ -153,6 +153,7 @@
     assert.is((await fleet.send(fleet.hosts[1]!, "/lookup/back")).status, 200);
 });
 
+// Guards against UNASKED (review/3): orders of an account named "anonymous" ran without the account's name.
 test("an account named like a word of the program runs under its name, beside requests without an account", async () => {
     const hosts = fleet.hosts.slice(0, 2);
     const { tenants } = createDocument() as { tenants: Record<string, object>; };
--- a/tests/platform/protocols.test.ts
+++ b/tests/platform/protocols.test.ts
@@ -96,6 +96,7 @@
     );
 });
 
+// Guards against UNASKED (review/3): one name marked requests without an account and was left out.
 test("every account is named to upstreams, whatever its name, and a request without an account names none", () => {
     for (const account of ["anonymous", "undefined", "null"]) {
         const headers = upstreams.createHeaders(UPSTREAM, createRequest({}, account), 1_000);
--- a/tests/supply/Supply.test.ts
+++ b/tests/supply/Supply.test.ts
@@ -190,6 +190,7 @@
         document: {
             version,
             accounts: [],
+            findings: [],
             accountsByKey: new Map(),
             routes: [{ ...route, access: RouteAccess.Open, deadlineMs: 1_000, maxBodyBytes: 1_000 }],
             services: [{ ...GATEWAY_SERVICE_DEFAULTS, name: "orders", floor: 0.7, retryBudget: 0.2, connections: 330 }],
--- a/tests/supply/evacuatedZones.test.ts
+++ b/tests/supply/evacuatedZones.test.ts
@@ -137,6 +137,7 @@
         document: {
             version: 1,
             accounts: [],
+            findings: [],
             accountsByKey: new Map(),
             routes: [{ ...route, access: RouteAccess.Open, deadlineMs: 1_000, maxBodyBytes: 1_000 }],
             services: [{
