Keep services and zones apart whose joined names are equal

What callers could see: a request for a service "b/c" in zone "a" runs at the upstreams of service "c" in zone "a/b" (ROUTE), as the service host found its pools by zone and service joined with a slash.

tests/services/joinedNames.test.ts fails before (the second request ran at "c of a/b"; keys shared) and passes now; tests of accounts, services and membership pass.

--- a/src/accounts/placing/PartEstimator.ts
+++ b/src/accounts/placing/PartEstimator.ts
@@ -26,7 +26,7 @@
      * @param partKey - The part's key.
      */
     recordSent(service: string, partKey: string): void {
-        const load = this.#loads.get(`${service}/${partKey}`);
+        const load = this.#loads.get(createLoadKey(service, partKey));
         if (load !== undefined) {
             load.sentSinceReport++;
         }
@@ -38,7 +38,7 @@
      * @param report - The part's load.
      */
     recordLoad(service: string, report: PartLoadReport): void {
-        const key = `${service}/${report.part}`;
+        const key = createLoadKey(service, report.part);
         const time = this.#clock.getTime() - report.ageMs;
         const known = this.#loads.get(key);
         if (known === undefined || known.time < time || report.ageMs === 0) {
@@ -52,7 +52,7 @@
      * @param part - The part.
      */
     createEstimate(service: Service, part: ServicePart): PartEstimate {
-        const load = this.#loads.get(`${service.name}/${part.key}`);
+        const load = this.#loads.get(createLoadKey(service.name, part.key));
         if (load === undefined || this.#clock.getTime() - load.time > LOAD_LIFETIME_MS) {
             return { part, freeSlots: part.slots, servedShare: 1, capacity: undefined };
         }
@@ -72,3 +72,7 @@
     const queued = slotTimeMs > 0 ? waitMs * slots / slotTimeMs : 0;
     return { slots, slotTimeMs, backlog: Math.max(queued, report.queued) + sentSinceReport - report.freeSlots };
 }
+
+function createLoadKey(service: string, partKey: string): string {
+    return JSON.stringify([service, partKey]);
+}
--- a/src/membership/RendezvousTable.ts
+++ b/src/membership/RendezvousTable.ts
@@ -43,7 +43,7 @@
      * @param count - The maximum number of members.
      */
     selectInZone(key: string, zone: string, count: number): readonly Member[] {
-        return this.#getCached(`${count} in ${zone} ${key}`, () => {
+        return this.#getCached(JSON.stringify([count, zone, key]), () => {
             const isInZone = (member: Member): boolean => member.zone === zone;
             const hasZone = this.#members.some(isInZone);
             const scores = this.#getWeightedScores(key);
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -217,7 +217,7 @@
 
     #getPool(request: ServiceRequest): HostedPool | undefined {
         const partKey = getPartKey(request.zone, request.part ?? 0);
-        const key = `${partKey}/${request.service}`;
+        const key = JSON.stringify([partKey, request.service]);
         const hosted = this.#pools.get(key);
         if (hosted !== undefined) {
             return hosted;
