Take no request that can't be sent as evidence against an upstream

Callers can't bring it about by themselves; an operator's name can.

Cause: the HTTP client refuses such a request before it opens a connection. The exchange took that for a connection that could not be opened, so two orders ejected both upstreams, and the service host took itself for cut off. The same for a path, a method or a field that can't be written.

Such a request now ends at the service host before it takes a place in a queue, a slot or a retry (not-sendable, not run, without a time to return; logged once with the reason). The exchange tells a refusal of the client from a connection that failed, whatever its cause, and that result is no observation of the upstream.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -19,6 +19,12 @@
 /** Length from which a body counts as large, in bytes: several times the head of a forwarded request. */
 const LARGE_BODY_BYTES = 16 * 1024;
 
+/** Refusals that a later try can't change. */
+const FINAL_REASONS: ReadonlySet<RefusalReason> = new Set([
+    RefusalReason.RequestQuarantined,
+    RefusalReason.NotSendable,
+]);
+
 interface DispatchState {
     /** Keys of the parts that refused the request or had no reachable service host. */
     readonly excludedParts: Set<string>;
@@ -257,7 +263,7 @@
 }
 
 function addRetryAfter(outcome: NotRunOutcome): NotRunOutcome {
-    const isFinal = outcome.reason === RefusalReason.RequestQuarantined;
+    const isFinal = FINAL_REASONS.has(outcome.reason);
     const retryAfterMs = isFinal ? undefined : outcome.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
     return { ...outcome, retryAfterMs };
 }
--- a/src/callers/getRefusalStatus.ts
+++ b/src/callers/getRefusalStatus.ts
@@ -9,6 +9,7 @@
     switch (reason) {
         case RefusalReason.MalformedRequest:
         case RefusalReason.IdempotencyKeyRequired:
+        case RefusalReason.NotSendable:
             return 400;
         case RefusalReason.UnknownKey:
         case RefusalReason.WithdrawnKey:
--- a/src/outcomes/RefusalReason.ts
+++ b/src/outcomes/RefusalReason.ts
@@ -24,4 +24,6 @@
     RetryBudgetSpent = "retry-budget-spent",
     /** The configuration's entry of the route or the account can't be served; all other entries are in force. */
     EntryDefective = "entry-defective",
+    /** The request can't be written to any upstream. */
+    NotSendable = "not-sendable",
 }
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -5,6 +5,7 @@
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import { PeerMethod } from "../peers/index.js";
 import { EjectionPolicy } from "./detection/EjectionPolicy.js";
+import { findRequestDefect } from "./exchange/findRequestDefect.js";
 import { UpstreamNotices } from "./notices/UpstreamNotices.js";
 import { decodeOutcome } from "./outcomes/decodeOutcome.js";
 import { OutcomeCache } from "./outcomes/OutcomeCache.js";
@@ -97,6 +98,10 @@
         if (this.#isStopping) {
             return createAnswer(createNotRun(RefusalReason.HostStopping, "The service host is stopping.", 0));
         }
+        const defect = findRequestDefect(request);
+        if (defect !== undefined) {
+            return createAnswer(this.#refuseDefective(request, defect));
+        }
         const hosted = this.#getPool(request);
         if (hosted === undefined) {
             const detail = "The service has no upstream in this zone.";
@@ -163,6 +168,14 @@
         }
     }
 
+    /** Refuses a request before it takes a place in a queue, a slot or a retry, or becomes evidence against an upstream. */
+    #refuseDefective({ requestId, account, service }: ServiceRequest, defect: string): NotRunOutcome {
+        const outcome = createNotRun(RefusalReason.NotSendable, `The request can't be sent: ${defect}.`);
+        const { reason, detail } = outcome;
+        this.#options.decisions.record({ decision: Decision.Refused, reason, detail, requestId, account, service });
+        return outcome;
+    }
+
     #isEndingBefore(durationMs: number): boolean {
         return this.#endTime !== undefined && this.#options.clock.getTime() + durationMs > this.#endTime;
     }
--- a/src/services/detection/createObservation.ts
+++ b/src/services/detection/createObservation.ts
@@ -8,7 +8,8 @@
 const GATEWAY_TIMEOUT = 504;
 
 /**
- * Creates the observation of an attempt; undefined if the result is known only at the end of the answer.
+ * Creates the observation of an attempt; undefined if the result is known only at the end of the answer, or the attempt says nothing
+ * about the upstream.
  * @param attempt - The attempt.
  * @param requestId - Its request.
  * @param minWaitMs - An attempt that times out sooner doesn't count as a failure of the upstream, in milliseconds.
@@ -38,6 +39,8 @@
                 : undefined;
         case UpstreamAnswerKind.ConnectFailed:
             return create(ObservationKind.ConnectFailed, answer.detail);
+        case UpstreamAnswerKind.NotSendable:
+            return undefined;
         case UpstreamAnswerKind.Shed:
             return create(ObservationKind.Shed, "load shed");
         case UpstreamAnswerKind.TimedOut:
--- a/src/services/exchange/UpstreamAnswer.ts
+++ b/src/services/exchange/UpstreamAnswer.ts
@@ -13,6 +13,7 @@
         readonly notice?: UpstreamNotice;
     }
     | { readonly kind: UpstreamAnswerKind.ConnectFailed; readonly detail: string; }
+    | { readonly kind: UpstreamAnswerKind.NotSendable; readonly detail: string; }
     | {
         readonly kind: UpstreamAnswerKind.Shed;
         readonly retryAfterMs: number | undefined;
--- a/src/services/exchange/UpstreamAnswerKind.ts
+++ b/src/services/exchange/UpstreamAnswerKind.ts
@@ -4,6 +4,8 @@
     Answered = "answered",
     /** The connection could not be opened; nothing was sent. */
     ConnectFailed = "connect-failed",
+    /** The request can't be written; nothing was sent, and it says nothing about the upstream. */
+    NotSendable = "not-sendable",
     /** The upstream refused the request under load and did not run it. */
     Shed = "shed",
     /** No first byte was received within the limit. */
--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -13,6 +13,12 @@
 import type { UpstreamConnection } from "./UpstreamConnection.js";
 import type { UpstreamExchangeOptions } from "./UpstreamExchangeOptions.js";
 
+/** Codes of undici's errors for a request that it doesn't write. */
+const REQUEST_ERROR_CODES: ReadonlySet<string> = new Set([
+    "UND_ERR_INVALID_ARG",
+    "UND_ERR_NOT_SUPPORTED",
+    "UND_ERR_REQ_CONTENT_LENGTH_MISMATCH",
+]);
 const BODILESS_STATUSES = new Set([204, 304]);
 /** A body that its reader has kept waiting for this share of its time is late by the reader, not by the upstream. */
 const SLOW_READER_SHARE = 0.5;
@@ -69,7 +75,7 @@
             }, this.#createHandler());
         }
         catch (error) {
-            this.#stop({ kind: UpstreamAnswerKind.ConnectFailed, detail: (error as Error).message });
+            this.#receiveError(error as Error);
         }
     }
 
@@ -206,8 +212,11 @@
             return;
         }
         const detail = error.message;
-        const isSent = this.#controller !== undefined;
-        const kind = isSent ? UpstreamAnswerKind.ConnectionLost : UpstreamAnswerKind.ConnectFailed;
+        if (this.#controller !== undefined) {
+            this.#stop({ kind: UpstreamAnswerKind.ConnectionLost, detail });
+            return;
+        }
+        const kind = isRequestError(error) ? UpstreamAnswerKind.NotSendable : UpstreamAnswerKind.ConnectFailed;
         this.#stop({ kind, detail });
     }
 
@@ -239,6 +248,11 @@
     }
 }
 
+/** Whether the HTTP client refused the request itself, before it opened a connection. */
+function isRequestError(error: Error): boolean {
+    return REQUEST_ERROR_CODES.has((error as NodeJS.ErrnoException).code ?? "");
+}
+
 function createAnswerHeaders(headers: IncomingHttpHeaders): HeaderFields {
     const entries = Object.entries(headers).filter(([name, value]) =>
         value !== undefined && !CONNECTION_FIELDS.has(name)
--- a/src/services/exchange/createOutcome.ts
+++ b/src/services/exchange/createOutcome.ts
@@ -16,6 +16,8 @@
             return { kind: OutcomeKind.Done, status: answer.status, headers: answer.headers, body: answer.body };
         case UpstreamAnswerKind.ConnectFailed:
             return createNotRun(RefusalReason.NoUpstream, `No connection: ${answer.detail}`, DEFAULT_RETRY_AFTER_MS);
+        case UpstreamAnswerKind.NotSendable:
+            return createNotRun(RefusalReason.NotSendable, `The request can't be sent: ${answer.detail}.`);
         case UpstreamAnswerKind.Shed:
             return createNotRun(
                 RefusalReason.Overloaded,
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -323,6 +323,9 @@
 
     /** A failed idempotent request is not counted as unserved: it is retried elsewhere, and its last attempt counts. */
     #recordServed(request: ServiceRequest, outcome: Outcome): void {
+        if (outcome.kind === OutcomeKind.NotRun && outcome.reason === RefusalReason.NotSendable) {
+            return;
+        }
         const isServed = outcome.kind === OutcomeKind.Done && outcome.status < FIRST_FAILURE_STATUS;
         this.#servedShare.record(isServed);
         if (isServed || !request.isIdempotent) {
