Let only the side of a cut that has the majority grant an account's rate

Cause: an owner of the rate stopped only if reports on silent hosts left it without a majority. Besides, each cut began with tokens of the hosts that reach no owner, for an account that had its whole rate elsewhere. The property test could not see it: its hosts all learned of all others.

The owners now check each other while they are asked; one that is out of touch with another goes on only while most of the fleet answers it, and its share is divided only after it must have stopped. An account that was refused for its rate gets nothing from a host that reaches no owner until the owners have left it its part.

Evidence: hosts of the test now know only a quarter of those that a group has lost.

--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -21,4 +21,5 @@
     CheckHost = "replica.check",
     SpendToken = "rate.spend",
     HandOverTokens = "rate.handOverTokens",
+    CheckOwner = "rate.checkOwner",
 }
--- a/src/peers/getTrafficKind.ts
+++ b/src/peers/getTrafficKind.ts
@@ -32,6 +32,7 @@
         case PeerMethod.Probe:
         case PeerMethod.IsServing:
         case PeerMethod.CheckHost:
+        case PeerMethod.CheckOwner:
             return PeerTrafficKind.Checks;
     }
 }
--- a/src/rates/TokenBucket.ts
+++ b/src/rates/TokenBucket.ts
@@ -160,13 +160,13 @@
     }
 
     /**
-     * Takes out all tokens.
+     * Takes out all tokens; a debt stays.
      * @param time - The time in milliseconds.
      */
     drain(time: number): number {
         this.#addRefill(time);
-        const tokens = this.#tokens;
-        this.#tokens = 0;
+        const tokens = Math.max(0, this.#tokens);
+        this.#tokens -= tokens;
         return tokens;
     }
 
--- a/src/rates/owned/OwnedBucket.ts
+++ b/src/rates/owned/OwnedBucket.ts
@@ -4,7 +4,7 @@
 export interface OwnedBucket {
     readonly bucket: TokenBucket;
     /** From when on the bucket fills, in milliseconds of the clock. */
-    readonly since: number;
+    since: number;
     /** The ids of the account's owners in the current view. */
     owners: ReadonlySet<string>;
 }
--- a/src/rates/owned/OwnedRateLimiter.ts
+++ b/src/rates/owned/OwnedRateLimiter.ts
@@ -87,6 +87,7 @@
         for (const owner of owners) {
             const result = await this.#spendAt(owner, params);
             if (result?.isSpent === true || result?.isQuarantined === true) {
+                this.#fallback.recordOwnerAnswer(account.name, false);
                 return result;
             }
             if (result !== undefined) {
@@ -97,6 +98,7 @@
         if (soonest === undefined) {
             return this.#fallback.spend({ ...params, maxWaitMs: options?.maxWaitMs ?? 0 });
         }
+        this.#fallback.recordOwnerAnswer(account.name, true);
         const result = await this.#spendWithWait(soonest, params, options?.maxWaitMs ?? 0);
         return refusals.length < owners.length ? { ...result, basis: RateBasis.Partial } : result;
     }
--- a/src/rates/owned/RateOwner.ts
+++ b/src/rates/owned/RateOwner.ts
@@ -6,6 +6,7 @@
 import type { RateShare } from "../RateShare.js";
 import { TokenBucket } from "../TokenBucket.js";
 import type { OwnedBucket } from "./OwnedBucket.js";
+import { OwnerContacts } from "./OwnerContacts.js";
 import type { ReachableHosts } from "./ReachableHosts.js";
 import { spendFromBucket } from "./spendFromBucket.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
@@ -19,6 +20,11 @@
  * which looks like a partition, costs an account nothing. It is half of the tenth by which platforms usually tolerate an excess.
  */
 const TOLERATED_EXCESS = 0.05;
+/**
+ * An owner with a smaller share, in requests per second, grants it without being in touch with the other owners: twice granted, it stays
+ * within half of the 20 requests by which platforms usually tolerate an excess.
+ */
+const MIN_CHECKED_RATE = 2;
 
 /**
  * This host as one of the owners of accounts' rates. Each owner holds a share in a token bucket. A host that ceases to be an owner
@@ -28,6 +34,7 @@
 export class RateOwner {
     readonly #options: RateLimiterOptions;
     readonly #hosts: ReachableHosts;
+    readonly #contacts: OwnerContacts;
     readonly #buckets = new Map<string, OwnedBucket>();
     /** When the view of the fleet last changed, in milliseconds of the clock; an owner in it has held its share at least since then. */
     #viewTime: number;
@@ -39,6 +46,7 @@
     constructor(options: RateLimiterOptions, hosts: ReachableHosts) {
         this.#options = options;
         this.#hosts = hosts;
+        this.#contacts = new OwnerContacts(options);
         this.#viewTime = options.clock.getTime();
         options.membership.addViewListener(() => this.#applyView());
         options.handlers.add(PeerMethod.HandOverTokens, ({ tokens }) => {
@@ -82,23 +90,26 @@
     }
 
     /**
-     * Finds this host's share, with a burst in whole tokens. The rate is divided over the owners that this host reaches, less what
-     * the hosts out of reach may spend by themselves.
+     * Finds this host's share, with a burst in whole tokens. The rate is divided over the owners that are not lost, less what the hosts
+     * out of reach may spend by themselves.
      */
     #findShare(account: string, { rate, burst }: RateShare): RateShare | undefined {
         const { membership } = this.#options;
         const self = membership.getSelf().id;
-        const owners = membership.getAccountHosts(account).filter(({ id }) =>
-            id === self || membership.isReachable(id)
-        );
-        const index = owners.findIndex(({ id }) => id === self);
-        if (index < 0) {
+        const all = membership.getAccountHosts(account);
+        if (!all.some(({ id }) => id === self)) {
             return undefined;
         }
         if (!this.#hosts.hasMajority()) {
-            this.#removeAll();
+            this.#closeAllShares();
+            return undefined;
+        }
+        const owners = this.#findActiveOwners(all, rate);
+        if (owners === undefined) {
+            this.#closeShare(account);
             return undefined;
         }
+        const index = owners.findIndex(({ id }) => id === self);
         const factor = Math.min(1, 1 + TOLERATED_EXCESS - this.#hosts.getUnreachableRateShare());
         return {
             rate: factor * rate / owners.length,
@@ -106,6 +117,26 @@
         };
     }
 
+    /**
+     * Finds the owners that share the rate now, this host among them; undefined if an owner is out of touch and this host does not reach
+     * the majority of the fleet, which is on one side of a partition only. For two owners and for small rates, reports on silent hosts decide.
+     */
+    #findActiveOwners(all: readonly Member[], rate: number): readonly Member[] | undefined {
+        const { membership } = this.#options;
+        const self = membership.getSelf().id;
+        const others = all.filter(({ id }) => id !== self);
+        if (others.length < 2 || rate / all.length < MIN_CHECKED_RATE) {
+            return all.filter(({ id }) => id === self || membership.isReachable(id));
+        }
+        this.#contacts.watch(others);
+        if (others.some(owner => this.#contacts.isDoubtful(owner))) {
+            this.#contacts.watchFleet();
+        }
+        return others.every(owner => this.#contacts.isInTouch(owner)) || this.#contacts.hasMajority()
+            ? all.filter(owner => owner.id === self || !this.#contacts.isLost(owner, others))
+            : undefined;
+    }
+
     #getBucket(account: string, share: RateShare): OwnedBucket {
         const existing = this.#buckets.get(account);
         if (existing !== undefined) {
@@ -120,9 +151,20 @@
         return created;
     }
 
-    /** Empties the shares, which the owners on the other side of a partition spend now. */
-    #removeAll(): void {
-        this.#buckets.clear();
+    /** Empties the share of an account, which the owners on the other side of a partition spend now. A debt stays, as it was spent here. */
+    #closeShare(account: string): void {
+        const owned = this.#buckets.get(account);
+        const now = this.#options.clock.getTime();
+        if (owned !== undefined) {
+            owned.bucket.drain(now);
+            owned.bucket.applyShare({ ...owned.bucket.getShare(), rate: 0 }, now);
+            owned.since = now;
+        }
+    }
+
+    /** Empties all shares; one that was not spent from yet begins empty too. */
+    #closeAllShares(): void {
+        [...this.#buckets.keys()].forEach(account => this.#closeShare(account));
         this.#viewTime = this.#options.clock.getTime();
     }
 
--- a/tests/rates/owned/ownerChanges.test.ts
+++ b/tests/rates/owned/ownerChanges.test.ts
@@ -15,6 +15,12 @@
 const ACCOUNT: Account = { name: "shop", rate: 20, burst: 20 };
 /** An account whose burst takes longer to fill than a rolling restart. */
 const LARGE_ACCOUNT: Account = { name: "large shop", rate: 100, burst: 200 };
+/** An account and a fleet as on the platform's smaller deployments. */
+const HOT_ACCOUNT: Account = { name: "hot shop", rate: 58, burst: 58 };
+const LARGE_FLEET = 36;
+/** One in so many of the hosts out of its reach is known to a host of a small group. */
+const KNOWN_SHARE = 4;
+const SHORT_DAY_MS = 13_000;
 const WINDOW_MS = 5_000;
 /** The platform lets an account exceed its rate and burst in a window by this fraction and this number of requests. */
 const OVERSHOOT = 0.1;
@@ -75,20 +81,20 @@
     #members: Member[] = [];
     #cuts: ReadonlySet<number>[] = [];
 
-    constructor(seed: number, account = ACCOUNT) {
+    constructor(seed: number, account = ACCOUNT, hosts = HOSTS) {
         this.#account = account;
         this.#random = new SeededRandom(seed);
-        this.#members = Array.from({ length: HOSTS }, (_, index) => createMember(index));
+        this.#members = Array.from({ length: hosts }, (_, index) => createMember(index));
         this.hosts = this.#members.map((_, index) => this.#startHost(index, 1));
     }
 
-    async run(troubles: readonly Trouble[], load: number): Promise<void> {
+    async run(troubles: readonly Trouble[], load: number, dayMs = DAY_MS): Promise<void> {
         const { rate, burst } = this.#account;
         await this.clock.run(burst / rate * 1_000);
         troubles.forEach(each => this.clock.schedule(each.at, () => this.#start(each)));
-        const end = this.clock.getTime() + DAY_MS;
+        const end = this.clock.getTime() + dayMs;
         while (this.clock.getTime() < end) {
-            void this.#send(this.hosts[Math.floor(this.#random.getNext() * HOSTS)]!);
+            void this.#send(this.hosts[Math.floor(this.#random.getNext() * this.hosts.length)]!);
             await this.clock.run(-Math.log(1 - this.#random.getNext()) * 1_000 / (load * rate));
         }
         await this.clock.run(1_000);
@@ -192,6 +198,9 @@
                 else {
                     this.network.openDirection(peerAddress, to.member.peerAddress);
                 }
+                if (isCut && this.#isUnknown(from.index, to.index)) {
+                    continue;
+                }
                 const delay = isCut ? DETECTION_MS + this.#random.getNext() * DETECTION_SPREAD_MS : DETECTION_SPREAD_MS;
                 this.clock.schedule(delay, () => {
                     if (this.#isCut(from.index, to.index) === isCut) {
@@ -206,6 +215,14 @@
         }
     }
 
+    /** A host of a small group looks after few others, and hears of the rest only from hosts out of its reach. */
+    #isUnknown(from: number, to: number): boolean {
+        const isInSmallGroup = this.#cuts.some(cut =>
+            cut.has(from) && !cut.has(to) && 2 * cut.size < this.hosts.length
+        );
+        return isInSmallGroup && (from + to) % KNOWN_SHARE !== 0;
+    }
+
     #isCut(from: number, to: number): boolean {
         return this.#cuts.some(cut => cut.has(from) !== cut.has(to));
     }
@@ -216,6 +233,14 @@
     return (rate * WINDOW_MS / 1_000 + burst) * (1 + OVERSHOOT) + EXTRA_REQUESTS;
 }
 
+/** Creates a cut between a number of hosts, drawn anew for each seed, and all others. */
+function createCut(seed: number, count: number, at: number, forMs: number): Trouble {
+    const random = new SeededRandom(seed);
+    const hosts = Array.from({ length: LARGE_FLEET }, (_, host) => ({ host, order: random.getNext() }))
+        .sort((left, right) => left.order - right.order).slice(0, count);
+    return { kind: "cut", at, hosts: hosts.map(({ host }) => host), forMs };
+}
+
 function createRoll(hosts: readonly number[], at: number, gapMs: number): Trouble[] {
     return hosts.map((host, index) => ({ kind: "restart", at: at + gapMs * index, host, isPlanned: true }));
 }
@@ -224,6 +249,7 @@
     return fleet.hosts[0]!.membership.getAccountHosts(name).map(({ id }) => Number(id.replace("host-", "")));
 }
 
+// Guards against QUOTA beside two rolling restarts (review/1).
 test("a host that is an owner once more spends no token that others have granted in the meantime", async () => {
     const fleet = new Fleet(3, LARGE_ACCOUNT);
     const owners = getOwnerIndexes(fleet, LARGE_ACCOUNT);
@@ -232,6 +258,7 @@
     assert.ok(most <= getMostAllowed(LARGE_ACCOUNT), `${most} in a window, ${getMostAllowed(LARGE_ACCOUNT)} allowed`);
 });
 
+// Guards against QUOTA beside cut-off hosts (review/2).
 test("an account far above its rate stays within the tolerance through restarts, kills and cuts", async () => {
     await fc.assert(
         fc.asyncProperty(fc.array(trouble, { minLength: 1, maxLength: 6 }), fc.nat(), async (troubles, seed) => {
@@ -244,6 +271,22 @@
     );
 });
 
+// Guards against QUOTA beside two cuts of other hosts in succession (kelom-gate, 426 run in 5 s of 403 allowed).
+test("an account far above its rate stays within the tolerance through cuts of other hosts in succession", async () => {
+    const allowed = getMostAllowed(HOT_ACCOUNT);
+    for (let seed = 1; seed <= 6; seed++) {
+        for (const load of [2, 7.5]) {
+            const fleet = new Fleet(seed, HOT_ACCOUNT, LARGE_FLEET);
+            const cuts = [300, 3_500, 7_000].map((at, index) =>
+                createCut(10 * seed + index, LARGE_FLEET / 4, at, 2_500 + 1_000 * index)
+            );
+            await fleet.run(cuts, load, SHORT_DAY_MS);
+            const most = fleet.getMostInWindow();
+            assert.ok(most <= allowed, `${most} in a window, ${allowed} allowed; seed ${seed}, load ${load}`);
+        }
+    }
+});
+
 test("an account far above its rate gets nearly all of it while its owners are restarted in turn", async () => {
     const fleet = new Fleet(1);
     const troubles = createRoll(getOwnerIndexes(fleet, ACCOUNT), 3_000, 3_000);
