Close bodies that are of no use after 16 KiB

Cause: the body of a refusal (503, not run) was read and dropped as fast as it came until the time for a first byte was over, so that its connection could be used again. The same on related paths: what a peer sends beside a refusal or without an answer, and the answer to an order whose caller has left, which was read to its end though more than 64 KB of it are never kept.

Such a body is now read up to 16 KiB, enough to keep the connection of an ordinary refusal, and else closed (closeUnusedBody). An order's answer that nobody reads any more is closed where it is too long to be kept; its upstream has answered, so the order has run.

Evidence: tests/services/unusedBodies.test.ts, four of five fail before (268 MB sent for one request, the stand-in's own limit, for both framings; two bodies never closed) and pass now (under 10 MB, what the system buffers on loopback). The fifth, that the connection of a refusal of 9,000 bytes is used again, holds before and now.

--- a/src/forwarding/HttpPeerForwarder.ts
+++ b/src/forwarding/HttpPeerForwarder.ts
@@ -6,7 +6,7 @@
 import type { HttpPeerOptions, PeerConnections, PeerTraffic } from "../peers/index.js";
 import type { CallerRequest } from "../requests/index.js";
 import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
-import { decodeJson, encodeJson } from "../utils/index.js";
+import { closeUnusedBody, decodeJson, encodeJson } from "../utils/index.js";
 import type { PeerAnswerHead } from "./PeerAnswerHead.js";
 import type { PeerForwarder } from "./PeerForwarder.js";
 import type { PeerRequestHead } from "./PeerRequestHead.js";
@@ -100,7 +100,7 @@
     #getAnswerHead(address: string, answer: Dispatcher.ResponseData): PeerAnswerHead {
         const field = answer.headers[peerProtocol.answerHeader];
         if (answer.statusCode !== OK_STATUS || typeof field !== "string") {
-            answer.body.resume();
+            closeUnusedBody(answer.body);
             throw new PeerUnavailableError(`${address}: status ${answer.statusCode} without an answer.`, false);
         }
         return decodeJson(field) as PeerAnswerHead;
--- a/src/outcomes/createOutcome.ts
+++ b/src/outcomes/createOutcome.ts
@@ -1,4 +1,5 @@
 import type { Readable } from "node:stream";
+import { closeUnusedBody } from "../utils/index.js";
 import type { Outcome } from "./Outcome.js";
 import type { OutcomeHead } from "./OutcomeHead.js";
 import { OutcomeKind } from "./OutcomeKind.js";
@@ -12,6 +13,6 @@
     if (head.kind === OutcomeKind.Done) {
         return { ...head, body };
     }
-    body.resume();
+    closeUnusedBody(body);
     return head;
 }
--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -5,6 +5,7 @@
 import { CONNECTION_FIELDS } from "../../outcomes/index.js";
 import type { HeaderFields } from "../../outcomes/index.js";
 import type { ScheduledCall } from "../../time/index.js";
+import { closeUnusedBody } from "../../utils/index.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
 import { AnswerCheckKind } from "./AnswerCheckKind.js";
 import type { AnswerCheckResult } from "./AnswerCheckResult.js";
@@ -134,7 +135,8 @@
                 return;
             case AnswerCheckKind.Shed:
                 this.#connection.recordRefusal(protocol.getRequestId(this.#request));
-                this.#startBodyTimer(body.on("error", () => {}).resume(), this.#options.firstByteTimeoutMs);
+                this.#startBodyTimer(body, this.#options.firstByteTimeoutMs);
+                closeUnusedBody(body);
                 this.#resolve({
                     kind: UpstreamAnswerKind.Shed,
                     retryAfterMs: result.retryAfterMs,
--- a/src/services/exchange/createCapturedBody.ts
+++ b/src/services/exchange/createCapturedBody.ts
@@ -2,7 +2,8 @@
 import type { CapturedBodyOptions } from "./CapturedBodyOptions.js";
 
 /**
- * Creates a stream of a response body that also captures the whole body, even after its reader has closed it.
+ * Creates a stream of a response body that also captures the whole body, even after its reader has closed it. A body that is too
+ * long to be captured is closed with its reader.
  * @param source - The body from the upstream.
  * @param options - The size limit, and the callback for the end of the body.
  */
@@ -22,6 +23,13 @@
     const drain = (): void => {
         hasReader = false;
         source.resume();
+        closeIfUnused();
+    };
+    const closeIfUnused = (): void => {
+        if (!hasReader && bytes > options.maxBytes && !source.destroyed) {
+            reportEnd(undefined);
+            source.destroy();
+        }
     };
     const reportEnd = (error: Error | undefined): void => {
         options.signal.removeEventListener("abort", drain);
@@ -36,6 +44,7 @@
         if (!body.destroyed && !body.push(chunk) && hasReader) {
             source.pause();
         }
+        closeIfUnused();
     });
     source.on("end", () => {
         reportEnd(undefined);
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,4 +1,5 @@
 export { closeServer } from "./closeServer.js";
+export { closeUnusedBody } from "./closeUnusedBody.js";
 export { createIncarnation } from "./createIncarnation.js";
 export { decodeJson } from "./decodeJson.js";
 export { drainBody } from "./drainBody.js";
