Measure what refusals without an end hold in a host's memory

The test beside "Close bodies that are of no use after 16 KiB" with processes: two upstreams of a service refuse 200 orders with bodies that have no end, beside lookups of another service at the same hosts; no host may hold more than a tenth above its peak with ordinary refusals.

Sixty such upstreams at once, a machine of 128 MB and answers of peers without an end were not tried with processes.

--- a/tests/platform/support/MockPlatformUpstream.ts
+++ b/tests/platform/support/MockPlatformUpstream.ts
@@ -74,6 +74,11 @@
             response.writeHead(503, { "fuchsiapath-attempt-id": id, "fuchsiapath-not-executed": "1" }).end();
             return;
         }
+        if (fault === UpstreamFaultMode.SheddingWithoutEnd) {
+            response.writeHead(503, { "fuchsiapath-attempt-id": id, "fuchsiapath-not-executed": "1" });
+            this.#sendEndless(response, 0);
+            return;
+        }
         this.received.push({
             id,
             account: request.headers["fuchsiapath-tenant"] as string | undefined,
--- a/tests/platform/support/UpstreamFaultMode.ts
+++ b/tests/platform/support/UpstreamFaultMode.ts
@@ -5,6 +5,8 @@
     Failing = "failing",
     /** Does not run it and says so. */
     Shedding = "shedding",
+    /** Does not run it and says so, with a body that has no end. */
+    SheddingWithoutEnd = "shedding-without-end",
     /** Runs it and responds late. */
     Late = "late",
     /** Runs it and closes the connection without a response. */
