Serve accounts within their rates on the smaller side of a cut

Cause: single hosts have too few requests for buckets of whole tokens, and every account that was refused once in 5 s counted as above its rate.

An owner on the smaller side now spends for the hosts that answer it, out of one bucket: half of their even share, all of it for an account of whose requests no more than a quarter was refused lately. The same share decides what a host alone spends. An account above its rate gets no more than before.

--- a/src/rates/owned/FallbackBuckets.ts
+++ b/src/rates/owned/FallbackBuckets.ts
@@ -5,6 +5,7 @@
 import type { RateShare } from "../RateShare.js";
 import { TokenBucket } from "../TokenBucket.js";
 import { FALLBACK_FRACTION } from "./FALLBACK_FRACTION.js";
+import { RefusedShare } from "./RefusedShare.js";
 import { spendFromBucket } from "./spendFromBucket.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
 import type { SpendTokenResult } from "./SpendTokenResult.js";
@@ -15,11 +16,9 @@
  */
 const START_TOKENS = 30;
 /**
- * An account that was refused for its rate within this time before a host lost its owners is above its rate, in milliseconds: it has the
- * whole of it elsewhere.
+ * Fraction of its even share that a host spends of the rate of an account that is above it where all owners are reported silent, that is on the larger
+ * side of a partition: they may grant the whole rate on the smaller one.
  */
-const LIMITED_MS = 5_000;
-/** Fraction of its even share that a host spends of such an account's rate. All owners may be among those that are cut off. */
 const LIMITED_FRACTION = 0.2;
 /** Until the owners know which hosts are cut off and leave them their part, in milliseconds. */
 const DETECTION_MS = 2_500;
@@ -31,8 +30,8 @@
     readonly bucket: TokenBucket;
     /** From when on the bucket fills, in milliseconds of the clock. */
     readonly fillTime: number;
-    /** Fraction of this host's even share of the rate. */
-    readonly fraction: number;
+    /** When this host lost the owners, in milliseconds of the clock. */
+    readonly startTime: number;
 }
 
 /** The rates that this host spends by itself while it reaches no owner of an account. */
@@ -42,8 +41,7 @@
     readonly #buckets = new Map<string, TokenBucket>();
     /** The accounts of which no owner answers now. */
     readonly #fallbacks = new Map<string, Fallback>();
-    /** When an owner last refused a request of an account for its rate, in milliseconds of the clock. */
-    readonly #refusalTimes = new Map<string, number>();
+    readonly #refusedShares = new Map<string, RefusedShare>();
 
     /**
      * @param clock - The source of time.
@@ -61,9 +59,7 @@
      */
     recordOwnerAnswer(account: string, isRefused: boolean): void {
         this.#fallbacks.delete(account);
-        if (isRefused) {
-            this.#refusalTimes.set(account, this.#clock.getTime());
-        }
+        this.#getRefusedShare(account).record(isRefused);
     }
 
     /**
@@ -76,13 +72,30 @@
         }
         const now = this.#clock.getTime();
         const hosts = Math.max(1, this.#membership.getView().members.length);
-        const { bucket, fillTime, fraction } = this.#getFallback(params, hosts);
+        const { bucket, fillTime, startTime } = this.#getFallback(params, hosts);
         if (now < fillTime) {
             const retryAfterMs = Math.ceil(fillTime - now);
             return { isSpent: false, waitMs: 0, retryAfterMs, isQuarantined: false, basis: RateBasis.Partial };
         }
-        bucket.applyShare(createShare(params, fraction, hosts), now);
-        return spendFromBucket(bucket, now, params.maxWaitMs, RateBasis.Partial);
+        const isDetected = now - startTime > DETECTION_MS;
+        bucket.applyShare(createShare(params, this.#getFraction(params.account, isDetected), hosts), now);
+        const result = spendFromBucket(bucket, now, params.maxWaitMs, RateBasis.Partial);
+        this.#getRefusedShare(params.account).record(!result.isSpent);
+        return result;
+    }
+
+    /** An account within its rate spends no more than that, however much of it this host grants. */
+    #getFraction(account: string, isDetected: boolean): number {
+        if (this.#getRefusedShare(account).isLimited()) {
+            return this.#areOwnersSilent(account) ? LIMITED_FRACTION : FALLBACK_FRACTION;
+        }
+        return isDetected ? 1 : FALLBACK_FRACTION;
+    }
+
+    #getRefusedShare(account: string): RefusedShare {
+        const share = this.#refusedShares.get(account) ?? new RefusedShare(this.#clock);
+        this.#refusedShares.set(account, share);
+        return share;
     }
 
     #getFallback(params: SpendTokenParams, hosts: number): Fallback {
@@ -92,19 +105,22 @@
             return known;
         }
         const now = this.#clock.getTime();
-        const isLimited = now - (this.#refusalTimes.get(account) ?? Number.NEGATIVE_INFINITY) < LIMITED_MS;
+        const isLimited = this.#getRefusedShare(account).isLimited();
         const fillTime = isLimited ? now + DETECTION_MS : now;
-        const fraction = isLimited ? LIMITED_FRACTION : FALLBACK_FRACTION;
-        const share = createShare(params, fraction, hosts);
+        const share = createShare(params, FALLBACK_FRACTION, hosts);
         const bucket = isLimited
             ? new TokenBucket(share, 0, fillTime)
             : this.#buckets.get(account) ?? new TokenBucket(share, this.#getStartTokens(params, hosts), now);
-        const fallback = { bucket, fillTime, fraction };
+        const fallback = { bucket, startTime: now, fillTime };
         this.#buckets.set(account, bucket);
         this.#fallbacks.set(account, fallback);
         return fallback;
     }
 
+    #areOwnersSilent(account: string): boolean {
+        return this.#membership.getAccountHosts(account).every(({ id }) => !this.#membership.isReachable(id));
+    }
+
     /** A bucket begins with whole tokens, as fractions would refuse the first request at every host; few hosts begin with one in a large fleet. */
     #getStartTokens({ account, burst }: SpendTokenParams, hosts: number): number {
         const mean = (FALLBACK_FRACTION * burst + START_TOKENS) / hosts;
--- a/src/rates/owned/OwnedBucket.ts
+++ b/src/rates/owned/OwnedBucket.ts
@@ -1,4 +1,5 @@
 import type { TokenBucket } from "../TokenBucket.js";
+import type { RefusedShare } from "./RefusedShare.js";
 
 /** The bucket of an account of whose rate this host is an owner. */
 export interface OwnedBucket {
@@ -7,4 +8,5 @@
     since: number;
     /** The ids of the account's owners in the current view. */
     owners: ReadonlySet<string>;
+    readonly refusedShare: RefusedShare;
 }
--- a/src/rates/owned/OwnerContacts.ts
+++ b/src/rates/owned/OwnerContacts.ts
@@ -94,10 +94,15 @@
 
     /** Whether most hosts of the fleet have answered recently, by the checks of the fleet. */
     hasMajority(): boolean {
+        return 2 * this.getAnsweringShare() > 1;
+    }
+
+    /** Gets the share of the fleet that has answered recently, this host included, by the checks of the fleet. */
+    getAnsweringShare(): number {
         const now = this.#options.clock.getTime();
         const sample = this.#getSample();
         const answering = sample.filter(({ id }) => now - (this.#contacts.get(id)?.answered ?? -Infinity) < LEASE_MS);
-        return 2 * (answering.length + 1) > sample.length + 1;
+        return (answering.length + 1) / (sample.length + 1);
     }
 
     /**
--- a/src/rates/owned/RateOwner.ts
+++ b/src/rates/owned/RateOwner.ts
@@ -5,9 +5,11 @@
 import type { RateLimiterOptions } from "../RateLimiterOptions.js";
 import type { RateShare } from "../RateShare.js";
 import { TokenBucket } from "../TokenBucket.js";
+import { FALLBACK_FRACTION } from "./FALLBACK_FRACTION.js";
 import type { OwnedBucket } from "./OwnedBucket.js";
 import { OwnerContacts } from "./OwnerContacts.js";
 import type { ReachableHosts } from "./ReachableHosts.js";
+import { RefusedShare } from "./RefusedShare.js";
 import { spendFromBucket } from "./spendFromBucket.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
 import type { SpendTokenResult } from "./SpendTokenResult.js";
@@ -26,10 +28,16 @@
  */
 const MIN_CHECKED_RATE = 2;
 
+/** This host's share of an account's rate. */
+interface OwnedShare extends RateShare {
+    /** Whether it stands for the hosts on a smaller side of a partition only. */
+    readonly isPartial: boolean;
+}
+
 /**
  * This host as one of the owners of accounts' rates. Each owner holds a share in a token bucket. A host that ceases to be an owner
  * gives its tokens to the new one and keeps no bucket, so no token is granted twice; an owner that reaches only a minority of the
- * fleet grants nothing, as the owners on the other side share the whole rate.
+ * fleet grants no more than these hosts might spend by themselves, as the owners on the other side share the whole rate.
  */
 export class RateOwner {
     readonly #options: RateLimiterOptions;
@@ -71,13 +79,9 @@
         const owned = this.#getBucket(params.account, share);
         const now = this.#options.clock.getTime();
         owned.bucket.applyShare(share, now);
-        const isFilling = now - owned.since < share.burst / share.rate * MS_PER_SECOND;
-        return spendFromBucket(
-            owned.bucket,
-            now,
-            params.maxWaitMs,
-            isFilling ? RateBasis.NewOwner : RateBasis.Whole,
-        );
+        const result = spendFromBucket(owned.bucket, now, params.maxWaitMs, getBasis(share, now - owned.since));
+        owned.refusedShare.record(!result.isSpent);
+        return result;
     }
 
     /**
@@ -89,55 +93,66 @@
         this.#buckets.get(account)?.bucket.restore(spentTime, this.#options.clock.getTime());
     }
 
-    /**
-     * Finds this host's share, with a burst in whole tokens. The rate is divided over the owners that are not lost, less what the hosts
-     * out of reach may spend by themselves.
-     */
-    #findShare(account: string, { rate, burst }: RateShare): RateShare | undefined {
+    /** Finds this host's share, with a burst in whole tokens; undefined if it has none. */
+    #findShare(account: string, limit: RateShare): OwnedShare | undefined {
         const { membership } = this.#options;
-        const self = membership.getSelf().id;
-        const all = membership.getAccountHosts(account);
-        if (!all.some(({ id }) => id === self)) {
+        const owners = membership.getAccountHosts(account);
+        if (!owners.some(({ id }) => id === membership.getSelf().id)) {
             return undefined;
         }
-        if (!this.#hosts.hasMajority()) {
-            this.#closeAllShares();
-            return undefined;
+        if (owners.length > 2 && limit.rate / owners.length >= MIN_CHECKED_RATE) {
+            const isLimited = this.#buckets.get(account)?.refusedShare.isLimited() ?? false;
+            return this.#findCheckedShare(owners, limit, isLimited);
         }
-        const owners = this.#findActiveOwners(all, rate);
-        if (owners === undefined) {
+        if (!this.#hosts.hasMajority()) {
             this.#closeShare(account);
             return undefined;
         }
-        const index = owners.findIndex(({ id }) => id === self);
-        const factor = Math.min(1, 1 + TOLERATED_EXCESS - this.#hosts.getUnreachableRateShare());
-        return {
-            rate: factor * rate / owners.length,
-            burst: Math.max(1, Math.floor((burst + index) / owners.length)),
-        };
+        const reachable = owners.filter(owner => this.#isSelf(owner) || membership.isReachable(owner.id));
+        return this.#divide(limit, reachable, this.#getOwnersFraction(), false);
     }
 
     /**
-     * Finds the owners that share the rate now, this host among them; undefined if an owner is out of touch and this host does not reach
-     * the majority of the fleet, which is on one side of a partition only. For two owners and for small rates, reports on silent hosts decide.
+     * Finds this host's share of a rate whose owners check each other. One that is out of touch with another and does not reach the majority
+     * of the fleet, which is on one side of a partition only, spends for the hosts that it reaches, no more than they might by themselves.
      */
-    #findActiveOwners(all: readonly Member[], rate: number): readonly Member[] | undefined {
-        const { membership } = this.#options;
-        const self = membership.getSelf().id;
-        const others = all.filter(({ id }) => id !== self);
-        if (others.length < 2 || rate / all.length < MIN_CHECKED_RATE) {
-            return all.filter(({ id }) => id === self || membership.isReachable(id));
-        }
+    #findCheckedShare(owners: readonly Member[], limit: RateShare, isLimited: boolean): OwnedShare {
+        const others = owners.filter(owner => !this.#isSelf(owner));
         this.#contacts.watch(others);
-        if (others.some(owner => this.#contacts.isDoubtful(owner))) {
+        const isMajorityReported = this.#hosts.hasMajority();
+        if (!isMajorityReported || others.some(owner => this.#contacts.isDoubtful(owner))) {
             this.#contacts.watchFleet();
         }
-        return others.every(owner => this.#contacts.isInTouch(owner)) || this.#contacts.hasMajority()
-            ? all.filter(owner => owner.id === self || !this.#contacts.isLost(owner, others))
-            : undefined;
+        const areInTouch = others.every(owner => this.#contacts.isInTouch(owner));
+        if (isMajorityReported && (areInTouch || this.#contacts.hasMajority())) {
+            const active = owners.filter(owner => this.#isSelf(owner) || !this.#contacts.isLost(owner, others));
+            return this.#divide(limit, active, this.#getOwnersFraction(), false);
+        }
+        const inTouch = owners.filter(owner => this.#isSelf(owner) || this.#contacts.isInTouch(owner));
+        const fraction = isLimited ? FALLBACK_FRACTION : 1;
+        return this.#divide(limit, inTouch, fraction * this.#contacts.getAnsweringShare(), true);
     }
 
-    #getBucket(account: string, share: RateShare): OwnedBucket {
+    /** Gets the part of a rate that the owners divide: without what the hosts out of reach may spend by themselves. */
+    #getOwnersFraction(): number {
+        return Math.min(1, 1 + TOLERATED_EXCESS - this.#hosts.getUnreachableRateShare());
+    }
+
+    #divide(limit: RateShare, owners: readonly Member[], fraction: number, isPartial: boolean): OwnedShare {
+        const index = owners.findIndex(owner => this.#isSelf(owner));
+        const burst = isPartial ? fraction * limit.burst : limit.burst;
+        return {
+            rate: fraction * limit.rate / owners.length,
+            burst: Math.max(1, Math.floor((burst + index) / owners.length)),
+            isPartial,
+        };
+    }
+
+    #isSelf({ id }: Member): boolean {
+        return id === this.#options.membership.getSelf().id;
+    }
+
+    #getBucket(account: string, share: OwnedShare): OwnedBucket {
         const existing = this.#buckets.get(account);
         if (existing !== undefined) {
             return existing;
@@ -146,26 +161,29 @@
         // The share has been unused since the view changed, whether or not this host has a bucket for it.
         const since = this.#viewTime;
         const bucket = new TokenBucket(share, share.rate * (now - since) / MS_PER_SECOND, now);
-        const created = { bucket, since, owners: this.#getOwnerIds(account) };
+        const created = this.#createOwned(account, bucket, since);
         this.#buckets.set(account, created);
         return created;
     }
 
-    /** Empties the share of an account, which the owners on the other side of a partition spend now. A debt stays, as it was spent here. */
+    /**
+     * Empties the share of an account, which the owners on the other side of a partition spend now, and those that nothing was spent from
+     * yet. A debt stays, as it was spent here.
+     */
     #closeShare(account: string): void {
-        const owned = this.#buckets.get(account);
         const now = this.#options.clock.getTime();
+        const owned = this.#buckets.get(account);
         if (owned !== undefined) {
             owned.bucket.drain(now);
             owned.bucket.applyShare({ ...owned.bucket.getShare(), rate: 0 }, now);
             owned.since = now;
         }
+        this.#viewTime = now;
     }
 
-    /** Empties all shares; one that was not spent from yet begins empty too. */
-    #closeAllShares(): void {
-        [...this.#buckets.keys()].forEach(account => this.#closeShare(account));
-        this.#viewTime = this.#options.clock.getTime();
+    #createOwned(account: string, bucket: TokenBucket, since: number): OwnedBucket {
+        const refusedShare = new RefusedShare(this.#options.clock);
+        return { bucket, since, owners: this.#getOwnerIds(account), refusedShare };
     }
 
     #getOwnerIds(account: string): ReadonlySet<string> {
@@ -220,9 +238,15 @@
         const owners = this.#options.membership.getAccountHosts(account);
         const count = Math.max(1, owners.length);
         const share = { rate: configured.rate / count, burst: Math.max(1, Math.floor(configured.burst / count)) };
-        const owned = this.#buckets.get(account) ??
-            { bucket: new TokenBucket(share, 0, now), since: now, owners: this.#getOwnerIds(account) };
+        const owned = this.#buckets.get(account) ?? this.#createOwned(account, new TokenBucket(share, 0, now), now);
         this.#buckets.set(account, owned);
         owned.bucket.add(tokens, now);
     }
 }
+
+function getBasis({ rate, burst, isPartial }: OwnedShare, filledMs: number): RateBasis {
+    if (isPartial) {
+        return RateBasis.Partial;
+    }
+    return filledMs < burst / rate * MS_PER_SECOND ? RateBasis.NewOwner : RateBasis.Whole;
+}
