Measure refusals without an end from sixty upstreams at once

The test beside two such upstreams, for what one of them costs times the upstreams of a service; EdgeFleet adds upstreams after its start.

--- a/tests/platform/crowds/endlessRefusals.test.ts
+++ b/tests/platform/crowds/endlessRefusals.test.ts
@@ -7,6 +7,7 @@
 
 const HOSTS = 2;
 const REQUESTS = 200;
+const MANY_UPSTREAMS = 60;
 const CONCURRENT = 20;
 const BYTES_PER_KB = 1_024;
 /** What a host may hold more than with ordinary refusals: a tenth. */
@@ -38,9 +39,7 @@
     await runRefused(UpstreamFaultMode.Shedding);
     const usual = getPeaks();
     await runRefused(UpstreamFaultMode.SheddingWithoutEnd);
-    const peaks = getPeaks();
-    console.log(`peaks ${usual.join()} and ${peaks.join()} bytes`);
-    peaks.forEach((peak, index) => assert.ok(peak <= MAX_GROWTH * usual[index]!, `${peak} after ${usual[index]}`));
+    checkPeaks(usual);
     upstreams.forEach(upstream => (upstream.selectFault = () => UpstreamFaultMode.None));
     await fleet.waitUntil(async () =>
         [...upstreams.values()].every(upstream => upstream.openEndlessResponses === 0) &&
@@ -48,6 +47,18 @@
     );
 });
 
+// Guards against what one such upstream costs, times the upstreams of a service.
+test("fill no memory when sixty upstreams of a service send them at once", async () => {
+    for (let index = 3; index <= MANY_UPSTREAMS; index++) {
+        await fleet.addUpstream(`i-orders-${index}`, "orders");
+    }
+    await runRefused(UpstreamFaultMode.Shedding);
+    await runRefused(UpstreamFaultMode.Shedding);
+    const usual = getPeaks();
+    await runRefused(UpstreamFaultMode.SheddingWithoutEnd);
+    checkPeaks(usual);
+});
+
 test.run();
 
 /** Sends orders to upstreams that refuse them all, and lookups of another service beside them. */
@@ -67,6 +78,12 @@
     await Promise.all(Array.from({ length: CONCURRENT }, sendNext));
 }
 
+function checkPeaks(usual: readonly number[]): void {
+    const peaks = getPeaks();
+    console.log(`peaks ${usual.join()} and ${peaks.join()} bytes`);
+    peaks.forEach((peak, index) => assert.ok(peak <= MAX_GROWTH * usual[index]!, `${peak} after ${usual[index]}`));
+}
+
 /** Gets the most memory that each host has had, in bytes. */
 function getPeaks(): readonly number[] {
     return fleet.hosts.map(host => {
--- a/tests/platform/support/EdgeFleet.ts
+++ b/tests/platform/support/EdgeFleet.ts
@@ -36,8 +36,8 @@
         const address = await this.store.start();
         this.store.write("op/config", createDocument());
         for (const service of services) {
-            await this.#addUpstream(`i-${service}-1`, service);
-            await this.#addUpstream(`i-${service}-2`, service);
+            await this.addUpstream(`i-${service}-1`, service);
+            await this.addUpstream(`i-${service}-2`, service);
         }
         this.hosts = Array.from(
             { length: hosts },
@@ -93,6 +93,18 @@
         return { status: response.statusCode, headers: response.headers, body };
     }
 
+    /**
+     * Starts an upstream and registers it.
+     * @param id - Its id.
+     * @param service - Its service.
+     */
+    async addUpstream(id: string, service: string): Promise<void> {
+        const upstream = new MockPlatformUpstream(id);
+        this.upstreams.set(id, upstream);
+        this.#addresses.set(id, await upstream.start());
+        this.publishUpstream(id, service);
+    }
+
     /**
      * Whether a host's readiness probe succeeds.
      * @param host - The host.
@@ -139,11 +151,4 @@
             await wait(POLL_MS);
         }
     }
-
-    async #addUpstream(id: string, service: string): Promise<void> {
-        const upstream = new MockPlatformUpstream(id);
-        this.upstreams.set(id, upstream);
-        this.#addresses.set(id, await upstream.start());
-        this.publishUpstream(id, service);
-    }
 }
