Take a host of an earlier version as in touch

In a rolling update an owner of the new version took every host of the earlier one for silent, as these refuse the new call; it would have granted no more than its group's part until most of the fleet was updated. Found by reading, no run of two versions was made.

A refused call is an answer too. tests/rates/owned/OwnerContacts.test.ts tests the contacts alone (leases, lost owners, majorities); its last test fails before and passes now.

--- a/src/rates/owned/FallbackBuckets.ts
+++ b/src/rates/owned/FallbackBuckets.ts
@@ -16,8 +16,8 @@
  */
 const START_TOKENS = 30;
 /**
- * Fraction of its even share that a host spends of the rate of an account that is above it where all owners are reported silent, that is on the larger
- * side of a partition: they may grant the whole rate on the smaller one.
+ * Fraction of its even share that a host spends for an account above its rate if all owners are reported silent. The host is on the larger
+ * side of a partition then, and the owners may grant the whole rate on the smaller one.
  */
 const LIMITED_FRACTION = 0.2;
 /** Until the owners know which hosts are cut off and leave them their part, in milliseconds. */
@@ -28,10 +28,10 @@
 /** What this host spends of an account's rate by itself. */
 interface Fallback {
     readonly bucket: TokenBucket;
-    /** From when on the bucket fills, in milliseconds of the clock. */
-    readonly fillTime: number;
-    /** When this host lost the owners, in milliseconds of the clock. */
+    /** When this host lost the owners; all times are in milliseconds of the clock. */
     readonly startTime: number;
+    /** From when on the bucket fills and is spent from. */
+    readonly fillTime: number;
 }
 
 /** The rates that this host spends by itself while it reaches no owner of an account. */
@@ -41,6 +41,7 @@
     readonly #buckets = new Map<string, TokenBucket>();
     /** The accounts of which no owner answers now. */
     readonly #fallbacks = new Map<string, Fallback>();
+    /** Which accounts were lately above their rates. */
     readonly #refusedShares = new Map<string, RefusedShare>();
 
     /**
--- a/src/rates/owned/OwnerContacts.ts
+++ b/src/rates/owned/OwnerContacts.ts
@@ -1,3 +1,5 @@
+import { JSONRPCErrorCode, JSONRPCErrorException } from "json-rpc-2.0";
+import { PeerUnavailableError } from "../../errors/index.js";
 import type { Member } from "../../head/index.js";
 import { PeerMethod } from "../../peers/index.js";
 import type { RateLimiterOptions } from "../RateLimiterOptions.js";
@@ -23,7 +25,7 @@
 /** How long an owner counts as in touch after its first check has started, in milliseconds: until that check is over. */
 const FIRST_CHECK_MS = CHECK_TIMEOUT_MS;
 
-/** Most hosts that are asked for the majority of a fleet: among so many, a third of the hosts rarely looks like a majority. */
+/** Most hosts of a fleet that are checked: among so many, a third of the hosts rarely looks like a majority. */
 const MAX_SAMPLE = 35;
 
 /** What is known about another owner. */
@@ -153,8 +155,11 @@
             contact.answered = time;
             contact.heard = new Set(result.heard);
         }
-        catch {
-            // A silent owner is one that has not answered for a while.
+        catch (error) {
+            // A host of an earlier version refuses the call, which shows that it is in touch.
+            if (isRefusedCall(error)) {
+                contact.answered = time;
+            }
         }
     }
 
@@ -169,6 +174,11 @@
     }
 }
 
+function isRefusedCall(error: unknown): boolean {
+    const cause = error instanceof PeerUnavailableError ? error.cause : undefined;
+    return cause instanceof JSONRPCErrorException && cause.code === JSONRPCErrorCode.MethodNotFound;
+}
+
 function createContact(now: number): Contact {
     return {
         start: now,
