--- a/src/rates/owned/FallbackBuckets.ts
+++ b/src/rates/owned/FallbackBuckets.ts
@@ -88,7 +88,7 @@
     /** An account within its rate spends no more than that, however much of it this host grants. */
     #getFraction(account: string, isDetected: boolean): number {
         if (this.#getRefusedShare(account).isLimited()) {
-            return this.#areOwnersSilent(account) ? LIMITED_FRACTION : FALLBACK_FRACTION;
+            return this.#hasOnlySilentOwners(account) ? LIMITED_FRACTION : FALLBACK_FRACTION;
         }
         return isDetected ? 1 : FALLBACK_FRACTION;
     }
@@ -118,7 +118,7 @@
         return fallback;
     }
 
-    #areOwnersSilent(account: string): boolean {
+    #hasOnlySilentOwners(account: string): boolean {
         return this.#membership.getAccountHosts(account).every(({ id }) => !this.#membership.isReachable(id));
     }
 
--- a/src/rates/owned/RateOwner.ts
+++ b/src/rates/owned/RateOwner.ts
@@ -109,7 +109,7 @@
             return undefined;
         }
         const reachable = owners.filter(owner => this.#isSelf(owner) || membership.isReachable(owner.id));
-        return this.#divide(limit, reachable, this.#getOwnersFraction(), false);
+        return this.#createShare(limit, reachable, this.#getOwnersFraction(), false);
     }
 
     /**
@@ -126,11 +126,11 @@
         const areInTouch = others.every(owner => this.#contacts.isInTouch(owner));
         if (isMajorityReported && (areInTouch || this.#contacts.hasMajority())) {
             const active = owners.filter(owner => this.#isSelf(owner) || !this.#contacts.isLost(owner, others));
-            return this.#divide(limit, active, this.#getOwnersFraction(), false);
+            return this.#createShare(limit, active, this.#getOwnersFraction(), false);
         }
         const inTouch = owners.filter(owner => this.#isSelf(owner) || this.#contacts.isInTouch(owner));
         const fraction = isLimited ? FALLBACK_FRACTION : 1;
-        return this.#divide(limit, inTouch, fraction * this.#contacts.getAnsweringShare(), true);
+        return this.#createShare(limit, inTouch, fraction * this.#contacts.getAnsweringShare(), true);
     }
 
     /** Gets the part of a rate that the owners divide: without what the hosts out of reach may spend by themselves. */
@@ -138,7 +138,7 @@
         return Math.min(1, 1 + TOLERATED_EXCESS - this.#hosts.getUnreachableRateShare());
     }
 
-    #divide(limit: RateShare, owners: readonly Member[], fraction: number, isPartial: boolean): OwnedShare {
+    #createShare(limit: RateShare, owners: readonly Member[], fraction: number, isPartial: boolean): OwnedShare {
         const index = owners.findIndex(owner => this.#isSelf(owner));
         const burst = isPartial ? fraction * limit.burst : limit.burst;
         return {
