Check the owners of a rate only where hosts may be cut off

Cause: owners checked each other in calm as well, 2.5 times a second for each pair and for every account with a share of 2 requests a second or more.

They now do so only while a host of the fleet is reported silent, or one has not answered this host in the last 5 s, which a cut-off owner notices within its next calls, and only for an account that asks for three tenths of the owner's share or more: below that, a share granted twice stays within a tenth of the rate.

--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -3,7 +3,7 @@
 import { SuppliedConfiguration } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
 import { RegisteredMembership } from "../membership/index.js";
-import { PeerHandlers } from "../peers/index.js";
+import { ObservedPeerTransport, PeerHandlers } from "../peers/index.js";
 import { OwnedRateLimiter } from "../rates/index.js";
 import { HostRegistrar } from "../registry/index.js";
 import { Replica, ReplicaSynchronizer } from "../replica/index.js";
@@ -20,6 +20,8 @@
 const QUARANTINE_CRASH_COUNT = 3;
 /** Time after the deadline until a late response is abandoned, in milliseconds; upstreams know the deadline. */
 const LATE_ANSWER_MS = 1_000;
+/** How long after an unanswered call of a peer hosts may be cut off, in milliseconds: several intervals between the calls of a host. */
+const PEER_FAILURE_MS = 5_000;
 const EMPTY_CONFIGURATION = new SuppliedConfiguration({
     version: 0,
     accounts: [],
@@ -39,6 +41,7 @@
     readonly serviceHost: ServiceHost;
     readonly supply: Supply;
     readonly #options: GatewayHostOptions;
+    readonly #transport: ObservedPeerTransport;
     readonly #replica: Replica;
     readonly #replicator: ReplicaSynchronizer;
     readonly #membership: RegisteredMembership;
@@ -50,8 +53,9 @@
 
     /** @param options - Identity and dependencies of the host. */
     constructor(options: GatewayHostOptions) {
-        this.#options = options;
         const { clock, decisions, decoder, registry, self } = options;
+        this.#transport = new ObservedPeerTransport(options.transport, clock);
+        this.#options = { ...options, transport: this.#transport };
         this.#replica = new Replica((key, previous, next) =>
             this.supply.hasEntry(key) && isRenewal(decoder.decode(key, previous), decoder.decode(key, next))
         );
@@ -205,6 +209,7 @@
         const limiter = new OwnedRateLimiter({
             ...shared,
             getConfiguration: () => this.getConfiguration(),
+            hasPeerFailure: () => this.#transport.hasFailedWithin(PEER_FAILURE_MS),
             isQuarantined: fingerprint => quarantine.isQuarantined(fingerprint),
         });
         const dispatcher = new Dispatcher({
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -2,6 +2,7 @@
 export { encodeResult } from "./encodeResult.js";
 export type { HttpPeerOptions } from "./HttpPeerOptions.js";
 export { HttpPeerTransport } from "./HttpPeerTransport.js";
+export { ObservedPeerTransport } from "./ObservedPeerTransport.js";
 export { PeerConnections } from "./PeerConnections.js";
 export type { PeerConnectionsOptions } from "./PeerConnectionsOptions.js";
 export type { PeerHandler } from "./PeerHandler.js";
--- a/src/rates/RateLimiterOptions.ts
+++ b/src/rates/RateLimiterOptions.ts
@@ -13,6 +13,8 @@
     readonly decisionLog: DecisionLog;
     /** Gets the configuration in force. */
     readonly getConfiguration: () => Configuration;
+    /** Whether another host has lately not answered this one, so that hosts may be cut off; taken for true if undefined. */
+    readonly hasPeerFailure?: () => boolean;
     /** Whether the request with a fingerprint is in quarantine and therefore always refused; called on an account's owners only. */
     readonly isQuarantined?: (fingerprint: string) => boolean;
 }
--- a/src/rates/owned/RefusedShare.ts
+++ b/src/rates/owned/AccountDemand.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../time/index.js";
 
+const MS_PER_SECOND = 1_000;
 /** Time in which a count falls to a third, in milliseconds. */
 const DECAY_MS = 2_000;
 /** Counts to which nothing was added for so long say nothing, in milliseconds. */
@@ -7,8 +8,8 @@
 /** An account of whose requests more than this share is refused is above its rate. */
 const MIN_LIMITED_SHARE = 0.25;
 
-/** Which share of an account's requests was lately refused for its rate, as far as this host knows. */
-export class RefusedShare {
+/** What an account has lately asked of its rate, as far as this host knows. */
+export class AccountDemand {
     readonly #clock: Clock;
     #time: number;
     #asked = 0;
@@ -32,6 +33,12 @@
         this.#refused = this.#refused * decay + (isRefused ? 1 : 0);
     }
 
+    /** Gets how many tokens are asked for, per second. */
+    getRate(): number {
+        const decay = Math.exp((this.#time - this.#clock.getTime()) / DECAY_MS);
+        return this.#asked * decay * MS_PER_SECOND / DECAY_MS;
+    }
+
     /** Whether the account is above its rate. Accounts within their rates are refused now and then, as their requests come irregularly. */
     isLimited(): boolean {
         const isKnown = this.#clock.getTime() - this.#time <= MAX_AGE_MS;
--- a/src/rates/owned/FallbackBuckets.ts
+++ b/src/rates/owned/FallbackBuckets.ts
@@ -4,8 +4,8 @@
 import { RateBasis } from "../RateBasis.js";
 import type { RateShare } from "../RateShare.js";
 import { TokenBucket } from "../TokenBucket.js";
+import { AccountDemand } from "./AccountDemand.js";
 import { FALLBACK_FRACTION } from "./FALLBACK_FRACTION.js";
-import { RefusedShare } from "./RefusedShare.js";
 import { spendFromBucket } from "./spendFromBucket.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
 import type { SpendTokenResult } from "./SpendTokenResult.js";
@@ -42,7 +42,7 @@
     /** The accounts of which no owner answers now. */
     readonly #fallbacks = new Map<string, Fallback>();
     /** Which accounts were lately above their rates. */
-    readonly #refusedShares = new Map<string, RefusedShare>();
+    readonly #demands = new Map<string, AccountDemand>();
 
     /**
      * @param clock - The source of time.
@@ -60,7 +60,7 @@
      */
     recordOwnerAnswer(account: string, isRefused: boolean): void {
         this.#fallbacks.delete(account);
-        this.#getRefusedShare(account).record(isRefused);
+        this.#getDemand(account).record(isRefused);
     }
 
     /**
@@ -81,21 +81,21 @@
         const isDetected = now - startTime > DETECTION_MS;
         bucket.applyShare(createShare(params, this.#getFraction(params.account, isDetected), hosts), now);
         const result = spendFromBucket(bucket, now, params.maxWaitMs, RateBasis.Partial);
-        this.#getRefusedShare(params.account).record(!result.isSpent);
+        this.#getDemand(params.account).record(!result.isSpent);
         return result;
     }
 
     /** An account within its rate spends no more than that, however much of it this host grants. */
     #getFraction(account: string, isDetected: boolean): number {
-        if (this.#getRefusedShare(account).isLimited()) {
+        if (this.#getDemand(account).isLimited()) {
             return this.#hasOnlySilentOwners(account) ? LIMITED_FRACTION : FALLBACK_FRACTION;
         }
         return isDetected ? 1 : FALLBACK_FRACTION;
     }
 
-    #getRefusedShare(account: string): RefusedShare {
-        const share = this.#refusedShares.get(account) ?? new RefusedShare(this.#clock);
-        this.#refusedShares.set(account, share);
+    #getDemand(account: string): AccountDemand {
+        const share = this.#demands.get(account) ?? new AccountDemand(this.#clock);
+        this.#demands.set(account, share);
         return share;
     }
 
@@ -106,7 +106,7 @@
             return known;
         }
         const now = this.#clock.getTime();
-        const isLimited = this.#getRefusedShare(account).isLimited();
+        const isLimited = this.#getDemand(account).isLimited();
         const fillTime = isLimited ? now + DETECTION_MS : now;
         const share = createShare(params, FALLBACK_FRACTION, hosts);
         const bucket = isLimited
--- a/src/rates/owned/OwnedBucket.ts
+++ b/src/rates/owned/OwnedBucket.ts
@@ -1,5 +1,5 @@
 import type { TokenBucket } from "../TokenBucket.js";
-import type { RefusedShare } from "./RefusedShare.js";
+import type { AccountDemand } from "./AccountDemand.js";
 
 /** The bucket of an account of whose rate this host is an owner. */
 export interface OwnedBucket {
@@ -8,5 +8,5 @@
     since: number;
     /** The ids of the account's owners in the current view. */
     owners: ReadonlySet<string>;
-    readonly refusedShare: RefusedShare;
+    readonly demand: AccountDemand;
 }
--- a/src/rates/owned/RateOwner.ts
+++ b/src/rates/owned/RateOwner.ts
@@ -5,11 +5,11 @@
 import type { RateLimiterOptions } from "../RateLimiterOptions.js";
 import type { RateShare } from "../RateShare.js";
 import { TokenBucket } from "../TokenBucket.js";
+import { AccountDemand } from "./AccountDemand.js";
 import { FALLBACK_FRACTION } from "./FALLBACK_FRACTION.js";
 import type { OwnedBucket } from "./OwnedBucket.js";
 import { OwnerContacts } from "./OwnerContacts.js";
 import type { ReachableHosts } from "./ReachableHosts.js";
-import { RefusedShare } from "./RefusedShare.js";
 import { spendFromBucket } from "./spendFromBucket.js";
 import type { SpendTokenParams } from "./SpendTokenParams.js";
 import type { SpendTokenResult } from "./SpendTokenResult.js";
@@ -27,6 +27,11 @@
  * within half of the 20 requests by which platforms usually tolerate an excess.
  */
 const MIN_CHECKED_RATE = 2;
+/**
+ * An owner that is asked for less than this part of its share grants it without being in touch with the other owners: a third of it is a tenth of
+ * the rate, as much as platforms usually tolerate.
+ */
+const MIN_CHECKED_USE = 0.3;
 
 /** This host's share of an account's rate. */
 interface OwnedShare extends RateShare {
@@ -80,7 +85,7 @@
         const now = this.#options.clock.getTime();
         owned.bucket.applyShare(share, now);
         const result = spendFromBucket(owned.bucket, now, params.maxWaitMs, getBasis(share, now - owned.since));
-        owned.refusedShare.record(!result.isSpent);
+        owned.demand.record(!result.isSpent);
         return result;
     }
 
@@ -100,9 +105,9 @@
         if (!owners.some(({ id }) => id === membership.getSelf().id)) {
             return undefined;
         }
-        if (owners.length > 2 && limit.rate / owners.length >= MIN_CHECKED_RATE) {
-            const isLimited = this.#buckets.get(account)?.refusedShare.isLimited() ?? false;
-            return this.#findCheckedShare(owners, limit, isLimited);
+        const demand = this.#buckets.get(account)?.demand;
+        if (demand !== undefined && owners.length > 2 && this.#isCheckNeeded(limit.rate / owners.length, demand)) {
+            return this.#findCheckedShare(owners, limit, demand.isLimited());
         }
         if (!this.#hosts.hasMajority()) {
             this.#closeShare(account);
@@ -112,6 +117,12 @@
         return this.#createShare(limit, reachable, this.#getOwnersFraction(), false);
     }
 
+    /** Whether the owners have to check each other: hosts may be cut off, and a share granted twice would exceed what platforms tolerate. */
+    #isCheckNeeded(rate: number, demand: AccountDemand): boolean {
+        const mayBeCut = this.#options.hasPeerFailure?.() !== false || this.#hosts.getUnreachableRateShare() > 0;
+        return mayBeCut && rate >= MIN_CHECKED_RATE && demand.getRate() >= MIN_CHECKED_USE * rate;
+    }
+
     /**
      * Finds this host's share of a rate whose owners check each other. One that is out of touch with another and does not reach the majority
      * of the fleet, which is on one side of a partition only, spends for the hosts that it reaches, no more than they might by themselves.
@@ -182,8 +193,8 @@
     }
 
     #createOwned(account: string, bucket: TokenBucket, since: number): OwnedBucket {
-        const refusedShare = new RefusedShare(this.#options.clock);
-        return { bucket, since, owners: this.#getOwnerIds(account), refusedShare };
+        const demand = new AccountDemand(this.#options.clock);
+        return { bucket, since, owners: this.#getOwnerIds(account), demand };
     }
 
     #getOwnerIds(account: string): ReadonlySet<string> {
