--- a/tests/rates/owned/OwnedRateLimiter.test.ts
+++ b/tests/rates/owned/OwnedRateLimiter.test.ts
@@ -3,7 +3,7 @@
 import type { Account, Configuration } from "../../../src/configuration/index.js";
 import { FakeClock, FakeMembership, FakeNetwork } from "../../../src/fakes/index.js";
 import { DecisionHistory } from "../../../src/logging/index.js";
-import { PeerHandlers } from "../../../src/peers/index.js";
+import { PeerHandlers, PeerMethod } from "../../../src/peers/index.js";
 import { SeededRandom } from "../../../src/random/index.js";
 import { OwnedRateLimiter } from "../../../src/rates/index.js";
 import { createMember } from "../../support/createMember.js";
@@ -34,7 +34,8 @@
     readonly dead: Set<number>;
 }
 
-function createFleet(): Fleet {
+/** Creates hosts; `calls` gets the methods of all calls between them if it is given, and no host then notices a failure. */
+function createFleet(calls?: PeerMethod[]): Fleet {
     const clock = new FakeClock();
     const network = new FakeNetwork(clock);
     const members = Array.from({ length: HOSTS }, (_, index) => createMember(index));
@@ -43,10 +44,17 @@
     const limiters = members.map((member, index) => {
         const handlers = new PeerHandlers();
         network.addHost(member.peerAddress, { handlers });
+        const transport = network.createTransport(member.peerAddress);
         return new OwnedRateLimiter({
             clock,
             membership: memberships[index]!,
-            transport: network.createTransport(member.peerAddress),
+            transport: {
+                send: (address, method, params, timeoutMs) => {
+                    calls?.push(method);
+                    return transport.send(address, method, params, timeoutMs);
+                },
+            },
+            ...(calls === undefined ? {} : { hasPeerFailure: () => false }),
             handlers,
             decisionLog: new DecisionHistory(clock),
             getConfiguration: () => ({ getAccount: () => undefined }) as unknown as Configuration,
@@ -116,6 +124,17 @@
     assert.ok(calls <= MAX_CALLS_PER_REQUEST * asked, `${calls} messages for ${asked} requests`);
 });
 
+// Guards against checks between zones that cost more than the requests: a day where these bytes are dear lost a tenth of its worth.
+test("owners check each other only while a host may be cut off", async () => {
+    const calls: PeerMethod[] = [];
+    const fleet = createFleet(calls);
+    await sendLoad(fleet, 2 * ACCOUNT.rate, 5_000, 500);
+    assert.not(calls.includes(PeerMethod.CheckOwner));
+    stopHost(fleet, "host-8");
+    await sendLoad(fleet, 2 * ACCOUNT.rate, 5_000, 500);
+    assert.ok(calls.includes(PeerMethod.CheckOwner));
+});
+
 test("an account below its rate with irregular requests is refused less often if requests may wait", async () => {
     const withWait = await sendLoad(createFleet(), 0.9 * ACCOUNT.rate, 60_000, 500, BURSTY_ACCOUNT);
     const without = await sendLoad(createFleet(), 0.9 * ACCOUNT.rate, 60_000, 0, BURSTY_ACCOUNT);
