Refuse queued orders that a stopping host could no longer answer

Callers lost orders: in a planned stop with a grace of 3 s, one order that waited for a slot when SIGTERM came was passed on 0.95 s later, ran at its upstream for 2.2 s and was cut at the end of the grace without an answer; another one waited until its connection was closed (sent at 4,806 ms, at the upstream at 6,974 ms, SIGTERM at about 6,020 ms, closed at 8,919 ms).

Cause: a stopping host checks whether a request can end in time when it comes, but not when it leaves the queue. Behind trials of upstreams that had been ejected as silent, orders of 2.2 s wait that long for the only slot.

Now the queue knows the end: what waits is refused as not run, with the reason host-stopping, as soon as the route's 99th percentile no longer fits, so that callers can go elsewhere at once. Other hosts' queues still don't know when the host that asks them will stop.

--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -128,11 +128,12 @@
     }
 
     /**
-     * Refuses new requests that can't be expected to end in time.
+     * Refuses new and queued requests that can't be expected to end in time.
      * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
      */
     leave(endTime: number): void {
         this.#endTime = endTime;
+        this.#pools.forEach(({ pool }) => pool.leave(endTime));
     }
 
     /** Refuses new requests and waits until the accepted ones have ended. */
@@ -247,6 +248,9 @@
             handedOverUntil: undefined,
         };
         this.#pools.set(key, created);
+        if (this.#endTime !== undefined) {
+            created.pool.leave(this.#endTime);
+        }
         return created;
     }
 
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -94,6 +94,7 @@
             selector: this.#selector,
             getFastLatency: request => this.#routeLatencies.findP10(request.route) ?? this.#limit.getFastLatency(),
             getUsualLatency: request => this.#routeLatencies.findP75(request.route) ?? this.#limit.getFastLatency(),
+            getLongLatency: request => this.getLongLatency(request),
             getSlots: () => this.#getSlots(),
             getCapacity: () => this.#getSlots() * this.#service.queuePerSlot,
         });
@@ -201,6 +202,14 @@
         return this.#routeLatencies.findP99(route) ?? targetMs ?? timeoutMs;
     }
 
+    /**
+     * Refuses queued requests that could no longer be expected to end in time.
+     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
+     */
+    leave(endTime: number): void {
+        this.#queue.leave(endTime);
+    }
+
     /** Waits until no request is queued or running. */
     async drain(): Promise<void> {
         if (this.#pending > 0) {
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -35,6 +35,9 @@
     #displaced: { readonly entry: QueueEntry<QueuedRequest>; readonly time: number; } | undefined;
     #checkTime = Number.NEGATIVE_INFINITY;
     #pauseEnd: ScheduledCall | undefined;
+    /** When requests in progress are aborted, in milliseconds of the clock; undefined while the host isn't stopping. */
+    #endTime: number | undefined;
+    #nextEnding: ScheduledCall | undefined;
 
     /** @param options - Dependencies and limits of the queue. */
     constructor(options: SlotQueueOptions) {
@@ -78,6 +81,7 @@
 
     /** Starts queued requests while upstreams have free slots for them. */
     run(): void {
+        this.#refuseEnding();
         this.#runAll();
         if (this.#options.clock.getTime() >= this.#checkTime + CHECK_INTERVAL_MS) {
             this.refuseHopeless();
@@ -156,6 +160,15 @@
         }
     }
 
+    /**
+     * Refuses queued requests from the moment at which they could no longer be expected to end in time.
+     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
+     */
+    leave(endTime: number): void {
+        this.#endTime = endTime;
+        this.run();
+    }
+
     /**
      * Refuses the queued requests that match a condition.
      * @param isRefused - Whether to refuse a request.
@@ -165,6 +178,27 @@
         this.#queue.getItems().filter(item => isRefused(item.request)).forEach(item => item.onRefused(refusal));
     }
 
+    #refuseEnding(): void {
+        if (this.#endTime === undefined) {
+            return;
+        }
+        const now = this.#options.clock.getTime();
+        let nextTime = Number.POSITIVE_INFINITY;
+        for (const item of this.#queue.getItems()) {
+            const lastStartTime = this.#endTime - this.#options.getLongLatency(item.request);
+            if (now >= lastStartTime) {
+                item.onRefused(createNotRun(RefusalReason.HostStopping, "The service host is stopping.", 0));
+            }
+            else {
+                nextTime = Math.min(nextTime, lastStartTime);
+            }
+        }
+        this.#nextEnding?.cancel();
+        this.#nextEnding = nextTime === Number.POSITIVE_INFINITY
+            ? undefined
+            : this.#options.clock.schedule(Math.ceil(nextTime - now), () => this.run());
+    }
+
     #hasRunnable(): boolean {
         const { selector } = this.#options;
         return this.#queue.getSize() > 0 &&
--- a/src/services/queue/SlotQueueOptions.ts
+++ b/src/services/queue/SlotQueueOptions.ts
@@ -12,6 +12,8 @@
     readonly getFastLatency: (request: ServiceRequest) => number;
     /** Gets the time within which most responses to such requests come, in milliseconds; 0 while there are too few samples. */
     readonly getUsualLatency: (request: ServiceRequest) => number;
+    /** Gets the time within which nearly all responses to such requests come, in milliseconds. */
+    readonly getLongLatency: (request: ServiceRequest) => number;
     /** Gets the number of usable slots, free or in use. */
     readonly getSlots: () => number;
     /** Gets the number of requests that may be queued. */
--- a/tests/platform/support/EdgeSendOptions.ts
+++ b/tests/platform/support/EdgeSendOptions.ts
@@ -5,4 +5,6 @@
     readonly key?: string | undefined;
     /** The caller's id of the attempt. */
     readonly id?: string;
+    /** The caller's time limit, in milliseconds. */
+    readonly deadlineMs?: number;
 }
