--- a/tests/platform/soak/faults/FaultRunner.ts
+++ b/tests/platform/soak/faults/FaultRunner.ts
@@ -1,6 +1,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { StoreFaultMode } from "../../support/StoreFaultMode.js";
 import { StoreFaultMode as StoreMode } from "../../support/StoreFaultMode.js";
+import type { SoakLoad } from "../load/SoakLoad.js";
 import { LinkKind } from "../plan/LinkKind.js";
 import type { SoakFault } from "../plan/SoakFault.js";
 import { SoakFaultKind } from "../plan/SoakFaultKind.js";
@@ -21,16 +22,19 @@
 export class FaultRunner {
     readonly #fleet: SoakFleet;
     readonly #plan: SoakPlan;
+    readonly #load: SoakLoad;
     /** Upstreams that a fault is replacing. */
     readonly #changing = new Set<SoakUpstream>();
 
     /**
      * @param fleet - The fleet.
      * @param plan - The plan.
+     * @param load - The callers.
      */
-    constructor(fleet: SoakFleet, plan: SoakPlan) {
+    constructor(fleet: SoakFleet, plan: SoakPlan, load: SoakLoad) {
         this.#fleet = fleet;
         this.#plan = plan;
+        this.#load = load;
     }
 
     /** Runs all faults, then brings back all hosts. */
@@ -77,6 +81,17 @@
                 endFault();
                 return;
             }
+            case SoakFaultKind.Service: {
+                const { upstreams } = this.#fleet;
+                const { service } = this.#getUpstream(fault.service);
+                const ends = upstreams.filter(place => place.service === service).map(place => place.addFault(fault));
+                await wait(durationMs);
+                ends.forEach(endFault => endFault());
+                return;
+            }
+            case SoakFaultKind.Press:
+                await this.#load.runPress(fault.callers, durationMs);
+                return;
             case SoakFaultKind.Leave:
                 await this.#runUpstreamChange(
                     fault.upstream,
--- a/tests/platform/soak/faults/SoakFleet.ts
+++ b/tests/platform/soak/faults/SoakFleet.ts
@@ -6,6 +6,7 @@
 import { MockPlatformStore } from "../../support/MockPlatformStore.js";
 import { StoreFaultMode } from "../../support/StoreFaultMode.js";
 import type { SoakPlan } from "../plan/SoakPlan.js";
+import { SoakProfile } from "../plan/SoakProfile.js";
 import { Disturbances } from "./Disturbances.js";
 import { LoopbackProxy } from "./LoopbackProxy.js";
 import { SoakHost } from "./SoakHost.js";
@@ -90,7 +91,11 @@
     publishNextKey(): void {
         const { clogs } = createDocument().tenants as Record<string, object>;
         const soles = { api_keys: ["key-fixed", this.keys.getNext()] };
-        const tenants = { clogs, soles, anonymous: { api_keys: ["key-anonymous"] } };
+        const odd = this.#plan.profile === SoakProfile.Pressure ? this.keys.getOddAccounts() : {};
+        const tenants = Object.fromEntries([
+            ...Object.entries({ clogs, soles, anonymous: { api_keys: ["key-anonymous"] } }),
+            ...Object.entries(odd),
+        ]);
         this.#version += VERSION_STEP;
         this.store.write("op/config", createDocument({ version: this.#version, tenants }));
         this.keys.recordChange();
--- a/tests/platform/soak/faults/SoakKeys.ts
+++ b/tests/platform/soak/faults/SoakKeys.ts
@@ -15,10 +15,18 @@
     ["key-fixed", "soles"],
     ["key-anonymous", "anonymous"],
 ] as const;
+/** Accounts whose names headers can't carry or programs may take for something else, by their keys. */
+const ODD_KEYS = [
+    ["key-blank", " soles"],
+    ["key-thai", "ร้าน"],
+    ["key-line", "a\nb"],
+    ["key-proto", "__proto__"],
+    ["key-null", "null"],
+] as const;
 
 /** The keys of all configurations of a run. */
 export class SoakKeys {
-    readonly all: SoakKey[] = FIXED_KEYS.map(([key, account]) => ({
+    readonly all: SoakKey[] = [...FIXED_KEYS, ...ODD_KEYS].map(([key, account]) => ({
         key,
         account,
         isChanging: false,
@@ -27,6 +35,19 @@
     }));
     #number = 0;
 
+    /** Gets the entries of the accounts with odd names in a configuration. */
+    getOddAccounts(): Readonly<Record<string, object>> {
+        return Object.fromEntries(ODD_KEYS.map(([key, account]) => [account, { api_keys: [key] }]));
+    }
+
+    /**
+     * Gets the key of one of the accounts with odd names.
+     * @param index - Selects the account.
+     */
+    getOdd(index: number): string {
+        return ODD_KEYS[index % ODD_KEYS.length]![0];
+    }
+
     /** Gets the next key of the account whose key changes. */
     getNext(): string {
         return `key-change-${this.#number + 1}`;
@@ -49,7 +70,7 @@
      * @param changes - Number of changes.
      */
     getRecent(changes: number): SoakKey {
-        return this.all[Math.max(FIXED_KEYS.length, this.all.length - 1 - changes)]!;
+        return this.all[Math.max(FIXED_KEYS.length + ODD_KEYS.length, this.all.length - 1 - changes)]!;
     }
 
     /**
--- a/tests/platform/soak/findSmallerPlan.ts
+++ b/tests/platform/soak/findSmallerPlan.ts
@@ -1,5 +1,5 @@
 import * as fc from "fast-check";
-import { createFaultsArbitrary } from "./plan/createFaultsArbitrary.js";
+import { selectArbitrary } from "./plan/selectArbitrary.js";
 import type { SoakPlan } from "./plan/SoakPlan.js";
 import type { SoakResult } from "./SoakResult.js";
 
@@ -19,7 +19,7 @@
     }
     let remaining = maxRuns;
     let isFirst = true;
-    const property = fc.asyncProperty(createFaultsArbitrary(plan.steps), async faults => {
+    const property = fc.asyncProperty(selectArbitrary(plan.profile, plan.steps), async faults => {
         if (isFirst) {
             // The plan itself has just failed.
             isFirst = false;
--- a/tests/platform/soak/load/SoakLoad.ts
+++ b/tests/platform/soak/load/SoakLoad.ts
@@ -3,6 +3,8 @@
 import { SeededRandom } from "../../../../src/random/index.js";
 import type { SoakFleet } from "../faults/SoakFleet.js";
 import type { SoakHost } from "../faults/SoakHost.js";
+import type { SoakPlan } from "../plan/SoakPlan.js";
+import { SoakProfile } from "../plan/SoakProfile.js";
 import type { SoakCall } from "./SoakCall.js";
 
 /** Callers of the account with a rate; together they send several times the rate. */
@@ -16,6 +18,11 @@
 const GIVE_UP_MS = 4_000;
 /** How long a caller avoids a host that failed it, in milliseconds. */
 const AVOIDANCE_MS = 500;
+/** Mean pause of a pressing caller between two requests, in milliseconds. */
+const PRESS_PAUSE_MS = 20;
+/** Callers of accounts with odd names; each pauses for several times as long as others. */
+const ODD_CALLERS = 2;
+const ODD_PAUSE_MS = 400;
 /** Callers use the newest keys that change, so that some of them were withdrawn. */
 const RECENT_KEYS = 3;
 const PATHS = ["/lookup/", "/lookup/", "/order/", "/order/", "/order/", "/books/", "/lookup/open/"] as const;
@@ -24,7 +31,7 @@
 export class SoakLoad {
     readonly calls: SoakCall[] = [];
     readonly #fleet: SoakFleet;
-    readonly #seed: number;
+    readonly #plan: SoakPlan;
     readonly #pools = new Map<string, Pool>();
     readonly #failureTimes = new Map<string, number>();
     readonly #callers: Promise<void>[] = [];
@@ -32,11 +39,11 @@
 
     /**
      * @param fleet - The fleet.
-     * @param seed - Selects hosts, paths, keys and pauses.
+     * @param plan - Names the seed, which selects hosts, paths, keys and pauses, and the profile.
      */
-    constructor(fleet: SoakFleet, seed: number) {
+    constructor(fleet: SoakFleet, plan: SoakPlan) {
         this.#fleet = fleet;
-        this.#seed = seed;
+        this.#plan = plan;
     }
 
     /** Starts the callers. */
@@ -44,6 +51,21 @@
         for (let caller = 0; caller < LIMITED_CALLERS + OTHER_CALLERS; caller++) {
             this.#callers.push(this.#runCaller(caller));
         }
+        if (this.#plan.profile === SoakProfile.Pressure) {
+            for (let caller = 0; caller < ODD_CALLERS; caller++) {
+                this.#callers.push(this.#runOddCaller(caller));
+            }
+        }
+    }
+
+    /**
+     * Lets more callers of the account with a rate send almost without a pause.
+     * @param callers - How many.
+     * @param durationMs - For how long, in milliseconds.
+     */
+    async runPress(callers: number, durationMs: number): Promise<void> {
+        const endTime = performance.now() + durationMs;
+        await Promise.all(Array.from({ length: callers }, (_, caller) => this.#runPressingCaller(caller, endTime)));
     }
 
     /** Waits until all requests have ended. */
@@ -60,7 +82,7 @@
      * @param key - The caller's key.
      */
     async send(host: SoakHost, prefix: string, key: string | undefined): Promise<SoakCall> {
-        const id = `s${this.#seed}-${this.calls.length}`;
+        const id = `s${this.#plan.seed}-${this.calls.length}`;
         const isOrder = prefix === "/order/";
         const call: SoakCall = {
             id,
@@ -87,7 +109,7 @@
     }
 
     async #runCaller(number: number): Promise<void> {
-        const random = new SeededRandom(this.#seed * 100 + number);
+        const random = new SeededRandom(this.#plan.seed * 100 + number);
         const isLimited = number < LIMITED_CALLERS;
         while (!this.#isStopping) {
             await wait(2 * PAUSE_MS * random.getNext());
@@ -99,6 +121,24 @@
         }
     }
 
+    async #runPressingCaller(number: number, endTime: number): Promise<void> {
+        const random = new SeededRandom(this.#plan.seed * 100 + 50 + number);
+        while (performance.now() < endTime) {
+            await wait(2 * PRESS_PAUSE_MS * random.getNext());
+            const prefix = random.getNext() < 0.5 ? "/order/" : "/lookup/";
+            await this.send(this.#selectHost(random.getNext()), prefix, `key-${1 + number % 2}`);
+        }
+    }
+
+    async #runOddCaller(number: number): Promise<void> {
+        const random = new SeededRandom(this.#plan.seed * 100 + 90 + number);
+        for (let count = number; !this.#isStopping; count++) {
+            await wait(2 * ODD_PAUSE_MS * random.getNext());
+            const prefix = random.getNext() < 0.5 ? "/order/" : "/lookup/";
+            await this.send(this.#selectHost(random.getNext()), prefix, this.#fleet.keys.getOdd(count));
+        }
+    }
+
     #selectHost(share: number): SoakHost {
         const { hosts } = this.#fleet;
         const now = performance.now();
--- a/tests/platform/soak/plan/SoakFault.ts
+++ b/tests/platform/soak/plan/SoakFault.ts
@@ -32,8 +32,16 @@
         /** The share of requests that it concerns, in percent. */
         readonly percent: number;
     }
+    | {
+        readonly kind: SoakFaultKind.Service;
+        readonly service: number;
+        readonly mode: UpstreamFaultMode;
+        /** The share of requests that it concerns, in percent. */
+        readonly percent: number;
+    }
+    | { readonly kind: SoakFaultKind.Press; readonly callers: number; }
     | { readonly kind: SoakFaultKind.Leave; readonly upstream: number; readonly isReported: boolean; }
     | { readonly kind: SoakFaultKind.Replace; readonly upstream: number; };
 
-/** One fault or change; hosts and upstreams are numbers that are taken modulo their count. */
+/** One fault or change; hosts, services and upstreams are numbers that are taken modulo their count. */
 export type SoakFault = FaultTime & FaultContent;
--- a/tests/platform/soak/plan/SoakFaultKind.ts
+++ b/tests/platform/soak/plan/SoakFaultKind.ts
@@ -20,6 +20,10 @@
     ChangeKeys = "change-keys",
     /** A share of an upstream's requests goes wrong. */
     Upstream = "upstream",
+    /** A share of the requests goes wrong at all upstreams of a service. */
+    Service = "service",
+    /** More callers of the account with a rate, who don't pause. */
+    Press = "press",
     /** An upstream drains, ends, and comes back under another id. */
     Leave = "leave",
     /** An upstream ends without a word, and one with another id and service takes its address. */
--- a/tests/platform/soak/plan/SoakPlan.ts
+++ b/tests/platform/soak/plan/SoakPlan.ts
@@ -1,8 +1,10 @@
 import type { SoakFault } from "./SoakFault.js";
+import type { SoakProfile } from "./SoakProfile.js";
 
 /** What happens in a run of the soak. */
 export interface SoakPlan {
     readonly seed: number;
+    readonly profile: SoakProfile;
     readonly hosts: number;
     /** Availability zones over which hosts and upstreams are spread; evacuations of zones are going to name one. */
     readonly zones: number;
--- a/tests/platform/soak/promises.test.ts
+++ b/tests/platform/soak/promises.test.ts
@@ -48,6 +48,15 @@
     assert.equal(findBroken(calls.slice(2), runs.slice(2)), []);
 });
 
+test("more arrivals beyond the first of each request than a service's retry budget allows", () => {
+    const calls = Array.from({ length: 100 }, (_, index) => createCall({ id: `a${index}`, response: undefined }));
+    const arrivals = calls.flatMap(({ id }) => [0, 1].map(() => ({ id, service: "orders", time: 1_050 })));
+    assert.equal(findBroken(calls, [], [], arrivals), ["BUDGET"]);
+    assert.equal(findBroken(calls, [], [], arrivals.slice(0, 156)), []);
+    const spread = arrivals.map((arrival, index) => ({ ...arrival, time: 1_050 + index * 100 }));
+    assert.equal(findBroken(calls, [], [], spread), []);
+});
+
 test("a withdrawn key that is served, a new key that is not, only at hosts in touch", () => {
     const old = createCall({ key: "key-old", sentTime: 12_100, endTime: 12_200 });
     const run = createRun({ account: "soles", time: 12_150 });
@@ -98,10 +107,12 @@
     calls: readonly SoakCall[],
     runs: readonly SoakRun[],
     disturbed: readonly string[] = [],
+    arrivals: SoakEvidence["arrivals"] = [],
 ): readonly string[] {
     const evidence: SoakEvidence = {
         calls: new Map(calls.map(call => [call.id, call])),
         runs,
+        arrivals,
         keys: { all: KEYS, find: key => KEYS.find(item => item.key === key) },
         disturbances: { isCalm: targets => !targets.some(target => disturbed.includes(target)) },
         leavingTimes: new Map([["u-leaving", 20_000]]),
--- a/tests/platform/soak/promises/SoakEvidence.ts
+++ b/tests/platform/soak/promises/SoakEvidence.ts
@@ -1,11 +1,13 @@
 import type { SoakFleet } from "../faults/SoakFleet.js";
 import type { SoakCall } from "../load/SoakCall.js";
+import type { SoakArrival } from "./SoakArrival.js";
 import type { SoakRun } from "./SoakRun.js";
 
 /** What callers and upstreams saw in a run. */
 export interface SoakEvidence {
     readonly calls: ReadonlyMap<string, SoakCall>;
     readonly runs: readonly SoakRun[];
+    readonly arrivals: readonly SoakArrival[];
     readonly keys: Pick<SoakFleet["keys"], "find" | "all">;
     readonly disturbances: Pick<SoakFleet["disturbances"], "isCalm">;
     readonly leavingTimes: ReadonlyMap<string, number>;
--- a/tests/platform/soak/promises/checkPromises.ts
+++ b/tests/platform/soak/promises/checkPromises.ts
@@ -1,6 +1,7 @@
 import { checkChanges } from "./checkChanges.js";
 import { checkRates } from "./checkRates.js";
 import { checkResponses } from "./checkResponses.js";
+import { checkRetries } from "./checkRetries.js";
 import { checkRuns } from "./checkRuns.js";
 import type { Finding } from "./Finding.js";
 import type { PromiseBounds } from "./PromiseBounds.js";
@@ -15,6 +16,8 @@
     return [
         ...checkRuns(evidence),
         ...checkResponses(evidence),
-        ...(bounds === undefined ? [] : [...checkRates(evidence), ...checkChanges(evidence, bounds)]),
+        ...(bounds === undefined
+            ? []
+            : [...checkRates(evidence), ...checkRetries(evidence), ...checkChanges(evidence, bounds)]),
     ];
 }
--- a/tests/platform/soak/promises/checkRuns.ts
+++ b/tests/platform/soak/promises/checkRuns.ts
@@ -1,12 +1,8 @@
 import type { Finding } from "./Finding.js";
+import { SERVICES_BY_PREFIX } from "./SERVICES_BY_PREFIX.js";
 import type { SoakEvidence } from "./SoakEvidence.js";
 import type { SoakRun } from "./SoakRun.js";
 
-const SERVICES_BY_PREFIX = [
-    ["/lookup/", ["catalogue"]],
-    ["/order/", ["orders"]],
-    ["/books/", ["books", "catalogue"]],
-] as const;
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
--- a/tests/platform/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -7,6 +7,7 @@
 import { checkPromises } from "./promises/checkPromises.js";
 import type { Finding } from "./promises/Finding.js";
 import type { PromiseBounds } from "./promises/PromiseBounds.js";
+import type { SoakArrival } from "./promises/SoakArrival.js";
 import type { SoakEvidence } from "./promises/SoakEvidence.js";
 import type { SoakRun } from "./promises/SoakRun.js";
 import type { SoakResult } from "./SoakResult.js";
@@ -35,7 +36,7 @@
     reportStage: (stage: string) => void = () => {},
 ): Promise<SoakResult> {
     const fleet = new SoakFleet(plan, bounds?.contactMs ?? DEFAULT_CONTACT_MS);
-    const load = new SoakLoad(fleet, plan.seed);
+    const load = new SoakLoad(fleet, plan);
     const meter = new DelayMeter(fleet.disturbances);
     const closeNow = (): void => fleet.closeNow();
     process.once("exit", closeNow);
@@ -46,7 +47,7 @@
         load.start();
         await wait(CALM_MS);
         reportStage("faults");
-        await new FaultRunner(fleet, plan).run();
+        await new FaultRunner(fleet, plan, load).run();
         reportStage("recovery");
         const recovery = await checkRecovery(fleet, load, bounds?.recoveryMs ?? RECOVERY_TIMEOUT_MS);
         await wait(END_MS);
@@ -106,6 +107,12 @@
         .sort((left, right) => left.time - right.time);
 }
 
+function getArrivals(fleet: SoakFleet): SoakArrival[] {
+    return fleet.upstreams.flatMap(place => place.history).flatMap(({ upstream, service }) =>
+        [...upstream.received, ...upstream.refused].map(({ id, time }) => ({ id, time, service }))
+    );
+}
+
 function createEvidence(
     fleet: SoakFleet,
     calls: SoakEvidence["calls"],
@@ -118,6 +125,7 @@
     return {
         calls,
         runs,
+        arrivals: getArrivals(fleet),
         keys: fleet.keys,
         disturbances: fleet.disturbances,
         leavingTimes: fleet.leavingTimes,
--- a/tests/platform/soak/soak.test.ts
+++ b/tests/platform/soak/soak.test.ts
@@ -1,6 +1,7 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import { createSoakPlan } from "./plan/createSoakPlan.js";
+import { SoakProfile } from "./plan/SoakProfile.js";
 import { runSoak } from "./runSoak.js";
 
 const SIZE = { hosts: 4, steps: 16 };
@@ -15,11 +16,15 @@
 });
 
 for (const seed of [1, 2]) {
-    test(`seed ${seed} breaks no promise`, async () => {
-        const { findings, calls } = await runSoak(createSoakPlan(seed, SIZE), undefined);
-        assert.equal(findings, []);
-        assert.ok([...calls.values()].some(({ response }) => response?.status === 200));
-    });
+    test(`seed ${seed} breaks no promise`, () => runSeed(seed, SoakProfile.Faults));
 }
 
+test("seed 1 under pressure breaks no promise", () => runSeed(1, SoakProfile.Pressure));
+
 test.run();
+
+async function runSeed(seed: number, profile: SoakProfile): Promise<void> {
+    const { findings, calls } = await runSoak(createSoakPlan(seed, { ...SIZE, profile }), undefined);
+    assert.equal(findings, []);
+    assert.ok([...calls.values()].some(({ response }) => response?.status === 200));
+}
--- a/tests/platform/soak/soak.ts
+++ b/tests/platform/soak/soak.ts
@@ -3,6 +3,7 @@
 import { findSmallerPlan } from "./findSmallerPlan.js";
 import { createSoakPlan } from "./plan/createSoakPlan.js";
 import type { SoakPlan } from "./plan/SoakPlan.js";
+import { SoakProfile } from "./plan/SoakProfile.js";
 import type { PromiseBounds } from "./promises/PromiseBounds.js";
 import { runSoak } from "./runSoak.js";
 import type { SoakResult } from "./SoakResult.js";
@@ -22,6 +23,7 @@
     .option("seed", { type: "number", describe: "the first seed; a fresh one by default" })
     .option("hosts", { type: "number", default: 6, describe: "entry host processes" })
     .option("steps", { type: "number", default: 48, describe: "steps of 250 ms in which faults begin" })
+    .option("profile", { choices: Object.values(SoakProfile), default: SoakProfile.Faults, describe: "what happens" })
     .option("shrink", { type: "number", default: 0, describe: "runs to make a failing plan smaller" })
     .option("out", { type: "string", default: "target/soak", describe: "folder of the reports of failing runs" })
     .option("until-found", { type: "string", describe: "stop after the first seed that breaks this promise" })
--- a/tests/platform/soak/writeSoakReport.ts
+++ b/tests/platform/soak/writeSoakReport.ts
@@ -30,7 +30,7 @@
     const lines = [
         `# Soak, seed ${plan.seed}, ${plan.hosts} hosts`,
         "",
-        `Again: npm run soak -- --seed ${plan.seed} --hosts ${plan.hosts} --steps ${plan.steps}`,
+        `Again: npm run soak -- --profile ${plan.profile} --seed ${plan.seed} --hosts ${plan.hosts} --steps ${plan.steps}`,
         `The soak's own event loop was late by ${longestDelayMs} ms at most.`,
         "",
         "## Faults",
--- a/tests/platform/support/MockPlatformUpstream.ts
+++ b/tests/platform/support/MockPlatformUpstream.ts
@@ -22,6 +22,8 @@
 export class MockPlatformUpstream {
     /** The requests that it ran, oldest first. */
     readonly received: ReceivedRequest[] = [];
+    /** The requests that it refused without running them. */
+    readonly refused: Pick<ReceivedRequest, "id" | "time">[] = [];
     /** Latency of each response, in milliseconds. */
     delayMs = 0;
     /** Whether it responds to all requests with status 500. */
@@ -70,6 +72,9 @@
         }
         const body = await readBody(request, MAX_BODY_BYTES);
         const fault = this.selectFault();
+        if (fault === UpstreamFaultMode.Shedding || fault === UpstreamFaultMode.SheddingWithoutEnd) {
+            this.refused.push({ id, time: performance.now() });
+        }
         if (fault === UpstreamFaultMode.Shedding) {
             response.writeHead(503, { "fuchsiapath-attempt-id": id, "fuchsiapath-not-executed": "1" }).end();
             return;
