--- a/tests/platform/crowds/endlessRefusals.test.ts
+++ b/tests/platform/crowds/endlessRefusals.test.ts
@@ -1,15 +1,14 @@
-import { readFileSync } from "node:fs";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import { createDocument } from "../support/createDocument.js";
 import { EdgeFleet } from "../support/EdgeFleet.js";
+import { getPeakMemory } from "../support/getPeakMemory.js";
 import { UpstreamFaultMode } from "../support/UpstreamFaultMode.js";
 
 const HOSTS = 2;
 const REQUESTS = 200;
 const MANY_UPSTREAMS = 60;
 const CONCURRENT = 20;
-const BYTES_PER_KB = 1_024;
 /** What a host may hold more than with ordinary refusals: a tenth. */
 const MAX_GROWTH = 1.1;
 /** The heap limit with which hosts run on the platform. */
@@ -37,7 +36,7 @@
 test("fill no memory, and requests of other services are answered", async () => {
     await runRefused(UpstreamFaultMode.Shedding);
     await runRefused(UpstreamFaultMode.Shedding);
-    const usual = getPeaks();
+    const usual = fleet.hosts.map(getPeakMemory);
     await runRefused(UpstreamFaultMode.SheddingWithoutEnd);
     checkPeaks(usual);
     upstreams.forEach(upstream => (upstream.selectFault = () => UpstreamFaultMode.None));
@@ -54,7 +53,7 @@
     }
     await runRefused(UpstreamFaultMode.Shedding);
     await runRefused(UpstreamFaultMode.Shedding);
-    const usual = getPeaks();
+    const usual = fleet.hosts.map(getPeakMemory);
     await runRefused(UpstreamFaultMode.SheddingWithoutEnd);
     checkPeaks(usual);
 });
@@ -79,15 +78,7 @@
 }
 
 function checkPeaks(usual: readonly number[]): void {
-    const peaks = getPeaks();
+    const peaks = fleet.hosts.map(getPeakMemory);
     console.log(`peaks ${usual.join()} and ${peaks.join()} bytes`);
     peaks.forEach((peak, index) => assert.ok(peak <= MAX_GROWTH * usual[index]!, `${peak} after ${usual[index]}`));
 }
-
-/** Gets the most memory that each host has had, in bytes. */
-function getPeaks(): readonly number[] {
-    return fleet.hosts.map(host => {
-        const status = readFileSync(`/proc/${host.getProcessId()}/status`, "utf8");
-        return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)![1]) * BYTES_PER_KB;
-    });
-}
