Put a host's entry back when a write of its process before comes late

Callers could get no addresses of a restarted host: a write of its entry whose answer was lost, and which the store carries out after the process was started again, replaced the entry of the running process. That one looked only for the removal of its entry, and renewed its lease without noticing; the old entry names an earlier process, which other hosts don't take for a member.

Now an entry of an earlier process of the same host makes the host write its own again at once; by the start times in the incarnations, so that of two processes the newer one has the entry and the older one doesn't fight for it. A host that starts after a kill finds the entry of the process before and may write its own twice, a call more for each such start.

--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -11,6 +11,7 @@
 import { Supervisor } from "../supervision/index.js";
 import type { Child } from "../supervision/index.js";
 import { isRenewal, Supply } from "../supply/index.js";
+import { isEarlierIncarnation } from "../utils/index.js";
 import { Gateway } from "./Gateway.js";
 import type { GatewayHostOptions } from "./GatewayHostOptions.js";
 import { HostLookup } from "./HostLookup.js";
@@ -70,7 +71,9 @@
             decoder,
             getStoreRegainedTime: () => this.#replicator.getStoreRegainedTime(),
             isOwnEntry: ({ id, incarnation }) => !this.#isLeaving && id === self.id && incarnation === self.incarnation,
-            onOwnEntryLapsed: () => this.#registrar.restore(),
+            isEarlierEntry: ({ id, incarnation }) =>
+                !this.#isLeaving && id === self.id && isEarlierIncarnation(incarnation, self.incarnation),
+            onOwnEntryLost: () => this.#registrar.restore(),
         });
         this.#registrar = new HostRegistrar({ clock, decisions, registry, self });
         this.serviceHost = this.#createServiceHost();
--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -108,7 +108,7 @@
         if (events.some(event => this.#isOwnRemoval(event))) {
             this.#ownRemovalTime = this.#options.clock.getTime();
             this.#record("own-entry-lapsed", { hosts: this.#hosts.size, upstreams: this.#upstreams.size });
-            this.#options.onOwnEntryLapsed();
+            this.#options.onOwnEntryLost();
         }
         events.forEach(event => this.#applyEvent(event));
         this.#publish();
@@ -178,6 +178,11 @@
     }
 
     #applyHost(key: string, member: Member): void {
+        // The store may carry out a write of the process before late, over the entry of this one.
+        if (this.#options.isEarlierEntry(member)) {
+            this.#record("own-entry-replaced", { hosts: this.#hosts.size, upstreams: this.#upstreams.size });
+            this.#options.onOwnEntryLost();
+        }
         this.#isChanged ||= !isDeepStrictEqual(this.#hosts.get(key), member);
         this.#hosts.set(key, member);
     }
--- a/src/supply/SupplyOptions.ts
+++ b/src/supply/SupplyOptions.ts
@@ -12,6 +12,8 @@
     readonly getStoreRegainedTime: () => number;
     /** Whether an entry is this host's own while it is not leaving the fleet. */
     readonly isOwnEntry: (member: Member) => boolean;
-    /** Runs when this host's own entry was removed from the store. */
-    readonly onOwnEntryLapsed: () => void;
+    /** Whether an entry is of an earlier process of this host, while this one is not leaving the fleet. */
+    readonly isEarlierEntry: (member: Member) => boolean;
+    /** Runs when this host's own entry was removed from the store, or replaced by that of an earlier process. */
+    readonly onOwnEntryLost: () => void;
 }
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -7,6 +7,7 @@
 export { formatIncarnation } from "./formatIncarnation.js";
 export { getMixedHash } from "./getMixedHash.js";
 export { getTextHash } from "./getTextHash.js";
+export { isEarlierIncarnation } from "./isEarlierIncarnation.js";
 export { isHeaderValue } from "./isHeaderValue.js";
 export { isTimingSafeEqual } from "./isTimingSafeEqual.js";
 export { openServer } from "./openServer.js";
--- a/tests/platform/restart.test.ts
+++ b/tests/platform/restart.test.ts
@@ -6,6 +6,7 @@
 
 const ACCOUNT = { priority: 0, rate_per_s: 34, burst: 34 };
 const REQUESTS = 20;
+const ENTRY_KEY = "fuchsiapath/hosts/edge-0";
 
 const test = suite("a restarted entry host");
 const fleet = new EdgeFleet();
@@ -14,6 +15,21 @@
 
 test.after(() => fleet.stop());
 
+// Guards against a restarted host without callers: the store carried out a write of the process before, and its entry stayed for 30 s.
+test("puts its entry back when a write of the process before comes late", async () => {
+    const [host] = fleet.hosts;
+    const earlier = readEntry();
+    await host!.stop();
+    await host!.start();
+    await fleet.waitUntil(async () =>
+        ![earlier, ""].includes(readEntry()) && await fleet.isReady(host!).catch(() => false)
+    );
+    fleet.store.write(ENTRY_KEY, earlier);
+    assert.is(readEntry(), earlier);
+    await fleet.waitUntil(async () => readEntry() !== earlier);
+    await fleet.waitUntil(async () => (await fleet.findAddresses(host!)).length === 1);
+});
+
 test("serves neither a withdrawn key nor an upstream that has left from an old copy of the store", async () => {
     const [host] = fleet.hosts;
     assert.is((await fleet.send(host!, "/lookup/1")).status, 200);
@@ -44,3 +60,7 @@
 });
 
 test.run();
+
+function readEntry(): string {
+    return fleet.store.findValue(ENTRY_KEY) ?? "";
+}
--- a/tests/supply/Supply.test.ts
+++ b/tests/supply/Supply.test.ts
@@ -6,10 +6,15 @@
 import { DecisionHistory } from "../../src/logging/index.js";
 import { StoreItemKind, Supply } from "../../src/supply/index.js";
 import type { StoreItem } from "../../src/supply/index.js";
+import { formatIncarnation, isEarlierIncarnation } from "../../src/utils/index.js";
 
 /** The platform's bound for entries that expired during a store outage to be registered again, with a margin, in milliseconds. */
 const REGISTRATION_BOUND_MS = 2_200;
 
+/** When this host's process was started, in milliseconds of the wall clock. */
+const OWN_START = 1_000;
+const OWN_INCARNATION = formatIncarnation(OWN_START, "a");
+
 const test = suite("Supply");
 let clock: FakeClock;
 let decisions: DecisionHistory;
@@ -32,7 +37,8 @@
         decoder: { decode: (_, value) => items.get(value)! },
         getStoreRegainedTime: () => regainedTime,
         isOwnEntry: ({ id }) => id === "own",
-        onOwnEntryLapsed: () => ownRemovals++,
+        isEarlierEntry: ({ id, incarnation }) => id === "own" && isEarlierIncarnation(incarnation, OWN_INCARNATION),
+        onOwnEntryLost: () => ownRemovals++,
     });
     write("configuration", createDocument(1));
 });
@@ -93,6 +99,18 @@
     assert.is(supply.getConfiguration()!.version, 10);
 });
 
+// Guards against a restarted host without callers: an answer was lost, and the store put its old entry back for 30 s.
+test("an earlier process's entry that is written late over this process's own is noticed, and no other entry is", () => {
+    write("own", createHost("own", OWN_START));
+    write("h1", createHost("h1", OWN_START - 1));
+    assert.is(ownRemovals, 0);
+    write("own", createHost("own", OWN_START - 1));
+    assert.is(ownRemovals, 1);
+    write("own", createHost("own", OWN_START));
+    write("own", createHost("own", OWN_START + 1));
+    assert.is(ownRemovals, 1);
+});
+
 test("an entry of another writer that can't be decoded removes the upstream", () => {
     write("u1", createUpstream());
     write("u1", { kind: StoreItemKind.Invalid, reason: "no address" });
@@ -178,8 +196,9 @@
     return { kind: StoreItemKind.Upstream, service: "orders", sequence, startTime, upstream };
 }
 
-function createHost(id: string): StoreItem {
-    const member = { id, region: "r", zone: "a", peerAddress: "", callerAddress: "", incarnation: "1" };
+function createHost(id: string, startTime = OWN_START): StoreItem {
+    const incarnation = formatIncarnation(startTime, "a");
+    const member = { id, region: "r", zone: "a", peerAddress: "", callerAddress: "", incarnation };
     return { kind: StoreItemKind.Host, member };
 }
 
--- a/tests/supply/evacuatedZones.test.ts
+++ b/tests/supply/evacuatedZones.test.ts
@@ -30,7 +30,8 @@
         decoder: { decode: (_, value) => items.get(value)! },
         getStoreRegainedTime: () => Number.NEGATIVE_INFINITY,
         isOwnEntry: () => false,
-        onOwnEntryLapsed: () => {},
+        isEarlierEntry: () => false,
+        onOwnEntryLost: () => {},
     });
     write("configuration", createDocument());
     write("u1", createUpstream("u1", "a"));
