Check an operators' document for entries that reach nothing, and against the one in force

Operators who wrote a document to the store saw after it was in force that a route was hidden, that a target was above its time limit, or that a quota had been lowered; fuchsiapath-check-platform printed only what hosts can't serve.

The logic is src/configuration/review, in the product's words; the adapter names the tables. Lines now begin with their kind.

--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -31,6 +31,7 @@
 export { KeylessOrderPolicy } from "./KeylessOrderPolicy.js";
 export { parseDocument } from "./parseDocument.js";
 export { parseJson } from "./parseJson.js";
+export { type ConfigurationRemark, ConfigurationTable, findChanges, findWarnings } from "./review/index.js";
 export type { Route } from "./Route.js";
 export { RouteAccess } from "./RouteAccess.js";
 export { RouteKind } from "./RouteKind.js";
--- /dev/null
+++ b/src/configuration/review/ConfigurationTable.ts
@@ -0,0 +1,6 @@
+/** The tables of a configuration whose entries have names. */
+export enum ConfigurationTable {
+    Accounts = "accounts",
+    Routes = "routes",
+    Services = "services",
+}
