--- a/src/configuration/review/findChanges.ts
+++ b/src/configuration/review/findChanges.ts
@@ -66,7 +66,7 @@
     const added = [...next!].filter(key => !old!.has(key)).length;
     const withdrawn = [...old!].filter(key => !next!.has(key)).length;
     return [
-        ...(added === 0 ? [] : [`${added} keys added`]),
-        ...(withdrawn === 0 ? [] : [`${withdrawn} keys withdrawn`]),
+        ...(added === 0 ? [] : [`keys added: ${added}`]),
+        ...(withdrawn === 0 ? [] : [`keys withdrawn: ${withdrawn}`]),
     ];
 }
