Count a request once towards the retry budget of its service

Cause, one of two: a part of a service that refuses a request for lack of room has granted its budget a share for it, and so has each further part that the request is then offered to. Under overload one request was granted up to as many shares as the service has parts.

Now a request that was refused so says that it was counted, and later parts add nothing for it. RetryBudget.test.ts and fleetRetries.test.ts: one test each, both failed before.

--- a/src/accounts/DispatchAttempt.ts
+++ b/src/accounts/DispatchAttempt.ts
@@ -8,6 +8,8 @@
     readonly part: Pick<ServicePart, "key" | "zone" | "index">;
     /** Number of upstreams that earlier attempts sent, or may have sent, the request to. */
     readonly sentBefore: number;
+    /** Whether a part has refused it for lack of room, and counted it towards its retry budget. */
+    readonly isCounted: boolean;
     /** Names of those upstreams, as far as they are known. */
     readonly excludedUpstreams: readonly string[];
     /** Whether the loads of the service's parts are known from a recent answer. */
--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -34,6 +34,8 @@
     readonly excludedUpstreams: string[];
     /** Number of upstreams that it was, or may have been, sent to. */
     sent: number;
+    /** Whether a part has refused it for lack of room, and counted it towards its retry budget. */
+    isCounted: boolean;
     /** Keys of the parts whose service host was lost while it had the request. */
     readonly lostHostParts: Set<string>;
     /** The answer or unknown outcome of an earlier attempt. If it is set, the request must not be reported as not run. */
@@ -79,6 +81,7 @@
             shedParts: new Set(),
             excludedUpstreams: [],
             sent: 0,
+            isCounted: false,
             lostHostParts: new Set(),
             earlierOutcome: undefined,
         };
@@ -122,6 +125,7 @@
             number: attempt,
             part,
             sentBefore: state.sent,
+            isCounted: state.isCounted,
             excludedUpstreams: state.excludedUpstreams,
             hasRecentLoads: this.#parts.hasRecentLoads(call.service.name),
             isLast: attempt === MAX_ATTEMPTS || state.sent + 1 >= getMaxUpstreams(call),
@@ -166,6 +170,7 @@
             state.excludedUpstreams.push(upstream);
         }
         if (outcome.kind === OutcomeKind.NotRun) {
+            state.isCounted ||= outcome.reason === RefusalReason.Overloaded;
             const parts = upstream === undefined ? state.excludedParts : state.shedParts;
             parts.add(part.key);
         }
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -251,7 +251,7 @@
 
     #createRequest(call: DispatchCall, attempt: DispatchAttempt): ServiceRequest {
         const { method, path, headers, body } = call.request;
-        const { number, part, sentBefore, excludedUpstreams, hasRecentLoads, isLast } = attempt;
+        const { number, part, sentBefore, isCounted, excludedUpstreams, hasRecentLoads, isLast } = attempt;
         const requestId = number === 1 ? call.request.requestId : `${call.request.requestId}.${number}`;
         const timeoutMs = Math.max(0, call.deadline - this.#options.clock.getTime());
         const { account, isIdempotent } = call;
@@ -275,6 +275,7 @@
             ...(targetMs === undefined ? {} : { targetMs }),
             ...(isIdempotent && !isLast ? { hasOtherAttempt: true } : {}),
             ...(hasRecentLoads ? { hasRecentLoads } : {}),
+            ...(isCounted ? { isCounted } : {}),
             sentBefore,
             excludedUpstreams: [...excludedUpstreams],
         };
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -29,6 +29,8 @@
     readonly hasOtherAttempt?: boolean;
     /** Whether the sender knows the recent loads of the service's parts, so that the answer need not repeat them. */
     readonly hasRecentLoads?: boolean;
+    /** Whether another part of the service has refused it for lack of room, and counted it towards its retry budget. */
+    readonly isCounted?: boolean;
     /** Number of upstreams that the request was, or may have been, sent to before. */
     readonly sentBefore: number;
     /** The names of those upstreams, as far as they are known. */
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -307,7 +307,7 @@
             return createNotRun(RefusalReason.Overloaded, detail, Math.ceil(this.#selector.getPauseMs()));
         }
         if (request.sentBefore === 0) {
-            this.#budget.grant(this.#service.retryBudget, this.#getRetryRate());
+            this.#budget.grant(request.isCounted === true ? 0 : this.#service.retryBudget, this.#getRetryRate());
         }
         else if (!this.#budget.spend(request.priority)) {
             return createNotRun(RefusalReason.RetryBudgetSpent, "The service's retry budget is spent.");
--- a/tests/accounts/ServiceSender.test.ts
+++ b/tests/accounts/ServiceSender.test.ts
@@ -17,7 +17,15 @@
 const { detection: DETECTION } = GATEWAY_SERVICE_DEFAULTS;
 const HOST_IDS = Array.from({ length: HOSTS }, (_, index) => createMember(index).id);
 const PART = { key: "zone-a", zone: "zone-a", index: 0 };
-const ATTEMPT = { number: 1, part: PART, sentBefore: 0, excludedUpstreams: [], hasRecentLoads: false, isLast: false };
+const ATTEMPT = {
+    number: 1,
+    part: PART,
+    sentBefore: 0,
+    isCounted: false,
+    excludedUpstreams: [],
+    hasRecentLoads: false,
+    isLast: false,
+};
 
 const test = suite("ServiceSender");
 let clock: FakeClock;
--- a/tests/accounts/fleetRetries.test.ts
+++ b/tests/accounts/fleetRetries.test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { OutcomeKind } from "../../src/outcomes/index.js";
+import type { ServiceRequest } from "../../src/services/index.js";
 import { DispatchBench } from "../support/DispatchBench.js";
 import { runClockUntil } from "../support/runClockUntil.js";
 
@@ -34,6 +35,29 @@
     assert.ok(retries <= RETRY_SHARE * requests + RETRY_SLACK, `${retries} retries of ${requests} requests`);
 });
 
+test("a request that a part refuses for lack of room is sent to the next ones as counted", async () => {
+    const bench = new DispatchBench({
+        hosts: 3,
+        upstreamsPerZone: 1,
+        serviceTimeMs: 1_000,
+        service: { queuePerSlot: 0 },
+    });
+    const requests: ServiceRequest[] = [];
+    bench.hosts.forEach(({ serviceHost }) => {
+        const run = serviceHost.run.bind(serviceHost);
+        serviceHost.run = (request, signal) => {
+            requests.push(request);
+            return run(request, signal);
+        };
+    });
+    const outcomes = Array.from({ length: 30 }, () => bench.run(0, MAX_ATTEMPTS));
+    await bench.clock.run(END_MS);
+    await Promise.all(outcomes);
+    const unsent = requests.filter(({ sentBefore }) => sentBefore === 0);
+    assert.ok(unsent.some(({ isCounted }) => isCounted === true));
+    assert.equal(unsent.filter(({ requestId, isCounted }) => (isCounted === true) !== requestId.includes(".")), []);
+});
+
 test("a lookup whose service host is lost is retried by the host that received it, with its own, unused pool", async () => {
     const bench = new DispatchBench({ hosts: HOSTS, serviceTimeMs: SERVICE_TIME_MS });
     const { zone } = bench.hosts[0]!.membership.getSelf();
--- a/tests/services/RetryBudget.test.ts
+++ b/tests/services/RetryBudget.test.ts
@@ -4,6 +4,7 @@
 import { OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
 import { SeededRandom } from "../../src/random/index.js";
 import { RetryBudget } from "../../src/services/index.js";
+import type { ServiceAnswer, ServiceRequest } from "../../src/services/index.js";
 
 const RATES = [14, 49, 22];
 const SHED_SHARE = 0.55;
@@ -44,8 +45,35 @@
     await running;
 });
 
+// Guards against more retries than the budget allows: each part that had no room granted the same request its share again.
+test("a request that another part has counted adds nothing to the budget", async () => {
+    const bench = new ServiceBench({ upstreams: 1, slots: 5, service: { queuePerSlot: 0, retryBudget: SHARE } });
+    const isRetryGranted = async (): Promise<boolean> => {
+        const { outcome } = await sendAndRun(bench, { sentBefore: 1 });
+        return outcome.kind === OutcomeKind.Done;
+    };
+    for (let index = 0; index < BURST; index++) {
+        assert.ok(await isRetryGranted());
+    }
+    assert.not(await isRetryGranted());
+    for (let index = 0; index < 50; index++) {
+        await sendAndRun(bench, { isCounted: true });
+    }
+    assert.not(await isRetryGranted());
+    for (let index = 0; index < 1 / SHARE; index++) {
+        await sendAndRun(bench, {});
+    }
+    assert.ok(await isRetryGranted());
+});
+
 test.run();
 
+async function sendAndRun(bench: ServiceBench, request: Partial<ServiceRequest>): Promise<ServiceAnswer> {
+    const answer = bench.send(request);
+    await bench.clock.run(100);
+    return await answer;
+}
+
 /** Returns the granted and refused retries by priority, and the times of the granted ones. */
 async function runSheds(
     shedShare: number,
