Derive the burst of a retry budget from the slack that operators allow

Cause, the second one: each part of a service could grant ten retries at once whatever the slack. With a slack of 25 in 10 s and three parts, 0.4 of the slack as a rate and three full buckets are 40.

Now 0.6 of the slack, divided among the parts, bounds the bucket, ten at most and four at least, which a trial needs.

--- a/src/configuration/Service.ts
+++ b/src/configuration/Service.ts
@@ -11,6 +11,8 @@
     readonly retryBudget: number;
     /** Additional retries allowed per second across the whole fleet; none if undefined. */
     readonly retryRate?: number;
+    /** Retries that the fleet may grant at once beyond these, all parts of the service together; no limit if undefined. */
+    readonly retryBurst?: number;
     /** Longest queue per upstream slot, in requests. */
     readonly queuePerSlot: number;
     /** Requests per second that a cold upstream accepts from all hosts together; no limit if undefined. */
--- a/src/gateway/createServiceDefaults.ts
+++ b/src/gateway/createServiceDefaults.ts
@@ -16,5 +16,6 @@
         floor,
         retryBudget,
         retryRate: RETRY_RATE_SHARE * retrySlack / retryWindowSeconds,
+        retryBurst: (1 - RETRY_RATE_SHARE) * retrySlack,
     };
 }
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -82,7 +82,7 @@
         this.#service = service;
         this.#part = part;
         this.#options = options;
-        this.#budget = new RetryBudget(clock, options.getRetryShare);
+        this.#budget = new RetryBudget(clock, options.getRetryShare, () => this.#getRetryBurst());
         this.baseline = new ServiceBaseline(clock);
         this.#servedShare = new ServedShare(clock);
         this.unservedRate = new UnservedRateMonitor(clock);
@@ -364,7 +364,16 @@
 
     /** Gets the part's share of the service's retry rate, per second: all parts have equal shares. */
     #getRetryRate(): number {
-        return (this.#service.retryRate ?? 0) / Math.max(1, getServiceParts(this.#service).length);
+        return (this.#service.retryRate ?? 0) / this.#getPartCount();
+    }
+
+    /** Gets the part's share of the retries that the service may grant at once. */
+    #getRetryBurst(): number {
+        return (this.#service.retryBurst ?? Number.POSITIVE_INFINITY) / this.#getPartCount();
+    }
+
+    #getPartCount(): number {
+        return Math.max(1, getServiceParts(this.#service).length);
     }
 
     /** A part without a recent load report counts as having free slots, unless its upstreams are cold. */
--- a/src/services/queue/RetryBudget.ts
+++ b/src/services/queue/RetryBudget.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "../../time/index.js";
 
-/** Capacity of the token bucket of a budget that is not shared, in retries. */
+/** Largest capacity of the token bucket of a budget that is not shared, in retries. */
 const MAX_TOKENS = 10;
 const RETRY_COST = 1;
 /** Tokens that are reserved for retries of failures other than those of trials. */
@@ -15,16 +15,19 @@
 export class RetryBudget {
     readonly #clock: Clock;
     readonly #getShare: () => number;
+    readonly #getBurst: () => number;
     #tokens: number;
     #time: number;
 
     /**
      * @param clock - The source of time.
      * @param getShare - Gets this budget's share of the bucket and of the retry rate, from 0 to 1.
+     * @param getBurst - Gets how many retries all that share the budget may grant at once.
      */
-    constructor(clock: Clock, getShare: () => number = () => 1) {
+    constructor(clock: Clock, getShare: () => number = () => 1, getBurst: () => number = () => MAX_TOKENS) {
         this.#clock = clock;
         this.#getShare = getShare;
+        this.#getBurst = getBurst;
         this.#tokens = this.#getMaxTokens();
         this.#time = clock.getTime();
     }
@@ -41,9 +44,10 @@
         this.#time = now;
     }
 
-    /** A share that is too small for a whole retry still allows one. */
+    /** A share that is too small for a whole retry still allows one, and a burst that is too small for a trial still allows one. */
     #getMaxTokens(): number {
-        return Math.max(RETRY_COST, MAX_TOKENS * this.#getShare());
+        const burst = Math.min(MAX_TOKENS, Math.max(RESERVED_RETRIES + RETRY_COST, this.#getBurst()));
+        return Math.max(RETRY_COST, burst * this.#getShare());
     }
 
     /** Whether a retry is left above the reserve, for an idempotent request that is a trial of a faulty upstream. */
