--- a/tests/platform/crowds/endlessAnswers.test.ts
+++ b/tests/platform/crowds/endlessAnswers.test.ts
@@ -26,12 +26,12 @@
 test("fill no memory, and requests of other services are answered", async () => {
     upstreams.forEach((upstream, id) => (upstream.answer = id.startsWith("i-books") ? LONG_ANSWER : undefined));
     await runRounds();
-    const usual = fleet.hosts.map(getPeakMemory);
+    const usual = fleet.hosts.map(host => getPeakMemory(host)!);
     upstreams.forEach((upstream, id) => {
         upstream.endlessChunkIntervalMs = id.startsWith("i-books") ? 0 : undefined;
     });
     await runRounds();
-    const peaks = fleet.hosts.map(getPeakMemory);
+    const peaks = fleet.hosts.map(host => getPeakMemory(host)!);
     console.log(`peaks ${usual.join()} and ${peaks.join()} bytes`);
     peaks.forEach((peak, index) => assert.ok(peak <= MAX_GROWTH * usual[index]!, `${peak} after ${usual[index]}`));
     await fleet.waitUntil(async () => [...upstreams.values()].every(upstream => upstream.openEndlessResponses === 0));
--- a/tests/platform/crowds/endlessRefusals.test.ts
+++ b/tests/platform/crowds/endlessRefusals.test.ts
@@ -36,7 +36,7 @@
 test("fill no memory, and requests of other services are answered", async () => {
     await runRefused(UpstreamFaultMode.Shedding);
     await runRefused(UpstreamFaultMode.Shedding);
-    const usual = fleet.hosts.map(getPeakMemory);
+    const usual = fleet.hosts.map(host => getPeakMemory(host)!);
     await runRefused(UpstreamFaultMode.SheddingWithoutEnd);
     checkPeaks(usual);
     upstreams.forEach(upstream => (upstream.selectFault = () => UpstreamFaultMode.None));
@@ -53,7 +53,7 @@
     }
     await runRefused(UpstreamFaultMode.Shedding);
     await runRefused(UpstreamFaultMode.Shedding);
-    const usual = fleet.hosts.map(getPeakMemory);
+    const usual = fleet.hosts.map(host => getPeakMemory(host)!);
     await runRefused(UpstreamFaultMode.SheddingWithoutEnd);
     checkPeaks(usual);
 });
@@ -78,7 +78,7 @@
 }
 
 function checkPeaks(usual: readonly number[]): void {
-    const peaks = fleet.hosts.map(getPeakMemory);
+    const peaks = fleet.hosts.map(host => getPeakMemory(host)!);
     console.log(`peaks ${usual.join()} and ${peaks.join()} bytes`);
     peaks.forEach((peak, index) => assert.ok(peak <= MAX_GROWTH * usual[index]!, `${peak} after ${usual[index]}`));
 }
--- a/tests/platform/support/CrowdBench.ts
+++ b/tests/platform/support/CrowdBench.ts
@@ -1,4 +1,4 @@
-import { readdirSync, readFileSync } from "node:fs";
+import { readdirSync } from "node:fs";
 import { setTimeout as wait } from "node:timers/promises";
 import * as assert from "uvu/assert";
 import { createDocument } from "./createDocument.js";
@@ -6,6 +6,7 @@
 import type { CrowdConnection } from "./Crowd.js";
 import { EdgeFleet } from "./EdgeFleet.js";
 import type { EdgeProcess } from "./EdgeProcess.js";
+import { getPeakMemory } from "./getPeakMemory.js";
 
 /** Memory of a machine, in bytes: some 90 MB above what a host needs without requests. */
 const MEMORY_BYTES = 200_000_000;
@@ -20,7 +21,6 @@
 const PRESS_MS = 6_000;
 /** Time between two counts of descriptors, in milliseconds. */
 const SAMPLE_MS = 100;
-const BYTES_PER_KB = 1_024;
 const BYTES_PER_MEGABYTE = 1_000_000;
 
 /** Two hosts with the memory of small machines, and a crowd at the first of them. */
@@ -106,10 +106,3 @@
         assert.ok(this.#maxDescriptors < MAX_DESCRIPTORS, `descriptors ${this.#maxDescriptors}`);
     }
 }
-
-/** Gets the most memory that a process has had, in bytes; undefined if it has ended. */
-function getPeakMemory(host: EdgeProcess): number | undefined {
-    const id = host.getProcessId();
-    const line = id === undefined ? undefined : /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${id}/status`, "utf8"));
-    return line === undefined || line === null ? undefined : Number(line[1]) * BYTES_PER_KB;
-}
