Log why nothing came of the retry of a request that may have run

A caller whose lookup was given up got 502; its host logged "retried" and, some milliseconds later, the outcome of the attempt before. What the next attempt met stood in the log of another host, if that has a line for it at all: a service host refuses as stopping, cut off or without upstreams without one. The caller's host now logs "retry-refused" with the member, its reason and the time left, "no-part" if there was none to ask. Only attempts after one that may have run are logged, so that an overload doesn't fill the log.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -90,6 +90,7 @@
         for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
             const next = await this.#runAttempt(call, state, attempt, signal);
             if (next === undefined) {
+                this.#recordRefusedRetry(call, state, attempt, "no-part");
                 break;
             }
             outcome = next.outcome;
@@ -130,6 +131,10 @@
             hasRecentLoads: this.#parts.hasRecentLoads(call.service.name),
             isLast: attempt === MAX_ATTEMPTS || state.sent + 1 >= getMaxUpstreams(call),
         }, signal);
+        if (answer.outcome.kind === OutcomeKind.NotRun) {
+            const { reason, detail } = answer.outcome;
+            this.#recordRefusedRetry(call, state, attempt, reason, { member: answer.host?.id, detail });
+        }
         const isSent = isPossiblySent(answer);
         state.sent += isSent ? 1 : 0;
         await this.#recordAnswer(call, part, answer, state);
@@ -223,6 +228,29 @@
         return budget;
     }
 
+    /** Tells why nothing came of a retry; the service host that refuses it need not have a line on it. */
+    #recordRefusedRetry(
+        call: DispatchCall,
+        { earlierOutcome }: DispatchState,
+        attempt: number,
+        reason: string,
+        { member, detail }: { readonly member?: string | undefined; readonly detail?: string; } = {},
+    ): void {
+        if (earlierOutcome === undefined) {
+            return;
+        }
+        this.#options.decisionLog.record({
+            decision: Decision.RetryRefused,
+            reason,
+            requestId: call.request.requestId,
+            account: call.account,
+            service: call.service.name,
+            ...(member === undefined ? {} : { member }),
+            ...(detail === undefined ? {} : { detail }),
+            figures: { attempt, remainingMs: Math.round(call.deadline - this.#options.clock.getTime()) },
+        });
+    }
+
     #createNoPart(): Outcome {
         return createNotRun(
             RefusalReason.NoUpstream,
--- a/src/explanation/getAttemptNumber.ts
+++ b/src/explanation/getAttemptNumber.ts
@@ -1,6 +1,9 @@
 import { Decision } from "../logging/index.js";
 import type { LoggedDecision } from "./LoggedDecision.js";
 
+/** Decisions of the caller's host, which names the attempt beside the request's own id. */
+const DISPATCHER_DECISIONS: ReadonlySet<Decision> = new Set([Decision.Retried, Decision.RetryRefused]);
+
 /**
  * Gets the number of the attempt that a decision belongs to, from 1; undefined if the decision does not hold it.
  * @param decision - The decision.
@@ -8,7 +11,7 @@
  */
 export function getAttemptNumber(decision: LoggedDecision, requestId: string): number | undefined {
     const attempt = decision.figures?.["attempt"];
-    if (decision.decision === Decision.Retried && typeof attempt === "number") {
+    if (DISPATCHER_DECISIONS.has(decision.decision) && typeof attempt === "number") {
         return attempt;
     }
     if (decision.service === undefined) {
--- a/src/logging/Decision.ts
+++ b/src/logging/Decision.ts
@@ -4,6 +4,8 @@
     Refused = "refused",
     Dispatched = "dispatched",
     Retried = "retried",
+    /** No other attempt came of a retry, so that the outcome of the attempt before it stands. */
+    RetryRefused = "retry-refused",
     Answered = "answered",
     OutcomeUnknown = "outcome-unknown",
     Ejected = "ejected",
--- a/tests/support/DispatchBench.ts
+++ b/tests/support/DispatchBench.ts
@@ -49,13 +49,14 @@
 export class DispatchBench {
     readonly clock = new FakeClock();
     readonly network = new FakeNetwork(this.clock);
+    /** The decisions of all hosts. */
+    readonly decisions = new DecisionHistory(this.clock);
     readonly upstreams: FakeUpstreams;
     readonly hosts: readonly DispatchHost[];
     /** The service as the hosts that send requests know it. */
     service: Service;
     readonly #options: DispatchBenchOptions;
     readonly #members: readonly Member[];
-    readonly #decisions = new DecisionHistory(this.clock);
     #nextRequest = 0;
 
     /** @param options - The hosts and the upstreams. */
@@ -128,7 +129,7 @@
             ...shared,
             transport: this.#createUpstreamTransport(index),
             peers: network.createTransport(member.peerAddress),
-            decisions: this.#decisions,
+            decisions: this.decisions,
             policy: EjectionPolicy.Prompt,
         });
         applyService(serviceRunner, this.service);
@@ -145,7 +146,7 @@
             forwarder: network.createForwarder(member.peerAddress),
             serviceRunner,
             notices: serviceRunner.notices,
-            decisionLog: this.#decisions,
+            decisionLog: this.decisions,
             waitsUntilDeadline: true,
             isLocalFallbackEnabled: true,
         };
