Send an overdue lookup to a second upstream beside the first, not instead of it

Cause: a service host ended a running attempt after 0.6 of the time left or 2.5 usual times, on the strength of its own retry budget, queue and slots. The next attempt was a matter of another host: it selected a part again and was refused there (in the traced case by the zone's other part, whose budget was spent; that refusal is no reason to ask a third one), or started with too little time left. The class: running work is given up before what replaces it is certain. The first-byte limit did the same: a slow answer on a connection that was not silent was cut for one more try at the same upstream.

The fix: HedgedRunner claims the retry and a slot of another upstream of the part in one step, and both attempts run; the first answer is used, and only that ends the other (AttemptRace). Without a free slot or retry the first attempt goes on. The first-byte limit sends once more on a new connection beside the first attempt. What is overdue still counts against its upstream at the same time as before, but an attempt that is answered then is also a success. "superseded" replaces "overdue" in the log; the answer of a service host names all upstreams that were tried, so that the route's limit and the exclusion of upstreams hold.

tests/services/silentConnections.test.ts, "a lookup whose answer is slower than the first-byte limit...": 5 upstreams 30 times as slow as learned, 5 s to the deadline: fails before, passes now.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -136,7 +136,9 @@
             this.#recordRefusedRetry(call, state, attempt, reason, { member: answer.host?.id, detail });
         }
         const isSent = isPossiblySent(answer);
-        state.sent += isSent ? 1 : 0;
+        const otherUpstreams = answer.otherUpstreams ?? [];
+        state.sent += (isSent ? 1 : 0) + otherUpstreams.length;
+        state.excludedUpstreams.push(...otherUpstreams);
         await this.#recordAnswer(call, part, answer, state);
         return { outcome: answer.outcome, isSent };
     }
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -10,6 +10,7 @@
 export { StoreLimitError } from "./StoreLimitError.js";
 export { StoreUnavailableError } from "./StoreUnavailableError.js";
 export { StoreValueError } from "./StoreValueError.js";
+export { SupersededError } from "./SupersededError.js";
 export { TooManyConflictsError } from "./TooManyConflictsError.js";
 export { TruncatedAnswerError } from "./TruncatedAnswerError.js";
 export { UnexpectedVariantError } from "./UnexpectedVariantError.js";
--- a/src/forwarding/HttpPeerForwarder.ts
+++ b/src/forwarding/HttpPeerForwarder.ts
@@ -39,10 +39,11 @@
         const { body, ...head } = request;
         const answer = await this.#send(address, { kind: PeerRequestKind.Service, request: head }, body, signal);
         const answerHead = this.#getAnswerHead(address, answer);
-        const { capacity, usualMs } = answerHead;
+        const { capacity, usualMs, otherUpstreams } = answerHead;
         return {
             outcome: createOutcome(answerHead.outcome, answer.body),
             upstream: answerHead.upstream,
+            ...(otherUpstreams === undefined ? {} : { otherUpstreams }),
             isCrashSuspected: answerHead.isCrashSuspected ?? false,
             freeSlots: answerHead.freeSlots ?? 0,
             queued: answerHead.queued ?? 0,
--- a/src/forwarding/PeerAnswerHead.ts
+++ b/src/forwarding/PeerAnswerHead.ts
@@ -5,6 +5,7 @@
 export interface PeerAnswerHead {
     readonly outcome: OutcomeHead;
     readonly upstream?: string;
+    readonly otherUpstreams?: readonly string[];
     readonly isCrashSuspected?: boolean;
     readonly freeSlots?: number;
     readonly queued?: number;
--- a/src/services/ServiceAnswer.ts
+++ b/src/services/ServiceAnswer.ts
@@ -6,9 +6,11 @@
 /** A service host's answer to one attempt. */
 export interface ServiceAnswer {
     readonly outcome: Outcome;
-    /** The name of the upstream that was tried last. */
+    /** The name of the upstream that was tried last; of several that were tried side by side, the one with the outcome. */
     readonly upstream: string | undefined;
-    /** Whether the connection was lost while that upstream ran the request, as in a crash. */
+    /** The names of the others that were tried beside it, if any. */
+    readonly otherUpstreams?: readonly string[];
+    /** Whether the connection was lost while one of these upstreams ran the request, as in a crash. */
     readonly isCrashSuspected: boolean;
     /** Free slots on the upstreams of the service host's part. */
     readonly freeSlots: number;
--- a/src/services/detection/AttemptRecorder.ts
+++ b/src/services/detection/AttemptRecorder.ts
@@ -15,13 +15,12 @@
 const LATENCY_KINDS: ReadonlySet<UpstreamAnswerKind> = new Set([
     UpstreamAnswerKind.Answered,
     UpstreamAnswerKind.TimedOut,
-    UpstreamAnswerKind.Overdue,
 ]);
 /** Results that show no more than slowness, which is usual while an upstream is cold. */
 const SLOW_KINDS: ReadonlySet<UpstreamAnswerKind> = new Set([
     UpstreamAnswerKind.TimedOut,
-    UpstreamAnswerKind.Overdue,
     UpstreamAnswerKind.Aborted,
+    UpstreamAnswerKind.Superseded,
 ]);
 
 /** Records the results of attempts as health observations of their upstreams. */
--- a/src/services/detection/createObservation.ts
+++ b/src/services/detection/createObservation.ts
@@ -44,7 +44,6 @@
         case UpstreamAnswerKind.Shed:
             return create(ObservationKind.Shed, "load shed");
         case UpstreamAnswerKind.TimedOut:
-        case UpstreamAnswerKind.Overdue:
             return latencyMs >= minWaitMs
                 ? create(ObservationKind.Failure, `no first byte within ${Math.round(latencyMs)} ms`)
                 : create(ObservationKind.Cancelled, "a short deadline passed");
@@ -52,6 +51,8 @@
             return create(ObservationKind.Lost, answer.detail);
         case UpstreamAnswerKind.Aborted:
             return create(ObservationKind.Cancelled, "the caller left");
+        case UpstreamAnswerKind.Superseded:
+            return create(ObservationKind.Cancelled, "another attempt has answered");
         default:
             throw new UnexpectedVariantError(answer);
     }
--- a/src/services/exchange/AttemptRunner.ts
+++ b/src/services/exchange/AttemptRunner.ts
@@ -1,32 +1,29 @@
 import type { Upstream } from "../../configuration/index.js";
 import { Decision } from "../../logging/index.js";
 import type { DecisionLog } from "../../logging/index.js";
-import type { Clock, StallMeter } from "../../time/index.js";
+import type { Clock, ScheduledCall, StallMeter } from "../../time/index.js";
+import { AttemptRace } from "../../utils/index.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
-import type { AttemptPatience } from "./AttemptPatience.js";
 import type { AttemptRunnerOptions } from "./AttemptRunnerOptions.js";
 import type { FirstByteLimit } from "./FirstByteLimit.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 import type { UpstreamTransport } from "./UpstreamTransport.js";
 
+/** Results that prove that the request did not run. */
+const NOT_RUN_KINDS: ReadonlySet<UpstreamAnswerKind> = new Set([
+    UpstreamAnswerKind.ConnectFailed,
+    UpstreamAnswerKind.NotSendable,
+    UpstreamAnswerKind.Shed,
+]);
+
 /** Default time after the deadline in which the response to a request that is not idempotent is still received and stored. */
 const DEFAULT_LATE_ANSWER_MS = 30_000;
 
-/** Time after which an overdue attempt is checked again if no other upstream could take the request, in milliseconds. */
-const OVERDUE_CHECK_MS = 100;
-
-/** Time limits of an attempt, in milliseconds of the clock. */
-interface AttemptTimes {
-    /** When the first byte of the response is due. */
-    readonly first: number;
-    /** When the whole response is due; no limit if undefined. */
-    readonly whole: number | undefined;
-    /** The deadline that is sent to the upstream. */
-    readonly deadline: number;
-}
-
-/** Sends requests to upstreams; an idempotent one is retried once on a new connection after a learned first-byte limit. */
+/**
+ * Sends requests to upstreams. An idempotent one without an answer within a learned first-byte limit is sent once more on a new
+ * connection, beside the first, as only that connection may be silent.
+ */
 export class AttemptRunner {
     readonly #clock: Clock;
     readonly #transport: UpstreamTransport;
@@ -53,7 +50,8 @@
      * @param limit - The first-byte limit learned for the service.
      * @param spendRetry - Spends a retry from the service's budget; returns false if none is left.
      * @param signal - Aborts an idempotent request; a request that is not idempotent continues.
-     * @param patience - When an idempotent request makes way for an attempt at another upstream; at its deadline if undefined.
+     * @param onOverdue - Called with the time waited, in milliseconds, when the upstream has not answered on a new connection either, or
+     * no retry is left; the attempt continues.
      */
     async run(
         upstream: Upstream,
@@ -62,89 +60,66 @@
         limit: FirstByteLimit,
         spendRetry: () => boolean,
         signal: AbortSignal,
-        patience?: AttemptPatience,
+        onOverdue: (waitedMs: number) => void,
     ): Promise<UpstreamAttempt> {
         if (!request.isIdempotent) {
             const neverAborted = new AbortController().signal;
-            const end = deadline + this.#lateAnswerMs;
-            return await this.#send(upstream, request, { first: end, whole: end, deadline }, true, neverAborted);
+            return await this.#send(upstream, request, deadline + this.#lateAnswerMs, deadline, true, neverAborted);
         }
-        if (patience !== undefined) {
-            return await this.#runWithPatience(
-                patience,
-                signal,
-                combined => this.run(upstream, request, deadline, limit, spendRetry, combined),
-            );
-        }
-        const isLimited = this.#clock.getTime() + limit.getLimit() < deadline;
-        const limitTime = isLimited ? this.#clock.getTime() + limit.getLimit() : deadline;
-        const attempt = await this.#send(upstream, request, this.#createTimes(limitTime, deadline), false, signal);
-        if (attempt.answer.kind !== UpstreamAnswerKind.TimedOut || !isLimited || !spendRetry()) {
-            return attempt;
-        }
-        limit.record(attempt.latencyMs);
-        return await this.#retry(
-            upstream,
-            request,
-            this.#createTimes(Math.min(deadline, this.#clock.getTime() + limit.getLimit()), deadline),
-            signal,
-        );
-    }
-
-    async #runWithPatience(
-        { timeoutMs, hasRetry }: AttemptPatience,
-        signal: AbortSignal,
-        run: (signal: AbortSignal) => Promise<UpstreamAttempt>,
-    ): Promise<UpstreamAttempt> {
-        const overdue = new AbortController();
-        const check = (): void => {
-            if (hasRetry()) {
-                overdue.abort(new Error("overdue"));
-                return;
+        const limitMs = limit.getLimit();
+        const start = this.#clock.getTime();
+        const race = new AttemptRace(isAnswered, getPossiblyRun, closeUnused);
+        const add = (isFresh: boolean): void =>
+            race.add(won => this.#send(upstream, request, deadline, deadline, isFresh, AbortSignal.any([signal, won])));
+        add(false);
+        const timers: ScheduledCall[] = [];
+        const schedule = (delayMs: number, run: () => void): void => {
+            if (this.#clock.getTime() + delayMs < deadline) {
+                timers.push(this.#clock.schedule(delayMs, run));
             }
-            timer = this.#clock.schedule(OVERDUE_CHECK_MS, check);
         };
-        let timer = this.#clock.schedule(timeoutMs, check);
-        const attempt = await run(AbortSignal.any([signal, overdue.signal]));
-        timer.cancel();
-        const isOverdue = attempt.answer.kind === UpstreamAnswerKind.Aborted && !signal.aborted;
-        return isOverdue ? { ...attempt, answer: { kind: UpstreamAnswerKind.Overdue } } : attempt;
+        const checkOverdue = (): void => onOverdue(this.#clock.getTime() - start);
+        schedule(limitMs, () => {
+            if (!spendRetry()) {
+                checkOverdue();
+                return;
+            }
+            limit.record(limitMs);
+            this.#recordRetry(upstream, request);
+            this.#transport.closeIdle(upstream);
+            add(true);
+            schedule(limit.getLimit(), checkOverdue);
+        });
+        const attempt = await race.wait();
+        timers.forEach(timer => timer.cancel());
+        return attempt;
     }
 
-    async #retry(
-        upstream: Upstream,
-        request: ServiceRequest,
-        times: AttemptTimes,
-        signal: AbortSignal,
-    ): Promise<UpstreamAttempt> {
-        this.#transport.closeIdle(upstream);
+    #recordRetry(upstream: Upstream, { requestId, account, service }: ServiceRequest): void {
         this.#decisions.record({
             decision: Decision.Retried,
             reason: "silent-connection",
-            requestId: request.requestId,
-            account: request.account,
-            service: request.service,
+            requestId,
+            account,
+            service,
             upstream: upstream.name,
         });
-        return await this.#send(upstream, request, times, true, signal);
-    }
-
-    #createTimes(first: number, deadline: number): AttemptTimes {
-        return { first, whole: this.#endsByDeadline ? deadline : undefined, deadline: first };
     }
 
     async #send(
         upstream: Upstream,
         request: ServiceRequest,
-        { first, whole, deadline }: AttemptTimes,
+        end: number,
+        deadline: number,
         freshConnection: boolean,
         signal: AbortSignal,
     ): Promise<UpstreamAttempt> {
         const start = this.#clock.getTime();
         const stalledBefore = this.#getStalledTime();
+        const isWholeDue = !request.isIdempotent || this.#endsByDeadline;
         const answer = await this.#transport.send(upstream, request, {
-            firstByteTimeoutMs: Math.max(0, first - start),
-            answerTimeoutMs: whole === undefined ? undefined : Math.max(0, whole - start),
+            firstByteTimeoutMs: Math.max(0, end - start),
+            answerTimeoutMs: isWholeDue ? Math.max(0, end - start) : undefined,
             deadlineMs: Math.max(0, deadline - start),
             freshConnection,
             signal,
@@ -157,3 +132,18 @@
         return this.#stallMeter?.getStalledTime() ?? 0;
     }
 }
+
+function isAnswered({ answer }: UpstreamAttempt): boolean {
+    return answer.kind === UpstreamAnswerKind.Answered;
+}
+
+/** An attempt that is proven not to have run proves nothing about the other one. */
+function getPossiblyRun(earlier: UpstreamAttempt, later: UpstreamAttempt): UpstreamAttempt {
+    return NOT_RUN_KINDS.has(later.answer.kind) ? earlier : later;
+}
+
+function closeUnused({ answer }: UpstreamAttempt): void {
+    if (answer.kind === UpstreamAnswerKind.Answered) {
+        answer.body.on("error", () => {}).destroy();
+    }
+}
--- a/src/services/exchange/UpstreamAnswer.ts
+++ b/src/services/exchange/UpstreamAnswer.ts
@@ -20,6 +20,6 @@
         readonly notice?: UpstreamNotice;
     }
     | { readonly kind: UpstreamAnswerKind.TimedOut; }
-    | { readonly kind: UpstreamAnswerKind.Overdue; }
+    | { readonly kind: UpstreamAnswerKind.Superseded; }
     | { readonly kind: UpstreamAnswerKind.ConnectionLost; readonly detail: string; }
     | { readonly kind: UpstreamAnswerKind.Aborted; };
--- a/src/services/exchange/UpstreamAnswerKind.ts
+++ b/src/services/exchange/UpstreamAnswerKind.ts
@@ -10,10 +10,10 @@
     Shed = "shed",
     /** No first byte was received within the limit. */
     TimedOut = "timed-out",
-    /** An idempotent request was given up before its deadline, as it took far longer than usual; another upstream may answer in time. */
-    Overdue = "overdue",
     /** The connection was lost after the request was sent. */
     ConnectionLost = "connection-lost",
     /** The caller disconnected. */
     Aborted = "aborted",
+    /** Another attempt of the request, which ran beside this one, has answered. */
+    Superseded = "superseded",
 }
--- a/src/services/exchange/createOutcome.ts
+++ b/src/services/exchange/createOutcome.ts
@@ -28,7 +28,7 @@
             return createUnknown(UnknownReason.DeadlineExceeded, "The upstream did not answer in time.");
         case UpstreamAnswerKind.ConnectionLost:
             return createUnknown(UnknownReason.ConnectionLost, "The connection to the upstream was lost.");
-        case UpstreamAnswerKind.Overdue:
+        case UpstreamAnswerKind.Superseded:
         case UpstreamAnswerKind.Aborted:
             return createUnknown(UnknownReason.StillRunning, "The request was given up while it ran.");
         default:
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -2,7 +2,7 @@
 import type { Service, ServicePart, Upstream } from "../../configuration/index.js";
 import { Decision } from "../../logging/index.js";
 import type { NotRunOutcome, Outcome } from "../../outcomes/index.js";
-import { createNotRun, OutcomeKind, RefusalReason, UnknownReason } from "../../outcomes/index.js";
+import { createNotRun, OutcomeKind, RefusalReason } from "../../outcomes/index.js";
 import { AttemptRecorder } from "../detection/AttemptRecorder.js";
 import { EjectionPolicy } from "../detection/EjectionPolicy.js";
 import { OutlierDetector } from "../detection/OutlierDetector.js";
@@ -11,12 +11,13 @@
 import { ServiceBaseline } from "../detection/ServiceBaseline.js";
 import { SilentUpstreamMonitor } from "../detection/SilentUpstreamMonitor.js";
 import { UnservedRateMonitor } from "../detection/UnservedRateMonitor.js";
-import type { AttemptPatience } from "../exchange/AttemptPatience.js";
 import { FirstByteLimit } from "../exchange/FirstByteLimit.js";
 import { getPatience } from "../exchange/getPatience.js";
 import { NoticeRecorder } from "../notices/NoticeRecorder.js";
 import type { UpstreamNoticeReport } from "../notices/UpstreamNoticeReport.js";
 import { encodeOutcome } from "../outcomes/encodeOutcome.js";
+import type { HedgedResult } from "../queue/HedgedResult.js";
+import { HedgedRunner } from "../queue/HedgedRunner.js";
 import { RetryBudget } from "../queue/RetryBudget.js";
 import { SlotQueue } from "../queue/SlotQueue.js";
 import { SlotRunner } from "../queue/SlotRunner.js";
@@ -58,7 +59,7 @@
     readonly #limit = new FirstByteLimit();
     readonly #queue: SlotQueue;
     readonly #outlierDetector: OutlierDetector;
-    readonly #runner: SlotRunner;
+    readonly #runner: HedgedRunner;
     readonly #upstreams: UpstreamSet;
     readonly #budget: RetryBudget;
     readonly #silentUpstreamMonitor: SilentUpstreamMonitor;
@@ -118,15 +119,21 @@
             onNotice: (pooled, notice, isSuccess) =>
                 noticeRecorder.record(this.#service.name, pooled.getUpstream(), notice, isSuccess),
         });
-        this.#runner = new SlotRunner({
+        const runner = new SlotRunner({
             ...options,
             recorder,
             limit: this.#limit,
             budget: this.#budget,
             getSlotTime: request => this.#queue.getRouteSlotTime(request),
-            findPatience: (request, deadline) => this.#findPatience(request, deadline),
             onRelease: (pooled, request, use) => this.#release(pooled, request, use),
         });
+        this.#runner = new HedgedRunner({
+            clock,
+            decisions,
+            runner,
+            findPatience: (request, deadline) => this.#findPatience(request, deadline),
+            claimRetry: request => this.#claimRetry(request),
+        });
         this.#silentUpstreamMonitor = new SilentUpstreamMonitor(
             clock,
             () => this.#upstreams.getAll(),
@@ -171,13 +178,12 @@
         if (!(slot instanceof PooledUpstream)) {
             this.#recordFinish();
             this.unservedRate.record(false);
-            return this.#createAnswer(request, this.#refuse(request, slot), undefined, false);
+            return this.#createAnswer(request, this.#refuse(request, slot), undefined);
         }
         this.#silentUpstreamMonitor.start();
-        const outcome = await this.#runner.run(slot, request, start + request.timeoutMs, signal);
-        this.#recordServed(request, outcome);
-        const isLost = outcome.kind === OutcomeKind.Unknown && outcome.reason === UnknownReason.ConnectionLost;
-        return this.#createAnswer(request, outcome, slot, isLost);
+        const result = await this.#runner.run(slot, request, start + request.timeoutMs, signal);
+        this.#recordServed(request, result.outcome);
+        return this.#createAnswer(request, result.outcome, result);
     }
 
     /**
@@ -348,18 +354,21 @@
         return Math.max(minPatienceMs ?? 0, slowFactor * usualMs);
     }
 
-    #findPatience(request: ServiceRequest, deadline: number): AttemptPatience | undefined {
-        if (this.#options.policy !== EjectionPolicy.Prompt) {
-            return undefined;
-        }
-        const usualMs = this.#routeLatencies.findP75(request.route);
-        const timeoutMs = getPatience(request, usualMs, deadline - this.#options.clock.getTime());
-        return timeoutMs === undefined ? undefined : { timeoutMs, hasRetry: () => this.#hasRetry() };
+    #findPatience(request: ServiceRequest, deadline: number): number | undefined {
+        const remainingMs = deadline - this.#options.clock.getTime();
+        return this.#options.policy === EjectionPolicy.Prompt
+            ? getPatience(request, this.#routeLatencies.findP75(request.route), remainingMs)
+            : undefined;
     }
 
-    /** Under full load, a retry would take the slot of a queued request. */
-    #hasRetry(): boolean {
-        return this.#budget.hasSpareRetry() && this.#queue.getSize() === 0 && this.#selector.hasFreeSlot();
+    /** Claims an upstream for an overdue request; under full load, it would take the slot of a queued one. */
+    #claimRetry(request: ServiceRequest): PooledUpstream | undefined {
+        const upstream = this.#budget.hasSpareRetry() ? this.#queue.claimFreeSlot(request) : undefined;
+        if (upstream !== undefined) {
+            this.#budget.spend();
+            this.#pending++;
+        }
+        return upstream;
     }
 
     /** Gets the part's share of the service's retry rate, per second: all parts have equal shares. */
@@ -434,17 +443,17 @@
     #createAnswer(
         { route, hasRecentLoads }: ServiceRequest,
         outcome: Outcome,
-        pooled: PooledUpstream | undefined,
-        isCrashSuspected: boolean,
+        result: HedgedResult | undefined,
     ): ServiceAnswer {
         const { freeSlots, queued, capacity } = this.getPartLoad();
         const usualMs = this.#routeLatencies.findP75(route);
-        const upstream = pooled?.getUpstream().name;
+        const others = result?.others.map(other => other.getUpstream().name) ?? [];
         const notices = this.getNotices();
         return {
             outcome,
-            upstream,
-            isCrashSuspected,
+            upstream: result?.pooled.getUpstream().name,
+            ...(others.length === 0 ? {} : { otherUpstreams: others }),
+            isCrashSuspected: result?.isConnectionLost ?? false,
             freeSlots,
             queued,
             ...(capacity === undefined ? {} : { capacity }),
--- /dev/null
+++ b/src/services/queue/HedgedResult.ts
@@ -0,0 +1,13 @@
+import type { Outcome } from "../../outcomes/index.js";
+import type { PooledUpstream } from "../pools/PooledUpstream.js";
+
+/** The outcome of a request, and the upstreams that it was sent to. */
+export interface HedgedResult {
+    readonly outcome: Outcome;
+    /** The upstream with that outcome. */
+    readonly pooled: PooledUpstream;
+    /** The other upstreams that it was sent to. */
+    readonly others: readonly PooledUpstream[];
+    /** Whether the connection to any of them was lost while it ran the request. */
+    readonly isConnectionLost: boolean;
+}
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -81,6 +81,20 @@
         });
     }
 
+    /**
+     * Claims a slot for a request at once; undefined if others wait for one, none is free, or the request is too late for it.
+     * @param request - The request.
+     */
+    claimFreeSlot(request: ServiceRequest): PooledUpstream | undefined {
+        const { selector, getFastLatency } = this.#options;
+        if (this.getSize() > 0 || !selector.hasFreeSlot() || request.timeoutMs < getFastLatency(request)) {
+            return undefined;
+        }
+        const upstream = selector.select(request);
+        upstream?.claim(this.#getExpectedLatency(request), request.timeoutMs);
+        return upstream;
+    }
+
     /** Starts queued requests while upstreams have free slots for them. */
     run(): void {
         this.#refuseEnding();
--- a/src/services/queue/SlotRunner.ts
+++ b/src/services/queue/SlotRunner.ts
@@ -1,4 +1,5 @@
 import { finished } from "node:stream";
+import { SupersededError } from "../../errors/index.js";
 import { Decision } from "../../logging/index.js";
 import type { Outcome } from "../../outcomes/index.js";
 import { createUnknown, OutcomeKind, UnknownReason } from "../../outcomes/index.js";
@@ -17,6 +18,12 @@
 const MAX_CAPTURED_BODY_BYTES = 64 * 1024;
 /** Responses to idempotent requests are buffered up to this size, so that a truncated one can be retried. */
 const READ_AHEAD_BYTES = 256 * 1024;
+/** Results of an attempt without an answer, which say no more about its upstream than that the answer was overdue. */
+const UNANSWERED_KINDS: ReadonlySet<UpstreamAnswerKind> = new Set([
+    UpstreamAnswerKind.TimedOut,
+    UpstreamAnswerKind.Aborted,
+    UpstreamAnswerKind.Superseded,
+]);
 
 /** Runs requests in claimed slots and records the results for upstream health. */
 export class SlotRunner {
@@ -35,18 +42,20 @@
      * @param pooled - The upstream whose slot was claimed.
      * @param request - The request.
      * @param deadline - The time by which the first byte is due, in milliseconds of the clock.
-     * @param signal - Aborted when the caller disconnects.
+     * @param signal - Aborted when the caller disconnects, or the answer of another attempt is used.
+     * @param overdue - Aborted when the answer is overdue, which is recorded while the attempt continues.
      */
     async run(
         pooled: PooledUpstream,
         request: ServiceRequest,
         deadline: number,
         signal: AbortSignal,
+        overdue: AbortSignal = new AbortController().signal,
     ): Promise<Outcome> {
         const { clock } = this.#options;
         const deadlinePassed = new AbortController();
         if (request.isIdempotent) {
-            return await this.#runAttempt(pooled, request, deadline, signal, deadlinePassed.signal);
+            return await this.#runAttempt(pooled, request, deadline, signal, deadlinePassed.signal, overdue);
         }
         const start = clock.getTime();
         const stalledBefore = this.#getStalledTime();
@@ -58,7 +67,8 @@
                 resolve(createOutcome({ kind: UpstreamAnswerKind.TimedOut }));
             });
             const readerSignal = AbortSignal.any([signal, deadlinePassed.signal]);
-            void this.#runAttempt(pooled, request, deadline, readerSignal, deadlinePassed.signal).then(outcome => {
+            const run = this.#runAttempt(pooled, request, deadline, readerSignal, deadlinePassed.signal, overdue);
+            void run.then(outcome => {
                 timer.cancel();
                 resolve(outcome);
             });
@@ -75,8 +85,17 @@
         deadline: number,
         signal: AbortSignal,
         deadlinePassed: AbortSignal,
+        overdue: AbortSignal,
     ): Promise<Outcome> {
         const start = this.#options.clock.getTime();
+        let isOverdueRecorded = false;
+        const recordOverdue = (waitedMs: number): void => {
+            if (!isOverdueRecorded) {
+                isOverdueRecorded = true;
+                this.#options.recorder.recordTimeout(pooled, request, waitedMs);
+            }
+        };
+        overdue.addEventListener("abort", () => recordOverdue(this.#options.clock.getTime() - start), { once: true });
         const expectedMs = this.#options.getSlotTime(request);
         const attempt = await this.#runner.run(
             pooled.getUpstream(),
@@ -85,14 +104,15 @@
             this.#options.limit,
             () => this.#spendRetry(pooled),
             signal,
-            this.#options.findPatience(request, deadline),
-        );
+            recordOverdue,
+        ).then(result => getSuperseded(result, signal));
         const release = (): void => {
             const usedMs = this.#options.clock.getTime() - start;
             this.#options.onRelease(pooled, request, { expectedMs, usedMs });
         };
         this.#options.recorder.recordNotice(pooled, attempt);
-        if (!deadlinePassed.aborted) {
+        const isRecorded = isOverdueRecorded && UNANSWERED_KINDS.has(attempt.answer.kind);
+        if (!deadlinePassed.aborted && !isRecorded) {
             this.#options.recorder.recordHead(pooled, request, attempt);
         }
         this.#recordDispatched(pooled, request, attempt);
@@ -163,3 +183,10 @@
         });
     }
 }
+
+/** Tells an attempt that another one has made superfluous from one whose caller has left. */
+function getSuperseded(attempt: UpstreamAttempt, signal: AbortSignal): UpstreamAttempt {
+    return attempt.answer.kind === UpstreamAnswerKind.Aborted && signal.reason instanceof SupersededError
+        ? { ...attempt, answer: { kind: UpstreamAnswerKind.Superseded } }
+        : attempt;
+}
--- a/src/services/queue/SlotRunnerOptions.ts
+++ b/src/services/queue/SlotRunnerOptions.ts
@@ -1,5 +1,4 @@
 import type { AttemptRecorder } from "../detection/AttemptRecorder.js";
-import type { AttemptPatience } from "../exchange/AttemptPatience.js";
 import type { AttemptRunnerOptions } from "../exchange/AttemptRunnerOptions.js";
 import type { FirstByteLimit } from "../exchange/FirstByteLimit.js";
 import type { OutcomeCache } from "../outcomes/OutcomeCache.js";
@@ -16,12 +15,6 @@
     readonly budget: RetryBudget;
     /** Gets the time for which a request is expected to use a slot, in milliseconds. */
     readonly getSlotTime: (request: ServiceRequest) => number;
-    /**
-     * Finds when an attempt makes way for one at another upstream; undefined if it lasts until its deadline.
-     * @param request - The request.
-     * @param deadline - Its deadline, in milliseconds of the clock.
-     */
-    readonly findPatience: (request: ServiceRequest, deadline: number) => AttemptPatience | undefined;
     /** Runs when a slot is released. */
     readonly onRelease: (pooled: PooledUpstream, request: ServiceRequest, use: SlotUsage) => void;
 }
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,3 +1,4 @@
+export { AttemptRace } from "./AttemptRace.js";
 export { closeServer } from "./closeServer.js";
 export { closeUnusedBody } from "./closeUnusedBody.js";
 export { createIncarnation } from "./createIncarnation.js";
--- a/tests/services/silentConnections.test.ts
+++ b/tests/services/silentConnections.test.ts
@@ -43,6 +43,15 @@
     assert.is(measureRetries(bench), 0);
 });
 
+/** Lookups were given up at the limit, although only their answers were slow and nothing better followed. */
+test("a lookup whose answer is slower than the first-byte limit is served by it before the deadline", async () => {
+    const bench = new ServiceBench();
+    await bench.runLoad(100, 3_000);
+    UPSTREAMS.forEach(name => bench.upstreams.applyFaults(name, { slowFactor: 30 }));
+    const answers = await bench.runLoad(10, 3_000, { timeoutMs: 5_000 });
+    assert.equal(answers.filter(({ outcome }) => outcome.kind !== OutcomeKind.Done), []);
+});
+
 test.run();
 
 /** Creates a service whose upstreams have an idle connection for each slot, all of them silent. */
--- a/tests/time/TimerStallMeter.test.ts
+++ b/tests/time/TimerStallMeter.test.ts
@@ -47,6 +47,7 @@
         new FirstByteLimit(),
         () => true,
         signal,
+        () => {},
     );
     await clock.run(SERVICE_MS / 2);
     await runPause(clock, hostClock);
