Show lookups given up while their upstream works on them, with real processes

Callers get 502 or 504 from a host that is stopped, although an upstream works on their lookup and ends it within the time limit. No logic is changed.

--- a/tests/platform/support/EdgeFleet.ts
+++ b/tests/platform/support/EdgeFleet.ts
@@ -103,12 +103,13 @@
      * Starts an upstream and registers it.
      * @param id - Its id.
      * @param service - Its service.
+     * @param change - Fields that replace those of the default registration.
      */
-    async addUpstream(id: string, service: string): Promise<void> {
+    async addUpstream(id: string, service: string, change: Record<string, unknown> = {}): Promise<void> {
         const upstream = new MockPlatformUpstream(id);
         this.upstreams.set(id, upstream);
         this.#addresses.set(id, await upstream.start());
-        this.publishUpstream(id, service);
+        this.publishUpstream(id, service, change);
     }
 
     /**
--- a/tests/platform/support/MockPlatformUpstream.ts
+++ b/tests/platform/support/MockPlatformUpstream.ts
@@ -24,6 +24,8 @@
     readonly received: ReceivedRequest[] = [];
     /** The requests that it refused without running them. */
     readonly refused: Pick<ReceivedRequest, "id" | "time">[] = [];
+    /** When it ended the requests that it ran, also those that nobody waited for any more. */
+    readonly finished: Pick<ReceivedRequest, "id" | "time">[] = [];
     /** Latency of each response, in milliseconds. */
     delayMs = 0;
     /** Whether it responds to all requests with status 500. */
@@ -42,6 +44,8 @@
     answer: Buffer | undefined;
     /** Selects the fault of each request. */
     selectFault: () => UpstreamFaultMode = () => UpstreamFaultMode.None;
+    /** Selects the latency of each response beyond `delayMs`, in milliseconds. */
+    selectExtraDelay: () => number = () => 0;
     /** Whether it also runs requests that name no upstream, as those of the platform do. */
     acceptsUnnamed = false;
     readonly id: string;
@@ -92,8 +96,9 @@
             hasKey: request.headers.authorization !== undefined,
             time: performance.now(),
         });
-        const extraDelayMs = fault === UpstreamFaultMode.Late ? LATE_MS : 0;
+        const extraDelayMs = this.selectExtraDelay() + (fault === UpstreamFaultMode.Late ? LATE_MS : 0);
         await new Promise(resolve => setTimeout(resolve, this.delayMs + extraDelayMs));
+        this.finished.push({ id, time: performance.now() });
         if (fault === UpstreamFaultMode.LosingResponses) {
             response.destroy();
             return;
