--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -14,6 +14,8 @@
 
 const MAX_ATTEMPTS = 4;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
+/** Why the caller's host itself refuses a retry. */
+const OWN_BUDGET_REASON = "own-retry-budget-spent";
 /** The least time left for a retry, in milliseconds: no upstream answers in less. */
 const MIN_RETRY_TIME_MS = 50;
 /** Length from which a body counts as large, in bytes: several times the head of a forwarded request. */
@@ -94,7 +96,11 @@
                 break;
             }
             outcome = next.outcome;
-            if (state.sent >= getMaxUpstreams(call) || !this.#isRetryAllowed(call, next, signal)) {
+            if (state.sent >= getMaxUpstreams(call) || !this.#isRetriable(call, next, signal)) {
+                break;
+            }
+            if (!this.#spendRetry(call, next)) {
+                this.#recordRefusedRetry(call, state, attempt + 1, OWN_BUDGET_REASON);
                 break;
             }
             this.#recordRetry(call, outcome, attempt);
@@ -213,12 +219,13 @@
         }
     }
 
-    /** Charges the retry budget unless the request was refused before it reached an upstream, as that puts no load on the service. */
-    #isRetryAllowed(call: DispatchCall, { outcome, isSent }: AttemptResult, signal: AbortSignal): boolean {
+    #isRetriable(call: DispatchCall, { outcome }: AttemptResult, signal: AbortSignal): boolean {
         const remainingMs = call.deadline - this.#options.clock.getTime();
-        if (signal.aborted || remainingMs < MIN_RETRY_TIME_MS || !isRetriable(outcome, call.isIdempotent)) {
-            return false;
-        }
+        return !signal.aborted && remainingMs >= MIN_RETRY_TIME_MS && isRetriable(outcome, call.isIdempotent);
+    }
+
+    /** Charges the retry budget unless the request was refused before it reached an upstream, as that puts no load on the service. */
+    #spendRetry(call: DispatchCall, { outcome, isSent }: AttemptResult): boolean {
         const isFree = outcome.kind === OutcomeKind.NotRun && !isSent;
         const priority = call.request.account?.priority ?? call.request.route.priority;
         return isFree || this.#getBudget(call.service.name).spend(priority);
