Mend what the review of the hedged requests found

What callers would have met, why, and what changes:

AttemptWatch tells the head; only a request without one is overdue, as before. HedgedRequest goes on to the next upstream, at once after a failure, after another patience otherwise, within the attempts that the route leaves (otherAttempts). - A served lookup was recorded as a suspected crash if its first upstream was lost, and quarantined after two. An answered request is no suspect. - Both attempts had one id: a request could crash twice as many upstreams before its quarantine. The second has the suffix h2. - Nothing in the service host kept an order from being sent twice; the guard stood at the sender alone. It now stands at both. - A failure on the new connection to an upstream cancelled the first attempt there. Only an answer that another attempt would hardly improve ends a race (isDefiniteStatus: below 500, not 408 or 429), between two upstreams too. - The unread body of a failed attempt held slot and connection when another one won. AttemptRace closes it. - A second attempt's slot time was credited to its account, but not charged. It is charged when the slot is claimed.

--- a/src/accounts/DispatchAttempt.ts
+++ b/src/accounts/DispatchAttempt.ts
@@ -16,4 +16,6 @@
     readonly hasRecentLoads: boolean;
     /** Whether no other upstream may be tried after this attempt. */
     readonly isLast: boolean;
+    /** How many more upstreams the request may be sent to. */
+    readonly otherAttempts: number;
 }
--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -136,6 +136,7 @@
             excludedUpstreams: state.excludedUpstreams,
             hasRecentLoads: this.#parts.hasRecentLoads(call.service.name),
             isLast: attempt === MAX_ATTEMPTS || state.sent + 1 >= getMaxUpstreams(call),
+            otherAttempts: Math.min(MAX_ATTEMPTS - attempt, getMaxUpstreams(call) - state.sent - 1),
         }, signal);
         if (answer.outcome.kind === OutcomeKind.NotRun) {
             const { reason, detail } = answer.outcome;
@@ -198,8 +199,10 @@
             this.#recordLoads(call, part, answer);
         }
         if (answer.isCrashSuspected && answer.host !== undefined) {
-            const event = { attemptId: answer.attemptId ?? "", hostAddress: answer.host.peerAddress };
-            await this.#quarantine.recordCrash(call.account, call.fingerprint, event);
+            for (const attemptId of answer.lostAttempts ?? [answer.attemptId ?? ""]) {
+                const event = { attemptId, hostAddress: answer.host.peerAddress };
+                await this.#quarantine.recordCrash(call.account, call.fingerprint, event);
+            }
         }
         else if (outcome.kind === OutcomeKind.Done) {
             this.#quarantine.recordSuccess(call.fingerprint);
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -251,7 +251,8 @@
 
     #createRequest(call: DispatchCall, attempt: DispatchAttempt): ServiceRequest {
         const { method, path, headers, body } = call.request;
-        const { number, part, sentBefore, isCounted, excludedUpstreams, hasRecentLoads, isLast } = attempt;
+        const { number, part, sentBefore, isCounted, excludedUpstreams, hasRecentLoads, isLast, otherAttempts } =
+            attempt;
         const requestId = number === 1 ? call.request.requestId : `${call.request.requestId}.${number}`;
         const timeoutMs = Math.max(0, call.deadline - this.#options.clock.getTime());
         const { account, isIdempotent } = call;
@@ -273,7 +274,7 @@
             isIdempotent,
             timeoutMs,
             ...(targetMs === undefined ? {} : { targetMs }),
-            ...(isIdempotent && !isLast ? { hasOtherAttempt: true } : {}),
+            ...(isIdempotent && !isLast ? { hasOtherAttempt: true, otherAttempts } : {}),
             ...(hasRecentLoads ? { hasRecentLoads } : {}),
             ...(isCounted ? { isCounted } : {}),
             sentBefore,
--- a/src/explanation/getAttemptNumber.ts
+++ b/src/explanation/getAttemptNumber.ts
@@ -17,5 +17,6 @@
     if (decision.service === undefined) {
         return undefined;
     }
-    return decision.requestId === requestId ? 1 : Number(decision.requestId?.slice(requestId.length + 1));
+    const suffix = decision.requestId?.slice(requestId.length + 1) ?? "";
+    return suffix === "" || suffix.startsWith("h") ? 1 : Number.parseInt(suffix, 10);
 }
--- a/src/forwarding/HttpPeerForwarder.ts
+++ b/src/forwarding/HttpPeerForwarder.ts
@@ -39,12 +39,13 @@
         const { body, ...head } = request;
         const answer = await this.#send(address, { kind: PeerRequestKind.Service, request: head }, body, signal);
         const answerHead = this.#getAnswerHead(address, answer);
-        const { capacity, usualMs, otherUpstreams } = answerHead;
+        const { capacity, usualMs, otherUpstreams, lostAttempts } = answerHead;
         return {
             outcome: createOutcome(answerHead.outcome, answer.body),
             upstream: answerHead.upstream,
             ...(otherUpstreams === undefined ? {} : { otherUpstreams }),
             isCrashSuspected: answerHead.isCrashSuspected ?? false,
+            ...(lostAttempts === undefined ? {} : { lostAttempts }),
             freeSlots: answerHead.freeSlots ?? 0,
             queued: answerHead.queued ?? 0,
             ...(capacity === undefined ? {} : { capacity }),
--- a/src/forwarding/PeerAnswerHead.ts
+++ b/src/forwarding/PeerAnswerHead.ts
@@ -7,6 +7,7 @@
     readonly upstream?: string;
     readonly otherUpstreams?: readonly string[];
     readonly isCrashSuspected?: boolean;
+    readonly lostAttempts?: readonly string[];
     readonly freeSlots?: number;
     readonly queued?: number;
     readonly capacity?: PartCapacityReport;
--- a/src/services/ServiceAnswer.ts
+++ b/src/services/ServiceAnswer.ts
@@ -12,6 +12,8 @@
     readonly otherUpstreams?: readonly string[];
     /** Whether the connection was lost while one of these upstreams ran the request, as in a crash. */
     readonly isCrashSuspected: boolean;
+    /** The ids of the attempts that were lost so, if any. */
+    readonly lostAttempts?: readonly string[];
     /** Free slots on the upstreams of the service host's part. */
     readonly freeSlots: number;
     /** Requests that are queued for a slot there. */
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -27,6 +27,8 @@
     readonly targetMs?: number;
     /** Whether it may be sent to another upstream if this attempt fails. */
     readonly hasOtherAttempt?: boolean;
+    /** How many more upstreams it may be sent to; one if undefined and there is another attempt. */
+    readonly otherAttempts?: number;
     /** Whether the sender knows the recent loads of the service's parts, so that the answer need not repeat them. */
     readonly hasRecentLoads?: boolean;
     /** Whether another part of the service has refused it for lack of room, and counted it towards its retry budget. */
--- a/src/services/exchange/AttemptRunner.ts
+++ b/src/services/exchange/AttemptRunner.ts
@@ -6,6 +6,7 @@
 import type { ServiceRequest } from "../ServiceRequest.js";
 import type { AttemptRunnerOptions } from "./AttemptRunnerOptions.js";
 import type { FirstByteLimit } from "./FirstByteLimit.js";
+import { isDefiniteStatus } from "./isDefiniteStatus.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 import type { UpstreamTransport } from "./UpstreamTransport.js";
@@ -68,9 +69,11 @@
         }
         const limitMs = limit.getLimit();
         const start = this.#clock.getTime();
-        const race = new AttemptRace(isAnswered, getPossiblyRun, closeUnused);
+        const race = new AttemptRace(isServed, mergeAttempts, closeUnused);
         const add = (isFresh: boolean): void =>
-            race.add(won => this.#send(upstream, request, deadline, deadline, isFresh, AbortSignal.any([signal, won])));
+            void race.add(superseded =>
+                this.#send(upstream, request, deadline, deadline, isFresh, AbortSignal.any([signal, superseded]))
+            );
         add(false);
         const timers: ScheduledCall[] = [];
         const schedule = (delayMs: number, run: () => void): void => {
@@ -133,13 +136,22 @@
     }
 }
 
-function isAnswered({ answer }: UpstreamAttempt): boolean {
-    return answer.kind === UpstreamAnswerKind.Answered;
+function isServed({ answer }: UpstreamAttempt): boolean {
+    return answer.kind === UpstreamAnswerKind.Answered && isDefiniteStatus(answer.status);
 }
 
-/** An attempt that is proven not to have run proves nothing about the other one. */
-function getPossiblyRun(earlier: UpstreamAttempt, later: UpstreamAttempt): UpstreamAttempt {
-    return NOT_RUN_KINDS.has(later.answer.kind) ? earlier : later;
+/** Selects an answer before none, and what may have run before a refusal, which proves nothing about the other attempt. */
+function mergeAttempts(earlier: UpstreamAttempt, later: UpstreamAttempt): UpstreamAttempt {
+    const [used, unused] = getRank(later) < getRank(earlier) ? [earlier, later] : [later, earlier];
+    closeUnused(unused);
+    return used;
+}
+
+function getRank({ answer }: UpstreamAttempt): number {
+    if (answer.kind === UpstreamAnswerKind.Answered) {
+        return 2;
+    }
+    return NOT_RUN_KINDS.has(answer.kind) ? 0 : 1;
 }
 
 function closeUnused({ answer }: UpstreamAttempt): void {
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -16,8 +16,9 @@
 import { NoticeRecorder } from "../notices/NoticeRecorder.js";
 import type { UpstreamNoticeReport } from "../notices/UpstreamNoticeReport.js";
 import { encodeOutcome } from "../outcomes/encodeOutcome.js";
+import { HedgedRequest } from "../queue/HedgedRequest.js";
+import type { HedgedRequestOptions } from "../queue/HedgedRequestOptions.js";
 import type { HedgedResult } from "../queue/HedgedResult.js";
-import { HedgedRunner } from "../queue/HedgedRunner.js";
 import { RetryBudget } from "../queue/RetryBudget.js";
 import { SlotQueue } from "../queue/SlotQueue.js";
 import { SlotRunner } from "../queue/SlotRunner.js";
@@ -59,7 +60,7 @@
     readonly #limit = new FirstByteLimit();
     readonly #queue: SlotQueue;
     readonly #outlierDetector: OutlierDetector;
-    readonly #runner: HedgedRunner;
+    readonly #hedging: HedgedRequestOptions;
     readonly #upstreams: UpstreamSet;
     readonly #budget: RetryBudget;
     readonly #silentUpstreamMonitor: SilentUpstreamMonitor;
@@ -127,13 +128,13 @@
             getSlotTime: request => this.#queue.getRouteSlotTime(request),
             onRelease: (pooled, request, use) => this.#release(pooled, request, use),
         });
-        this.#runner = new HedgedRunner({
+        this.#hedging = {
             clock,
             decisions,
             runner,
             findPatience: (request, deadline) => this.#findPatience(request, deadline),
             claimRetry: request => this.#claimRetry(request),
-        });
+        };
         this.#silentUpstreamMonitor = new SilentUpstreamMonitor(
             clock,
             () => this.#upstreams.getAll(),
@@ -181,7 +182,7 @@
             return this.#createAnswer(request, this.#refuse(request, slot), undefined);
         }
         this.#silentUpstreamMonitor.start();
-        const result = await this.#runner.run(slot, request, start + request.timeoutMs, signal);
+        const result = await new HedgedRequest(this.#hedging, request, start + request.timeoutMs, signal).run(slot);
         this.#recordServed(request, result.outcome);
         return this.#createAnswer(request, result.outcome, result);
     }
@@ -447,13 +448,16 @@
     ): ServiceAnswer {
         const { freeSlots, queued, capacity } = this.getPartLoad();
         const usualMs = this.#routeLatencies.findP75(route);
+        // A request that was answered did not crash the upstream that lost it.
+        const lostAttempts = outcome.kind === OutcomeKind.Done ? [] : result?.lostAttempts ?? [];
         const others = result?.others.map(other => other.getUpstream().name) ?? [];
         const notices = this.getNotices();
         return {
             outcome,
             upstream: result?.pooled.getUpstream().name,
             ...(others.length === 0 ? {} : { otherUpstreams: others }),
-            isCrashSuspected: result?.isConnectionLost ?? false,
+            isCrashSuspected: lostAttempts.length > 0,
+            ...(lostAttempts.length === 0 ? {} : { lostAttempts }),
             freeSlots,
             queued,
             ...(capacity === undefined ? {} : { capacity }),
--- a/src/services/queue/HedgedRunnerOptions.ts
+++ b/src/services/queue/HedgedRequestOptions.ts
@@ -4,8 +4,8 @@
 import type { ServiceRequest } from "../ServiceRequest.js";
 import type { SlotRunner } from "./SlotRunner.js";
 
-/** Dependencies of a hedged runner. */
-export interface HedgedRunnerOptions {
+/** Dependencies of hedged requests. */
+export interface HedgedRequestOptions {
     readonly clock: Clock;
     readonly decisions: DecisionLog;
     /** Runs one attempt at one upstream. */
--- a/src/services/queue/HedgedResult.ts
+++ b/src/services/queue/HedgedResult.ts
@@ -8,6 +8,6 @@
     readonly pooled: PooledUpstream;
     /** The other upstreams that it was sent to. */
     readonly others: readonly PooledUpstream[];
-    /** Whether the connection to any of them was lost while it ran the request. */
-    readonly isConnectionLost: boolean;
+    /** The ids of the attempts whose connection was lost while the upstream ran them. */
+    readonly lostAttempts: readonly string[];
 }
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -91,7 +91,10 @@
             return undefined;
         }
         const upstream = selector.select(request);
-        upstream?.claim(this.#getExpectedLatency(request), request.timeoutMs);
+        if (upstream !== undefined) {
+            upstream.claim(this.#getExpectedLatency(request), request.timeoutMs);
+            this.#queue.recordCost(request.account, this.getRouteSlotTime(request));
+        }
         return upstream;
     }
 
--- a/src/services/queue/SlotRunner.ts
+++ b/src/services/queue/SlotRunner.ts
@@ -13,6 +13,7 @@
 import type { PooledUpstream } from "../pools/PooledUpstream.js";
 import { UpstreamState } from "../pools/UpstreamState.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
+import { AttemptWatch } from "./AttemptWatch.js";
 import type { SlotRunnerOptions } from "./SlotRunnerOptions.js";
 
 const MAX_CAPTURED_BODY_BYTES = 64 * 1024;
@@ -43,19 +44,20 @@
      * @param request - The request.
      * @param deadline - The time by which the first byte is due, in milliseconds of the clock.
      * @param signal - Aborted when the caller disconnects, or the answer of another attempt is used.
-     * @param overdue - Aborted when the answer is overdue, which is recorded while the attempt continues.
+     * @param watch - Learns of the answer's head, and tells when it is overdue, which counts against the upstream while the attempt
+     * continues.
      */
     async run(
         pooled: PooledUpstream,
         request: ServiceRequest,
         deadline: number,
         signal: AbortSignal,
-        overdue: AbortSignal = new AbortController().signal,
+        watch = new AttemptWatch(),
     ): Promise<Outcome> {
         const { clock } = this.#options;
         const deadlinePassed = new AbortController();
         if (request.isIdempotent) {
-            return await this.#runAttempt(pooled, request, deadline, signal, deadlinePassed.signal, overdue);
+            return await this.#runAttempt(pooled, request, deadline, signal, deadlinePassed.signal, watch);
         }
         const start = clock.getTime();
         const stalledBefore = this.#getStalledTime();
@@ -67,7 +69,7 @@
                 resolve(createOutcome({ kind: UpstreamAnswerKind.TimedOut }));
             });
             const readerSignal = AbortSignal.any([signal, deadlinePassed.signal]);
-            const run = this.#runAttempt(pooled, request, deadline, readerSignal, deadlinePassed.signal, overdue);
+            const run = this.#runAttempt(pooled, request, deadline, readerSignal, deadlinePassed.signal, watch);
             void run.then(outcome => {
                 timer.cancel();
                 resolve(outcome);
@@ -85,7 +87,7 @@
         deadline: number,
         signal: AbortSignal,
         deadlinePassed: AbortSignal,
-        overdue: AbortSignal,
+        watch: AttemptWatch,
     ): Promise<Outcome> {
         const start = this.#options.clock.getTime();
         let isOverdueRecorded = false;
@@ -95,7 +97,7 @@
                 this.#options.recorder.recordTimeout(pooled, request, waitedMs);
             }
         };
-        overdue.addEventListener("abort", () => recordOverdue(this.#options.clock.getTime() - start), { once: true });
+        watch.addOverdueListener(() => recordOverdue(this.#options.clock.getTime() - start));
         const expectedMs = this.#options.getSlotTime(request);
         const attempt = await this.#runner.run(
             pooled.getUpstream(),
@@ -122,6 +124,7 @@
             release();
             return outcome;
         }
+        watch.recordAnswer();
         const outcome = this.#createDone(pooled, request, attempt, signal, release);
         return request.isIdempotent ? await readBodyAhead(outcome, READ_AHEAD_BYTES, signal) : outcome;
     }
--- a/src/utils/AttemptRace.ts
+++ b/src/utils/AttemptRace.ts
@@ -16,8 +16,9 @@
 
     /**
      * @param isGood - Whether a result ends the race.
-     * @param mergeResults - Selects the race's result of two that don't end it, the one that came first and a later one.
-     * @param closeUnused - Releases the result of an attempt that ends after the race.
+     * @param mergeResults - Selects the race's result of two that don't end it, the one that came first and a later one, and releases the
+     * other.
+     * @param closeUnused - Releases a result that is not the race's.
      */
     constructor(
         isGood: (result: T) => boolean,
@@ -31,16 +32,18 @@
     }
 
     /**
-     * Starts an attempt, unless the race has ended.
+     * Starts an attempt, unless the race has ended; resolves once its result has been recorded.
      * @param run - Runs the attempt; never rejects. The signal is aborted when another attempt has won.
      */
-    add(run: (signal: AbortSignal) => Promise<T>): void {
+    async add(run: (signal: AbortSignal) => Promise<T>): Promise<void> {
         if (this.#isDecided) {
             return;
         }
         const controller = new AbortController();
         this.#running.add(controller);
-        void run(controller.signal).then(result => this.#receive(controller, result));
+        const result = await run(controller.signal);
+        this.#running.delete(controller);
+        this.#receive(result);
     }
 
     /** Whether the race has a result. */
@@ -48,26 +51,27 @@
         return this.#isDecided;
     }
 
-    /** Waits for the first good result, or for the result of all attempts once none runs any more. */
+    /** Waits for the first good result, or for the merged result of all attempts once none runs any more. */
     wait(): Promise<T> {
         return this.#end;
     }
 
-    #receive(controller: AbortController, result: T): void {
-        this.#running.delete(controller);
+    #receive(result: T): void {
         if (this.#isDecided) {
             this.#closeUnused(result);
             return;
         }
         if (this.#isGood(result)) {
+            if (this.#failed !== undefined) {
+                this.#closeUnused(this.#failed.result);
+            }
             this.#recordResult(result);
             return;
         }
-        this.#failed = {
-            result: this.#failed === undefined ? result : this.#mergeResults(this.#failed.result, result),
-        };
+        const merged = this.#failed === undefined ? result : this.#mergeResults(this.#failed.result, result);
+        this.#failed = { result: merged };
         if (this.#running.size === 0) {
-            this.#recordResult(this.#failed.result);
+            this.#recordResult(merged);
         }
     }
 
--- a/tests/accounts/ServiceSender.test.ts
+++ b/tests/accounts/ServiceSender.test.ts
@@ -25,6 +25,7 @@
     excludedUpstreams: [],
     hasRecentLoads: false,
     isLast: false,
+    otherAttempts: 0,
 };
 
 const test = suite("ServiceSender");
--- a/tests/services/HedgedRunner.test.ts
+++ b/tests/services/HedgedRequest.test.ts
@@ -7,8 +7,8 @@
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../../src/outcomes/index.js";
 import type { ServiceRequest } from "../../src/services/index.js";
 import type { PooledUpstream } from "../../src/services/pools/PooledUpstream.js";
+import { HedgedRequest } from "../../src/services/queue/HedgedRequest.js";
 import type { HedgedResult } from "../../src/services/queue/HedgedResult.js";
-import { HedgedRunner } from "../../src/services/queue/HedgedRunner.js";
 import { createServiceRequest } from "../support/createServiceRequest.js";
 
 const PATIENCE_MS = 1_800;
@@ -90,7 +90,7 @@
             second: { afterMs: 100, outcome: second },
         });
         assert.is(result.outcome.kind, OutcomeKind.Unknown);
-        assert.ok(result.isConnectionLost);
+        assert.is(result.lostAttempts.length, 1);
     }
 });
 
@@ -116,18 +116,22 @@
         }
         return outcome;
     };
-    const runner = new HedgedRunner({
-        clock,
-        decisions,
-        runner: { run },
-        findPatience: () => PATIENCE_MS,
-        claimRetry: () => clock.getTime() < freeMs ? undefined : createUpstream("second"),
-    });
-    const request = createServiceRequest({ isIdempotent: true, timeoutMs: DEADLINE_MS });
+    const request = createServiceRequest({ isIdempotent: true, timeoutMs: DEADLINE_MS, hasOtherAttempt: true });
     const start = clock.getTime();
+    const hedged = new HedgedRequest(
+        {
+            clock,
+            decisions,
+            runner: { run },
+            findPatience: () => PATIENCE_MS,
+            claimRetry: () => clock.getTime() < freeMs ? undefined : createUpstream("second"),
+        },
+        request,
+        start + DEADLINE_MS,
+        new AbortController().signal,
+    );
     let endTime = 0;
-    const signal = new AbortController().signal;
-    const result = runner.run(createUpstream("first"), request, start + DEADLINE_MS, signal).finally(() => {
+    const result = hedged.run(createUpstream("first")).finally(() => {
         endTime = clock.getTime() - start;
     });
     await clock.run(DEADLINE_MS);
--- a/tests/utils/AttemptRace.test.ts
+++ b/tests/utils/AttemptRace.test.ts
@@ -50,12 +50,22 @@
     assert.equal(cancelled, []);
 });
 
+/** The unread body of a failed attempt held its slot and connection. */
+test("the result of a failed attempt is closed when another one wins", async () => {
+    const { winner, closed } = await runRace([
+        { startMs: 0, durationMs: 100, isGood: false },
+        { startMs: 50, durationMs: 200, isGood: true },
+    ]);
+    assert.is(winner, 1);
+    assert.equal(closed, [0]);
+});
+
 test("no attempt is started after the end", async () => {
     const race = new AttemptRace<number>(() => true, earlier => earlier, () => {});
-    race.add(async () => 1);
+    void race.add(async () => 1);
     assert.is(await race.wait(), 1);
     let isStarted = false;
-    race.add(async () => {
+    void race.add(async () => {
         isStarted = true;
         return 2;
     });
@@ -76,7 +86,7 @@
     );
     for (const [index, { startMs, durationMs }] of started.entries()) {
         const add = (): void =>
-            race.add(async signal => {
+            void race.add(async signal => {
                 signal.addEventListener("abort", () => cancelled.push(index));
                 await clock.wait(durationMs);
                 return index;
