Answer each request of a connection that was read before it closes at a planned stop

Callers that send requests ahead on one connection (HTTP pipelining) lost those that had been read but not passed on when the stop began: an order behind another request, the fifth and sixth of six lookups. The connection closed after the first answer, and the caller could not know whether they had run.

Cause: a draining CallerConnection passed nothing more on and took the first answer behind which nothing ran for the last. Now a draining connection works as before, and its last answer is the one behind which nothing else has been read. From then on nothing is parsed any more; what still comes is dropped, and the connection is destroyed when the caller has closed it too, or 1 s after the last answer (drainSocket). Node destroys it at once, and unread bytes then reset it. While it lingers it counts as busy, as closing the server would destroy it. A listener that stops reads no more requests, only the rest of a body that has begun. A caller that never closed its end after malformed bytes had been refused would have held up the stop; it is closed likewise.

--- a/src/callers/CallerConnection.ts
+++ b/src/callers/CallerConnection.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { MemoryKind } from "../memory/index.js";
-import { drainBody, refuseSocket } from "../utils/index.js";
+import { drainBody, drainSocket, refuseSocket } from "../utils/index.js";
 import type { CallerConnectionOptions } from "./CallerConnectionOptions.js";
 import type { PendingRequest } from "./PendingRequest.js";
 
@@ -15,8 +15,8 @@
 const ANSWER_AHEAD_BYTES = 320 * 1024;
 
 /**
- * Runs the requests of one connection and sends the answers in the order of the requests. Requests that were passed on are
- * answered before the connection closes; those that were read but not passed on are dropped with it.
+ * Runs the requests of one connection and sends the answers in the order of the requests. Each request that was read is
+ * answered before the connection closes, unless the caller asks for an earlier end or an answer breaks off.
  */
 export class CallerConnection {
     readonly #socket: Socket;
@@ -25,6 +25,7 @@
     #isSending = false;
     #isClosing = false;
     #isPaused = false;
+    #isStopped = false;
     #malformedStatus: string | undefined;
 
     /**
@@ -55,13 +56,23 @@
         this.#options.memory?.budget.claim(MemoryKind.QueuedRequest, queuedBytes);
         this.#pending.push({ request, response, prepared, controller, answer: undefined, queuedBytes, aheadBytes: 0 });
         if (this.#isFull()) {
-            this.#isPaused = true;
-            this.#socket.pause();
+            this.#stopReading();
         }
         this.#startRequests();
         void this.#sendAnswers();
     }
 
+    /** Reads no more requests; those that were read are answered. */
+    stop(): void {
+        this.#isStopped = true;
+        const newest = this.#pending.at(-1)?.request;
+        if (newest?.complete === false) {
+            newest.once("end", () => this.#stopReading());
+            return;
+        }
+        this.#stopReading();
+    }
+
     /** Whether a request is in progress. */
     isBusy(): boolean {
         return this.#isSending;
@@ -82,10 +93,9 @@
         if (this.#isClosing) {
             return;
         }
-        const isDraining = this.#options.isDraining();
         for (const [index, pending] of this.#pending.slice(0, MAX_RUNNING_REQUESTS).entries()) {
             const canStart = pending.answer !== undefined || index === 0 ||
-                (pending.prepared.canRunAhead && !isDraining && this.#claimAhead(pending));
+                (pending.prepared.canRunAhead && this.#claimAhead(pending));
             if (!canStart) {
                 return;
             }
@@ -115,7 +125,9 @@
         finally {
             this.#isSending = false;
             this.#closeMalformed();
-            this.#options.onIdle();
+            if (!this.#isClosing) {
+                this.#options.onIdle();
+            }
         }
     }
 
@@ -129,17 +141,26 @@
             answer.cancel();
             return;
         }
-        const isLast = this.#pending[1]?.answer === undefined;
+        const isLast = this.#pending.length === 1 && this.#malformedStatus === undefined;
         if (!response.shouldKeepAlive || (isLast && (this.#options.isDraining() || !request.complete))) {
             this.#isClosing = true;
+            this.#isPaused = false;
+            drainSocket(this.#socket, this.#options.clock);
             response.setHeader("connection", "close");
         }
         await answer.send(response);
         await waitForEnd(response);
     }
 
+    #stopReading(): void {
+        if (!this.#isClosing) {
+            this.#isPaused = true;
+            this.#socket.pause();
+        }
+    }
+
     #restoreReading(): void {
-        if (!this.#isPaused || this.#isFull()) {
+        if (!this.#isPaused || this.#isStopped || this.#isFull()) {
             return;
         }
         this.#isPaused = false;
@@ -193,9 +214,11 @@
     }
 
     #closeMalformed(): void {
-        if (this.#malformedStatus !== undefined) {
+        if (this.#malformedStatus !== undefined && !this.#isClosing) {
             this.#isClosing = true;
+            drainSocket(this.#socket, this.#options.clock);
             refuseSocket(this.#socket, this.#malformedStatus);
+            this.#socket.destroySoon();
         }
     }
 }
--- a/src/callers/CallerConnections.ts
+++ b/src/callers/CallerConnections.ts
@@ -16,6 +16,7 @@
     readonly #idleListeners: (() => void)[] = [];
     readonly #limit: ConnectionLimit<Socket>;
     #isDraining = false;
+    #isStopped = false;
 
     /** @param options - Dependencies of the connections. */
     constructor(options: CallerConnectionsOptions) {
@@ -48,13 +49,23 @@
             this.#busy.add(connection);
             this.#limit.record(request.socket, true);
         }
+        if (this.#isStopped) {
+            connection.stop();
+        }
     }
 
-    /** From now on, closes each connection after the answers to the requests that were passed on. */
+    /** From now on, closes each connection after an answer behind which no other request has been read. */
     drain(): void {
         this.#isDraining = true;
     }
 
+    /** Reads no more requests from the connections with a request in progress, and closes each after its last answer. */
+    stop(): void {
+        this.drain();
+        this.#isStopped = true;
+        this.#busy.forEach(connection => connection.stop());
+    }
+
     /**
      * Waits until no request is in progress. Closing the HTTP server earlier would cut responses that have ended but have not
      * been handed to the operating system, as it takes their connections for idle.
--- a/src/callers/CallerListener.ts
+++ b/src/callers/CallerListener.ts
@@ -52,9 +52,9 @@
         return await openServer(this.#server, address);
     }
 
-    /** Waits for answers in progress, stops listening and closes all connections. */
+    /** Reads no more requests of connections in use, waits for their answers, stops listening and closes all connections. */
     async stop(): Promise<void> {
-        this.#connections.drain();
+        this.#connections.stop();
         await this.#connections.waitForIdle();
         const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
         this.#server.closeIdleConnections();
--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -62,14 +62,19 @@
         this.#server.headersTimeout = limits.headersTimeoutMs;
     }
 
-    /** Closes each connection after the responses to the requests that were passed on. */
+    /** From now on, closes each connection after a response behind which no other request has been read. */
     drain(): void {
         this.#connections.drain();
     }
 
-    /** Waits for the responses in progress, stops listening and closes all connections. */
+    /** Waits until no response is in progress. */
+    async waitForIdle(): Promise<void> {
+        await this.#connections.waitForIdle();
+    }
+
+    /** Reads no more requests of connections in use, waits for their responses, stops listening and closes all connections. */
     async stop(): Promise<void> {
-        this.#connections.drain();
+        this.#connections.stop();
         await this.#connections.waitForIdle();
         const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
         this.#server.closeIdleConnections();
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -3,6 +3,7 @@
 export { createIncarnation } from "./createIncarnation.js";
 export { decodeJson } from "./decodeJson.js";
 export { drainBody } from "./drainBody.js";
+export { drainSocket } from "./drainSocket.js";
 export { encodeJson } from "./encodeJson.js";
 export { formatIncarnation } from "./formatIncarnation.js";
 export { getMixedHash } from "./getMixedHash.js";
