Run requests that were read before a stopping host's intake ends if they can end in time

A stopping host refuses new requests after a third of its grace. It judged a request by when it started, so one that had been sent ahead and waited for the answers before it was refused though it could have run; and it judged whether a request can end in time only before its body was read and a token of its account's rate was waited for, so that one whose body came late was passed on and cut at the end of the grace.

The gateway now judges the intake by when a request was read, and asks again whether it can end in time before it is sent. The process waits for the answers to callers before its own service host refuses work, as these requests may still need it.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -57,7 +57,7 @@
     #runningRequests = 0;
     readonly #durations = new RouteDurations();
     #endTime: number | undefined;
-    #isStopping = false;
+    #stopTime: number | undefined;
     readonly #idleListeners: (() => void)[] = [];
 
     /** @param options - Dependencies of the gateway. */
@@ -65,13 +65,13 @@
         this.#options = options;
     }
 
-    /** Refuses all new requests from now on; requests in progress continue. */
+    /** Refuses requests that are read from now on; those that were read before may still start, and those in progress continue. */
     stop(): void {
-        this.#isStopping = true;
+        this.#stopTime ??= this.#options.clock.getTime();
     }
 
     /**
-     * Refuses new requests that can't be expected to end in time; `stop` refuses all.
+     * Refuses requests that have not been sent and can't be expected to end in time.
      * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
      */
     leave(endTime: number): void {
@@ -130,6 +130,7 @@
         context: RequestContext,
         signal: AbortSignal,
     ): Promise<Outcome> {
+        this.#checkIntake(context.startTime);
         const { route, account } = await this.#findAuthorizedRoute(request);
         context.route = route.name;
         context.account = account?.name;
@@ -137,6 +138,7 @@
         const timeoutMs = Math.min(request.timeoutMs ?? route.deadlineMs, route.deadlineMs);
         const bodyMs = Math.max(0, context.startTime + timeoutMs - this.#options.clock.getTime());
         const body = await readBody(route.maxBodyBytes, bodyMs) ?? await this.#refuseBody(route);
+        this.#checkEnd(route);
         const remainingMs = context.startTime + timeoutMs - this.#options.clock.getTime();
         if (remainingMs <= 0) {
             throw new RefusalError(RefusalReason.DeadlineExceeded, "The deadline passed before the request was sent.");
@@ -149,6 +151,12 @@
         return outcome;
     }
 
+    #checkIntake(readTime: number): void {
+        if (this.#stopTime !== undefined && readTime >= this.#stopTime) {
+            throw new RefusalError(RefusalReason.HostStopping, "This host is stopping.", STOPPING_RETRY_MS);
+        }
+    }
+
     /** A stopping host takes no request that it would have to abort. */
     #checkEnd(route: Route): void {
         const usualMs = this.#durations.findLongest(route.name) ?? route.targetMs ?? route.deadlineMs;
@@ -172,9 +180,6 @@
     }
 
     #getConfiguration(): SuppliedConfiguration {
-        if (this.#isStopping) {
-            throw new RefusalError(RefusalReason.HostStopping, "This host is stopping.", STOPPING_RETRY_MS);
-        }
         const configuration = this.#options.getConfiguration();
         if (configuration === undefined) {
             const detail = "This host has no configuration yet.";
@@ -254,6 +259,7 @@
         const fingerprint = getFingerprint(account, request);
         if (request.account !== undefined) {
             await this.#admit(request.account, request.route, fingerprint, context);
+            this.#checkEnd(request.route);
         }
         const call = this.#createDispatchCall(request, account, deadline, fingerprint);
         return await this.#options.dispatcher.run(call, signal);
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -22,7 +22,7 @@
 const BYTES_PER_MEGABYTE = 1_000_000;
 /** Number of decisions kept in memory; the log has all of them. */
 const MAX_KEPT_DECISIONS = 200;
-/** Share of the grace period in which new requests are still accepted; the rest is for those in progress. */
+/** Share of the grace period in which new requests are still accepted; the rest is for those that have been read. */
 const INTAKE_GRACE_SHARE = 0.35;
 /** Share of the grace period after which requests in progress are aborted. */
 const DRAIN_GRACE_SHARE = 0.96;
@@ -107,7 +107,9 @@
         const leaveDone = this.#host.leave(this.#clock.getTime() + graceMs * DRAIN_GRACE_SHARE);
         await this.#clock.wait(graceMs * INTAKE_GRACE_SHARE);
         this.#host.gateway.stop();
-        await Promise.race([Promise.all([leaveDone, this.#host.waitForIdle()]), drainTimeout]);
+        // Service hosts take work until the requests that callers have sent ahead have been answered.
+        const idle = this.#callerListener.waitForIdle().then(() => this.#host.waitForIdle());
+        await Promise.race([Promise.all([leaveDone, idle]), drainTimeout]);
         await Promise.race([this.#supervisor.stop(), drainTimeout]);
         await this.#connections.close();
         this.#upstreamTransport.close();
