Let the time stand still in the tests of requests that can't be sent

The failing assertion, now printed: an upstream in state "suspected" with errorEvidence 0, running 0 and latencyEvidence 6.0 to 7.5 (threshold 12), at a median of 0.5 to 1 ms.

Cause: in the test. The bench's service has no minSlowMs, so that an answer of 2 ms counts as slow beside a median of 0.6 ms, and on a busy machine a few such answers make an upstream suspected. The platform's deployments count nothing below 100 ms as slow (GATEWAY_SERVICE_DEFAULTS). The state stays from run to run, so the shrunk example (method "", path "/") was not the cause.

The service host gets a clock that stands still, so that only what requests and answers hold can change a state; state, evidence of failures and running are checked as before. A request that never ends fails after 20 s of real time. The property stops at its first failure and prints the assertion and status.

--- a/tests/services/unsendableRequests.test.ts
+++ b/tests/services/unsendableRequests.test.ts
@@ -1,10 +1,12 @@
 import fc from "fast-check";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { FakeClock } from "../../src/fakes/index.js";
 import { OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
 import type { Outcome } from "../../src/outcomes/index.js";
 import { HttpUpstreamTransport, UpstreamAnswerKind } from "../../src/services/index.js";
 import type { ServiceRequest } from "../../src/services/index.js";
+import { runWithTimeout, SystemClock } from "../../src/time/index.js";
 import { createServiceRequest } from "../support/createServiceRequest.js";
 import { RawBench } from "../support/RawBench.js";
 
@@ -12,6 +14,8 @@
 const RUNS = 150;
 const SEED = 43;
 const TIME_LIMIT_MS = 2_000;
+/** Limit of a request that never ends, in milliseconds. */
+const HANG_LIMIT_MS = 20_000;
 
 const text = fc.oneof(
     fc.string({ unit: "binary", maxLength: 12 }),
@@ -46,10 +50,12 @@
 });
 
 const test = suite("requests that can't be sent");
+const systemClock = new SystemClock();
 let bench: RawBench;
 
 test.before.each(async () => {
-    bench = new RawBench(UPSTREAMS);
+    // The time of the host stands still, so that a busy machine makes no answer slow.
+    bench = new RawBench(UPSTREAMS, new FakeClock());
     await bench.start();
     for (const upstream of bench.upstreams) {
         upstream.listener = (socket, head) => {
@@ -84,13 +90,14 @@
             assert.is((await run({ requestId: `r-${count}` })).kind, OutcomeKind.Done);
             checkUpstreams();
         }),
-        { numRuns: RUNS, seed: SEED },
+        // The upstreams keep their state from run to run, so a failure can't be shrunk.
+        { numRuns: RUNS, seed: SEED, endOnFailure: true, includeErrorInReport: true },
     );
 });
 
 // Guards against a refusal of the HTTP client that is taken for a connection that could not be opened.
 test("the transport tells a request that can't be written from an upstream that can't be reached", async () => {
-    const transport = new HttpUpstreamTransport(bench.clock);
+    const transport = new HttpUpstreamTransport(systemClock);
     const upstream = bench.upstreams[0]!.getUpstream();
     const send = async (request: Partial<ServiceRequest>): Promise<UpstreamAnswerKind> => {
         const { kind } = await transport.send(upstream, createServiceRequest(request), {
@@ -116,7 +123,13 @@
 
 test.run();
 
-async function run(fields: Partial<ServiceRequest>): Promise<Outcome> {
+function run(fields: Partial<ServiceRequest>): Promise<Outcome> {
+    return runWithTimeout(systemClock, HANG_LIMIT_MS, runToEnd(fields), () => {
+        throw new Error(`No end of ${JSON.stringify(fields)}`);
+    });
+}
+
+async function runToEnd(fields: Partial<ServiceRequest>): Promise<Outcome> {
     const { outcome } = await bench.run(fields);
     if (outcome.kind === OutcomeKind.Done) {
         for await (const chunk of outcome.body) {
@@ -127,12 +140,9 @@
 }
 
 function checkUpstreams(): void {
-    for (const { upstream, state, errorEvidence, running } of bench.host.getStatus()) {
-        assert.equal({ upstream, state, errorEvidence, running }, {
-            upstream,
-            state: "healthy",
-            errorEvidence: 0,
-            running: 0,
-        });
+    for (const status of bench.host.getStatus()) {
+        const { upstream, state, errorEvidence, running } = status;
+        const expected = { upstream, state: "healthy", errorEvidence: 0, running: 0 };
+        assert.equal({ upstream, state, errorEvidence, running }, expected, JSON.stringify(status));
     }
 }
--- a/tests/support/RawBench.ts
+++ b/tests/support/RawBench.ts
@@ -6,6 +6,7 @@
 import { EjectionPolicy, HttpUpstreamTransport, ServiceHost } from "../../src/services/index.js";
 import type { ServiceAnswer, ServiceRequest } from "../../src/services/index.js";
 import { SystemClock } from "../../src/time/index.js";
+import type { Clock } from "../../src/time/index.js";
 import { createServiceRequest } from "./createServiceRequest.js";
 import { RawUpstream } from "./RawUpstream.js";
 
@@ -16,13 +17,19 @@
 
 /** A service host with real connections to upstreams that answer with raw bytes. */
 export class RawBench {
-    readonly clock = new SystemClock();
+    readonly clock: Clock;
     readonly upstreams: readonly RawUpstream[];
     readonly host: ServiceHost;
-    readonly #transport = new HttpUpstreamTransport(this.clock);
+    readonly #transport: HttpUpstreamTransport;
+    readonly #systemClock = new SystemClock();
 
-    /** @param upstreams - Number of upstreams. */
-    constructor(upstreams = 1) {
+    /**
+     * @param upstreams - Number of upstreams.
+     * @param clock - The service host's clock.
+     */
+    constructor(upstreams = 1, clock: Clock = new SystemClock()) {
+        this.clock = clock;
+        this.#transport = new HttpUpstreamTransport(clock);
         this.upstreams = Array.from({ length: upstreams }, () => new RawUpstream());
         this.host = new ServiceHost({
             clock: this.clock,
@@ -83,10 +90,10 @@
 
     /** Waits until no request holds a slot and no connection is open; returns the numbers that remain at the limit. */
     async waitForEnd(): Promise<{ running: number; open: number; }> {
-        const end = this.clock.getTime() + LIMIT_MS;
+        const end = this.#systemClock.getTime() + LIMIT_MS;
         let remaining = this.#getOpen();
-        while (remaining.running + remaining.open > 0 && this.clock.getTime() < end) {
-            await this.clock.wait(POLL_MS);
+        while (remaining.running + remaining.open > 0 && this.#systemClock.getTime() < end) {
+            await this.#systemClock.wait(POLL_MS);
             remaining = this.#getOpen();
         }
         return remaining;
