Wait for the running requests of removed services before a host stops

A configuration that removes a service takes its pools out of ServiceHost; their requests run on, but drain() asked only the pools that are left. A host that gets SIGTERM soon after such a configuration then takes itself for idle, closes the connections of its peers, and their callers get 502 from work that was under way.

The removed pools are kept until they are idle, and drain() waits for them too.

tests/services/stoppingHost.test.ts, its third test, fails without it: drained 100 ms after the stop, with 800 ms of an order to go.

--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -39,6 +39,8 @@
     readonly #outcomes: OutcomeCache;
     readonly #sharer: BaselineSharer;
     readonly #pools = new Map<string, HostedPool>();
+    /** Pools of services that are no longer configured, while they run requests. */
+    readonly #removedPools = new Set<ServicePool>();
     #configuration: Configuration | undefined;
     #isStopping = false;
     #endTime: number | undefined;
@@ -81,6 +83,8 @@
             if (configured === undefined) {
                 pool.stop();
                 this.#pools.delete(key);
+                this.#removedPools.add(pool);
+                void pool.drain().then(() => this.#removedPools.delete(pool));
             }
         }
     }
@@ -139,7 +143,8 @@
     /** Refuses new requests and waits until the accepted ones have ended. */
     async drain(): Promise<void> {
         this.#isStopping = true;
-        await Promise.all([...this.#pools.values()].map(({ pool }) => pool.drain()));
+        const pools = [...this.#pools.values()].map(({ pool }) => pool);
+        await Promise.all([...pools, ...this.#removedPools].map(pool => pool.drain()));
     }
 
     /** Stops at once and refuses the queued requests as not run. */
--- a/tests/services/stoppingHost.test.ts
+++ b/tests/services/stoppingHost.test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { Configuration } from "../../src/configuration/index.js";
 import { ServiceBench } from "../../src/fakes/index.js";
 import { OutcomeKind, RefusalReason } from "../../src/outcomes/index.js";
 
@@ -48,6 +49,19 @@
     await fc.assert(property, { seed: 7, numRuns: 40 });
 });
 
+test("a stopping host waits for the requests that run at a service which a configuration has removed since", async () => {
+    const bench = await createOrderBench(1);
+    const running = bench.send(ORDER);
+    await bench.clock.run(100);
+    bench.host.apply({ getService: () => undefined, getAccount: () => undefined } as unknown as Configuration);
+    let isDrained = false;
+    const drained = bench.host.drain().then(() => (isDrained = true));
+    await bench.clock.run(100);
+    assert.not.ok(isDrained);
+    assert.is((await runUntilEnd(bench, running)).outcome.kind, OutcomeKind.Done);
+    await runUntilEnd(bench, drained);
+});
+
 test.run();
 
 async function createOrderBench(slots: number): Promise<ServiceBench> {
