Await a running lookup at a late service host until another attempt has answered

What callers saw: 502 for a lookup whose upstream was working on it, as its service host did not say within 0.2 s whether it serves, was reported unreachable, or the caller's host took itself for isolated.

Cause: ServiceSender ended the attempt then, although nothing made sure that another one would start: the retry budget may be spent, the other parts may refuse. Where another one did start, the first answer was thrown away though it was often the earlier one. On hosts without the platform's store each attempt, the last one too, was awaited for half of the time left only.

The fix: HostWatch reports a late host once and the attempt goes on. Dispatcher keeps all attempts of a request in an AttemptRace: another one starts where the limit, the retry budget and the time allow, the first whole answer is used, and that cancels the others. If none may start, the running attempt is awaited until the deadline and its end is treated like any other, so a refusal is still sent elsewhere. Upstreams are counted from the start of an attempt. Of failed attempts an upstream's own answer is reported before an unknown outcome, and that before a refusal. Orders are never started again.

Two tests of ServiceSender.test.ts asked that such an attempt be abandoned, which was the fault; in their place the report has to come within the same time, the next lookup has to be answered at once as before, and the attempt has to be awaited up to the deadline.

--- a/src/accounts/DispatchAttempt.ts
+++ b/src/accounts/DispatchAttempt.ts
@@ -14,6 +14,8 @@
     readonly excludedUpstreams: readonly string[];
     /** Whether the loads of the service's parts are known from a recent answer. */
     readonly hasRecentLoads: boolean;
+    /** Identifies it for a service host that wants to send it to one more upstream. */
+    readonly claimId: number;
     /** Whether no other upstream may be tried after this attempt. */
     readonly isLast: boolean;
 }
--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -1,15 +1,27 @@
 import { RouteKind } from "../configuration/index.js";
 import type { ServicePart } from "../configuration/index.js";
 import { Decision } from "../logging/index.js";
-import type { NotRunOutcome, Outcome, UnknownOutcome } from "../outcomes/index.js";
-import { closeBody, createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
+import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
+import {
+    closeBody,
+    createNotRun,
+    createUnknown,
+    OutcomeKind,
+    RefusalReason,
+    UnknownReason,
+} from "../outcomes/index.js";
 import { RetryBudget } from "../services/index.js";
+import { AttemptRace } from "../utils/index.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import type { DispatchAttempt } from "./DispatchAttempt.js";
 import type { DispatchCall } from "./DispatchCall.js";
 import type { DispatcherOptions } from "./DispatcherOptions.js";
 import type { HostAnswer } from "./HostAnswer.js";
 import { isRetriable } from "./isRetriable.js";
 import { PartSelector, RequestSlack } from "./placing/index.js";
 import type { Quarantine } from "./Quarantine.js";
+import { RetryClaims } from "./RetryClaims.js";
+import { RunningAttempt } from "./RunningAttempt.js";
 import { ServiceSender } from "./ServiceSender.js";
 
 const MAX_ATTEMPTS = 4;
@@ -32,27 +44,25 @@
     readonly shedParts: Set<string>;
     /** The upstreams that it was sent to, as far as their names are known. */
     readonly excludedUpstreams: string[];
-    /** Number of upstreams that it was, or may have been, sent to. */
+    /** Number of upstreams that it was, or may have been, sent to, or may be by a running attempt. */
     sent: number;
     /** Whether a part has refused it for lack of room, and counted it towards its retry budget. */
     isCounted: boolean;
     /** Keys of the parts whose service host was lost while it had the request. */
     readonly lostHostParts: Set<string>;
-    /** The answer or unknown outcome of an earlier attempt. If it is set, the request must not be reported as not run. */
-    earlierOutcome: Exclude<Outcome, NotRunOutcome> | undefined;
+    /** Whether an earlier attempt has run, or may have run or still run. */
+    mayHaveRun: boolean;
 }
 
-interface AttemptResult {
-    readonly outcome: Outcome;
-    /** Whether the request was, or may have been, sent to an upstream. */
-    readonly isSent: boolean;
-}
+/** The attempts of a request, and the task that starts them; undefined is the result of a task that has nothing to add. */
+type OutcomeRace = AttemptRace<Outcome | undefined>;
 
 /** Sends an admitted request to service hosts and retries it within the deadline and the retry budget. */
 export class Dispatcher {
     readonly #options: DispatcherOptions;
     readonly #quarantine: Quarantine;
     readonly #sender: ServiceSender;
+    readonly #claims: RetryClaims;
     readonly #parts: PartSelector;
     readonly #slacks: RequestSlack;
     readonly #budgets = new Map<string, RetryBudget>();
@@ -65,6 +75,7 @@
         this.#options = options;
         this.#quarantine = quarantine;
         this.#sender = new ServiceSender(options);
+        this.#claims = new RetryClaims(options.handlers);
         const { clock, random } = options;
         this.#slacks = new RequestSlack(clock);
         this.#parts = new PartSelector({ clock, random, ownZone: options.membership.getSelf().zone });
@@ -83,61 +94,125 @@
             sent: 0,
             isCounted: false,
             lostHostParts: new Set(),
-            earlierOutcome: undefined,
+            mayHaveRun: false,
         };
         this.#getBudget(call.service.name).grant(call.service.retryBudget, call.service.retryRate);
-        let outcome = this.#createNoPart();
-        for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
-            const next = await this.#runAttempt(call, state, attempt, signal);
-            if (next === undefined) {
-                this.#recordRefusedRetry(call, state, attempt, "no-part");
-                break;
+        const race: OutcomeRace = new AttemptRace(
+            outcome => outcome?.kind === OutcomeKind.Done && !isRetriable(outcome, call.isIdempotent),
+            mergeOutcomes,
+            closeUnused,
+        );
+        race.add(superseded => this.#runAttempts(call, state, race, AbortSignal.any([signal, superseded]), signal));
+        const outcome = await race.wait() ?? createNoPart();
+        return outcome.kind === OutcomeKind.NotRun ? addRetryAfter(outcome) : outcome;
+    }
+
+    /**
+     * Starts one attempt after another as each ends or its service host is found late; returns the refusal to start one, if any.
+     * @param ended - Aborted when no further attempt is needed.
+     * @param left - Aborted when the caller has left, which ends the running attempts too.
+     */
+    async #runAttempts(
+        call: DispatchCall,
+        state: DispatchState,
+        race: OutcomeRace,
+        ended: AbortSignal,
+        left: AbortSignal,
+    ): Promise<Outcome | undefined> {
+        for (let number = 1; number <= MAX_ATTEMPTS; number++) {
+            const refusal = this.#checkCall(call);
+            if (refusal !== undefined) {
+                return refusal;
+            }
+            const part = this.#selectPart(call, state);
+            if (part === undefined) {
+                this.#recordRefusedRetry(call, state, number, "no-part");
+                return undefined;
             }
-            outcome = next.outcome;
-            if (state.sent >= getMaxUpstreams(call) || !this.#isRetryAllowed(call, next, signal)) {
-                break;
+            this.#parts.recordSent(call.service.name, part.key);
+            const attempt = this.#startAttempt(call, state, race, { number, part, left });
+            let result = await attempt.waitForReport();
+            if (!this.#isRetryAllowed(call, state, result, ended)) {
+                result = await attempt.waitForEnd();
+                if (!this.#isRetryAllowed(call, state, result, ended)) {
+                    return undefined;
+                }
             }
-            this.#recordRetry(call, outcome, attempt);
+            this.#recordRetry(call, result.outcome, number);
         }
-        return mergeOutcomes(outcome, state.earlierOutcome);
+        return undefined;
     }
 
-    async #runAttempt(
-        call: DispatchCall,
-        state: DispatchState,
-        attempt: number,
-        signal: AbortSignal,
-    ): Promise<AttemptResult | undefined> {
+    #checkCall(call: DispatchCall): NotRunOutcome | undefined {
         if (this.#quarantine.isQuarantined(call.fingerprint)) {
             const detail = "This request has crashed upstreams; don't repeat it.";
-            return { outcome: createNotRun(RefusalReason.RequestQuarantined, detail), isSent: false };
+            return createNotRun(RefusalReason.RequestQuarantined, detail);
         }
         if (this.#options.clock.getTime() >= call.deadline) {
             const detail = "The deadline has passed.";
-            const refusal = createNotRun(RefusalReason.DeadlineExceeded, detail, DEFAULT_RETRY_AFTER_MS);
-            return { outcome: refusal, isSent: false };
+            return createNotRun(RefusalReason.DeadlineExceeded, detail, DEFAULT_RETRY_AFTER_MS);
         }
-        const part = this.#selectPart(call, state);
-        if (part === undefined) {
-            return undefined;
-        }
-        this.#parts.recordSent(call.service.name, part.key);
-        const answer = await this.#sender.send(call, {
-            number: attempt,
+        return undefined;
+    }
+
+    #startAttempt(
+        call: DispatchCall,
+        state: DispatchState,
+        race: OutcomeRace,
+        { number, part, left }: { readonly number: number; readonly part: ServicePart; readonly left: AbortSignal; },
+    ): RunningAttempt {
+        const sentBefore = state.sent++;
+        let claimed = 0;
+        const claimId = this.#claims.add(() => {
+            if (claimed === 0 && state.sent < getMaxUpstreams(call)) {
+                state.sent++;
+                claimed++;
+            }
+            return claimed > 0;
+        });
+        const attempt = {
+            number,
             part,
-            sentBefore: state.sent,
+            sentBefore,
             isCounted: state.isCounted,
-            excludedUpstreams: state.excludedUpstreams,
+            excludedUpstreams: [...state.excludedUpstreams],
             hasRecentLoads: this.#parts.hasRecentLoads(call.service.name),
-            isLast: attempt === MAX_ATTEMPTS || state.sent + 1 >= getMaxUpstreams(call),
-        }, signal);
+            claimId,
+            isLast: number === MAX_ATTEMPTS || state.sent >= getMaxUpstreams(call),
+        };
+        const running = new RunningAttempt();
+        race.add(async superseded => {
+            const signal = AbortSignal.any([left, superseded]);
+            const result = await this.#runAttempt(call, state, attempt, signal, late => running.recordLate(late));
+            this.#claims.remove(claimId);
+            state.sent -= claimed;
+            running.recordEnd(result);
+            return result.outcome;
+        });
+        return running;
+    }
+
+    /** Runs one attempt to its end, also after its service host was found late. */
+    async #runAttempt(
+        call: DispatchCall,
+        state: DispatchState,
+        attempt: DispatchAttempt & { readonly part: ServicePart; },
+        signal: AbortSignal,
+        onLate: (result: AttemptResult) => void,
+    ): Promise<AttemptResult> {
+        const { number, part } = attempt;
+        const answer = await this.#sender.send(call, attempt, signal, () => {
+            state.mayHaveRun = true;
+            state.lostHostParts.add(part.key);
+            onLate({ outcome: createLate(), isSent: true });
+        });
         if (answer.outcome.kind === OutcomeKind.NotRun) {
             const { reason, detail } = answer.outcome;
-            this.#recordRefusedRetry(call, state, attempt, reason, { member: answer.host?.id, detail });
+            this.#recordRefusedRetry(call, state, number, reason, { member: answer.host?.id, detail });
         }
         const isSent = isPossiblySent(answer);
         const otherUpstreams = answer.otherUpstreams ?? [];
-        state.sent += (isSent ? 1 : 0) + otherUpstreams.length;
+        state.sent += otherUpstreams.length - (isSent ? 0 : 1);
         state.excludedUpstreams.push(...otherUpstreams);
         await this.#recordAnswer(call, part, answer, state);
         return { outcome: answer.outcome, isSent };
@@ -182,8 +257,7 @@
             parts.add(part.key);
         }
         else {
-            closeEarlierOutcome(state.earlierOutcome);
-            state.earlierOutcome = outcome;
+            state.mayHaveRun = true;
         }
         if (outcome.kind === OutcomeKind.Unknown && upstream === undefined) {
             state.lostHostParts.add(part.key);
@@ -214,9 +288,17 @@
     }
 
     /** Charges the retry budget unless the request was refused before it reached an upstream, as that puts no load on the service. */
-    #isRetryAllowed(call: DispatchCall, { outcome, isSent }: AttemptResult, signal: AbortSignal): boolean {
+    #isRetryAllowed(
+        call: DispatchCall,
+        { sent }: DispatchState,
+        { outcome, isSent }: AttemptResult,
+        ended: AbortSignal,
+    ): boolean {
         const remainingMs = call.deadline - this.#options.clock.getTime();
-        if (signal.aborted || remainingMs < MIN_RETRY_TIME_MS || !isRetriable(outcome, call.isIdempotent)) {
+        if (
+            ended.aborted || sent >= getMaxUpstreams(call) || remainingMs < MIN_RETRY_TIME_MS ||
+            !isRetriable(outcome, call.isIdempotent)
+        ) {
             return false;
         }
         const isFree = outcome.kind === OutcomeKind.NotRun && !isSent;
@@ -233,12 +315,12 @@
     /** Tells why nothing came of a retry; the service host that refuses it need not have a line on it. */
     #recordRefusedRetry(
         call: DispatchCall,
-        { earlierOutcome }: DispatchState,
+        { mayHaveRun }: DispatchState,
         attempt: number,
         reason: string,
         { member, detail }: { readonly member?: string | undefined; readonly detail?: string; } = {},
     ): void {
-        if (earlierOutcome === undefined) {
+        if (attempt === 1 || !mayHaveRun) {
             return;
         }
         this.#options.decisionLog.record({
@@ -253,14 +335,6 @@
         });
     }
 
-    #createNoPart(): Outcome {
-        return createNotRun(
-            RefusalReason.NoUpstream,
-            "No upstream of this service accepts requests.",
-            DEFAULT_RETRY_AFTER_MS,
-        );
-    }
-
     #recordRetry(call: DispatchCall, outcome: Outcome, attempt: number): void {
         this.#options.decisionLog.record({
             decision: Decision.Retried,
@@ -289,12 +363,16 @@
         (outcome.reason === RefusalReason.Overloaded || outcome.reason === RefusalReason.NoUpstream);
 }
 
-/** Gets the last attempt's outcome, or an earlier one that may have run if the last attempt was refused. */
-function mergeOutcomes(last: Outcome, earlierOutcome: Exclude<Outcome, NotRunOutcome> | undefined): Outcome {
-    if (last.kind === OutcomeKind.NotRun) {
-        return earlierOutcome ?? addRetryAfter(last);
-    }
-    return last;
+function createNoPart(): NotRunOutcome {
+    return createNotRun(
+        RefusalReason.NoUpstream,
+        "No upstream of this service accepts requests.",
+        DEFAULT_RETRY_AFTER_MS,
+    );
+}
+
+function createLate(): Outcome {
+    return createUnknown(UnknownReason.ConnectionLost, "The service host does not answer.");
 }
 
 function addRetryAfter(outcome: NotRunOutcome): NotRunOutcome {
@@ -303,8 +381,26 @@
     return { ...outcome, retryAfterMs };
 }
 
-function closeEarlierOutcome(earlierOutcome: Outcome | UnknownOutcome | undefined): void {
-    if (earlierOutcome !== undefined) {
-        closeBody(earlierOutcome);
+/** Selects the outcome to report; one that may have run before a refusal, which would say that it has not. */
+function mergeOutcomes(earlier: Outcome | undefined, later: Outcome | undefined): Outcome | undefined {
+    const isEarlierUsed = later === undefined || (earlier !== undefined && getRank(earlier) > getRank(later));
+    closeUnused(isEarlierUsed ? later : earlier);
+    return isEarlierUsed ? earlier : later;
+}
+
+function getRank({ kind }: Outcome): number {
+    switch (kind) {
+        case OutcomeKind.NotRun:
+            return 0;
+        case OutcomeKind.Unknown:
+            return 1;
+        case OutcomeKind.Done:
+            return 2;
+    }
+}
+
+function closeUnused(outcome: Outcome | undefined): void {
+    if (outcome !== undefined) {
+        closeBody(outcome);
     }
 }
--- a/src/accounts/DispatcherOptions.ts
+++ b/src/accounts/DispatcherOptions.ts
@@ -1,7 +1,7 @@
 import type { PeerForwarder } from "../forwarding/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { Membership } from "../membership/index.js";
-import type { PeerTransport } from "../peers/index.js";
+import type { PeerHandlers, PeerTransport } from "../peers/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { ServiceRunner, UpstreamNotices } from "../services/index.js";
 import type { Clock } from "../time/index.js";
@@ -12,6 +12,8 @@
     readonly random: RandomSource;
     readonly membership: Membership;
     readonly transport: PeerTransport;
+    /** Receives the calls of service hosts. */
+    readonly handlers: PeerHandlers;
     readonly forwarder: PeerForwarder;
     /** The service host of this process. */
     readonly serviceRunner: ServiceRunner;
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -12,6 +12,7 @@
 import type { DispatcherOptions } from "./DispatcherOptions.js";
 import { getFoundOutcome } from "./getFoundOutcome.js";
 import type { HostAnswer } from "./HostAnswer.js";
+import { HostWatch } from "./HostWatch.js";
 
 const MAX_HOSTS_PER_PART = 3;
 const IDEMPOTENT_TIMEOUT_SHARE = 0.5;
@@ -27,8 +28,6 @@
 const OWN_EVIDENCE_LIFETIME_MS = 1_000;
 /** How long a host of the same or a neighboring zone may take to answer whether it serves, in milliseconds. */
 const IS_SERVING_TIMEOUT_MS = 200;
-/** Interval of the checks whether a host that runs a lookup is still reachable, in milliseconds. */
-const REACHABILITY_CHECK_MS = 400;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 const HOST_REFUSAL_REASONS: ReadonlySet<RefusalReason> = new Set([
     RefusalReason.HostCutOff,
@@ -60,17 +59,32 @@
      * @param call - The request.
      * @param attempt - The attempt.
      * @param signal - Aborts the attempt.
+     * @param onLate - Called at most once, when the host that runs an idempotent request seems lost and another upstream may be tried;
+     * the attempt continues, as its answer may still come.
      */
-    async send(call: DispatchCall, attempt: DispatchAttempt, signal: AbortSignal): Promise<HostAnswer> {
+    async send(
+        call: DispatchCall,
+        attempt: DispatchAttempt,
+        signal: AbortSignal,
+        onLate: () => void,
+    ): Promise<HostAnswer> {
+        let isLate = false;
+        const recordLate = (): void => {
+            isLate = true;
+            onLate();
+        };
         for (const host of this.#getHosts(call.service.name, attempt.part)) {
             if (!await this.#isReadyToServe(host, call)) {
                 continue;
             }
             const request = this.#createRequest(call, attempt);
-            const answer = await this.#sendToHost(host, call, request, attempt.isLast, signal);
+            const answer = await this.#sendToHost(host, call, request, signal, attempt.isLast ? undefined : recordLate);
             if (answer !== undefined) {
                 return { ...answer, host, attemptId: request.requestId };
             }
+            if (isLate) {
+                break;
+            }
         }
         const detail = `No service host of zone ${attempt.part.zone} could be reached.`;
         const outcome = createNotRun(RefusalReason.HostUnreachable, detail, DEFAULT_RETRY_AFTER_MS);
@@ -82,26 +96,25 @@
         host: Member,
         call: DispatchCall,
         request: ServiceRequest,
-        isLast: boolean,
         signal: AbortSignal,
+        onLate: (() => void) | undefined,
     ): Promise<ServiceAnswer | undefined> {
         const { clock, membership, forwarder, serviceRunner } = this.#options;
         if (host.id === membership.getSelf().id) {
             return getUnlessHostRefused(await serviceRunner.run(request, signal));
         }
-        const waitMs = call.isIdempotent && this.#options.waitsUntilDeadline !== true
-            ? request.timeoutMs * IDEMPOTENT_TIMEOUT_SHARE
-            : request.timeoutMs + ANSWER_GRACE_MS;
+        const waitMs = request.timeoutMs + ANSWER_GRACE_MS;
         const sent = { request, time: clock.getTime(), connectFailures: 0 };
         const controller = new AbortController();
         const attemptSignal = AbortSignal.any([signal, controller.signal]);
+        const watch = call.isIdempotent && onLate !== undefined
+            ? this.#watchHost(host, call, request, onLate)
+            : undefined;
         try {
             const run = forwarder.runService(host.peerAddress, request, attemptSignal);
-            const answer = runWithTimeout(clock, waitMs, run, () => {
+            const received = await runWithTimeout(clock, waitMs, run, () => {
                 throw new PeerUnavailableError(`${host.id} did not answer.`, false);
             });
-            const received =
-                await (call.isIdempotent && !isLast ? this.#runWhileReachable(host, call, answer) : answer);
             this.#suspicion.recordAnswer(host.peerAddress);
             return getUnlessHostRefused(received);
         }
@@ -118,6 +131,9 @@
             const isNotSent = error instanceof PeerUnavailableError && error.isNotSent;
             return isNotSent ? undefined : createAnswer(await this.#findLostOutcome(host, call, sent));
         }
+        finally {
+            watch?.stop();
+        }
     }
 
     /**
@@ -155,7 +171,7 @@
         host: Member,
         { requestId, service }: Pick<ServiceRequest, "requestId" | "service">,
         reason: string,
-        error: unknown,
+        error?: unknown,
     ): void {
         this.#options.decisionLog.record({
             decision: Decision.DependencyChanged,
@@ -163,29 +179,24 @@
             requestId,
             service,
             member: host.id,
-            figures: { error: error instanceof Error ? error.message : String(error) },
+            ...(error === undefined
+                ? {}
+                : { figures: { error: error instanceof Error ? error.message : String(error) } }),
         });
     }
 
-    /** Stops waiting as soon as the host is unreachable or unresponsive, so that a lookup can still be retried on another upstream. */
-    async #runWhileReachable(host: Member, call: DispatchCall, answer: Promise<ServiceAnswer>): Promise<ServiceAnswer> {
-        const { clock } = this.#options;
-        return await new Promise((resolve, reject) => {
-            let isEnded = false;
-            const check = async (): Promise<void> => {
-                const isLost = this.#isUnreachable(host) || await this.#isUnresponsive(host, call);
-                if (isLost) {
-                    reject(new PeerUnavailableError(`${host.id} is not reachable.`, false));
-                }
-                else if (!isEnded) {
-                    timer = clock.schedule(REACHABILITY_CHECK_MS, () => void check());
-                }
-            };
-            let timer = clock.schedule(REACHABILITY_CHECK_MS, () => void check());
-            answer.then(resolve, reject).finally(() => {
-                isEnded = true;
-                timer.cancel();
-            });
+    /** Watches a host that runs a lookup, so that another upstream can be tried as soon as the host seems lost. */
+    #watchHost(host: Member, call: DispatchCall, request: ServiceRequest, onLate: () => void): HostWatch {
+        const { clock, waitsUntilDeadline } = this.#options;
+        return new HostWatch({
+            clock,
+            isLost: async () => this.#isUnreachable(host) || await this.#isUnresponsive(host, call),
+            limitMs: waitsUntilDeadline === true ? undefined : request.timeoutMs * IDEMPOTENT_TIMEOUT_SHARE,
+            onLate: () => {
+                this.#suspicion.recordSilent(host.peerAddress);
+                this.#recordHostFailure(host, request, "service-host-late");
+                onLate();
+            },
         });
     }
 
@@ -251,7 +262,8 @@
 
     #createRequest(call: DispatchCall, attempt: DispatchAttempt): ServiceRequest {
         const { method, path, headers, body } = call.request;
-        const { number, part, sentBefore, isCounted, excludedUpstreams, hasRecentLoads, isLast } = attempt;
+        const { number, part, sentBefore, isCounted, excludedUpstreams, hasRecentLoads, claimId, isLast } = attempt;
+        const hostAddress = this.#options.membership.getSelf().peerAddress;
         const requestId = number === 1 ? call.request.requestId : `${call.request.requestId}.${number}`;
         const timeoutMs = Math.max(0, call.deadline - this.#options.clock.getTime());
         const { account, isIdempotent } = call;
@@ -273,7 +285,7 @@
             isIdempotent,
             timeoutMs,
             ...(targetMs === undefined ? {} : { targetMs }),
-            ...(isIdempotent && !isLast ? { hasOtherAttempt: true } : {}),
+            ...(isIdempotent && !isLast ? { hasOtherAttempt: true, retryClaim: { hostAddress, id: claimId } } : {}),
             ...(hasRecentLoads ? { hasRecentLoads } : {}),
             ...(isCounted ? { isCounted } : {}),
             sentBefore,
--- a/src/peers/getTrafficKind.ts
+++ b/src/peers/getTrafficKind.ts
@@ -31,6 +31,7 @@
             return PeerTrafficKind.Outcomes;
         case PeerMethod.Probe:
         case PeerMethod.IsServing:
+        case PeerMethod.ClaimRetry:
         case PeerMethod.CheckHost:
         case PeerMethod.CheckOwner:
             return PeerTrafficKind.Checks;
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -24,6 +24,8 @@
 /** Interval between reports, in milliseconds: two within the two-second window over which the floor is measured. */
 const SHARE_INTERVAL_MS = 1_000;
 const DEFAULT_WEIGHT = 1;
+/** How long the sender of a request may take to say whether it may be sent to one more upstream, in milliseconds. */
+const CLAIM_RETRY_TIMEOUT_MS = 500;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 /**
  * How long a pool with unreachable upstreams is handed over to another host, in milliseconds. Network partitions last five to
@@ -269,6 +271,24 @@
         return rates.length === 0 ? DEFAULT_WEIGHT : rates.reduce((sum, other) => sum + other, 0) / rates.length;
     }
 
+    /** Asks the sender, which may have started another attempt itself, as to which both share the route's limit. */
+    async #claimRetry({ retryClaim }: ServiceRequest): Promise<boolean> {
+        if (retryClaim === undefined) {
+            return true;
+        }
+        const { handlers, membership, peers } = this.#options;
+        const { hostAddress, id } = retryClaim;
+        try {
+            const { isGranted } = hostAddress === membership.getSelf().peerAddress
+                ? await handlers.run(PeerMethod.ClaimRetry, { id })
+                : await peers.send(hostAddress, PeerMethod.ClaimRetry, { id }, CLAIM_RETRY_TIMEOUT_MS);
+            return isGranted;
+        }
+        catch {
+            return false;
+        }
+    }
+
     #createPool(service: Service, zone: string, partKey: string): ServicePool {
         const { clock, random, transport, decisions, policy, stallMeter, lateAnswerMs, endsByDeadline } = this.#options;
         const shares = new HostShares(this.#options.membership, service.name, zone, partKey);
@@ -284,6 +304,7 @@
             lateAnswerMs,
             endsByDeadline,
             getWeight: account => this.#getWeight(account),
+            claimRetry: request => this.#claimRetry(request),
             getRetryShare: () => shares.getRetryShare(),
             getRateShare: () => shares.getRateShare(),
         });
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -1,4 +1,5 @@
 import type { HeaderFields } from "../outcomes/index.js";
+import type { RetryClaim } from "./RetryClaim.js";
 
 /** A request that an account host sends to a service host. */
 export interface ServiceRequest {
@@ -27,6 +28,8 @@
     readonly targetMs?: number;
     /** Whether it may be sent to another upstream if this attempt fails. */
     readonly hasOtherAttempt?: boolean;
+    /** Whom to ask before it is; nobody if undefined. */
+    readonly retryClaim?: RetryClaim;
     /** Whether the sender knows the recent loads of the service's parts, so that the answer need not repeat them. */
     readonly hasRecentLoads?: boolean;
     /** Whether another part of the service has refused it for lack of room, and counted it towards its retry budget. */
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -132,7 +132,8 @@
             decisions,
             runner,
             findPatience: (request, deadline) => this.#findPatience(request, deadline),
-            claimRetry: request => this.#claimRetry(request),
+            claimRetry: options.claimRetry,
+            claimSlot: request => this.#claimRetry(request),
         });
         this.#silentUpstreamMonitor = new SilentUpstreamMonitor(
             clock,
--- a/src/services/pools/ServicePoolOptions.ts
+++ b/src/services/pools/ServicePoolOptions.ts
@@ -5,6 +5,7 @@
 import type { UpstreamTransport } from "../exchange/UpstreamTransport.js";
 import type { UpstreamNotices } from "../notices/UpstreamNotices.js";
 import type { OutcomeCache } from "../outcomes/OutcomeCache.js";
+import type { ServiceRequest } from "../ServiceRequest.js";
 
 /** Dependencies and settings of a pool of upstreams. */
 export interface ServicePoolOptions {
@@ -27,6 +28,8 @@
     readonly stallMeter?: StallMeter | undefined;
     /** Gets an account's share of the slots relative to others, above 0. */
     readonly getWeight: (account: string | undefined) => number;
+    /** Asks the sender of a request whether it may be sent to one more upstream. */
+    readonly claimRetry: (request: ServiceRequest) => Promise<boolean>;
     /** Gets this pool's share of the part's retry rate and of its token bucket, from 0 to 1. */
     readonly getRetryShare: () => number;
     /** Gets this host's share of the request rate that an upstream of the part accepts, above 0. */
--- a/src/services/queue/HedgedRunner.ts
+++ b/src/services/queue/HedgedRunner.ts
@@ -59,9 +59,15 @@
         };
         add(first, request, overdue.signal);
         let timer: ScheduledCall | undefined;
+        const startCheck = async (): Promise<void> => {
+            const isGranted = await this.#options.claimRetry(request);
+            if (isGranted && !race.isDecided()) {
+                check();
+            }
+        };
         const check = (): void => {
             const retry = this.#createRetry(first, request, deadline);
-            const second = this.#options.claimRetry(retry);
+            const second = this.#options.claimSlot(retry);
             if (second === undefined) {
                 timer = clock.schedule(CLAIM_INTERVAL_MS, check);
                 return;
@@ -71,7 +77,7 @@
             add(second, retry);
         };
         const patienceMs = findPatience(request, deadline);
-        timer = patienceMs === undefined ? undefined : clock.schedule(patienceMs, check);
+        timer = patienceMs === undefined ? undefined : clock.schedule(patienceMs, () => void startCheck());
         const { outcome, pooled } = await race.wait();
         timer?.cancel();
         return { outcome, pooled, others: upstreams.filter(other => other !== pooled), isConnectionLost };
--- a/src/services/queue/HedgedRunnerOptions.ts
+++ b/src/services/queue/HedgedRunnerOptions.ts
@@ -17,9 +17,11 @@
      * @param deadline - Its deadline, in milliseconds of the clock.
      */
     readonly findPatience: (request: ServiceRequest, deadline: number) => number | undefined;
+    /** Asks the sender of a request whether it may be sent to one more upstream. */
+    readonly claimRetry: (request: ServiceRequest) => Promise<boolean>;
     /**
      * Claims a slot of another upstream and a retry of the service's budget at once; undefined if either is missing.
      * @param request - The request as it would be sent to the other upstream.
      */
-    readonly claimRetry: (request: ServiceRequest) => PooledUpstream | undefined;
+    readonly claimSlot: (request: ServiceRequest) => PooledUpstream | undefined;
 }
--- a/src/services/sharing/peerMethods.ts
+++ b/src/services/sharing/peerMethods.ts
@@ -1,4 +1,6 @@
 import type { PeerMethod } from "../../peers/index.js";
+import type { ClaimRetryParams } from "./ClaimRetryParams.js";
+import type { ClaimRetryResult } from "./ClaimRetryResult.js";
 import type { FindOutcomeParams } from "./FindOutcomeParams.js";
 import type { FindOutcomeResult } from "./FindOutcomeResult.js";
 import type { IsServingResult } from "./IsServingResult.js";
@@ -13,6 +15,7 @@
         [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
         [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
         [PeerMethod.IsServing]: { params: Record<string, never>; result: IsServingResult; };
+        [PeerMethod.ClaimRetry]: { params: ClaimRetryParams; result: ClaimRetryResult; };
         [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
     }
 }
