Send answers to other hosts to their end before a host stops

A service host takes itself for idle as soon as its upstream's answer is read to the end, though the answer may still wait for the host that asked: up to 256 KB are read ahead of it, and streams hold more. A host that stops closed all connections of its peers then, and the caller of such an answer, one that reads slowly or over a slow link, got it cut.

PeerListener counts forwarded requests until their responses have closed; GatewayProcess and EntryProcess wait for that, within the time that they wait for requests in progress.

tests/forwarding/PeerListener.test.ts, its third test, on real connections: 32 MB to a host that begins to read after the stop; without the wait it fails with "other side closed", with it all bytes come.

--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -36,6 +36,7 @@
     readonly #upstreamTransport: HttpUpstreamTransport;
     readonly #host: EntryHost;
     readonly #callerListener: CallerListener;
+    readonly #peerListener: PeerListener;
     readonly #supervisor: Supervisor;
 
     /**
@@ -52,6 +53,7 @@
         this.#upstreamTransport = new HttpUpstreamTransport(this.#clock);
         this.#host = this.#createHost();
         this.#callerListener = this.#createCallerListener();
+        this.#peerListener = this.#createPeerListener();
         this.#supervisor = this.#createSupervisor();
     }
 
@@ -63,12 +65,21 @@
     /** Stops gracefully: leaves the fleet, waits for requests in progress, then closes everything. */
     async stop(): Promise<void> {
         await this.#host.drain();
+        await this.#waitForPeers();
         await this.#supervisor.stop();
         await this.#connections.close();
         this.#upstreamTransport.close();
         await this.#store.close();
     }
 
+    /** Waits until the answers to other hosts are sent, as long as for requests in progress. */
+    async #waitForPeers(): Promise<void> {
+        const timeout = new AbortController();
+        const timeoutPassed = this.#clock.wait(this.#settings.stopTimeoutMs, timeout.signal).catch(() => {});
+        await Promise.race([this.#peerListener.waitForIdle(), timeoutPassed]);
+        timeout.abort();
+    }
+
     #createHost(): EntryHost {
         const { peerSecret: secret, hostListAddress } = this.#settings;
         const peerOptions = { connections: this.#connections, clock: this.#clock, secret };
@@ -121,7 +132,7 @@
 
     #createSupervisor(): Supervisor {
         const { callerAddress, peerAddress, operatorAddress } = this.#settings;
-        const peers = this.#createPeerListener();
+        const peers = this.#peerListener;
         const operators = this.#createOperatorListener();
         const callers = this.#callerListener;
         const stallMeter = this.#stallMeter;
--- a/src/forwarding/PeerListener.ts
+++ b/src/forwarding/PeerListener.ts
@@ -40,6 +40,9 @@
     readonly #options: PeerListenerOptions;
     readonly #rpc = new JSONRPCServer<CallContext>({ errorListener: () => {} });
     readonly #server: Server;
+    /** Forwarded requests whose answers have not been sent to their end. */
+    #runningRequests = 0;
+    readonly #idleListeners: (() => void)[] = [];
 
     /** @param options - The listener's dependencies. */
     constructor(options: PeerListenerOptions) {
@@ -57,6 +60,13 @@
         await openServer(this.#server, address);
     }
 
+    /** Waits until the answer to each forwarded request has been sent. */
+    async waitForIdle(): Promise<void> {
+        if (this.#runningRequests > 0) {
+            await new Promise<void>(resolve => this.#idleListeners.push(resolve));
+        }
+    }
+
     /** Stops listening and closes all connections. */
     async stop(): Promise<void> {
         await closeServer(this.#server);
@@ -107,7 +117,9 @@
         const controller = new AbortController();
         const { socket } = response;
         const bytesWrittenBefore = socket?.bytesWritten ?? 0;
+        this.#runningRequests++;
         response.once("close", () => {
+            this.#recordEnd();
             if (!response.writableFinished) {
                 controller.abort(new Error("The peer has closed the request."));
             }
@@ -140,6 +152,13 @@
         }
     }
 
+    #recordEnd(): void {
+        this.#runningRequests--;
+        if (this.#runningRequests === 0) {
+            this.#idleListeners.splice(0).forEach(listener => listener());
+        }
+    }
+
     /** Reads a body; one for which there is no memory is read to its end, so that the refusal reaches the other host. */
     async #readBody(request: IncomingMessage): Promise<HeldBody | MemoryShortError | undefined> {
         const { memory } = this.#options;
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -52,6 +52,7 @@
     readonly #upstreamTransport: HttpUpstreamTransport;
     readonly #host: GatewayHost;
     readonly #callerListener: GatewayListener;
+    readonly #peerListener: PeerListener;
     readonly #supervisor: Supervisor;
 
     /** @param options - Settings and platform adapters. */
@@ -91,6 +92,7 @@
             recordDuration: (outcome, durationMs) => this.#metrics.recordDuration(outcome, durationMs),
         });
         this.#host.supply.addListener(() => this.#applyLimits());
+        this.#peerListener = this.#createPeerListener();
         this.#supervisor = this.#createSupervisor();
     }
 
@@ -107,7 +109,8 @@
         const leaveDone = this.#host.leave(this.#clock.getTime() + graceMs * DRAIN_GRACE_SHARE);
         await this.#clock.wait(graceMs * INTAKE_GRACE_SHARE);
         this.#host.gateway.stop();
-        await Promise.race([Promise.all([leaveDone, this.#host.waitForIdle()]), drainTimeout]);
+        const idle = Promise.all([leaveDone, this.#host.waitForIdle()]).then(() => this.#peerListener.waitForIdle());
+        await Promise.race([idle, drainTimeout]);
         await Promise.race([this.#supervisor.stop(), drainTimeout]);
         await this.#connections.close();
         this.#upstreamTransport.close();
@@ -143,20 +146,23 @@
         });
     }
 
+    #createPeerListener(): PeerListener {
+        return new PeerListener({
+            handlers: this.#host.handlers,
+            serviceRunner: this.#host.serviceHost,
+            getConfiguration: () => this.#host.getConfiguration(),
+            secret: this.#options.peerSecret,
+            memory: this.#memory,
+            traffic: this.#traffic,
+        });
+    }
+
     #createSupervisor(): Supervisor {
-        const { settings, peerSecret: secret, addLookupRoutes, addReadyRoute } = this.#options;
+        const { settings, addLookupRoutes, addReadyRoute } = this.#options;
         const host = this.#host;
         const stallMeter = this.#stallMeter;
         const callerListener = this.#callerListener;
-        const getConfiguration = () => host.getConfiguration();
-        const peerListener = new PeerListener({
-            handlers: host.handlers,
-            serviceRunner: host.serviceHost,
-            getConfiguration,
-            secret,
-            memory: this.#memory,
-            traffic: this.#traffic,
-        });
+        const peerListener = this.#peerListener;
         const lookupListener = new RouteListener(app => addLookupRoutes(app, host));
         const readyListener = new RouteListener(app => addReadyRoute(app, host));
         const metricsListener = new RouteListener(app => this.#metrics.addRoute(app));
--- a/tests/forwarding/PeerListener.test.ts
+++ b/tests/forwarding/PeerListener.test.ts
@@ -22,6 +22,8 @@
 const REQUESTS = 2;
 const CONNECT_TIMEOUT_MS = 10_000;
 const BODY_BYTES = 90_000;
+/** More than the buffers of a connection hold. */
+const LARGE_BODY_BYTES = 32_000_000;
 /** Makes a result of about 60 kB. */
 const RESULT_REPEATS = 10_000;
 const MAX_HEAD_BYTES = 2_000;
@@ -103,6 +105,38 @@
     assert.ok(count.bytes > id.length && count.bytes < 1.1 * id.length, `${count.bytes} bytes`);
 });
 
+test("a stopping host waits until its answers to other hosts are sent, also to one that reads slowly", async () => {
+    const listener = new PeerListener({
+        handlers: new PeerHandlers(),
+        serviceRunner: {
+            run: async () => ({
+                outcome: {
+                    kind: OutcomeKind.Done,
+                    status: 200,
+                    headers: {},
+                    body: Readable.from([Buffer.alloc(LARGE_BODY_BYTES)]),
+                },
+                upstream: "u",
+                isCrashSuspected: false,
+                freeSlots: 1,
+                queued: 0,
+            }),
+        },
+        getConfiguration: () => ({}) as Configuration,
+        secret: "s",
+    });
+    const connections = new PeerConnections({ maxConnections: 1, connectTimeoutMs: CONNECT_TIMEOUT_MS });
+    const forwarder = new HttpPeerForwarder({ connections, clock: new SystemClock(), secret: "s", zone: "a" });
+    const address = await findFreeAddress();
+    await listener.start(address);
+    const { outcome } = await forwarder.runService(address, createServiceRequest({}), new AbortController().signal);
+    const stopped = listener.waitForIdle().then(() => listener.stop());
+    const parts = await (outcome as { readonly body: Readable; }).body.toArray() as Buffer[];
+    await stopped;
+    await connections.close();
+    assert.is(Buffer.concat(parts).length, LARGE_BODY_BYTES);
+});
+
 test.run();
 
 async function findFreeAddress(): Promise<string> {
