--- a/src/services/queue/HedgedRequest.ts
+++ b/src/services/queue/HedgedRequest.ts
@@ -12,6 +12,8 @@
 
 /** Interval at which a request asks for another upstream while none is free, in milliseconds. */
 const CLAIM_INTERVAL_MS = 100;
+/** Upstreams beside the first one to which a request may be sent here, whatever its sender grants. */
+const MAX_OTHERS = 2;
 /** The least time left for another attempt, in milliseconds: no upstream answers in less. */
 const MIN_ATTEMPT_MS = 50;
 
@@ -35,6 +37,9 @@
     readonly #running = new Set<AttemptWatch>();
     readonly #lostAttempts: string[] = [];
     #timer: ScheduledCall | undefined;
+    /** Whether the sender has granted another upstream that is not used yet. */
+    #isGranted = false;
+    #isAsking = false;
 
     /**
      * @param options - Dependencies.
@@ -76,7 +81,7 @@
             return { outcome, pooled };
         });
         void end.then(() => this.#check());
-        const patienceMs = this.#getRemainingAttempts() > 0 ? findPatience(request, this.#deadline) : undefined;
+        const patienceMs = this.#isOtherAllowed() ? findPatience(request, this.#deadline) : undefined;
         if (patienceMs !== undefined) {
             this.#schedule(patienceMs);
         }
@@ -84,42 +89,56 @@
 
     #schedule(delayMs: number): void {
         this.#timer?.cancel();
-        this.#timer = this.#options.clock.schedule(delayMs, () => this.#check());
+        this.#timer = this.#options.clock.schedule(delayMs, () => void this.#check());
     }
 
-    /** Starts another attempt if one is allowed, no answer has begun, and a slot and a retry can be claimed. */
-    #check(): void {
-        const remainingMs = this.#deadline - this.#options.clock.getTime();
-        const isAnswered = [...this.#running].some(watch => watch.isAnswered());
-        const isOver = this.#race.isDecided() || this.#signal.aborted || isAnswered;
-        if (isOver || this.#getRemainingAttempts() === 0 || remainingMs < MIN_ATTEMPT_MS) {
+    /** Starts another attempt if one is allowed and granted, no answer has begun, and a slot and a retry can be claimed. */
+    async #check(): Promise<void> {
+        if (this.#isAsking || !this.#isAttemptDue()) {
+            return;
+        }
+        this.#isAsking = true;
+        this.#isGranted ||= await this.#options.claimRetry(this.#request);
+        this.#isAsking = false;
+        if (!this.#isGranted || !this.#isAttemptDue()) {
             return;
         }
-        const retry = this.#createRetry(remainingMs);
-        const pooled = this.#options.claimRetry(retry);
+        const retry = this.#createRetry();
+        const pooled = this.#options.claimSlot(retry);
         if (pooled === undefined) {
             this.#schedule(CLAIM_INTERVAL_MS);
             return;
         }
+        this.#isGranted = false;
         this.#running.forEach(watch => watch.recordOverdue());
         this.#recordHedge(pooled);
         this.#start(pooled, retry);
     }
 
-    /** Gets how many more upstreams the request may be sent to; a host of an earlier version says only whether it may. */
-    #getRemainingAttempts(): number {
-        const { isIdempotent, hasOtherAttempt, otherAttempts } = this.#request;
-        const others = isIdempotent && hasOtherAttempt === true ? otherAttempts ?? 1 : 0;
-        return Math.max(0, others + 1 - this.#upstreams.length);
+    #isAttemptDue(): boolean {
+        const isAnswered = [...this.#running].some(watch => watch.isAnswered());
+        return !this.#race.isDecided() && !this.#signal.aborted && !isAnswered && this.#isOtherAllowed() &&
+            this.#getRemainingMs() >= MIN_ATTEMPT_MS;
+    }
+
+    /** Whether the request may be sent to one more upstream; a sender that isn't asked has allowed for one. */
+    #isOtherAllowed(): boolean {
+        const { isIdempotent, hasOtherAttempt, retryClaim } = this.#request;
+        const maxOthers = retryClaim === undefined ? 1 : MAX_OTHERS;
+        return isIdempotent && hasOtherAttempt === true && this.#upstreams.length <= maxOthers;
+    }
+
+    #getRemainingMs(): number {
+        return this.#deadline - this.#options.clock.getTime();
     }
 
-    #createRetry(timeoutMs: number): ServiceRequest {
+    #createRetry(): ServiceRequest {
         const { requestId, sentBefore, excludedUpstreams } = this.#request;
         const count = this.#upstreams.length;
         return {
             ...this.#request,
             requestId: `${requestId}.h${count + 1}`,
-            timeoutMs,
+            timeoutMs: this.#getRemainingMs(),
             sentBefore: sentBefore + count,
             excludedUpstreams: [...excludedUpstreams, ...this.#upstreams.map(getName)],
         };
