Take only the statuses of final HTTP responses for answers

Callers of this system got 600 and 999 so, and a 199 with a content length held its request until the limit of the first byte. A lookup got 600 though another upstream of the service was sound.

Cause: the exchange took each status from 200 on for a final one, and each other one for an interim one. A status is now checked where it comes in (FinalStatus, 200 to 599; an interim head must not announce a body), and what is no answer has an answer kind of its own: the connection is closed, it counts as a failure of the upstream, a lookup gets another attempt, an order is unknown (502), also beside the proof that it has not run: nothing in such a head is to be believed. Bytes that the HTTP client can't read (2x0, 00, no HTTP) are of that kind too; they counted as a lost connection, so that their request was suspected of crashing upstreams. The log of the retry or of the unknown outcome has the detail, with the status.

Not mended: HTTP/0.9 and HTTP/2.0 in the first line pass, and an unasked 100 costs the answer after it; undici tells neither.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -238,7 +238,7 @@
             requestId: call.request.requestId,
             account: call.account,
             service: call.service.name,
-            figures: { attempt },
+            figures: { attempt, ...(outcome.kind === OutcomeKind.Done ? {} : { detail: outcome.detail }) },
         });
     }
 }
--- a/src/outcomes/UnknownReason.ts
+++ b/src/outcomes/UnknownReason.ts
@@ -4,6 +4,8 @@
     ConnectionLost = "connection-lost",
     /** The upstream's answer was truncated. */
     AnswerCut = "answer-cut",
+    /** The upstream sent bytes that are no answer. */
+    InvalidAnswer = "invalid-answer",
     /** The deadline passed after the request had been sent. */
     DeadlineExceeded = "deadline-exceeded",
     /** The entry host that holds the order's record is gone. */
--- a/src/services/detection/createObservation.ts
+++ b/src/services/detection/createObservation.ts
@@ -50,6 +50,8 @@
                 : create(ObservationKind.Cancelled, "a short deadline passed");
         case UpstreamAnswerKind.ConnectionLost:
             return create(ObservationKind.Lost, answer.detail);
+        case UpstreamAnswerKind.Invalid:
+            return { ...create(ObservationKind.Failure, `invalid answer: ${answer.detail}`), isAnswered: true };
         case UpstreamAnswerKind.Aborted:
             return create(ObservationKind.Cancelled, "the caller left");
         default:
--- a/src/services/exchange/UpstreamAnswer.ts
+++ b/src/services/exchange/UpstreamAnswer.ts
@@ -1,5 +1,5 @@
 import type { Readable } from "node:stream";
-import type { HeaderFields } from "../../outcomes/index.js";
+import type { FinalStatus, HeaderFields } from "../../outcomes/index.js";
 import type { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamNotice } from "./UpstreamNotice.js";
 
@@ -7,7 +7,7 @@
 export type UpstreamAnswer =
     | {
         readonly kind: UpstreamAnswerKind.Answered;
-        readonly status: number;
+        readonly status: FinalStatus;
         readonly headers: HeaderFields;
         readonly body: Readable;
         readonly notice?: UpstreamNotice;
@@ -22,4 +22,5 @@
     | { readonly kind: UpstreamAnswerKind.TimedOut; }
     | { readonly kind: UpstreamAnswerKind.Overdue; }
     | { readonly kind: UpstreamAnswerKind.ConnectionLost; readonly detail: string; }
+    | { readonly kind: UpstreamAnswerKind.Invalid; readonly detail: string; }
     | { readonly kind: UpstreamAnswerKind.Aborted; };
--- a/src/services/exchange/UpstreamAnswerKind.ts
+++ b/src/services/exchange/UpstreamAnswerKind.ts
@@ -14,6 +14,8 @@
     Overdue = "overdue",
     /** The connection was lost after the request was sent. */
     ConnectionLost = "connection-lost",
+    /** The upstream sent bytes that are no response in HTTP; the request may have run. */
+    Invalid = "invalid-answer",
     /** The caller disconnected. */
     Aborted = "aborted",
 }
--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -2,13 +2,15 @@
 import type { Dispatcher } from "undici";
 import type { IncomingHttpHeaders } from "undici/types/header.js";
 import { SlowReaderError, TruncatedAnswerError, UnexpectedVariantError } from "../../errors/index.js";
-import { CONNECTION_FIELDS } from "../../outcomes/index.js";
-import type { HeaderFields } from "../../outcomes/index.js";
+import { CONNECTION_FIELDS, isFinalStatus } from "../../outcomes/index.js";
+import type { FinalStatus, HeaderFields } from "../../outcomes/index.js";
 import type { ScheduledCall } from "../../time/index.js";
 import { closeUnusedBody } from "../../utils/index.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
 import { AnswerCheckKind } from "./AnswerCheckKind.js";
 import type { AnswerCheckResult } from "./AnswerCheckResult.js";
+import { findInvalidAnswer } from "./findInvalidAnswer.js";
+import { isInterimHead } from "./isInterimHead.js";
 import type { UpstreamAnswer } from "./UpstreamAnswer.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
@@ -20,6 +22,7 @@
     "UND_ERR_NOT_SUPPORTED",
     "UND_ERR_REQ_CONTENT_LENGTH_MISMATCH",
 ]);
+const STATUS_LENGTH = 3;
 const BODILESS_STATUSES = new Set([204, 304]);
 /** A body that its reader has kept waiting for this share of its time is late by the reader, not by the upstream. */
 const SLOW_READER_SHARE = 0.5;
@@ -90,9 +93,16 @@
                 }
             },
             onResponseStart: (controller, status, headers) => {
-                if (status >= 200) {
+                if (this.#isEnded) {
+                    return;
+                }
+                if (isFinalStatus(status)) {
                     this.#receiveHead(controller, status, headers);
                 }
+                else if (!isInterimHead(status, headers)) {
+                    const detail = `status ${String(status).padStart(STATUS_LENGTH, "0")}`;
+                    this.#stop({ kind: UpstreamAnswerKind.Invalid, detail });
+                }
             },
             onResponseData: (controller, chunk) => {
                 if (chunk.length > 0 && this.#body !== undefined && !this.#body.push(chunk)) {
@@ -105,7 +115,7 @@
         };
     }
 
-    #receiveHead(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    #receiveHead(controller: Dispatcher.DispatchController, status: FinalStatus, headers: IncomingHttpHeaders): void {
         this.#timer?.cancel();
         const { protocol } = this.#options;
         this.#isIdentified = protocol.hasRequestId(headers);
@@ -215,7 +225,12 @@
         }
         const detail = error.message;
         if (this.#controller !== undefined) {
-            this.#stop({ kind: UpstreamAnswerKind.ConnectionLost, detail });
+            const invalid = findInvalidAnswer(error);
+            this.#stop(
+                invalid === undefined
+                    ? { kind: UpstreamAnswerKind.ConnectionLost, detail }
+                    : { kind: UpstreamAnswerKind.Invalid, detail: invalid },
+            );
             return;
         }
         const kind = isRequestError(error) ? UpstreamAnswerKind.NotSendable : UpstreamAnswerKind.ConnectFailed;
--- a/src/services/exchange/createOutcome.ts
+++ b/src/services/exchange/createOutcome.ts
@@ -28,6 +28,11 @@
             return createUnknown(UnknownReason.DeadlineExceeded, "The upstream did not answer in time.");
         case UpstreamAnswerKind.ConnectionLost:
             return createUnknown(UnknownReason.ConnectionLost, "The connection to the upstream was lost.");
+        case UpstreamAnswerKind.Invalid:
+            return createUnknown(
+                UnknownReason.InvalidAnswer,
+                `The upstream sent what is no answer: ${answer.detail}.`,
+            );
         case UpstreamAnswerKind.Overdue:
         case UpstreamAnswerKind.Aborted:
             return createUnknown(UnknownReason.StillRunning, "The request was given up while it ran.");
--- a/src/services/outcomes/EncodedOutcome.ts
+++ b/src/services/outcomes/EncodedOutcome.ts
@@ -1,10 +1,10 @@
-import type { HeaderFields, OutcomeKind, RefusalReason, UnknownReason } from "../../outcomes/index.js";
+import type { FinalStatus, HeaderFields, OutcomeKind, RefusalReason, UnknownReason } from "../../outcomes/index.js";
 
 /** An outcome as JSON values, for storage. */
 export type EncodedOutcome =
     | {
         readonly kind: OutcomeKind.Done;
-        readonly status: number;
+        readonly status: FinalStatus;
         readonly headers: HeaderFields;
         /** The body in base64; undefined if it was too large to store or was truncated. */
         readonly body?: string;
--- a/src/services/outcomes/encodeOutcome.ts
+++ b/src/services/outcomes/encodeOutcome.ts
@@ -1,4 +1,4 @@
-import type { HeaderFields, Outcome } from "../../outcomes/index.js";
+import type { FinalStatus, HeaderFields, Outcome } from "../../outcomes/index.js";
 import { OutcomeKind } from "../../outcomes/index.js";
 import type { EncodedOutcome } from "./EncodedOutcome.js";
 
@@ -20,6 +20,6 @@
     }
 }
 
-function encodeAnswer(status: number, headers: HeaderFields, body: Buffer | undefined): EncodedOutcome {
+function encodeAnswer(status: FinalStatus, headers: HeaderFields, body: Buffer | undefined): EncodedOutcome {
     return { kind: OutcomeKind.Done, status, headers, body: body?.toString("base64") };
 }
--- a/tests/platform/support/MockPlatformUpstream.ts
+++ b/tests/platform/support/MockPlatformUpstream.ts
@@ -36,6 +36,8 @@
     openEndlessResponses = 0;
     /** The status of each response of an upstream that does not fail. */
     status = 200;
+    /** The first line of each response, as raw bytes; undefined for one of HTTP with the status. */
+    statusLine: string | undefined;
     /** Header fields that are added to each response. */
     extraHeaders: Readonly<Record<string, string>> = {};
     /** What all its responses carry; undefined for a short text that names the request. */
@@ -115,6 +117,12 @@
             setImmediate(() => socket.resetAndDestroy());
             return;
         }
+        if (this.statusLine !== undefined) {
+            const fields = Object.entries({ ...headers, "content-length": 0 });
+            const lines = [this.statusLine, ...fields.map(([name, value]) => `${name}: ${value}`)];
+            request.socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+            return;
+        }
         const isFailing = this.isFailing || fault === UpstreamFaultMode.Failing;
         const answer = this.answer ?? `answer of ${this.id} to ${request.url}`;
         response.writeHead(isFailing ? 500 : this.status, headers).end(answer);
