--- a/src/services/exchange/UpstreamAnswerKind.ts
+++ b/src/services/exchange/UpstreamAnswerKind.ts
@@ -12,6 +12,8 @@
     TimedOut = "timed-out",
     /** The connection was lost after the request was sent. */
     ConnectionLost = "connection-lost",
+    /** The upstream sent bytes that are no response in HTTP; the request may have run. */
+    Invalid = "invalid-answer",
     /** The caller disconnected. */
     Aborted = "aborted",
     /** Another attempt of the request, which ran beside this one, has answered. */
--- a/tests/services/HedgedRequest.test.ts
+++ b/tests/services/HedgedRequest.test.ts
@@ -3,7 +3,7 @@
 import * as assert from "uvu/assert";
 import { FakeClock } from "../../src/fakes/index.js";
 import { Decision, DecisionHistory } from "../../src/logging/index.js";
-import type { Outcome } from "../../src/outcomes/index.js";
+import type { FinalStatus, Outcome } from "../../src/outcomes/index.js";
 import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../../src/outcomes/index.js";
 import type { ServiceRequest } from "../../src/services/index.js";
 import type { PooledUpstream } from "../../src/services/pools/PooledUpstream.js";
@@ -159,7 +159,7 @@
     return { getUpstream: () => ({ name }) } as PooledUpstream;
 }
 
-function createDone(status: number): Outcome {
+function createDone(status: FinalStatus): Outcome {
     return { kind: OutcomeKind.Done, status, headers: {}, body: Readable.from([]) };
 }
 
