Await a running lookup at one account host while another one has it too

A lookup that takes 0.6 of its time got no answer from any of three hosts that all were at work on it.

After half of the time left the next account host gets the lookup as well; the first answer is used and ends the other attempts (AttemptRace), and the last host has all the time that is left. An order goes to one host only, as before. mergeOutcomes moves from Dispatcher to src/outcomes, as both use it.

Found by reading.

--- a/src/accounts/AccountRouter.ts
+++ b/src/accounts/AccountRouter.ts
@@ -5,10 +5,20 @@
 import { Decision } from "../logging/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { Membership } from "../membership/index.js";
-import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import {
+    closeBody,
+    createNotRun,
+    createUnknown,
+    mergeOutcomes,
+    OutcomeKind,
+    RefusalReason,
+    UnknownReason,
+} from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import type { AccountRunner, CallerRequest } from "../requests/index.js";
+import { runWithTimeout } from "../time/index.js";
 import type { Clock } from "../time/index.js";
+import { AttemptRace } from "../utils/index.js";
 import type { AccountRouterOptions } from "./AccountRouterOptions.js";
 
 const RETRY_AFTER_MS = 1000;
@@ -62,35 +72,91 @@
         request: CallerRequest,
         signal: AbortSignal,
     ): Promise<Outcome> {
-        const isIdempotent = request.route.kind !== RouteKind.Order;
+        const reachableFirst = this.#getReachableFirst(hosts);
+        const outcome = request.route.kind === RouteKind.Order
+            ? await this.#runOrder(reachableFirst, request, signal)
+            : await this.#runLookup(reachableFirst, request, signal);
+        return outcome ?? createUnreachable(request);
+    }
+
+    /** Runs an order on the first host that can be reached; returns undefined if there is none. */
+    async #runOrder(
+        hosts: readonly Member[],
+        request: CallerRequest,
+        signal: AbortSignal,
+    ): Promise<Outcome | undefined> {
         const deadline = this.#clock.getTime() + request.timeoutMs;
-        let mayHaveRun = false;
-        for (const host of this.#getReachableFirst(hosts)) {
+        for (const host of hosts) {
+            const timeoutMs = Math.max(0, deadline - this.#clock.getTime());
             try {
-                const timeoutMs = Math.max(0, deadline - this.#clock.getTime());
-                const outcome = await this.#sendToHost(host, { ...request, timeoutMs }, signal);
-                this.#recordForwarded(host, request, outcome);
-                return outcome;
+                return await this.#sendToHost(host, { ...request, timeoutMs }, timeoutMs + OUTCOME_GRACE_MS, signal);
             }
             catch (error) {
-                const isNotSent = error instanceof PeerUnavailableError && error.isNotSent;
-                if (!isNotSent && !isIdempotent) {
+                if (!isNotSent(error)) {
                     const detail = "The connection to the account host was lost; ask for the order by its key.";
                     return createUnknown(UnknownReason.ConnectionLost, detail);
                 }
-                mayHaveRun ||= !isNotSent;
             }
         }
-        return mayHaveRun
-            ? createUnknown(UnknownReason.ConnectionLost, "The connections to the account hosts were lost.")
-            : createUnreachable(request);
+        return undefined;
+    }
+
+    /** Runs a lookup on the hosts in turn, side by side once one has used half of the time left; the first answer is used. */
+    async #runLookup(
+        hosts: readonly Member[],
+        request: CallerRequest,
+        signal: AbortSignal,
+    ): Promise<Outcome | undefined> {
+        const deadline = this.#clock.getTime() + request.timeoutMs;
+        const race = new AttemptRace<Outcome | undefined>(
+            outcome => outcome?.kind === OutcomeKind.Done,
+            mergeOutcomes,
+            outcome => outcome !== undefined && closeBody(outcome),
+        );
+        race.add(async ended => {
+            for (const host of hosts) {
+                const timeoutMs = Math.max(0, deadline - this.#clock.getTime());
+                const isAnswered = this.#startLookup(host, { ...request, timeoutMs }, race, signal);
+                const isEnded = await runWithTimeout(this.#clock, timeoutMs / 2, isAnswered, () => false);
+                if (isEnded || ended.aborted || signal.aborted) {
+                    break;
+                }
+            }
+            return undefined;
+        });
+        return await race.wait();
+    }
+
+    /** Starts a lookup on one host; returns whether the host answers. */
+    #startLookup(
+        host: Member,
+        request: CallerRequest,
+        race: AttemptRace<Outcome | undefined>,
+        signal: AbortSignal,
+    ): Promise<boolean> {
+        return new Promise(resolve =>
+            race.add(async superseded => {
+                try {
+                    const combined = AbortSignal.any([signal, superseded]);
+                    const outcome = await this.#sendToHost(host, request, request.timeoutMs, combined);
+                    resolve(true);
+                    return outcome;
+                }
+                catch (error) {
+                    resolve(false);
+                    return isNotSent(error)
+                        ? undefined
+                        : createUnknown(
+                            UnknownReason.ConnectionLost,
+                            "The connections to the account hosts were lost.",
+                        );
+                }
+            })
+        );
     }
 
-    /** Waits at most half of an idempotent request's timeout for one host, so that another host can still serve it. */
-    async #sendToHost(host: Member, request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
-        const limitMs = request.route.kind === RouteKind.Order
-            ? request.timeoutMs + OUTCOME_GRACE_MS
-            : request.timeoutMs / 2;
+    /** Sends the request to one host; rejects if the host does not answer within a time. */
+    async #sendToHost(host: Member, request: CallerRequest, limitMs: number, signal: AbortSignal): Promise<Outcome> {
         const controller = new AbortController();
         const timeout = new Promise<never>((_, reject) => {
             controller.signal.addEventListener("abort", () => {
@@ -100,7 +166,10 @@
         const timer = this.#clock.schedule(limitMs, () => controller.abort());
         const combined = AbortSignal.any([signal, controller.signal]);
         try {
-            return await Promise.race([this.#forwarder.runAccount(host.peerAddress, request, combined), timeout]);
+            const run = this.#forwarder.runAccount(host.peerAddress, request, combined);
+            const outcome = await Promise.race([run, timeout]);
+            this.#recordForwarded(host, request, outcome);
+            return outcome;
         }
         finally {
             timer.cancel();
@@ -129,6 +198,10 @@
     }
 }
 
+function isNotSent(error: unknown): boolean {
+    return error instanceof PeerUnavailableError && error.isNotSent;
+}
+
 /** Answers "unknown" to an order with a key: an earlier request may have run, and only the key's holder can rule that out. */
 function createUnreachable(request: CallerRequest): Outcome {
     const detail = "No account host of the client account can be reached.";
--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -6,6 +6,7 @@
     closeBody,
     createNotRun,
     createUnknown,
+    mergeOutcomes,
     OutcomeKind,
     RefusalReason,
     UnknownReason,
@@ -381,24 +382,6 @@
     return { ...outcome, retryAfterMs };
 }
 
-/** Selects the outcome to report; one that may have run before a refusal, which would say that it has not. */
-function mergeOutcomes(earlier: Outcome | undefined, later: Outcome | undefined): Outcome | undefined {
-    const isEarlierUsed = later === undefined || (earlier !== undefined && getRank(earlier) > getRank(later));
-    closeUnused(isEarlierUsed ? later : earlier);
-    return isEarlierUsed ? earlier : later;
-}
-
-function getRank({ kind }: Outcome): number {
-    switch (kind) {
-        case OutcomeKind.NotRun:
-            return 0;
-        case OutcomeKind.Unknown:
-            return 1;
-        case OutcomeKind.Done:
-            return 2;
-    }
-}
-
 function closeUnused(outcome: Outcome | undefined): void {
     if (outcome !== undefined) {
         closeBody(outcome);
--- a/src/outcomes/index.ts
+++ b/src/outcomes/index.ts
@@ -6,6 +6,7 @@
 export type { DoneOutcome } from "./DoneOutcome.js";
 export { getOutcomeHead } from "./getOutcomeHead.js";
 export type { HeaderFields } from "./HeaderFields.js";
+export { mergeOutcomes } from "./mergeOutcomes.js";
 export type { NotRunOutcome } from "./NotRunOutcome.js";
 export type { Outcome } from "./Outcome.js";
 export type { OutcomeHead } from "./OutcomeHead.js";
