--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -27,6 +27,8 @@
 
 const MAX_ATTEMPTS = 4;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
+/** Why the caller's host itself refuses a retry. */
+const OWN_BUDGET_REASON = "own-retry-budget-spent";
 /** The least time left for a retry, in milliseconds: no upstream answers in less. */
 const MIN_RETRY_TIME_MS = 50;
 /** Length from which a body counts as large, in bytes: several times the head of a forwarded request. */
@@ -103,7 +105,9 @@
             mergeOutcomes,
             closeUnused,
         );
-        race.add(superseded => this.#runAttempts(call, state, race, AbortSignal.any([signal, superseded]), signal));
+        void race.add(superseded =>
+            this.#runAttempts(call, state, race, AbortSignal.any([signal, superseded]), signal)
+        );
         const outcome = await race.wait() ?? createNoPart();
         return outcome.kind === OutcomeKind.NotRun ? addRetryAfter(outcome) : outcome;
     }
@@ -133,9 +137,9 @@
             this.#parts.recordSent(call.service.name, part.key);
             const attempt = this.#startAttempt(call, state, race, { number, part, left });
             let result = await attempt.waitForReport();
-            if (!this.#isRetryAllowed(call, state, result, ended)) {
+            if (!this.#isRetryAllowed(call, state, number, result, ended)) {
                 result = await attempt.waitForEnd();
-                if (!this.#isRetryAllowed(call, state, result, ended)) {
+                if (!this.#isRetryAllowed(call, state, number, result, ended)) {
                     return undefined;
                 }
             }
@@ -165,11 +169,12 @@
         const sentBefore = state.sent++;
         let claimed = 0;
         const claimId = this.#claims.add(() => {
-            if (claimed === 0 && state.sent < getMaxUpstreams(call)) {
+            const isGranted = state.sent < getMaxUpstreams(call);
+            if (isGranted) {
                 state.sent++;
                 claimed++;
             }
-            return claimed > 0;
+            return isGranted;
         });
         const attempt = {
             number,
@@ -182,7 +187,7 @@
             isLast: number === MAX_ATTEMPTS || state.sent >= getMaxUpstreams(call),
         };
         const running = new RunningAttempt();
-        race.add(async superseded => {
+        void race.add(async superseded => {
             const signal = AbortSignal.any([left, superseded]);
             const result = await this.#runAttempt(call, state, attempt, signal, late => running.recordLate(late));
             this.#claims.remove(claimId);
@@ -267,8 +272,10 @@
             this.#recordLoads(call, part, answer);
         }
         if (answer.isCrashSuspected && answer.host !== undefined) {
-            const event = { attemptId: answer.attemptId ?? "", hostAddress: answer.host.peerAddress };
-            await this.#quarantine.recordCrash(call.account, call.fingerprint, event);
+            for (const attemptId of answer.lostAttempts ?? [answer.attemptId ?? ""]) {
+                const event = { attemptId, hostAddress: answer.host.peerAddress };
+                await this.#quarantine.recordCrash(call.account, call.fingerprint, event);
+            }
         }
         else if (outcome.kind === OutcomeKind.Done) {
             this.#quarantine.recordSuccess(call.fingerprint);
@@ -291,20 +298,25 @@
     /** Charges the retry budget unless the request was refused before it reached an upstream, as that puts no load on the service. */
     #isRetryAllowed(
         call: DispatchCall,
-        { sent }: DispatchState,
+        state: DispatchState,
+        number: number,
         { outcome, isSent }: AttemptResult,
         ended: AbortSignal,
     ): boolean {
         const remainingMs = call.deadline - this.#options.clock.getTime();
         if (
-            ended.aborted || sent >= getMaxUpstreams(call) || remainingMs < MIN_RETRY_TIME_MS ||
+            ended.aborted || state.sent >= getMaxUpstreams(call) || remainingMs < MIN_RETRY_TIME_MS ||
             !isRetriable(outcome, call.isIdempotent)
         ) {
             return false;
         }
         const isFree = outcome.kind === OutcomeKind.NotRun && !isSent;
         const priority = call.request.account?.priority ?? call.request.route.priority;
-        return isFree || this.#getBudget(call.service.name).spend(priority);
+        const isAllowed = isFree || this.#getBudget(call.service.name).spend(priority);
+        if (!isAllowed) {
+            this.#recordRefusedRetry(call, state, number + 1, OWN_BUDGET_REASON);
+        }
+        return isAllowed;
     }
 
     #getBudget(service: string): RetryBudget {
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -22,7 +22,7 @@
 const BYTES_PER_MEGABYTE = 1_000_000;
 /** Number of decisions kept in memory; the log has all of them. */
 const MAX_KEPT_DECISIONS = 200;
-/** Share of the grace period in which new requests are still accepted; the rest is for those in progress. */
+/** Share of the grace period in which new requests are still accepted; the rest is for those that have been read. */
 const INTAKE_GRACE_SHARE = 0.35;
 /** Share of the grace period after which requests in progress are aborted. */
 const DRAIN_GRACE_SHARE = 0.96;
@@ -109,7 +109,9 @@
         const leaveDone = this.#host.leave(this.#clock.getTime() + graceMs * DRAIN_GRACE_SHARE);
         await this.#clock.wait(graceMs * INTAKE_GRACE_SHARE);
         this.#host.gateway.stop();
-        const idle = Promise.all([leaveDone, this.#host.waitForIdle()]).then(() => this.#peerListener.waitForIdle());
+        // Service hosts take work until the requests that callers have sent ahead have been answered.
+        const callersIdle = this.#callerListener.waitForIdle().then(() => this.#host.waitForIdle());
+        const idle = Promise.all([leaveDone, callersIdle]).then(() => this.#peerListener.waitForIdle());
         await Promise.race([idle, drainTimeout]);
         await Promise.race([this.#supervisor.stop(), drainTimeout]);
         await this.#connections.close();
