--- a/src/outcomes/index.ts
+++ b/src/outcomes/index.ts
@@ -8,6 +8,7 @@
 export { getOutcomeHead } from "./getOutcomeHead.js";
 export type { HeaderFields } from "./HeaderFields.js";
 export { isFinalStatus } from "./isFinalStatus.js";
+export { mergeOutcomes } from "./mergeOutcomes.js";
 export type { NotRunOutcome } from "./NotRunOutcome.js";
 export type { Outcome } from "./Outcome.js";
 export type { OutcomeHead } from "./OutcomeHead.js";
