Answer what is still in progress at the end of a stopping host's grace

A stop that came to its end closed all connections at once. A caller whose request outlasted the grace, and those that it had sent behind it on the same connection, got no answer, though the latter had not run and the host knew it.

At that moment (0.96 of the grace) the gateway now answers each request in progress: as not run if it has not been sent to anyone, and it never will be, else as unknown. The process waits 0.02 of the grace for that before it closes its connections. Cutting at 0.96 stays as it was: work that needs longer is broken off.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -6,7 +6,14 @@
 import type { Account, Route, SuppliedConfiguration } from "../configuration/index.js";
 import { TruncatedAnswerError } from "../errors/index.js";
 import { Decision } from "../logging/index.js";
-import { createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import {
+    closeBody,
+    createNotRun,
+    createUnknown,
+    OutcomeKind,
+    RefusalReason,
+    UnknownReason,
+} from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import type { RateBasis } from "../rates/index.js";
 import type { CallerRequest } from "../requests/index.js";
@@ -15,6 +22,7 @@
 import { findAuthorizedRoute } from "./findAuthorizedRoute.js";
 import type { GatewayOptions } from "./GatewayOptions.js";
 import type { GatewayRequest } from "./GatewayRequest.js";
+import { HostEnd } from "./HostEnd.js";
 import { RouteDurations } from "./RouteDurations.js";
 import { selectService } from "./selectService.js";
 
@@ -49,6 +57,8 @@
     account?: string | undefined;
     /** The part of the account's rate limit that refused the request. */
     rateBasis?: RateBasis | undefined;
+    /** Whether it may have been sent to an upstream. */
+    isDispatched?: boolean;
 }
 
 /** Authorizes and rate-limits callers' requests and dispatches them to service hosts. */
@@ -56,13 +66,14 @@
     readonly #options: GatewayOptions;
     #runningRequests = 0;
     readonly #durations = new RouteDurations();
-    #endTime: number | undefined;
+    readonly #end: HostEnd;
     #stopTime: number | undefined;
     readonly #idleListeners: (() => void)[] = [];
 
     /** @param options - Dependencies of the gateway. */
     constructor(options: GatewayOptions) {
         this.#options = options;
+        this.#end = new HostEnd(options.clock);
     }
 
     /** Refuses requests that are read from now on; those that were read before may still start, and those in progress continue. */
@@ -72,10 +83,10 @@
 
     /**
      * Refuses requests that have not been sent and can't be expected to end in time.
-     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
+     * @param endTime - When requests in progress are given up and answered, in milliseconds of the clock.
      */
     leave(endTime: number): void {
-        this.#endTime = endTime;
+        this.#end.schedule(endTime);
     }
 
     /** Waits until no request is in progress. */
@@ -110,7 +121,8 @@
         const context: RequestContext = { requestId: request.requestId, startTime };
         this.#runningRequests++;
         try {
-            const outcome = await this.#run(request, readBody, context, signal);
+            const run = this.#run(request, readBody, context, signal);
+            const outcome = await this.#end.waitFor(run, () => createEndOutcome(context), closeBody);
             this.#record(context, outcome);
             return outcome;
         }
@@ -160,7 +172,7 @@
     /** A stopping host takes no request that it would have to abort. */
     #checkEnd(route: Route): void {
         const usualMs = this.#durations.findLongest(route.name) ?? route.targetMs ?? route.deadlineMs;
-        if (this.#endTime !== undefined && this.#options.clock.getTime() + usualMs > this.#endTime) {
+        if (!this.#end.hasTimeFor(usualMs)) {
             throw new RefusalError(
                 RefusalReason.HostStopping,
                 "This host is stopping before the request could end.",
@@ -262,6 +274,7 @@
             this.#checkEnd(request.route);
         }
         const call = this.#createDispatchCall(request, account, deadline, fingerprint);
+        context.isDispatched = true;
         return await this.#options.dispatcher.run(call, signal);
     }
 
@@ -352,6 +365,12 @@
     }
 }
 
+function createEndOutcome({ isDispatched }: RequestContext): Outcome {
+    return isDispatched === true
+        ? createUnknown(UnknownReason.ConnectionLost, "The host stopped before the request ended.")
+        : createNotRun(RefusalReason.HostStopping, "The host stopped before the request was sent.", STOPPING_RETRY_MS);
+}
+
 function createCallerRequest(
     request: GatewayRequest,
     route: Route,
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -24,8 +24,10 @@
 const MAX_KEPT_DECISIONS = 200;
 /** Share of the grace period in which new requests are still accepted; the rest is for those that have been read. */
 const INTAKE_GRACE_SHARE = 0.35;
-/** Share of the grace period after which requests in progress are aborted. */
+/** Share of the grace period after which requests in progress are given up. */
 const DRAIN_GRACE_SHARE = 0.96;
+/** Share of the grace period for the answers to what was given up, after which connections are closed. */
+const ANSWER_GRACE_SHARE = 0.02;
 
 /** Descriptors that are kept for files, of those that a process may have. */
 const FILE_DESCRIPTORS = 200;
@@ -103,6 +105,7 @@
     async stop(): Promise<void> {
         const graceMs = this.#options.settings.graceSeconds * MS_PER_SECOND;
         const drainTimeout = this.#clock.wait(graceMs * DRAIN_GRACE_SHARE);
+        const answerTimeout = drainTimeout.then(() => this.#clock.wait(graceMs * ANSWER_GRACE_SHARE));
         this.#callerListener.drain();
         const leaveDone = this.#host.leave(this.#clock.getTime() + graceMs * DRAIN_GRACE_SHARE);
         await this.#clock.wait(graceMs * INTAKE_GRACE_SHARE);
@@ -110,7 +113,7 @@
         // Service hosts take work until the requests that callers have sent ahead have been answered.
         const idle = this.#callerListener.waitForIdle().then(() => this.#host.waitForIdle());
         await Promise.race([Promise.all([leaveDone, idle]), drainTimeout]);
-        await Promise.race([this.#supervisor.stop(), drainTimeout]);
+        await Promise.race([this.#supervisor.stop(), answerTimeout]);
         await this.#connections.close();
         this.#upstreamTransport.close();
     }
--- a/tests/gateway/stoppingGateway.test.ts
+++ b/tests/gateway/stoppingGateway.test.ts
@@ -66,6 +66,24 @@
     assert.is(sentCount, 0);
 });
 
+test("each request in progress is answered when the gateway ends, as not run only if it never runs", async () => {
+    answer = () => new Promise(() => {});
+    gateway.leave(clock.getTime() + END_MS);
+    const outcomes = new Map<string, Outcome>();
+    let receiveBody = (): void => {};
+    const body = new Promise<Buffer>(resolve => receiveBody = () => resolve(Buffer.alloc(1)));
+    void run({}).then(outcome => outcomes.set("sent", outcome));
+    void run({ body }).then(outcome => outcomes.set("not sent", outcome));
+    await clock.run(END_MS);
+    receiveBody();
+    await clock.run(1);
+    assert.equal([...outcomes].map(([name, outcome]) => [name, getReason(outcome)]), [
+        ["sent", OutcomeKind.Unknown],
+        ["not sent", RefusalReason.HostStopping],
+    ]);
+    assert.is(sentCount, 1);
+});
+
 test.run();
 
 async function run({ readTime = clock.getTime(), body = Promise.resolve<Buffer>(Buffer.alloc(1)) }): Promise<Outcome> {
