Answer queries of the product's own listener in their place on a connection

The listener of the product's own entry process answers queries for addresses and for an order's outcome itself. These bypassed CallerConnection, which therefore took the request before such a query for the last one: at a stop its answer closed the connection, and the query, which had been read, got none. The refusal of an upgrade bypassed it too.

They are now requests of their connection like all others.

The platform's listener has no such endpoints.

--- a/src/callers/CallerConnection.ts
+++ b/src/callers/CallerConnection.ts
@@ -4,6 +4,7 @@
 import { drainBody, drainSocket, refuseSocket } from "../utils/index.js";
 import type { CallerConnectionOptions } from "./CallerConnectionOptions.js";
 import type { PendingRequest } from "./PendingRequest.js";
+import type { PreparedRequest } from "./PreparedRequest.js";
 
 /** Requests of one connection that run at the same time; each may hold the start of an answer in memory. */
 const MAX_RUNNING_REQUESTS = 4;
@@ -45,12 +46,12 @@
      * Adds a request that has been read.
      * @param request - The request.
      * @param response - Its response.
+     * @param prepared - The decoded request.
      */
-    add(request: IncomingMessage, response: ServerResponse): void {
+    add(request: IncomingMessage, response: ServerResponse, prepared: PreparedRequest): void {
         if (this.#isClosing) {
             return;
         }
-        const prepared = this.#options.prepare(request);
         const controller = new AbortController();
         const queuedBytes = REQUEST_BYTES + getHeadLength(request);
         this.#options.memory?.budget.claim(MemoryKind.QueuedRequest, queuedBytes);
--- a/src/callers/CallerConnections.ts
+++ b/src/callers/CallerConnections.ts
@@ -41,10 +41,11 @@
      * Adds a request that has been read on its connection.
      * @param request - The request.
      * @param response - Its response.
+     * @param prepared - The decoded request.
      */
-    add(request: IncomingMessage, response: ServerResponse): void {
+    add(request: IncomingMessage, response: ServerResponse, prepared = this.#options.prepare(request)): void {
         const connection = this.#connections.get(request.socket) ?? this.#createConnection(request.socket);
-        connection.add(request, response);
+        connection.add(request, response, prepared);
         if (connection.isBusy()) {
             this.#busy.add(connection);
             this.#limit.record(request.socket, true);
@@ -77,11 +78,10 @@
     }
 
     #createConnection(socket: Socket): CallerConnection {
-        const { clock, memory, prepare } = this.#options;
+        const { clock, memory } = this.#options;
         const connection: CallerConnection = new CallerConnection(socket, {
             clock,
             memory,
-            prepare,
             isDraining: () => this.#isDraining,
             onIdle: () => {
                 this.#limit.record(socket, false);
--- a/src/callers/CallerListener.ts
+++ b/src/callers/CallerListener.ts
@@ -1,5 +1,5 @@
 import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
 import polka from "polka";
 import { closeBody, createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
@@ -13,7 +13,6 @@
 import type { PreparedRequest } from "./PreparedRequest.js";
 import { RefusalError } from "./RefusalError.js";
 import { sendCallerAnswer } from "./sendCallerAnswer.js";
-import { sendProblem } from "./sendProblem.js";
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEEP_ALIVE_MS = 60_000;
@@ -71,56 +70,44 @@
             server: this.#server,
             onNoMatch: (request, response) => this.#connections.add(request, response),
         });
-        app.get("/v1/addresses", (request, response) => this.#sendAddresses(request, response));
+        app.get("/v1/addresses", (request, response) => {
+            this.#connections.add(request, response, createOwnRequest(async () => this.#createAddressAnswer(request)));
+        });
         app.get("/v1/orders/:key", (request, response) => {
-            void this.#sendOrder(request, String(request.params.key), response);
+            const key = String(request.params.key);
+            this.#connections.add(request, response, createOwnRequest(() => this.#createOrderAnswer(request, key)));
         });
         this.#server.on("request", (request, response) => {
-            if (!refuseUpgrade(request, response)) {
+            if (request.headers.upgrade === undefined) {
                 app.handler(request as polka.Request, response);
+                return;
             }
+            response.shouldKeepAlive = false;
+            this.#connections.add(request, response, createOwnRequest(refuseUpgrade));
         });
         this.#server.on("connect", (_request, socket) => refuseSocket(socket, "405 Method Not Allowed"));
     }
 
-    #sendAddresses(request: IncomingMessage, response: ServerResponse): void {
-        this.#runLookup(response, () => {
-            const credentials = parseCredentials(getHeaders(request));
-            const account = credentials === undefined
-                ? undefined
-                : this.#options.requestHandler.getAccount(credentials);
-            const body = JSON.stringify(this.#options.lookup.getAddresses(account));
-            response.writeHead(200, { "content-type": "application/json" }).end(body);
-        });
+    #createAddressAnswer(request: IncomingMessage): PreparedAnswer {
+        const credentials = parseCredentials(getHeaders(request));
+        const account = credentials === undefined
+            ? undefined
+            : this.#options.requestHandler.getAccount(credentials);
+        const body = JSON.stringify(this.#options.lookup.getAddresses(account));
+        return {
+            send: async response => void response.writeHead(200, { "content-type": "application/json" }).end(body),
+            cancel: () => {},
+        };
     }
 
-    async #sendOrder(request: IncomingMessage, key: string, response: ServerResponse): Promise<void> {
-        let accountName: string | undefined;
-        this.#runLookup(response, () => {
-            this.#options.requestHandler.checkServing();
-            const credentials = parseCredentials(getHeaders(request));
-            if (credentials === undefined) {
-                throw new RefusalError(RefusalReason.UnknownKey, "An order's outcome needs a key.");
-            }
-            accountName = this.#options.requestHandler.getAccount(credentials).name;
-        });
-        if (accountName !== undefined) {
-            const outcome = await this.#options.findOrder(accountName, key);
-            const signal = new AbortController().signal;
-            await sendCallerAnswer({ requestId: NO_REQUEST_ID, outcome, signal, close: () => {} }, response);
-        }
-    }
-
-    #runLookup(response: ServerResponse, run: () => void): void {
-        try {
-            run();
-        }
-        catch (error) {
-            const isRefusal = error instanceof RefusalError;
-            const detail = "The request could not be read.";
-            const outcome = isRefusal ? error.outcome : createNotRun(RefusalReason.MalformedRequest, detail);
-            sendProblem(outcome, NO_REQUEST_ID, response);
+    async #createOrderAnswer(request: IncomingMessage, key: string): Promise<PreparedAnswer> {
+        this.#options.requestHandler.checkServing();
+        const credentials = parseCredentials(getHeaders(request));
+        if (credentials === undefined) {
+            throw new RefusalError(RefusalReason.UnknownKey, "An order's outcome needs a key.");
         }
+        const account = this.#options.requestHandler.getAccount(credentials);
+        return createOwnAnswer(await this.#options.findOrder(account.name, key));
     }
 
     #createPreparedRequest(request: IncomingMessage): PreparedRequest {
@@ -181,12 +168,34 @@
     return await readBody(request, maxBytes);
 }
 
-function refuseUpgrade(request: IncomingMessage, response: ServerResponse): boolean {
-    if (request.headers.upgrade === undefined) {
-        return false;
-    }
-    const outcome = createNotRun(RefusalReason.MalformedRequest, "Upgrades are not supported.");
-    response.setHeader("connection", "close");
-    sendProblem(outcome, NO_REQUEST_ID, response);
-    return true;
+/** Prepares a request that the listener answers itself. */
+function createOwnRequest(createAnswer: () => Promise<PreparedAnswer>): PreparedRequest {
+    return {
+        canRunAhead: true,
+        run: async () => {
+            try {
+                return await createAnswer();
+            }
+            catch (error) {
+                const detail = "The request could not be read.";
+                return createOwnAnswer(
+                    error instanceof RefusalError
+                        ? error.outcome
+                        : createNotRun(RefusalReason.MalformedRequest, detail),
+                );
+            }
+        },
+    };
+}
+
+function createOwnAnswer(outcome: Outcome): PreparedAnswer {
+    const signal = new AbortController().signal;
+    return {
+        send: response => sendCallerAnswer({ requestId: NO_REQUEST_ID, outcome, signal, close: () => {} }, response),
+        cancel: () => closeBody(outcome),
+    };
+}
+
+async function refuseUpgrade(): Promise<never> {
+    throw new RefusalError(RefusalReason.MalformedRequest, "Upgrades are not supported.");
 }
--- a/tests/callers/CallerListener.test.ts
+++ b/tests/callers/CallerListener.test.ts
@@ -127,6 +127,27 @@
     assert.equal((await answer).match(/\/catalogue\/\d/g), ["/catalogue/1", "/catalogue/2", "/catalogue/3"]);
 });
 
+test("a stop answers queries for addresses and orders that were sent behind a request", async () => {
+    const headers = { "content-length": "0" };
+    let sendOutcome = (): void => {};
+    bench.createOutcome = () =>
+        new Promise(resolve => {
+            sendOutcome = () => resolve({ kind: OutcomeKind.Done, status: 200, headers, body: Readable.from([]) });
+        });
+    const paths = ["/catalogue/1", "/v1/addresses", "/v1/orders/x"];
+    const fields = "Host: a\r\nAuthorization: Bearer KEY\r\n";
+    const received = bench.send(paths.map(path => `GET ${path} HTTP/1.1\r\n${fields}\r\n`).join(""));
+    while (bench.received.length === 0) {
+        await new Promise(setImmediate);
+    }
+    const stopped = bench.drain();
+    sendOutcome();
+    const text = await received;
+    await stopped;
+    assert.equal(text.match(/(?<=HTTP\/1\.1 )\d+/g), ["200", "200", "400"]);
+    assert.equal(text.match(/connection: close/gi)?.length, 1);
+});
+
 test("a caller that leaves cancels all requests that it has sent ahead", async () => {
     bench.createOutcome = () => new Promise(() => {});
     const get = "GET /catalogue/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer KEY\r\n\r\n".repeat(3);
--- a/tests/support/CallerBench.ts
+++ b/tests/support/CallerBench.ts
@@ -66,6 +66,11 @@
         await this.#listener.stop();
     }
 
+    /** Stops listening after the answers in progress. */
+    async drain(): Promise<void> {
+        await this.#listener.stop();
+    }
+
     /** Withdraws the key by a change of the configuration. */
     removeKey(): void {
         this.#configuration = this.#createConfiguration({ ...this.key.record, withdrawn: true }, 2);
