Refuse a tunnel after the answers to the requests before it

The product's own listener, by its code, wrote its 405 at once, ahead of the answers that were due.

The refusal now comes in its turn, as it does for bytes that are no request. A connection whose first bytes are refused is closed like all others (drainSocket); no test shows that one.

--- a/src/callers/CallerConnections.ts
+++ b/src/callers/CallerConnections.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { refuseSocket } from "../utils/index.js";
 import { CallerConnection } from "./CallerConnection.js";
 import type { CallerConnectionsOptions } from "./CallerConnectionsOptions.js";
 import { ConnectionLimit } from "./ConnectionLimit.js";
@@ -35,6 +34,11 @@
             const isOverflow = error.code === HEADER_OVERFLOW_CODE;
             this.#refuse(socket as Socket, isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request");
         });
+        options.server.on("connect", (_request, socket) => {
+            // Node has removed its own listener.
+            socket.on("error", () => {});
+            this.#refuse(socket as Socket, "405 Method Not Allowed");
+        });
     }
 
     /**
@@ -100,11 +104,7 @@
     }
 
     #refuse(socket: Socket, status: string): void {
-        const connection = this.#connections.get(socket);
-        if (connection === undefined) {
-            refuseSocket(socket, status);
-            return;
-        }
+        const connection = this.#connections.get(socket) ?? this.#createConnection(socket);
         connection.refuse(status);
     }
 }
--- a/src/callers/CallerListener.ts
+++ b/src/callers/CallerListener.ts
@@ -3,7 +3,7 @@
 import polka from "polka";
 import { closeBody, createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
-import { openServer, readBody, refuseSocket } from "../utils/index.js";
+import { openServer, readBody } from "../utils/index.js";
 import type { CallerAnswer } from "./CallerAnswer.js";
 import { CallerConnections } from "./CallerConnections.js";
 import type { CallerListenerOptions } from "./CallerListenerOptions.js";
@@ -85,7 +85,6 @@
             response.shouldKeepAlive = false;
             this.#connections.add(request, response, createOwnRequest(refuseUpgrade));
         });
-        this.#server.on("connect", (_request, socket) => refuseSocket(socket, "405 Method Not Allowed"));
     }
 
     #createAddressAnswer(request: IncomingMessage): PreparedAnswer {
--- a/tests/gateway/pipelining.test.ts
+++ b/tests/gateway/pipelining.test.ts
@@ -230,6 +230,16 @@
     assert.match(caller.received, /^HTTP\/1\.1 200 OK[\s\S]*\/1HTTP\/1\.1 400 Bad Request/);
 });
 
+test("a tunnel is refused after the answers to the requests before it", async () => {
+    const caller = await bench.open();
+    caller.socket.write(`${createGets("/1", "/order")}CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n`);
+    await bench.waitUntil(() => bench.started.length === 1);
+    await bench.sendOutcome("/1");
+    await bench.sendOutcome("/order");
+    await bench.waitUntil(() => caller.isClosed);
+    assert.match(caller.received, /\/1HTTP\/1\.1 200 OK[\s\S]*\/orderHTTP\/1\.1 405 Method Not Allowed/);
+});
+
 test("an order behind other requests is passed on when those have been answered", async () => {
     const caller = await bench.open();
     caller.socket.write(`${createGets("/1")}POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc`);
