--- a/src/callers/CallerConnections.ts
+++ b/src/callers/CallerConnections.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { refuseSocket } from "../utils/index.js";
 import { CallerConnection } from "./CallerConnection.js";
 import type { CallerConnectionsOptions } from "./CallerConnectionsOptions.js";
 import { ConnectionLimit } from "./ConnectionLimit.js";
@@ -35,16 +34,22 @@
             const isOverflow = error.code === HEADER_OVERFLOW_CODE;
             this.#refuse(socket as Socket, isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request");
         });
+        options.server.on("connect", (_request, socket) => {
+            // Node has removed its own listener.
+            socket.on("error", () => {});
+            this.#refuse(socket as Socket, "405 Method Not Allowed");
+        });
     }
 
     /**
      * Adds a request that has been read on its connection.
      * @param request - The request.
      * @param response - Its response.
+     * @param prepared - The decoded request.
      */
-    add(request: IncomingMessage, response: ServerResponse): void {
+    add(request: IncomingMessage, response: ServerResponse, prepared = this.#options.prepare(request)): void {
         const connection = this.#connections.get(request.socket) ?? this.#createConnection(request.socket);
-        connection.add(request, response);
+        connection.add(request, response, prepared);
         if (connection.isBusy()) {
             this.#busy.add(connection);
             this.#limit.record(request.socket, true);
@@ -77,11 +82,10 @@
     }
 
     #createConnection(socket: Socket): CallerConnection {
-        const { clock, memory, prepare } = this.#options;
+        const { clock, memory } = this.#options;
         const connection: CallerConnection = new CallerConnection(socket, {
             clock,
             memory,
-            prepare,
             isDraining: () => this.#isDraining,
             onIdle: () => {
                 this.#limit.record(socket, false);
@@ -100,11 +104,7 @@
     }
 
     #refuse(socket: Socket, status: string): void {
-        const connection = this.#connections.get(socket);
-        if (connection === undefined) {
-            refuseSocket(socket, status);
-            return;
-        }
+        const connection = this.#connections.get(socket) ?? this.#createConnection(socket);
         connection.refuse(status);
     }
 }
