Tell service hosts when the sender of a request stops, and refuse what can't end by then

Callers of a host that got SIGTERM lost orders that it had sent on to another host's queue: the queue passed them on late, and the stopping host closed their connections at the end of its grace without an answer, though the upstreams ran them.

Cause: the host that owes the answer and the host with the queue each judged a request by its own end alone.

A leaving host now names its unanswered requests and the time left to the service hosts that have them (service.recordSenderEnd, up to three times), and later requests carry the time left. The queue refuses as not run what can't be expected to end by then, at once where the work ahead is too long. It works wherever the request waits, as both ends are kept in one place (RequestEnds) that every check asks.

--- a/src/accounts/Dispatcher.ts
+++ b/src/accounts/Dispatcher.ts
@@ -70,6 +70,14 @@
         this.#parts = new PartSelector({ clock, random, ownZone: options.membership.getSelf().zone });
     }
 
+    /**
+     * Has what can't be expected to end before this host aborts it refused, wherever it waits.
+     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
+     */
+    leave(endTime: number): void {
+        this.#sender.leave(endTime);
+    }
+
     /**
      * Runs the request to its outcome; never rejects.
      * @param call - The request.
--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -1,7 +1,7 @@
 import { PeerUnavailableError } from "../errors/index.js";
 import type { Member } from "../head/index.js";
 import { Decision } from "../logging/index.js";
-import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { createNotRun, createUnknown, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { PeerMethod, PeerSuspicion } from "../peers/index.js";
 import { RequestState } from "../services/index.js";
@@ -11,7 +11,9 @@
 import type { DispatchCall } from "./DispatchCall.js";
 import type { DispatcherOptions } from "./DispatcherOptions.js";
 import { getFoundOutcome } from "./getFoundOutcome.js";
+import { getUnlessHostRefused } from "./getUnlessHostRefused.js";
 import type { HostAnswer } from "./HostAnswer.js";
+import { SentRequests } from "./SentRequests.js";
 
 const MAX_HOSTS_PER_PART = 3;
 const IDEMPOTENT_TIMEOUT_SHARE = 0.5;
@@ -30,11 +32,6 @@
 /** Interval of the checks whether a host that runs a lookup is still reachable, in milliseconds. */
 const REACHABILITY_CHECK_MS = 400;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
-const HOST_REFUSAL_REASONS: ReadonlySet<RefusalReason> = new Set([
-    RefusalReason.HostCutOff,
-    RefusalReason.HostNotCurrent,
-    RefusalReason.HostStopping,
-]);
 
 interface SentRequest {
     readonly request: ServiceRequest;
@@ -48,11 +45,21 @@
 export class ServiceSender {
     readonly #options: DispatcherOptions;
     readonly #suspicion: PeerSuspicion;
+    readonly #sent: SentRequests;
 
     /** @param options - The sender's dependencies. */
     constructor(options: DispatcherOptions) {
         this.#options = options;
         this.#suspicion = new PeerSuspicion(options.clock);
+        this.#sent = new SentRequests(options);
+    }
+
+    /**
+     * Has what can't be expected to end before this host aborts it refused, wherever it waits.
+     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
+     */
+    leave(endTime: number): void {
+        this.#sent.leave(endTime);
     }
 
     /**
@@ -67,7 +74,11 @@
                 continue;
             }
             const request = this.#createRequest(call, attempt);
-            const answer = await this.#sendToHost(host, call, request, attempt.isLast, signal);
+            const answer = await this.#sent.run(
+                host,
+                request.requestId,
+                () => this.#sendToHost(host, call, request, attempt.isLast, signal),
+            );
             if (answer !== undefined) {
                 return { ...answer, host, attemptId: request.requestId };
             }
@@ -257,6 +268,7 @@
         const { account, isIdempotent } = call;
         const service = call.service.name;
         const { targetMs } = call.request.route;
+        const senderRemainingMs = this.#sent.getRemaining();
         const priority = call.request.account?.priority ?? call.request.route.priority;
         return {
             requestId,
@@ -273,6 +285,7 @@
             isIdempotent,
             timeoutMs,
             ...(targetMs === undefined ? {} : { targetMs }),
+            ...(senderRemainingMs === undefined ? {} : { senderRemainingMs }),
             ...(isIdempotent && !isLast ? { hasOtherAttempt: true } : {}),
             ...(hasRecentLoads ? { hasRecentLoads } : {}),
             ...(isCounted ? { isCounted } : {}),
@@ -285,9 +298,3 @@
 function createAnswer(outcome: Outcome): ServiceAnswer {
     return { outcome, upstream: undefined, isCrashSuspected: false, freeSlots: 0, queued: 0 };
 }
-
-function getUnlessHostRefused(answer: ServiceAnswer): ServiceAnswer | undefined {
-    const { outcome } = answer;
-    const isRefusedByHost = outcome.kind === OutcomeKind.NotRun && HOST_REFUSAL_REASONS.has(outcome.reason);
-    return isRefusedByHost ? undefined : answer;
-}
--- a/src/callers/getRefusalStatus.ts
+++ b/src/callers/getRefusalStatus.ts
@@ -33,6 +33,7 @@
         case RefusalReason.NoUpstream:
         case RefusalReason.HostNotCurrent:
         case RefusalReason.HostStopping:
+        case RefusalReason.SenderStopping:
         case RefusalReason.HostCutOff:
         case RefusalReason.HostUnreachable:
         case RefusalReason.StoreUnavailable:
--- a/src/explanation/findCause.ts
+++ b/src/explanation/findCause.ts
@@ -69,6 +69,7 @@
             return createCause(CauseKind.Quarantined, detail, context.filter(isQuarantine));
         case RefusalReason.HostNotCurrent:
         case RefusalReason.HostStopping:
+        case RefusalReason.SenderStopping:
             return createCause(
                 CauseKind.HostNotServing,
                 detail,
--- a/src/fakes/FakeServiceRunner.ts
+++ b/src/fakes/FakeServiceRunner.ts
@@ -1,7 +1,7 @@
 import { Readable } from "node:stream";
 import type { Outcome } from "../outcomes/index.js";
 import { createNotRun, OutcomeKind, RefusalReason } from "../outcomes/index.js";
-import type { FindOutcomeParams, FindOutcomeResult } from "../services/index.js";
+import type { FindOutcomeParams, FindOutcomeResult, RecordSenderEndParams } from "../services/index.js";
 import type { ServiceAnswer, ServiceRequest, ServiceRunner } from "../services/index.js";
 import { RequestState } from "../services/index.js";
 import { OutcomeCache } from "../services/outcomes/OutcomeCache.js";
@@ -17,6 +17,8 @@
     answer: (request: ServiceRequest) => Partial<ServiceAnswer> = () => ({});
     /** The requests that ran, oldest first. */
     readonly runs: ServiceRequest[];
+    /** What leaving hosts said about their requests, oldest first. */
+    readonly senderEnds: RecordSenderEndParams[] = [];
     readonly #clock: Clock;
     readonly #outcomes: OutcomeCache;
 
@@ -57,6 +59,14 @@
         return this.#outcomes.findOrRefuse(params);
     }
 
+    /**
+     * Records that the sender of requests is leaving.
+     * @param params - The requests and the time left.
+     */
+    recordSenderEnd(params: RecordSenderEndParams): void {
+        this.senderEnds.push(params);
+    }
+
     #findRefusal(request: ServiceRequest): Outcome | undefined {
         const isRefused = this.#outcomes.find(request.requestId)?.state === RequestState.NeverSeen;
         return isRefused ? createNotRun(RefusalReason.HostUnreachable, "The request came too late.") : undefined;
--- a/src/forwarding/PeerListenerOptions.ts
+++ b/src/forwarding/PeerListenerOptions.ts
@@ -9,7 +9,7 @@
     readonly handlers: PeerHandlers;
     /** Runs callers' requests that other hosts forward; undefined if this host accepts none. */
     readonly accountRunner?: AccountRunner;
-    readonly serviceRunner: ServiceRunner;
+    readonly serviceRunner: Pick<ServiceRunner, "run">;
     /** Gets the current configuration. */
     readonly getConfiguration: () => Configuration;
     /** The secret shared by all entry hosts. */
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -43,6 +43,7 @@
     readonly supply: Supply;
     readonly #options: GatewayHostOptions;
     readonly #transport: ObservedPeerTransport;
+    readonly #dispatcher: Dispatcher;
     readonly #replica: Replica;
     readonly #replicator: ReplicaSynchronizer;
     readonly #membership: RegisteredMembership;
@@ -77,7 +78,9 @@
         });
         this.#registrar = new HostRegistrar({ clock, decisions, registry, self });
         this.serviceHost = this.#createServiceHost();
-        this.gateway = this.#createGateway();
+        const quarantine = new Quarantine({ ...this.#getPeerOptions(), crashThreshold: QUARANTINE_CRASH_COUNT });
+        this.#dispatcher = this.#createDispatcher(quarantine);
+        this.gateway = this.#createGateway(quarantine);
         this.lookup = new HostLookup(this.#membership, options.lookupLifetimeMs);
         this.#storeRecovery = this.#createStoreRecovery();
         this.#replica.addEpochListener(epoch => {
@@ -128,6 +131,7 @@
         const { decisions, self } = this.#options;
         this.#isLeaving = true;
         this.gateway.leave(endTime);
+        this.#dispatcher.leave(endTime);
         this.serviceHost.leave(endTime);
         this.#membership.leave();
         this.lookup.leave();
@@ -199,46 +203,45 @@
         });
     }
 
-    #createGateway(): Gateway {
-        const { clock, random, decisions, transport, forwarder } = this.#options;
-        const shared = {
-            clock,
-            membership: this.#membership,
-            transport,
-            handlers: this.handlers,
-            decisionLog: decisions,
-        };
-        const quarantine = new Quarantine({ ...shared, crashThreshold: QUARANTINE_CRASH_COUNT });
-        const limiter = new OwnedRateLimiter({
-            ...shared,
-            getConfiguration: () => this.getConfiguration(),
-            hasPeerFailure: () => this.#transport.hasFailedWithin(PEER_FAILURE_MS),
-            isQuarantined: fingerprint => quarantine.isQuarantined(fingerprint),
-        });
-        const dispatcher = new Dispatcher({
-            ...shared,
+    #createDispatcher(quarantine: Quarantine): Dispatcher {
+        const { random, forwarder } = this.#options;
+        const options = {
+            ...this.#getPeerOptions(),
             random,
             forwarder,
             serviceRunner: this.serviceHost,
             notices: this.serviceHost.notices,
             waitsUntilDeadline: true,
             isLocalFallbackEnabled: true,
-        }, quarantine);
-        const getConfiguration = (): SuppliedConfiguration | undefined => this.#findConfiguration();
-        const getCopyAge = (): number => this.getCopyAge();
-        const checkCopyAge = (maxAgeMs: number): Promise<boolean> => this.#replicator.checkAge(maxAgeMs);
+        };
+        return new Dispatcher(options, quarantine);
+    }
+
+    #createGateway(quarantine: Quarantine): Gateway {
+        const { clock, random, decisions } = this.#options;
+        const limiter = new OwnedRateLimiter({
+            ...this.#getPeerOptions(),
+            getConfiguration: () => this.getConfiguration(),
+            hasPeerFailure: () => this.#transport.hasFailedWithin(PEER_FAILURE_MS),
+            isQuarantined: fingerprint => quarantine.isQuarantined(fingerprint),
+        });
         return new Gateway({
             clock,
             random,
             decisions,
             limiter,
-            dispatcher,
-            getConfiguration,
-            getCopyAge,
-            checkCopyAge,
+            dispatcher: this.#dispatcher,
+            getConfiguration: () => this.#findConfiguration(),
+            getCopyAge: () => this.getCopyAge(),
+            checkCopyAge: maxAgeMs => this.#replicator.checkAge(maxAgeMs),
         });
     }
 
+    #getPeerOptions() {
+        const { clock, decisions, transport } = this.#options;
+        return { clock, membership: this.#membership, transport, handlers: this.handlers, decisionLog: decisions };
+    }
+
     #createSupervisor(): Supervisor {
         const { serviceHost } = this;
         return new Supervisor("roles", [
--- a/src/outcomes/RefusalReason.ts
+++ b/src/outcomes/RefusalReason.ts
@@ -15,6 +15,8 @@
     NoUpstream = "no-upstream",
     HostNotCurrent = "host-not-current",
     HostStopping = "host-stopping",
+    /** The host that sent the request to a service host is stopping; callers are told that it is stopping. */
+    SenderStopping = "sender-stopping",
     /** The service host reaches too few of the upstreams; another service host is tried. */
     HostCutOff = "host-cut-off",
     HostUnreachable = "host-unreachable",
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -10,6 +10,7 @@
     FindOutcome = "service.findOutcome",
     IsServing = "service.isServing",
     RemoveCrash = "service.removeCrash",
+    RecordSenderEnd = "service.recordSenderEnd",
     BorrowTokens = "rate.borrow",
     ReceiveTokens = "rate.receive",
     HandOverRates = "rate.handOver",
--- a/src/peers/getTrafficKind.ts
+++ b/src/peers/getTrafficKind.ts
@@ -16,6 +16,7 @@
         case PeerMethod.ShareBaseline:
         case PeerMethod.RemoveCrash:
         case PeerMethod.RecordCrash:
+        case PeerMethod.RecordSenderEnd:
             return PeerTrafficKind.Sharing;
         case PeerMethod.GetChunks:
         case PeerMethod.PullGossip:
--- a/src/services/ServiceHost.ts
+++ b/src/services/ServiceHost.ts
@@ -14,12 +14,14 @@
 import type { PoolLoad } from "./pools/PoolLoad.js";
 import { ServicePool } from "./pools/ServicePool.js";
 import type { UpstreamStatus } from "./pools/UpstreamStatus.js";
+import { RequestEnds } from "./queue/RequestEnds.js";
 import type { ServiceAnswer } from "./ServiceAnswer.js";
 import type { ServiceHostOptions } from "./ServiceHostOptions.js";
 import type { ServiceRequest } from "./ServiceRequest.js";
 import type { ServiceRunner } from "./ServiceRunner.js";
 import { BaselineSharer } from "./sharing/BaselineSharer.js";
 import { HostShares } from "./sharing/HostShares.js";
+import type { RecordSenderEndParams } from "./sharing/RecordSenderEndParams.js";
 
 /** Interval between reports, in milliseconds: two within the two-second window over which the floor is measured. */
 const SHARE_INTERVAL_MS = 1_000;
@@ -39,9 +41,9 @@
     readonly #outcomes: OutcomeCache;
     readonly #sharer: BaselineSharer;
     readonly #pools = new Map<string, HostedPool>();
+    readonly #ends: RequestEnds;
     #configuration: Configuration | undefined;
     #isStopping = false;
-    #endTime: number | undefined;
     #task = new AbortController();
 
     /** @param options - Dependencies and settings of the service host. */
@@ -50,6 +52,7 @@
         this.notices = new UpstreamNotices(options.clock);
         this.notices.addLeavingListener(() => this.#pools.forEach(({ pool }) => pool.applyNotices()));
         this.#outcomes = new OutcomeCache(options.clock);
+        this.#ends = new RequestEnds(options.clock);
         this.#sharer = new BaselineSharer(options.membership, options.peers);
         options.handlers.add(PeerMethod.ShareBaseline, params => {
             this.notices.recordReports(params.notices ?? []);
@@ -57,6 +60,10 @@
         });
         options.handlers.add(PeerMethod.FindOutcome, params => this.#outcomes.findOrRefuse(params));
         options.handlers.add(PeerMethod.IsServing, () => ({ isServing: !this.#isStopping }));
+        options.handlers.add(PeerMethod.RecordSenderEnd, params => {
+            this.recordSenderEnd(params);
+            return {};
+        });
         options.handlers.add(PeerMethod.RemoveCrash, ({ requestId }) => {
             this.removeCrash(requestId);
             return { requestId };
@@ -107,8 +114,9 @@
             const detail = "The service has no upstream in this zone.";
             return createAnswer(createNotRun(RefusalReason.NoUpstream, detail, NO_UPSTREAM_RETRY_AFTER_MS));
         }
-        if (this.#isEndingBefore(hosted.pool.getLongLatency(request))) {
-            return createAnswer(createNotRun(RefusalReason.HostStopping, "The service host is stopping.", 0));
+        const ending = this.#findEndRefusal(request, hosted.pool.getLongLatency(request));
+        if (ending !== undefined) {
+            return createAnswer(ending);
         }
         if (this.#checkHandOver(hosted)) {
             return createAnswer(createCutOffRefusal());
@@ -132,8 +140,17 @@
      * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
      */
     leave(endTime: number): void {
-        this.#endTime = endTime;
-        this.#pools.forEach(({ pool }) => pool.leave(endTime));
+        this.#ends.recordHostEnd(endTime);
+        this.#pools.forEach(({ pool }) => pool.applyEnds());
+    }
+
+    /**
+     * Refuses the queued ones of a leaving host's requests that can't be expected to end before it aborts them.
+     * @param params - The requests and the time left.
+     */
+    recordSenderEnd(params: RecordSenderEndParams): void {
+        this.#ends.recordSenderEnd(params);
+        this.#pools.forEach(({ pool }) => pool.applyEnds());
     }
 
     /** Refuses new requests and waits until the accepted ones have ended. */
@@ -177,8 +194,15 @@
         return outcome;
     }
 
-    #isEndingBefore(durationMs: number): boolean {
-        return this.#endTime !== undefined && this.#options.clock.getTime() + durationMs > this.#endTime;
+    /** Finds the refusal of a request that this or the sending host would abort before it could end. */
+    #findEndRefusal({ requestId, senderRemainingMs }: ServiceRequest, durationMs: number): NotRunOutcome | undefined {
+        if (senderRemainingMs !== undefined) {
+            this.#ends.recordSenderEnd({ requestIds: [requestId], remainingMs: senderRemainingMs });
+        }
+        const lastStart = this.#ends.findLastStart(requestId, durationMs);
+        return lastStart !== undefined && this.#options.clock.getTime() > lastStart.time
+            ? lastStart.refusal
+            : undefined;
     }
 
     #findKnownAnswer(requestId: string): ServiceAnswer | undefined {
@@ -248,9 +272,6 @@
             handedOverUntil: undefined,
         };
         this.#pools.set(key, created);
-        if (this.#endTime !== undefined) {
-            created.pool.leave(this.#endTime);
-        }
         return created;
     }
 
@@ -275,6 +296,7 @@
             policy: policy ?? EjectionPolicy.Sequential,
             outcomes: this.#outcomes,
             notices: this.notices,
+            ends: this.#ends,
             stallMeter,
             lateAnswerMs,
             endsByDeadline,
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -25,6 +25,8 @@
     readonly timeoutMs: number;
     /** Time within which the caller wants the answer, in milliseconds; undefined if the route has no such target. */
     readonly targetMs?: number;
+    /** Time until its sender, which is stopping, aborts it, in milliseconds; undefined if the sender was not stopping. */
+    readonly senderRemainingMs?: number;
     /** Whether it may be sent to another upstream if this attempt fails. */
     readonly hasOtherAttempt?: boolean;
     /** Whether the sender knows the recent loads of the service's parts, so that the answer need not repeat them. */
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -29,6 +29,7 @@
 export type { IsServingResult } from "./sharing/IsServingResult.js";
 export type { PartCapacityReport } from "./sharing/PartCapacityReport.js";
 export type { PartLoadReport } from "./sharing/PartLoadReport.js";
+export type { RecordSenderEndParams } from "./sharing/RecordSenderEndParams.js";
 export type { RemoveCrashParams } from "./sharing/RemoveCrashParams.js";
 export type { RemoveCrashResult } from "./sharing/RemoveCrashResult.js";
 export type { ShareBaselineParams } from "./sharing/ShareBaselineParams.js";
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -92,6 +92,7 @@
             clock,
             random,
             selector: this.#selector,
+            ends: options.ends,
             getFastLatency: request => this.#routeLatencies.findP10(request.route) ?? this.#limit.getFastLatency(),
             getUsualLatency: request => this.#routeLatencies.findP75(request.route) ?? this.#limit.getFastLatency(),
             getLongLatency: request => this.getLongLatency(request),
@@ -202,12 +203,9 @@
         return this.#routeLatencies.findP99(route) ?? targetMs ?? timeoutMs;
     }
 
-    /**
-     * Refuses queued requests that could no longer be expected to end in time.
-     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
-     */
-    leave(endTime: number): void {
-        this.#queue.leave(endTime);
+    /** Refuses queued requests that can no longer be expected to end before a stopping host aborts them. */
+    applyEnds(): void {
+        this.#queue.applyEnds();
     }
 
     /** Waits until no request is queued or running. */
--- a/src/services/pools/ServicePoolOptions.ts
+++ b/src/services/pools/ServicePoolOptions.ts
@@ -5,6 +5,7 @@
 import type { UpstreamTransport } from "../exchange/UpstreamTransport.js";
 import type { UpstreamNotices } from "../notices/UpstreamNotices.js";
 import type { OutcomeCache } from "../outcomes/OutcomeCache.js";
+import type { RequestEnds } from "../queue/RequestEnds.js";
 
 /** Dependencies and settings of a pool of upstreams. */
 export interface ServicePoolOptions {
@@ -16,6 +17,8 @@
     readonly outcomes: OutcomeCache;
     /** What upstreams say about themselves in their responses. */
     readonly notices: UpstreamNotices;
+    /** When this host, or a sender of requests, aborts them as it is stopping. */
+    readonly ends: RequestEnds;
     /** Whether the whole response to an idempotent request is due by the deadline, rather than its first byte. */
     readonly endsByDeadline?: boolean | undefined;
     /**
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -5,6 +5,7 @@
 import type { ServiceRequest } from "../ServiceRequest.js";
 import { compareRanks } from "./compareRanks.js";
 import { FairQueue } from "./FairQueue.js";
+import type { LastStart } from "./LastStart.js";
 import { PriorityWork } from "./PriorityWork.js";
 import type { QueuedRequest } from "./QueuedRequest.js";
 import type { QueueEntry } from "./QueueEntry.js";
@@ -37,8 +38,6 @@
     #displaced: { readonly entry: QueueEntry<QueuedRequest>; readonly time: number; } | undefined;
     #checkTime = Number.NEGATIVE_INFINITY;
     #pauseEnd: ScheduledCall | undefined;
-    /** When requests in progress are aborted, in milliseconds of the clock; undefined while the host isn't stopping. */
-    #endTime: number | undefined;
     #nextEnding: ScheduledCall | undefined;
 
     /** @param options - Dependencies and limits of the queue. */
@@ -152,9 +151,12 @@
         let workMs = 0;
         for (const { item, isAheadOfShare } of this.#queue.getEntries()) {
             const waitMs = this.#measureWaitFor(workMs, item, isAheadOfShare);
-            if (waitMs > HOPELESS_FACTOR * (item.lastStartTime - clock.getTime())) {
+            const refusal = waitMs > HOPELESS_FACTOR * (item.lastStartTime - clock.getTime())
+                ? this.#createDeadlineRefusal(waitMs)
+                : this.#checkSenderEnd(item, workMs);
+            if (refusal !== undefined) {
                 this.#queue.recordRefused(item);
-                item.onRefused(this.#createDeadlineRefusal(waitMs));
+                item.onRefused(refusal);
             }
             else {
                 workMs += item.cost;
@@ -162,12 +164,9 @@
         }
     }
 
-    /**
-     * Refuses queued requests from the moment at which they could no longer be expected to end in time.
-     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
-     */
-    leave(endTime: number): void {
-        this.#endTime = endTime;
+    /** Refuses queued requests that can no longer be expected to end before a stopping host aborts them. */
+    applyEnds(): void {
+        this.refuseHopeless();
         this.run();
     }
 
@@ -181,18 +180,15 @@
     }
 
     #refuseEnding(): void {
-        if (this.#endTime === undefined) {
-            return;
-        }
         const now = this.#options.clock.getTime();
         let nextTime = Number.POSITIVE_INFINITY;
         for (const item of this.#queue.getItems()) {
-            const lastStartTime = this.#endTime - this.#options.getLongLatency(item.request);
-            if (now >= lastStartTime) {
-                item.onRefused(createNotRun(RefusalReason.HostStopping, "The service host is stopping.", 0));
+            const lastStart = this.#findLastStart(item);
+            if (lastStart !== undefined && now >= lastStart.time) {
+                item.onRefused(lastStart.refusal);
             }
             else {
-                nextTime = Math.min(nextTime, lastStartTime);
+                nextTime = Math.min(nextTime, lastStart?.time ?? nextTime);
             }
         }
         this.#nextEnding?.cancel();
@@ -269,7 +265,24 @@
             return undefined;
         }
         const waitMs = this.#measureWait(item);
-        return waitMs > item.lastStartTime - clock.getTime() ? this.#createDeadlineRefusal(waitMs) : undefined;
+        return waitMs > item.lastStartTime - clock.getTime()
+            ? this.#createDeadlineRefusal(waitMs)
+            : this.#checkSenderEnd(item, this.#queue.measureWorkAhead(item));
+    }
+
+    /** Refuses a request at once whose sender would abort it even if no other request came from now on. */
+    #checkSenderEnd(item: QueuedRequest, workMs: number): NotRunOutcome | undefined {
+        const lastStart = this.#findLastStart(item);
+        if (lastStart?.refusal.reason !== RefusalReason.SenderStopping) {
+            return undefined;
+        }
+        const leftMs = lastStart.time - this.#options.clock.getTime();
+        return this.#measureLeastWait(workMs) > HOPELESS_FACTOR * leftMs ? lastStart.refusal : undefined;
+    }
+
+    #findLastStart({ request }: QueuedRequest): LastStart | undefined {
+        const { ends, getLongLatency } = this.#options;
+        return ends.findLastStart(request.requestId, getLongLatency(request));
     }
 
     #checkCapacity(item: QueuedRequest): NotRunOutcome | undefined {
@@ -321,20 +334,29 @@
      * Others of the same priority go first too once the target is missed, and all others if the account is ahead of its share.
      */
     #measureWaitFor(workMs: number, { priority, dueTime }: QueuedRequest, isAheadOfShare: boolean): number {
-        const { selector, clock } = this.#options;
-        const pauseMs = selector.getPauseMs();
         if (!this.#slotTimes.hasSamples()) {
-            return pauseMs;
+            return this.#options.selector.getPauseMs();
         }
         const slots = this.#options.getSlots() || 1;
-        const startMs = pauseMs + (selector.hasFreeSlot() ? 0 : this.getSlotTime() / slots);
+        const startMs = this.#measureLeastWait(0);
         const measure = (lowest: number): number =>
             startMs + workMs / Math.max(MIN_SLOT_SHARE * slots, slots - this.#demand.getSlotsAbove(lowest));
         if (isAheadOfShare) {
             return measure(Infinity);
         }
         const waitMs = measure(priority);
-        return clock.getTime() + waitMs > dueTime ? measure(priority + 1) : waitMs;
+        return this.#options.clock.getTime() + waitMs > dueTime ? measure(priority + 1) : waitMs;
+    }
+
+    /** Measures the wait behind work of the queue and for the next slot if no other request comes. */
+    #measureLeastWait(workMs: number): number {
+        const { selector, getSlots } = this.#options;
+        const pauseMs = selector.getPauseMs();
+        if (!this.#slotTimes.hasSamples()) {
+            return pauseMs;
+        }
+        const slots = getSlots() || 1;
+        return pauseMs + (workMs + (selector.hasFreeSlot() ? 0 : this.getSlotTime())) / slots;
     }
 
     #createDeadlineRefusal(waitMs: number): NotRunOutcome {
--- a/src/services/queue/SlotQueueOptions.ts
+++ b/src/services/queue/SlotQueueOptions.ts
@@ -1,6 +1,7 @@
 import type { RandomSource } from "../../random/index.js";
 import type { Clock } from "../../time/index.js";
 import type { ServiceRequest } from "../ServiceRequest.js";
+import type { RequestEnds } from "./RequestEnds.js";
 import type { UpstreamSelector } from "./UpstreamSelector.js";
 
 /** Dependencies and limits of a slot queue. */
@@ -8,6 +9,8 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly selector: UpstreamSelector;
+    /** When stopping hosts abort requests. */
+    readonly ends: RequestEnds;
     /** Gets a low quantile of the latencies of such requests, in milliseconds; 0 while there are too few samples. */
     readonly getFastLatency: (request: ServiceRequest) => number;
     /** Gets the time within which most responses to such requests come, in milliseconds; 0 while there are too few samples. */
--- a/src/services/sharing/peerMethods.ts
+++ b/src/services/sharing/peerMethods.ts
@@ -2,6 +2,7 @@
 import type { FindOutcomeParams } from "./FindOutcomeParams.js";
 import type { FindOutcomeResult } from "./FindOutcomeResult.js";
 import type { IsServingResult } from "./IsServingResult.js";
+import type { RecordSenderEndParams } from "./RecordSenderEndParams.js";
 import type { RemoveCrashParams } from "./RemoveCrashParams.js";
 import type { RemoveCrashResult } from "./RemoveCrashResult.js";
 import type { ShareBaselineParams } from "./ShareBaselineParams.js";
@@ -13,6 +14,7 @@
         [PeerMethod.ShareBaseline]: { params: ShareBaselineParams; result: ShareBaselineResult; };
         [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
         [PeerMethod.IsServing]: { params: Record<string, never>; result: IsServingResult; };
+        [PeerMethod.RecordSenderEnd]: { params: RecordSenderEndParams; result: Record<string, never>; };
         [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
     }
 }
--- a/src/tools/capacity-accounts.ts
+++ b/src/tools/capacity-accounts.ts
@@ -156,7 +156,7 @@
         forwarder: network.createForwarder(member.peerAddress),
         handlers: new PeerHandlers(),
         store: new FakeStore(clock),
-        serviceRunner: { run: () => Promise.resolve(createAnswer()) },
+        serviceRunner: { run: () => Promise.resolve(createAnswer()), recordSenderEnd: () => {} },
         decisionLog: new DecisionHistory(clock),
         getConfiguration: () => createConfiguration(createAccount("account-0", 0)),
     });
--- a/tests/support/CapacityLimitedHost.ts
+++ b/tests/support/CapacityLimitedHost.ts
@@ -40,7 +40,10 @@
         this.#up = new FakeLink(clock, linkMbps * BYTES_PER_MS_AND_MBPS);
         this.#down = new FakeLink(clock, linkMbps * BYTES_PER_MS_AND_MBPS);
         this.handlers = new LimitedHandlers(host.handlers, work => this.#runLimited(CALL_WORK_MS, work));
-        this.serviceRunner = { run: (request, signal) => this.#runRequest(request, signal) };
+        this.serviceRunner = {
+            run: (request, signal) => this.#runRequest(request, signal),
+            recordSenderEnd: params => host.serviceRunner.recordSenderEnd(params),
+        };
     }
 
     async #runRequest(request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
--- a/tests/support/DispatchBench.ts
+++ b/tests/support/DispatchBench.ts
@@ -27,6 +27,7 @@
     readonly membership: FakeMembership;
     readonly dispatcher: Dispatcher;
     readonly serviceHost: ServiceHost;
+    readonly handlers: PeerHandlers;
 }
 
 interface DispatchBenchOptions {
@@ -39,6 +40,8 @@
     readonly service?: Partial<Service>;
     /** Mean service time of upstreams, in milliseconds. */
     readonly serviceTimeMs: number;
+    /** Time limit of requests, in milliseconds; four seconds if left out. */
+    readonly timeoutMs?: number;
     /** Length of their answers, in bytes. */
     readonly answerBytes?: number;
     /** Whether a host, by its number, is cut off from an upstream; no path is cut if left out. */
@@ -119,6 +122,11 @@
         return outcome;
     }
 
+    /** Gets the id of the request that is sent next. */
+    getNextRequestId(): string {
+        return `r${this.#nextRequest}`;
+    }
+
     #createHost(member: Member, index: number): DispatchHost {
         const { clock, network } = this;
         const membership = this.#createMembership(member);
@@ -149,7 +157,12 @@
             waitsUntilDeadline: true,
             isLocalFallbackEnabled: true,
         };
-        return { membership, serviceHost: serviceRunner, dispatcher: new Dispatcher(options, new Quarantine(options)) };
+        return {
+            membership,
+            handlers,
+            serviceHost: serviceRunner,
+            dispatcher: new Dispatcher(options, new Quarantine(options)),
+        };
     }
 
     #createUpstreamTransport(index: number): UpstreamTransport {
@@ -173,6 +186,7 @@
     }
 
     #createCall(maxAttempts: number, isIdempotent: boolean): DispatchCall {
+        const timeoutMs = this.#options.timeoutMs ?? TIMEOUT_MS;
         const route = {
             name: "r",
             path: "/",
@@ -180,7 +194,7 @@
             service: this.service.name,
             kind: RouteKind.Lookup,
             access: RouteAccess.Open,
-            deadlineMs: TIMEOUT_MS,
+            deadlineMs: timeoutMs,
             targetMs: TARGET_MS,
             maxBodyBytes: 0,
             maxAttempts,
@@ -195,9 +209,9 @@
             headers: {},
             body: Buffer.alloc(0),
             idempotencyKey: undefined,
-            timeoutMs: TIMEOUT_MS,
+            timeoutMs,
         };
-        const deadline = this.clock.getTime() + TIMEOUT_MS;
+        const deadline = this.clock.getTime() + timeoutMs;
         return { request, account: "shop", service: this.service, isIdempotent, deadline, fingerprint: "f" };
     }
 }
