Guard each of the two checks on arrival at a stopping host by itself

Nothing failed without the check of the gateway, nor without that of the service host, as the queue refuses the same requests (see the postmortem of the orders that waited when a planned stop began).

--- a/tests/services/stoppingHost.test.ts
+++ b/tests/services/stoppingHost.test.ts
@@ -23,6 +23,19 @@
     assert.not.ok(bench.upstreams.records.some(({ requestId }) => requestId === "queued"));
 });
 
+// Guards against orders that a stopping host puts into a queue though it knows on their arrival that they can't end.
+test("an order that can't end before a stopping host aborts it doesn't enter the queue", async () => {
+    const bench = await createOrderBench(1);
+    await bench.clock.run(60_000);
+    const stopTime = bench.clock.getTime();
+    bench.host.leave(stopTime + 0.4 * ORDER_MS);
+    const { outcome } = await runUntilEnd(bench, bench.send(ORDER));
+    assert.ok(outcome.kind === OutcomeKind.NotRun && outcome.reason === RefusalReason.HostStopping);
+    assert.equal(bench.host.getLoads().map(({ requests, unserved }) => ({ requests, unserved })), [
+        { requests: 0, unserved: 0 },
+    ]);
+});
+
 test("a stopping host passes no order on that would not end before it aborts it, whatever waits", async () => {
     const property = fc.asyncProperty(
         fc.array(fc.nat(4_000), { minLength: 1, maxLength: 40 }),
