--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -6,17 +6,14 @@
 import { compareRanks } from "./compareRanks.js";
 import { FairQueue } from "./FairQueue.js";
 import type { LastStart } from "./LastStart.js";
-import { PriorityWork } from "./PriorityWork.js";
 import type { QueuedRequest } from "./QueuedRequest.js";
 import type { QueueEntry } from "./QueueEntry.js";
-import { RouteSlotTimes } from "./RouteSlotTimes.js";
 import type { SlotQueueOptions } from "./SlotQueueOptions.js";
+import { WaitEstimator } from "./WaitEstimator.js";
 
 const MIN_RETRY_AFTER_MS = 100;
 /** Callers that are refused while no upstream wants requests return spread over this share of the time named to them. */
 const RETURN_SPREAD_SHARE = 0.25;
-/** Share of the slots that counts as left to a request whatever more urgent ones ask for, as lower priorities keep a share. */
-const MIN_SLOT_SHARE = 0.1;
 /** Queued requests are refused if their expected wait exceeds the time left by this factor, as the expectation varies. */
 const HOPELESS_FACTOR = 1.25;
 /** Share of the queue from which requests are refused at once that rank no higher than one that was refused in the queue lately. */
@@ -32,8 +29,7 @@
 export class SlotQueue {
     readonly #options: SlotQueueOptions;
     readonly #queue: FairQueue<QueuedRequest>;
-    readonly #slotTimes = new RouteSlotTimes();
-    readonly #demand: PriorityWork;
+    readonly #waits: WaitEstimator;
     /** The last request that was refused in the queue for a more urgent one, and when. */
     #displaced: { readonly entry: QueueEntry<QueuedRequest>; readonly time: number; } | undefined;
     #checkTime = Number.NEGATIVE_INFINITY;
@@ -44,7 +40,7 @@
     constructor(options: SlotQueueOptions) {
         this.#options = options;
         this.#queue = new FairQueue(options.clock, () => options.getSlots());
-        this.#demand = new PriorityWork(options.clock);
+        this.#waits = new WaitEstimator(options);
     }
 
     /** Gets the number of queued requests. */
@@ -116,13 +112,13 @@
      * @param usedMs - The time used, in milliseconds.
      */
     recordSlotTime({ account, route }: ServiceRequest, expectedMs: number, usedMs: number): void {
-        this.#slotTimes.record(route, usedMs);
+        this.#waits.recordSlotTime(route, usedMs);
         this.#queue.recordCost(account, usedMs - expectedMs);
     }
 
     /** Gets the mean time for which a request uses a slot, in milliseconds. */
     getSlotTime(): number {
-        return this.#slotTimes.getMean();
+        return this.#waits.getSlotTime();
     }
 
     /**
@@ -130,7 +126,7 @@
      * @param request - The request.
      */
     getRouteSlotTime({ route }: ServiceRequest): number {
-        return this.#slotTimes.getRouteMean(route);
+        return this.#waits.getRouteSlotTime(route);
     }
 
     /** Refuses queued requests beyond the capacity, which shrinks with the usable slots; those that cost callers least first. */
@@ -150,7 +146,7 @@
         }
         let workMs = 0;
         for (const { item, isAheadOfShare } of this.#queue.getEntries()) {
-            const waitMs = this.#measureWaitFor(workMs, item, isAheadOfShare);
+            const waitMs = this.#waits.measureWait(workMs, item, isAheadOfShare);
             const refusal = waitMs > HOPELESS_FACTOR * (item.lastStartTime - clock.getTime())
                 ? this.#createDeadlineRefusal(waitMs)
                 : this.#checkSenderEnd(item, workMs);
@@ -213,7 +209,7 @@
     #recordAsked(item: QueuedRequest): void {
         this.#queue.recordAsked(item);
         if (!this.#queue.getEntry(item).isAheadOfShare) {
-            this.#demand.add(item.priority, item.cost);
+            this.#waits.recordAsked(item);
         }
     }
 
@@ -277,7 +273,7 @@
             return undefined;
         }
         const leftMs = lastStart.time - this.#options.clock.getTime();
-        return this.#measureLeastWait(workMs) > HOPELESS_FACTOR * leftMs ? lastStart.refusal : undefined;
+        return this.#waits.measureLeastWait(workMs) > HOPELESS_FACTOR * leftMs ? lastStart.refusal : undefined;
     }
 
     #findLastStart({ request }: QueuedRequest): LastStart | undefined {
@@ -322,41 +318,8 @@
     }
 
     #measureWait(item: QueuedRequest): number {
-        return this.#measureWaitFor(
-            this.#queue.measureWorkAhead(item),
-            item,
-            this.#queue.getEntry(item).isAheadOfShare,
-        );
-    }
-
-    /**
-     * Measures the wait behind work of the queue and for the next slot, while more urgent requests keep coming as they did lately.
-     * Others of the same priority go first too once the target is missed, and all others if the account is ahead of its share.
-     */
-    #measureWaitFor(workMs: number, { priority, dueTime }: QueuedRequest, isAheadOfShare: boolean): number {
-        if (!this.#slotTimes.hasSamples()) {
-            return this.#options.selector.getPauseMs();
-        }
-        const slots = this.#options.getSlots() || 1;
-        const startMs = this.#measureLeastWait(0);
-        const measure = (lowest: number): number =>
-            startMs + workMs / Math.max(MIN_SLOT_SHARE * slots, slots - this.#demand.getSlotsAbove(lowest));
-        if (isAheadOfShare) {
-            return measure(Infinity);
-        }
-        const waitMs = measure(priority);
-        return this.#options.clock.getTime() + waitMs > dueTime ? measure(priority + 1) : waitMs;
-    }
-
-    /** Measures the wait behind work of the queue and for the next slot if no other request comes. */
-    #measureLeastWait(workMs: number): number {
-        const { selector, getSlots } = this.#options;
-        const pauseMs = selector.getPauseMs();
-        if (!this.#slotTimes.hasSamples()) {
-            return pauseMs;
-        }
-        const slots = getSlots() || 1;
-        return pauseMs + (workMs + (selector.hasFreeSlot() ? 0 : this.getSlotTime())) / slots;
+        const { isAheadOfShare } = this.#queue.getEntry(item);
+        return this.#waits.measureWait(this.#queue.measureWorkAhead(item), item, isAheadOfShare);
     }
 
     #createDeadlineRefusal(waitMs: number): NotRunOutcome {
