--- a/src/services/queue/RequestEnds.ts
+++ b/src/services/queue/RequestEnds.ts
@@ -42,6 +42,11 @@
         requestIds.forEach(id => this.#senderEnds.set(id, now + remainingMs));
     }
 
+    /** Whether any request may be aborted because a host is stopping. */
+    hasEnds(): boolean {
+        return this.#hostEnd !== undefined || this.#senderEnds.size > 0;
+    }
+
     /**
      * Finds until when a request can start; undefined if neither host is stopping.
      * @param requestId - The request's id.
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -176,6 +176,9 @@
     }
 
     #refuseEnding(): void {
+        if (!this.#options.ends.hasEnds()) {
+            return;
+        }
         const now = this.#options.clock.getTime();
         let nextTime = Number.POSITIVE_INFINITY;
         for (const item of this.#queue.getItems()) {
@@ -278,7 +281,7 @@
 
     #findLastStart({ request }: QueuedRequest): LastStart | undefined {
         const { ends, getLongLatency } = this.#options;
-        return ends.findLastStart(request.requestId, getLongLatency(request));
+        return ends.hasEnds() ? ends.findLastStart(request.requestId, getLongLatency(request)) : undefined;
     }
 
     #checkCapacity(item: QueuedRequest): NotRunOutcome | undefined {
