--- a/src/accounts/ServiceSender.ts
+++ b/src/accounts/ServiceSender.ts
@@ -1,7 +1,7 @@
 import { PeerUnavailableError } from "../errors/index.js";
 import type { Member } from "../head/index.js";
 import { Decision } from "../logging/index.js";
-import { createNotRun, createUnknown, OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
+import { createNotRun, createUnknown, RefusalReason, UnknownReason } from "../outcomes/index.js";
 import type { Outcome } from "../outcomes/index.js";
 import { PeerMethod, PeerSuspicion } from "../peers/index.js";
 import { RequestState } from "../services/index.js";
@@ -11,8 +11,10 @@
 import type { DispatchCall } from "./DispatchCall.js";
 import type { DispatcherOptions } from "./DispatcherOptions.js";
 import { getFoundOutcome } from "./getFoundOutcome.js";
+import { getUnlessHostRefused } from "./getUnlessHostRefused.js";
 import type { HostAnswer } from "./HostAnswer.js";
 import { HostWatch } from "./HostWatch.js";
+import { SentRequests } from "./SentRequests.js";
 
 const MAX_HOSTS_PER_PART = 3;
 const IDEMPOTENT_TIMEOUT_SHARE = 0.5;
@@ -29,11 +31,6 @@
 /** How long a host of the same or a neighboring zone may take to answer whether it serves, in milliseconds. */
 const IS_SERVING_TIMEOUT_MS = 200;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
-const HOST_REFUSAL_REASONS: ReadonlySet<RefusalReason> = new Set([
-    RefusalReason.HostCutOff,
-    RefusalReason.HostNotCurrent,
-    RefusalReason.HostStopping,
-]);
 
 interface SentRequest {
     readonly request: ServiceRequest;
@@ -47,11 +44,21 @@
 export class ServiceSender {
     readonly #options: DispatcherOptions;
     readonly #suspicion: PeerSuspicion;
+    readonly #sent: SentRequests;
 
     /** @param options - The sender's dependencies. */
     constructor(options: DispatcherOptions) {
         this.#options = options;
         this.#suspicion = new PeerSuspicion(options.clock);
+        this.#sent = new SentRequests(options);
+    }
+
+    /**
+     * Has what can't be expected to end before this host aborts it refused, wherever it waits.
+     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
+     */
+    leave(endTime: number): void {
+        this.#sent.leave(endTime);
     }
 
     /**
@@ -78,7 +85,11 @@
                 continue;
             }
             const request = this.#createRequest(call, attempt);
-            const answer = await this.#sendToHost(host, call, request, signal, attempt.isLast ? undefined : recordLate);
+            const answer = await this.#sent.run(
+                host,
+                request.requestId,
+                () => this.#sendToHost(host, call, request, signal, attempt.isLast ? undefined : recordLate),
+            );
             if (answer !== undefined) {
                 return { ...answer, host, attemptId: request.requestId };
             }
@@ -269,6 +280,7 @@
         const { account, isIdempotent } = call;
         const service = call.service.name;
         const { targetMs } = call.request.route;
+        const senderRemainingMs = this.#sent.getRemaining();
         const priority = call.request.account?.priority ?? call.request.route.priority;
         return {
             requestId,
@@ -285,6 +297,7 @@
             isIdempotent,
             timeoutMs,
             ...(targetMs === undefined ? {} : { targetMs }),
+            ...(senderRemainingMs === undefined ? {} : { senderRemainingMs }),
             ...(isIdempotent && !isLast ? { hasOtherAttempt: true, retryClaim: { hostAddress, id: claimId } } : {}),
             ...(hasRecentLoads ? { hasRecentLoads } : {}),
             ...(isCounted ? { isCounted } : {}),
@@ -297,9 +310,3 @@
 function createAnswer(outcome: Outcome): ServiceAnswer {
     return { outcome, upstream: undefined, isCrashSuspected: false, freeSlots: 0, queued: 0 };
 }
-
-function getUnlessHostRefused(answer: ServiceAnswer): ServiceAnswer | undefined {
-    const { outcome } = answer;
-    const isRefusedByHost = outcome.kind === OutcomeKind.NotRun && HOST_REFUSAL_REASONS.has(outcome.reason);
-    return isRefusedByHost ? undefined : answer;
-}
--- a/src/peers/PeerMethod.ts
+++ b/src/peers/PeerMethod.ts
@@ -11,6 +11,7 @@
     IsServing = "service.isServing",
     RemoveCrash = "service.removeCrash",
     ClaimRetry = "service.claimRetry",
+    RecordSenderEnd = "service.recordSenderEnd",
     BorrowTokens = "rate.borrow",
     ReceiveTokens = "rate.receive",
     HandOverRates = "rate.handOver",
--- a/src/services/ServiceRequest.ts
+++ b/src/services/ServiceRequest.ts
@@ -26,6 +26,8 @@
     readonly timeoutMs: number;
     /** Time within which the caller wants the answer, in milliseconds; undefined if the route has no such target. */
     readonly targetMs?: number;
+    /** Time until its sender, which is stopping, aborts it, in milliseconds; undefined if the sender was not stopping. */
+    readonly senderRemainingMs?: number;
     /** Whether it may be sent to another upstream if this attempt fails. */
     readonly hasOtherAttempt?: boolean;
     /** Whom to ask before it is; nobody if undefined. */
--- a/src/services/queue/SlotQueue.ts
+++ b/src/services/queue/SlotQueue.ts
@@ -5,17 +5,15 @@
 import type { ServiceRequest } from "../ServiceRequest.js";
 import { compareRanks } from "./compareRanks.js";
 import { FairQueue } from "./FairQueue.js";
-import { PriorityWork } from "./PriorityWork.js";
+import type { LastStart } from "./LastStart.js";
 import type { QueuedRequest } from "./QueuedRequest.js";
 import type { QueueEntry } from "./QueueEntry.js";
-import { RouteSlotTimes } from "./RouteSlotTimes.js";
 import type { SlotQueueOptions } from "./SlotQueueOptions.js";
+import { WaitEstimator } from "./WaitEstimator.js";
 
 const MIN_RETRY_AFTER_MS = 100;
 /** Callers that are refused while no upstream wants requests return spread over this share of the time named to them. */
 const RETURN_SPREAD_SHARE = 0.25;
-/** Share of the slots that counts as left to a request whatever more urgent ones ask for, as lower priorities keep a share. */
-const MIN_SLOT_SHARE = 0.1;
 /** Queued requests are refused if their expected wait exceeds the time left by this factor, as the expectation varies. */
 const HOPELESS_FACTOR = 1.25;
 /** Share of the queue from which requests are refused at once that rank no higher than one that was refused in the queue lately. */
@@ -31,21 +29,18 @@
 export class SlotQueue {
     readonly #options: SlotQueueOptions;
     readonly #queue: FairQueue<QueuedRequest>;
-    readonly #slotTimes = new RouteSlotTimes();
-    readonly #demand: PriorityWork;
+    readonly #waits: WaitEstimator;
     /** The last request that was refused in the queue for a more urgent one, and when. */
     #displaced: { readonly entry: QueueEntry<QueuedRequest>; readonly time: number; } | undefined;
     #checkTime = Number.NEGATIVE_INFINITY;
     #pauseEnd: ScheduledCall | undefined;
-    /** When requests in progress are aborted, in milliseconds of the clock; undefined while the host isn't stopping. */
-    #endTime: number | undefined;
     #nextEnding: ScheduledCall | undefined;
 
     /** @param options - Dependencies and limits of the queue. */
     constructor(options: SlotQueueOptions) {
         this.#options = options;
         this.#queue = new FairQueue(options.clock, () => options.getSlots());
-        this.#demand = new PriorityWork(options.clock);
+        this.#waits = new WaitEstimator(options);
     }
 
     /** Gets the number of queued requests. */
@@ -134,13 +129,13 @@
      * @param usedMs - The time used, in milliseconds.
      */
     recordSlotTime({ account, route }: ServiceRequest, expectedMs: number, usedMs: number): void {
-        this.#slotTimes.record(route, usedMs);
+        this.#waits.recordSlotTime(route, usedMs);
         this.#queue.recordCost(account, usedMs - expectedMs);
     }
 
     /** Gets the mean time for which a request uses a slot, in milliseconds. */
     getSlotTime(): number {
-        return this.#slotTimes.getMean();
+        return this.#waits.getSlotTime();
     }
 
     /**
@@ -148,7 +143,7 @@
      * @param request - The request.
      */
     getRouteSlotTime({ route }: ServiceRequest): number {
-        return this.#slotTimes.getRouteMean(route);
+        return this.#waits.getRouteSlotTime(route);
     }
 
     /** Refuses queued requests beyond the capacity, which shrinks with the usable slots; those that cost callers least first. */
@@ -168,10 +163,13 @@
         }
         let workMs = 0;
         for (const { item, isAheadOfShare } of this.#queue.getEntries()) {
-            const waitMs = this.#measureWaitFor(workMs, item, isAheadOfShare);
-            if (waitMs > HOPELESS_FACTOR * (item.lastStartTime - clock.getTime())) {
+            const waitMs = this.#waits.measureWait(workMs, item, isAheadOfShare);
+            const refusal = waitMs > HOPELESS_FACTOR * (item.lastStartTime - clock.getTime())
+                ? this.#createDeadlineRefusal(waitMs)
+                : this.#checkSenderEnd(item, workMs);
+            if (refusal !== undefined) {
                 this.#queue.recordRefused(item);
-                item.onRefused(this.#createDeadlineRefusal(waitMs));
+                item.onRefused(refusal);
             }
             else {
                 workMs += item.cost;
@@ -179,12 +177,9 @@
         }
     }
 
-    /**
-     * Refuses queued requests from the moment at which they could no longer be expected to end in time.
-     * @param endTime - When requests in progress are aborted, in milliseconds of the clock.
-     */
-    leave(endTime: number): void {
-        this.#endTime = endTime;
+    /** Refuses queued requests that can no longer be expected to end before a stopping host aborts them. */
+    applyEnds(): void {
+        this.refuseHopeless();
         this.run();
     }
 
@@ -198,18 +193,18 @@
     }
 
     #refuseEnding(): void {
-        if (this.#endTime === undefined) {
+        if (!this.#options.ends.hasEnds()) {
             return;
         }
         const now = this.#options.clock.getTime();
         let nextTime = Number.POSITIVE_INFINITY;
         for (const item of this.#queue.getItems()) {
-            const lastStartTime = this.#endTime - this.#options.getLongLatency(item.request);
-            if (now >= lastStartTime) {
-                item.onRefused(createNotRun(RefusalReason.HostStopping, "The service host is stopping.", 0));
+            const lastStart = this.#findLastStart(item);
+            if (lastStart !== undefined && now >= lastStart.time) {
+                item.onRefused(lastStart.refusal);
             }
             else {
-                nextTime = Math.min(nextTime, lastStartTime);
+                nextTime = Math.min(nextTime, lastStart?.time ?? nextTime);
             }
         }
         this.#nextEnding?.cancel();
@@ -234,7 +229,7 @@
     #recordAsked(item: QueuedRequest): void {
         this.#queue.recordAsked(item);
         if (!this.#queue.getEntry(item).isAheadOfShare) {
-            this.#demand.add(item.priority, item.cost);
+            this.#waits.recordAsked(item);
         }
     }
 
@@ -286,7 +281,24 @@
             return undefined;
         }
         const waitMs = this.#measureWait(item);
-        return waitMs > item.lastStartTime - clock.getTime() ? this.#createDeadlineRefusal(waitMs) : undefined;
+        return waitMs > item.lastStartTime - clock.getTime()
+            ? this.#createDeadlineRefusal(waitMs)
+            : this.#checkSenderEnd(item, this.#queue.measureWorkAhead(item));
+    }
+
+    /** Refuses a request at once whose sender would abort it even if no other request came from now on. */
+    #checkSenderEnd(item: QueuedRequest, workMs: number): NotRunOutcome | undefined {
+        const lastStart = this.#findLastStart(item);
+        if (lastStart?.refusal.reason !== RefusalReason.SenderStopping) {
+            return undefined;
+        }
+        const leftMs = lastStart.time - this.#options.clock.getTime();
+        return this.#waits.measureLeastWait(workMs) > HOPELESS_FACTOR * leftMs ? lastStart.refusal : undefined;
+    }
+
+    #findLastStart({ request }: QueuedRequest): LastStart | undefined {
+        const { ends, getLongLatency } = this.#options;
+        return ends.hasEnds() ? ends.findLastStart(request.requestId, getLongLatency(request)) : undefined;
     }
 
     #checkCapacity(item: QueuedRequest): NotRunOutcome | undefined {
@@ -326,32 +338,8 @@
     }
 
     #measureWait(item: QueuedRequest): number {
-        return this.#measureWaitFor(
-            this.#queue.measureWorkAhead(item),
-            item,
-            this.#queue.getEntry(item).isAheadOfShare,
-        );
-    }
-
-    /**
-     * Measures the wait behind work of the queue and for the next slot, while more urgent requests keep coming as they did lately.
-     * Others of the same priority go first too once the target is missed, and all others if the account is ahead of its share.
-     */
-    #measureWaitFor(workMs: number, { priority, dueTime }: QueuedRequest, isAheadOfShare: boolean): number {
-        const { selector, clock } = this.#options;
-        const pauseMs = selector.getPauseMs();
-        if (!this.#slotTimes.hasSamples()) {
-            return pauseMs;
-        }
-        const slots = this.#options.getSlots() || 1;
-        const startMs = pauseMs + (selector.hasFreeSlot() ? 0 : this.getSlotTime() / slots);
-        const measure = (lowest: number): number =>
-            startMs + workMs / Math.max(MIN_SLOT_SHARE * slots, slots - this.#demand.getSlotsAbove(lowest));
-        if (isAheadOfShare) {
-            return measure(Infinity);
-        }
-        const waitMs = measure(priority);
-        return clock.getTime() + waitMs > dueTime ? measure(priority + 1) : waitMs;
+        const { isAheadOfShare } = this.#queue.getEntry(item);
+        return this.#waits.measureWait(this.#queue.measureWorkAhead(item), item, isAheadOfShare);
     }
 
     #createDeadlineRefusal(waitMs: number): NotRunOutcome {
--- a/src/services/sharing/peerMethods.ts
+++ b/src/services/sharing/peerMethods.ts
@@ -4,6 +4,7 @@
 import type { FindOutcomeParams } from "./FindOutcomeParams.js";
 import type { FindOutcomeResult } from "./FindOutcomeResult.js";
 import type { IsServingResult } from "./IsServingResult.js";
+import type { RecordSenderEndParams } from "./RecordSenderEndParams.js";
 import type { RemoveCrashParams } from "./RemoveCrashParams.js";
 import type { RemoveCrashResult } from "./RemoveCrashResult.js";
 import type { ShareBaselineParams } from "./ShareBaselineParams.js";
@@ -16,6 +17,7 @@
         [PeerMethod.FindOutcome]: { params: FindOutcomeParams; result: FindOutcomeResult; };
         [PeerMethod.IsServing]: { params: Record<string, never>; result: IsServingResult; };
         [PeerMethod.ClaimRetry]: { params: ClaimRetryParams; result: ClaimRetryResult; };
+        [PeerMethod.RecordSenderEnd]: { params: RecordSenderEndParams; result: Record<string, never>; };
         [PeerMethod.RemoveCrash]: { params: RemoveCrashParams; result: RemoveCrashResult; };
     }
 }
