--- a/src/accounts/AccountRouter.ts
+++ b/src/accounts/AccountRouter.ts
@@ -113,7 +113,7 @@
             mergeOutcomes,
             outcome => outcome !== undefined && closeBody(outcome),
         );
-        race.add(async ended => {
+        void race.add(async ended => {
             for (const host of hosts) {
                 const timeoutMs = Math.max(0, deadline - this.#clock.getTime());
                 const isAnswered = this.#startLookup(host, { ...request, timeoutMs }, race, signal);
@@ -134,8 +134,8 @@
         race: AttemptRace<Outcome | undefined>,
         signal: AbortSignal,
     ): Promise<boolean> {
-        return new Promise(resolve =>
-            race.add(async superseded => {
+        return new Promise(resolve => {
+            void race.add(async superseded => {
                 try {
                     const combined = AbortSignal.any([signal, superseded]);
                     const outcome = await this.#sendToHost(host, request, request.timeoutMs, combined);
@@ -151,8 +151,8 @@
                             "The connections to the account hosts were lost.",
                         );
                 }
-            })
-        );
+            });
+        });
     }
 
     /** Sends the request to one host; rejects if the host does not answer within a time. */
