Check the status of what other hosts pass on

A status comes in at three more places unchecked: in the head of a peer's answer, in an order's outcome that another host kept, and on peers' calls, whose results were taken whatever the status of their response. A host of an older version passes on 600, as an upstream sent it; a head without an outcome threw a TypeError and left the body unread on its connection.

An outcome with a status that is not from 200 to 599 is now unknown (invalid-answer; for a lookup another attempt), a head without an outcome is a lost call, and so is a result with another status than 200.

On, tests/forwarding/oddAnswers.test.ts: 2 of 2 fail ("done of status 0"), HttpPeerTransport.test.ts: 1 of 3 ("The call was answered."). They pass now, with the tests of forwarding, peers and style; accounts, orders and services passed before the last edits of these two test files.

--- a/src/forwarding/HttpPeerForwarder.ts
+++ b/src/forwarding/HttpPeerForwarder.ts
@@ -6,7 +6,8 @@
 import type { HttpPeerOptions, PeerConnections, PeerTraffic } from "../peers/index.js";
 import type { CallerRequest } from "../requests/index.js";
 import type { ServiceAnswer, ServiceRequest } from "../services/index.js";
-import { closeUnusedBody, decodeJson, encodeJson } from "../utils/index.js";
+import { closeUnusedBody, encodeJson } from "../utils/index.js";
+import { decodeAnswerHead } from "./decodeAnswerHead.js";
 import type { PeerAnswerHead } from "./PeerAnswerHead.js";
 import type { PeerForwarder } from "./PeerForwarder.js";
 import type { PeerRequestHead } from "./PeerRequestHead.js";
@@ -103,6 +104,12 @@
             closeUnusedBody(answer.body);
             throw new PeerUnavailableError(`${address}: status ${answer.statusCode} without an answer.`, false);
         }
-        return decodeJson(field) as PeerAnswerHead;
+        try {
+            return decodeAnswerHead(field);
+        }
+        catch (error) {
+            closeUnusedBody(answer.body);
+            throw new PeerUnavailableError(`${address}: an answer without an outcome.`, false, { cause: error });
+        }
     }
 }
--- a/src/peers/HttpPeerTransport.ts
+++ b/src/peers/HttpPeerTransport.ts
@@ -10,6 +10,8 @@
 import type { PeerTraffic } from "./PeerTraffic.js";
 import type { PeerTransport } from "./PeerTransport.js";
 
+const OK_STATUS = 200;
+
 interface CallTarget {
     readonly address: string;
     readonly method: PeerMethod;
@@ -89,6 +91,9 @@
                 signal: target.signal,
             });
             const received = Buffer.from(await response.body.arrayBuffer());
+            if (response.statusCode !== OK_STATUS) {
+                throw new Error(`The call was answered with status ${response.statusCode}.`);
+            }
             this.#client.receive(await decodeResult(received, response.headers["content-encoding"]) as never);
         }
         catch (error) {
--- a/src/services/outcomes/decodeOutcome.ts
+++ b/src/services/outcomes/decodeOutcome.ts
@@ -1,7 +1,7 @@
 import { Readable } from "node:stream";
 import { TruncatedAnswerError } from "../../errors/index.js";
 import type { Outcome } from "../../outcomes/index.js";
-import { OutcomeKind } from "../../outcomes/index.js";
+import { createOutcome, OutcomeKind } from "../../outcomes/index.js";
 import type { EncodedOutcome } from "./EncodedOutcome.js";
 
 /**
@@ -11,12 +11,10 @@
 export function decodeOutcome(encoded: EncodedOutcome): Outcome {
     switch (encoded.kind) {
         case OutcomeKind.Done:
-            return {
-                kind: encoded.kind,
-                status: encoded.status,
-                headers: encoded.headers,
-                body: decodeBody(encoded.body),
-            };
+            return createOutcome(
+                { kind: encoded.kind, status: encoded.status, headers: encoded.headers },
+                decodeBody(encoded.body),
+            );
         case OutcomeKind.NotRun: {
             const { kind, reason, detail, retryAfterMs } = encoded;
             return { kind, reason, detail, retryAfterMs };
