--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -29,6 +29,7 @@
 import type { PartCapacityReport } from "../sharing/PartCapacityReport.js";
 import type { PartLoadReport } from "../sharing/PartLoadReport.js";
 import { PartLoads } from "../sharing/PartLoads.js";
+import { createServiceAnswer } from "./createServiceAnswer.js";
 import { createUpstreamCounts } from "./createUpstreamCounts.js";
 import { createUpstreamStatus } from "./createUpstreamStatus.js";
 import { isWarming } from "./isWarming.js";
@@ -445,25 +446,12 @@
         outcome: Outcome,
         result: HedgedResult | undefined,
     ): ServiceAnswer {
-        const { freeSlots, queued, capacity } = this.getPartLoad();
-        const usualMs = this.#routeLatencies.findP75(route);
-        // A request that was answered did not crash the upstream that lost it.
-        const lostAttempts = outcome.kind === OutcomeKind.Done ? [] : result?.lostAttempts ?? [];
-        const others = result?.others.map(other => other.getUpstream().name) ?? [];
-        const notices = this.getNotices();
-        return {
-            outcome,
-            upstream: result?.pooled.getUpstream().name,
-            ...(others.length === 0 ? {} : { otherUpstreams: others }),
-            isCrashSuspected: lostAttempts.length > 0,
-            ...(lostAttempts.length === 0 ? {} : { lostAttempts }),
-            freeSlots,
-            queued,
-            ...(capacity === undefined ? {} : { capacity }),
-            ...(usualMs === undefined ? {} : { usualMs: Math.round(usualMs) }),
+        return createServiceAnswer(outcome, result, {
+            load: this.getPartLoad(),
+            usualMs: this.#routeLatencies.findP75(route),
             otherLoads: hasRecentLoads === true ? [] : this.otherLoads.getReports(),
-            ...(notices.length === 0 ? {} : { notices }),
-        };
+            notices: this.getNotices(),
+        });
     }
 }
 
--- a/src/services/queue/HedgedRequest.ts
+++ b/src/services/queue/HedgedRequest.ts
@@ -1,5 +1,5 @@
 import { Decision } from "../../logging/index.js";
-import { closeBody, OutcomeKind, UnknownReason } from "../../outcomes/index.js";
+import { closeBody, mergeOutcomes, OutcomeKind, UnknownReason } from "../../outcomes/index.js";
 import type { Outcome } from "../../outcomes/index.js";
 import type { ScheduledCall } from "../../time/index.js";
 import { AttemptRace } from "../../utils/index.js";
@@ -170,20 +170,6 @@
     return outcome.kind === OutcomeKind.Unknown && outcome.reason === UnknownReason.ConnectionLost;
 }
 
-/** Selects an upstream's own answer before an unknown outcome, and that before a refusal, as the request may have run. */
 function mergeResults(earlier: SlotResult, later: SlotResult): SlotResult {
-    const [used, unused] = getRank(later.outcome) < getRank(earlier.outcome) ? [earlier, later] : [later, earlier];
-    closeBody(unused.outcome);
-    return used;
-}
-
-function getRank(outcome: Outcome): number {
-    switch (outcome.kind) {
-        case OutcomeKind.NotRun:
-            return 0;
-        case OutcomeKind.Unknown:
-            return 1;
-        case OutcomeKind.Done:
-            return 2;
-    }
+    return mergeOutcomes(earlier.outcome, later.outcome) === earlier.outcome ? earlier : later;
 }
