Expect bytes behind "connection: close" of an interim head to be no answer

Of its three heads the second begins with a 103 that bears "connection: close"; bytes behind that are no HTTP whether the head behind them is cut or not. The test now asks for exactly that kind there, and for a lost connection everywhere else, as before; for neither an answer is taken.

--- a/tests/platform/repeatedAnswers.test.ts
+++ b/tests/platform/repeatedAnswers.test.ts
@@ -111,16 +111,20 @@
     });
 
     test("an answer whose head ends early is never an answer, wherever it ends", async () => {
+        const interim = "HTTP/1.1 103 Early\r\nconnection: close\r\n\r\n";
         const heads = [
             formatAnswer("200 OK", dialect.doneFields, "o1"),
-            `HTTP/1.1 103 Early\r\nconnection: close\r\n\r\n${formatAnswer("200 OK", dialect.doneFields, "o1")}`,
+            `${interim}${formatAnswer("200 OK", dialect.doneFields, "o1")}`,
             `HTTP/1.1 200 OK\r\nconnection: close\r\n${dialect.idField}: o1\r\n${dialect.doneFields}content-length: 9\r\n\r\n`,
         ];
         for (const head of heads) {
             for (let length = 0; length < head.length; length++) {
                 upstream.listener = socket => socket.end(head.slice(0, length));
                 const answer = await send("o1");
-                assert.is(answer.kind, UpstreamAnswerKind.ConnectionLost, JSON.stringify(head.slice(0, length)));
+                // Bytes behind "connection: close" are no HTTP.
+                const isInvalid = head.startsWith(interim) && length > interim.length;
+                const expected = isInvalid ? UpstreamAnswerKind.Invalid : UpstreamAnswerKind.ConnectionLost;
+                assert.is(answer.kind, expected, JSON.stringify(head.slice(0, length)));
             }
         }
     });
