--- a/review/lib-2/Bench.mjs
+++ b/review/lib-2/Bench.mjs
@@ -30,6 +30,7 @@
     #children = [];
     #agents = new Map();
     #nextId = 1;
+    #configuration;
     #timers = [];
 
     constructor(recordFile) {
@@ -51,7 +52,7 @@
      * Starts all; `services` holds, for each service, the backends of a zone, the work of a request, the trouble that the first
      * `troubled` of them will be in (one number, or one for each zone), and the share of their requests that it hits.
      */
-    async open({ services, routes, answerBytes = 1_500, edgesPerZone = 1, zones = ZONES, settings = {}, limits = LIMITS }) {
+    async open({ services, routes, answerBytes = 1_500, edgesPerZone = 1, zones = ZONES, settings = {}, limits = LIMITS, moreRoutes = 0 }) {
         if (!isBuilt) {
             this.finish(2, "the deploy file's build has not been run");
         }
@@ -61,14 +62,23 @@
             Object.keys(services).map(name => [name, { health_path: "/health", max_conns: 330, protocol: "h1", tls: false }]),
         );
         const defaults = { host: HOST, public: false, target_latency_s: 2, max_attempts: 2 };
-        this.store.write("op/config", {
+        const [service] = Object.keys(services);
+        const more = Array.from({ length: moreRoutes }, (_, index) => [
+            `r-more${index}`,
+            { prefix: `/more${index}/`, kind: "safe", service, priority: 2, timeout_s: 3 },
+        ]);
+        this.#configuration = {
             version: 2,
-            routes: Object.fromEntries(Object.entries(routes).map(([name, route]) => [name, { ...defaults, ...route }])),
+            routes: Object.fromEntries(
+                [...Object.entries(routes), ...more].map(([name, route]) => [name, { ...defaults, ...route }]),
+            ),
             services: tables,
             limits,
             tenants,
             base_version: 1,
-        });
+        };
+        this.store.write("op/config", this.#configuration);
+        this.note(`the configuration has ${JSON.stringify(this.#configuration).length} bytes`);
         for (const [zoneIndex, zone] of zones.entries()) {
             const backends = Object.entries(services).flatMap(([service, { count, slots, workMs, trouble, troubled, troubleShare }]) =>
                 Array.from({ length: count }, (_, index) => ({
@@ -104,6 +114,28 @@
         this.note("all entry hosts are ready; traffic starts");
     }
 
+    /** Writes new versions of the configuration, each of which changes the time of one route, unless the disruption is left out. */
+    storm({ afterMs, forMs, gapMs }) {
+        if (!isTroubled) {
+            return;
+        }
+        setTimeout(() => {
+            const end = performance.now() + forMs;
+            const timer = setInterval(() => {
+                if (performance.now() >= end) {
+                    clearInterval(timer);
+                    this.note(`a storm ends with version ${this.#configuration.version}`);
+                    return;
+                }
+                this.#configuration.version += 1 + this.#configuration.version % 2;
+                const route = this.#configuration.routes["r-more0"];
+                route.timeout_s = route.timeout_s === 3 ? 2 : 3;
+                this.store.write("op/config", this.#configuration);
+            }, gapMs);
+            this.#timers.push(timer);
+        }, afterMs);
+    }
+
     /** Lets backends be in trouble for a time, unless the disruption is left out. */
     disturb({ afterMs, forMs }) {
         const apply = value => {
