--- a/review/lib-2/Bench.mjs
+++ b/review/lib-2/Bench.mjs
@@ -20,7 +20,7 @@
 export class Bench {
     store = new Store();
     edges = [];
-    /** The runs that backends have reported: { id, backend, isTroubled, time }. */
+    /** The runs that backends have reported: { id, backend, isTroubled }. */
     runs = [];
     /** The requests of clients with what became of each. */
     requests = [];
@@ -131,6 +131,7 @@
                 const route = this.#configuration.routes["r-more0"];
                 route.timeout_s = route.timeout_s === 3 ? 2 : 3;
                 this.store.write("op/config", this.#configuration);
+                this.note(`version ${this.#configuration.version} of the configuration is written`);
             }, gapMs);
             this.#timers.push(timer);
         }, afterMs);
@@ -192,7 +193,7 @@
                     return;
                 }
                 this.runs.push({ id: message.run, backend: message.backend, isTroubled: message.isTroubled });
-                this.note(`${message.backend} runs ${message.run}`);
+                this.note(`${message.backend}${message.isTroubled ? ", in trouble," : ""} runs ${message.run}`);
             });
             child.send({ backends, answerBytes });
         });
@@ -219,6 +220,8 @@
         const [host, port] = edge.front.split(":");
         const item = { id, name, edge: edge.id, time: performance.now() };
         this.requests.push(item);
+        this.note(`${name} ${id} sent: ${method} ${path} to ${edge.id}, ${bodyBytes} bytes, limit ${deadlineMs} ms`);
+        item.inTouch = edge.isInTouch();
         const end = (result, details) => {
             if (item.endTime === undefined) {
                 item.endTime = performance.now();
@@ -248,7 +251,7 @@
         });
         item.isKept = false;
         sent.on("socket", () => (item.isKept = sent.reusedSocket));
-        sent.on("error", error => end(`no answer (${error.code})`, { isCut: error.code !== "ECONNREFUSED" }));
+        sent.on("error", error => end(`no answer (${error.code})`, { isCut: error.code !== "ECONNREFUSED", hasNoAnswer: true }));
         // The client leaves at its time limit.
         setTimeout(() => {
             if (item.endTime === undefined) {
--- a/review/lib-2/Edge.mjs
+++ b/review/lib-2/Edge.mjs
@@ -7,6 +7,9 @@
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 const RESTART_MS = 300;
+const GRACE_MS = 6_000;
+/** contact_s: a machine is in touch once its process has run for so long. */
+const CONTACT_MS = 3_000;
 
 /** Whether the deploy file's build has been run. */
 export const isBuilt = existsSync(join(ROOT, "target", "fuchsiapath-edge.mjs"));
@@ -14,9 +17,12 @@
 export class Edge {
     /** Times at which the process ended by itself, in milliseconds of performance.now(). */
     ends = [];
+    /** Times of SIGTERM, in milliseconds of performance.now(). */
+    terminations = [];
     log = "";
     #child;
     #isStopped = false;
+    #isPlanned = false;
     #file;
     #onEnd;
 
@@ -45,7 +51,7 @@
             peerAddress: peer,
             metricsAddress: metrics,
             storeAddress: this.store,
-            graceSeconds: 6,
+            graceSeconds: GRACE_MS / 1_000,
             lookupSeconds: 5,
             cpuShare: 0.54,
             cores: 1,
@@ -62,6 +68,20 @@
         this.#spawn();
     }
 
+    /** Stops the process as the platform does: SIGTERM, and SIGKILL after grace_s; it is started again after it has ended. */
+    terminate() {
+        const child = this.#child;
+        this.#isPlanned = true;
+        this.terminations.push(performance.now());
+        child.kill("SIGTERM");
+        const timer = setTimeout(() => child.kill("SIGKILL"), GRACE_MS);
+        child.once("exit", () => clearTimeout(timer));
+    }
+
+    isInTouch() {
+        return this.isRunning() && performance.now() - this.startTime >= CONTACT_MS;
+    }
+
     isRunning() {
         return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
     }
@@ -74,6 +94,7 @@
     #spawn() {
         const run = /^run = "(.*)"$/m.exec(readFileSync(join(ROOT, "deploy", "system.toml"), "utf8"))[1];
         const [program, ...words] = run.split(" ");
+        this.startTime = performance.now();
         this.#child = spawn(program === "node" ? process.execPath : program, words, {
             cwd: ROOT,
             env: { PATH: process.env.PATH, HOME: process.env.HOME, FUCHSIAPATH_NODE_FILE: this.#file },
@@ -84,9 +105,12 @@
         this.#child.stderr.on("data", chunk => (errors = (errors + chunk).slice(0, 20_000)));
         this.#child.once("exit", (code, signal) => {
             if (!this.#isStopped) {
-                this.ends.push(performance.now());
-                const reason = errors.split("\n").find(line => line.startsWith("FATAL")) ?? "";
-                this.#onEnd?.(this, `code ${code}, signal ${signal} ${reason}`);
+                if (!this.#isPlanned) {
+                    this.ends.push(performance.now());
+                    const reason = errors.split("\n").find(line => line.startsWith("FATAL")) ?? "";
+                    this.#onEnd?.(this, `code ${code}, signal ${signal} ${reason}`);
+                }
+                this.#isPlanned = false;
                 setTimeout(() => this.#isStopped || this.#spawn(), RESTART_MS);
             }
         });
