Answer an order 502 when its upstream refuses it without proof that it has not run

What callers saw: an upstream ran an order, failed it with 503 and did not state that it had not run it.

Cause: PlatformUpstreamProtocol takes only a marked answer for a refusal, so the outcome of the unmarked one is "done", correctly. But its status was sent on as it was, and that status is itself a statement to the caller, which nothing had proven. An answer of the host's own, 502 without the upstream's seal, promises nothing.

Why this works: every proven refusal is a NotRunOutcome, so a DoneOutcome whose status means "not run" (the caller protocol names these) is never proven. The gateway, the only exit to callers of the platform, makes it an unknown outcome (unproven-refusal) for routes that are not idempotent. Answers that come through a service host of an older version, or from an outcome that was kept, pass the same place. The product's own callers are told by x-outcome, not by the status, so nothing changes for them.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -19,6 +19,7 @@
 import type { CallerRequest } from "../requests/index.js";
 import { runWithTimeout } from "../time/index.js";
 import type { AuthorizedRoute } from "./AuthorizedRoute.js";
+import { checkRefusalProof } from "./checkRefusalProof.js";
 import { findAuthorizedRoute } from "./findAuthorizedRoute.js";
 import type { GatewayOptions } from "./GatewayOptions.js";
 import type { GatewayRequest } from "./GatewayRequest.js";
@@ -157,7 +158,10 @@
         }
         const callerRequest = createCallerRequest(request, route, account, body, remainingMs);
         const answerMs = Math.min(remainingMs + DEADLINE_MARGIN_MS, this.#getCallerRemaining(request, context));
-        const outcome = await this.#runUntilDeadline(callerRequest, Math.max(0, answerMs), context, signal);
+        const answer = await this.#runUntilDeadline(callerRequest, Math.max(0, answerMs), context, signal);
+        const outcome = route.kind === RouteKind.Order
+            ? checkRefusalProof(answer, this.#options.notRunStatuses)
+            : answer;
         this.#scheduleResponseTimeout(outcome, context.startTime + timeoutMs + DEADLINE_MARGIN_MS);
         this.#recordDuration(outcome, route, context.startTime);
         return outcome;
--- a/src/gateway/GatewayHost.ts
+++ b/src/gateway/GatewayHost.ts
@@ -231,6 +231,7 @@
             decisions,
             limiter,
             dispatcher: this.#dispatcher,
+            notRunStatuses: this.#options.notRunStatuses,
             getConfiguration: () => this.#findConfiguration(),
             getCopyAge: () => this.getCopyAge(),
             checkCopyAge: maxAgeMs => this.#replicator.checkAge(maxAgeMs),
--- a/src/gateway/GatewayHostOptions.ts
+++ b/src/gateway/GatewayHostOptions.ts
@@ -27,6 +27,8 @@
     readonly restorer: StoreRestorer;
     readonly decoder: StoreItemDecoder;
     readonly stallMeter?: StallMeter;
+    /** The statuses by which callers are told that a request was not run. */
+    readonly notRunStatuses: ReadonlySet<number>;
     /** How long callers may cache the addresses of a lookup, in milliseconds. */
     readonly lookupLifetimeMs: number;
 }
--- a/src/gateway/GatewayOptions.ts
+++ b/src/gateway/GatewayOptions.ts
@@ -12,6 +12,8 @@
     readonly decisions: DecisionLog;
     readonly limiter: RateLimiter;
     readonly dispatcher: Pick<Dispatcher, "run">;
+    /** The statuses by which callers are told that a request was not run. */
+    readonly notRunStatuses: ReadonlySet<number>;
     /** Gets the configuration in force; undefined before the first. */
     readonly getConfiguration: () => SuppliedConfiguration | undefined;
     /** Gets the time since the configuration was last known to be current, in milliseconds. */
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -147,6 +147,7 @@
             restorer,
             decoder,
             stallMeter: this.#stallMeter,
+            notRunStatuses: this.#options.callerProtocol.notRunStatuses,
             lookupLifetimeMs: settings.lookupSeconds * MS_PER_SECOND,
         });
     }
--- a/src/gateway/GatewayProtocol.ts
+++ b/src/gateway/GatewayProtocol.ts
@@ -5,6 +5,8 @@
 
 /** Maps callers' HTTP requests and responses to the gateway's types. */
 export interface GatewayProtocol {
+    /** The statuses by which callers are told that a request was not run and never will be. */
+    readonly notRunStatuses: ReadonlySet<number>;
     /**
      * Decodes a request; throws a RefusalError if it is malformed.
      * @param request - The HTTP request, without its body.
--- a/src/outcomes/UnknownReason.ts
+++ b/src/outcomes/UnknownReason.ts
@@ -6,6 +6,8 @@
     AnswerCut = "answer-cut",
     /** The upstream sent bytes that are no answer. */
     InvalidAnswer = "invalid-answer",
+    /** The upstream answered with a status that means "not run", but without the proof that its protocol asks for. */
+    UnprovenRefusal = "unproven-refusal",
     /** The deadline passed after the request had been sent. */
     DeadlineExceeded = "deadline-exceeded",
     /** The entry host that holds the order's record is gone. */
--- a/tests/gateway/arrivalAtStop.test.ts
+++ b/tests/gateway/arrivalAtStop.test.ts
@@ -32,6 +32,7 @@
         dispatcher: { run: () => runOrder() },
         getConfiguration: () => configuration,
         getCopyAge: () => 0,
+        notRunStatuses: new Set(),
         checkCopyAge: async () => true,
     });
 });
--- a/tests/gateway/endlessAnswers.test.ts
+++ b/tests/gateway/endlessAnswers.test.ts
@@ -76,6 +76,7 @@
                 getService: () => ({ name: "orders", upstreams: [{}] }),
             }) as unknown as SuppliedConfiguration,
         getCopyAge: () => 0,
+        notRunStatuses: new Set(),
         checkCopyAge: async () => true,
     });
 }
--- a/tests/gateway/staleCopy.test.ts
+++ b/tests/gateway/staleCopy.test.ts
@@ -38,6 +38,7 @@
         dispatcher: { run: async () => createNotRun(RefusalReason.Overloaded, "reached the dispatcher") },
         getConfiguration: () => configuration,
         getCopyAge: () => copyAgeMs,
+        notRunStatuses: new Set(),
         checkCopyAge: async maxAgeMs => {
             if (copyAgeMs <= maxAgeMs) {
                 return true;
--- a/tests/gateway/stoppingGateway.test.ts
+++ b/tests/gateway/stoppingGateway.test.ts
@@ -41,6 +41,7 @@
         },
         getConfiguration: () => configuration,
         getCopyAge: () => 0,
+        notRunStatuses: new Set(),
         checkCopyAge: async () => true,
     });
 });
--- a/tests/support/PipelineBench.ts
+++ b/tests/support/PipelineBench.ts
@@ -139,6 +139,7 @@
 
 function createProtocol(onDecoded: () => void): GatewayProtocol {
     return {
+        notRunStatuses: new Set<number>(),
         decodeRequest: ({ url, method, headers }) => {
             onDecoded();
             if (url === "/malformed") {
