Count an unproven refusal of 408, 421 or 429 as a failure of its upstream

What callers saw: an upstream that ran orders and answered 408 or 429 without stating that it had not run them stayed in use, as only statuses from 500 on counted against it, so its orders failed as long as the trouble lasted. A lookup got that 408 or 429 as its answer though other upstreams would have served it.

Cause: three places compared the status with 500, and a fourth had a list of its own; only the race of attempts knew that 408 and 429 are no final answer (isDefiniteStatus).

With processes, lookups beside an upstream that answers 408 or 429 got that status.

Why this works: isDefiniteStatus is now the one rule for detection, for the share of requests that were served and for what a success says of an upstream's limit; 421 belongs to it, as it also says that the upstream would not run the request. Lookups are sent again within the retry budget. Proven refusals never come here: they are no answers.

--- a/src/accounts/isRetriable.ts
+++ b/src/accounts/isRetriable.ts
@@ -2,7 +2,7 @@
 import type { NotRunOutcome, Outcome } from "../outcomes/index.js";
 import { OutcomeKind, RefusalReason, UnknownReason } from "../outcomes/index.js";
 
-const RETRIABLE_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504]);
+const RETRIABLE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 500, 502, 503, 504]);
 
 const RETRIABLE_REASONS: ReadonlySet<RefusalReason> = new Set([
     RefusalReason.Overloaded,
--- a/src/fakes/FakeUpstreamFaults.ts
+++ b/src/fakes/FakeUpstreamFaults.ts
@@ -1,7 +1,11 @@
+import type { FinalStatus } from "../outcomes/index.js";
+
 /** Faults of a fake upstream; a field that is left out means no such fault. */
 export interface FakeUpstreamFaults {
-    /** Share of the requests that run and are answered with status 500, from 0 to 1. */
+    /** Share of the requests that run and are answered with `errorStatus`, from 0 to 1. */
     readonly errorRate?: number;
+    /** The status of the answers that `errorRate` counts; 500 if left out. */
+    readonly errorStatus?: FinalStatus;
     /** Share of the requests whose answer is cut after its head, from 0 to 1. */
     readonly cutRate?: number;
     /** Share of the requests that run and whose connection is lost before the answer, from 0 to 1. */
--- a/src/fakes/FakeUpstreams.ts
+++ b/src/fakes/FakeUpstreams.ts
@@ -143,7 +143,8 @@
 
     #createAnswer(state: FakeUpstream, connection: FakeConnection): UpstreamAnswer {
         const { random, healthyErrorRate } = this.#options;
-        const { cutRate, lossRate, errorRate, isUnavailable = false, retryAfterMs } = state.faults;
+        const { cutRate, lossRate, errorRate, errorStatus = INTERNAL_ERROR, isUnavailable = false, retryAfterMs } =
+            state.faults;
         if (random.getNext() < (lossRate ?? 0)) {
             state.running--;
             return { kind: UpstreamAnswerKind.ConnectionLost, detail: "The upstream closed the connection." };
@@ -161,7 +162,7 @@
         const bytes = this.#options.answerBytes ?? DEFAULT_ANSWER_BYTES;
         return {
             kind: UpstreamAnswerKind.Answered,
-            status: isFailing ? INTERNAL_ERROR : OK,
+            status: isFailing ? errorStatus : OK,
             headers: { "content-length": String(bytes) },
             body: this.#createBody(state, connection, bytes, random.getNext() < (cutRate ?? 0)),
             notice: createNotice(state, !isFailing),
--- a/src/services/detection/AttemptRecorder.ts
+++ b/src/services/detection/AttemptRecorder.ts
@@ -1,4 +1,5 @@
 import { TruncatedAnswerError } from "../../errors/index.js";
+import { isDefiniteStatus } from "../exchange/isDefiniteStatus.js";
 import { UpstreamAnswerKind } from "../exchange/UpstreamAnswerKind.js";
 import type { UpstreamAttempt } from "../exchange/UpstreamAttempt.js";
 import type { PooledUpstream } from "../pools/PooledUpstream.js";
@@ -7,7 +8,6 @@
 import { createObservation } from "./createObservation.js";
 import { ObservationKind } from "./ObservationKind.js";
 
-const FIRST_FAILURE_STATUS = 500;
 const SHED_PAUSE_MS = 100;
 /** An upstream that names a longer time is tried again after this one, in milliseconds. */
 const MAX_PAUSE_MS = 300_000;
@@ -76,7 +76,7 @@
             if (retryAfterMs !== undefined) {
                 this.#recordPause(upstream, retryAfterMs);
             }
-            this.#options.onNotice(upstream, answer.notice, isAnswered && answer.status < FIRST_FAILURE_STATUS);
+            this.#options.onNotice(upstream, answer.notice, isAnswered && isDefiniteStatus(answer.status));
         }
     }
 
--- a/src/services/detection/createObservation.ts
+++ b/src/services/detection/createObservation.ts
@@ -1,10 +1,10 @@
 import { UnexpectedVariantError } from "../../errors/index.js";
+import { isDefiniteStatus } from "../exchange/isDefiniteStatus.js";
 import { UpstreamAnswerKind } from "../exchange/UpstreamAnswerKind.js";
 import type { UpstreamAttempt } from "../exchange/UpstreamAttempt.js";
 import { ObservationKind } from "./ObservationKind.js";
 import type { UpstreamObservation } from "./UpstreamObservation.js";
 
-const FIRST_FAILURE_STATUS = 500;
 const GATEWAY_TIMEOUT = 504;
 
 /**
@@ -31,12 +31,12 @@
             if (answer.status === GATEWAY_TIMEOUT && latencyMs < minWaitMs) {
                 return create(ObservationKind.Cancelled, "a short deadline passed");
             }
-            return answer.status >= FIRST_FAILURE_STATUS
-                ? {
+            return isDefiniteStatus(answer.status)
+                ? undefined
+                : {
                     ...create(ObservationKind.Failure, `status ${answer.status}`),
                     isAnswered: answer.status !== GATEWAY_TIMEOUT,
-                }
-                : undefined;
+                };
         case UpstreamAnswerKind.ConnectFailed:
             return create(ObservationKind.ConnectFailed, answer.detail);
         case UpstreamAnswerKind.NotSendable:
--- a/src/services/pools/ServicePool.ts
+++ b/src/services/pools/ServicePool.ts
@@ -13,6 +13,7 @@
 import { UnservedRateMonitor } from "../detection/UnservedRateMonitor.js";
 import { FirstByteLimit } from "../exchange/FirstByteLimit.js";
 import { getPatience } from "../exchange/getPatience.js";
+import { isDefiniteStatus } from "../exchange/isDefiniteStatus.js";
 import { NoticeRecorder } from "../notices/NoticeRecorder.js";
 import type { UpstreamNoticeReport } from "../notices/UpstreamNoticeReport.js";
 import { encodeOutcome } from "../outcomes/encodeOutcome.js";
@@ -44,7 +45,6 @@
 const MIN_UNREACHABLE_UPSTREAMS = 2;
 /** Share of unreachable upstreams from which this host counts as cut off. */
 const MIN_UNREACHABLE_SHARE = 0.5;
-const FIRST_FAILURE_STATUS = 500;
 const NO_UPSTREAM_RETRY_AFTER_MS = 1_000;
 
 /** Queues the requests of one part of a service and runs them on its upstreams. */
@@ -342,7 +342,7 @@
         if (outcome.kind === OutcomeKind.NotRun && outcome.reason === RefusalReason.NotSendable) {
             return;
         }
-        const isServed = outcome.kind === OutcomeKind.Done && outcome.status < FIRST_FAILURE_STATUS;
+        const isServed = outcome.kind === OutcomeKind.Done && isDefiniteStatus(outcome.status);
         this.#servedShare.record(isServed);
         if (isServed || !request.isIdempotent) {
             this.unservedRate.record(isServed);
--- a/tests/platform/unprovenRefusals.test.ts
+++ b/tests/platform/unprovenRefusals.test.ts
@@ -3,6 +3,8 @@
 import { EdgeFleet } from "./support/EdgeFleet.js";
 
 const HOSTS = 3;
+const SERVICES = ["catalogue", "orders"];
+const UPSTREAMS_AT_START = 2;
 const ORDERS = 12;
 /** Statuses by which callers are told that a request was not run. */
 const NOT_RUN_STATUSES = [408, 429, 503];
@@ -10,14 +12,19 @@
 const test = suite("unproven refusals through edge processes");
 const fleet = new EdgeFleet();
 
-test.before(() => fleet.start(HOSTS, ["catalogue", "orders"]));
+test.before(async () => {
+    await fleet.start(HOSTS, SERVICES);
+    for (let number = UPSTREAMS_AT_START + 1; number <= NOT_RUN_STATUSES.length + 1; number++) {
+        await Promise.all(SERVICES.map(service => fleet.addUpstream(`i-${service}-${number}`, service)));
+    }
+});
 
 test.after(() => fleet.stop());
 
-// Guards against REFUSED (review/10): an upstream ran an order and failed it with 503, and the caller was told "not run".
-for (const status of NOT_RUN_STATUSES) {
+// Guards against REFUSED (review/10): an upstream ran an order and failed it with a status that was taken for "not run".
+for (const [index, status] of NOT_RUN_STATUSES.entries()) {
     test(`an order that ran is not called not run because its upstream answers ${status}`, async () => {
-        const failing = fleet.upstreams.get("i-orders-1")!;
+        const failing = fleet.upstreams.get(`i-orders-${index + 1}`)!;
         failing.status = status;
         const ranBefore = failing.received.length;
         await fleet.waitUntil(async () => {
@@ -28,6 +35,23 @@
     });
 }
 
+// Guards against lookups that fail with an unproven refusal of one upstream, though another one serves them.
+for (const [index, status] of NOT_RUN_STATUSES.entries()) {
+    test(`a lookup is sent to another upstream if one answers ${status}`, async () => {
+        const failing = fleet.upstreams.get(`i-catalogue-${index + 1}`)!;
+        failing.status = status;
+        const ranBefore = failing.received.length;
+        await fleet.waitUntil(async () => {
+            const responses = await Promise.all(
+                fleet.hosts.map(host => fleet.send(host, `/lookup/${status}-${host.id}`)),
+            );
+            responses.forEach(response => assert.is(response.status, 200));
+            return failing.received.length > ranBefore;
+        });
+        failing.status = 200;
+    });
+}
+
 test.run();
 
 async function sendOrders(status: number): Promise<void> {
