Take a 421 for that of another upstream only if it names one or states that it has not run

What callers saw: an upstream ran an order and answered 421 with the order's id; the host took that for the word of another upstream that has the address by now, and sent the order once more: it ran twice (TWICE). A lookup lost an upstream in good connection.

Cause: PlatformUpstreamProtocol took the status alone for the proof.

Evidence: tests/platform/unprovenRefusals.test.ts: "2 runs of an order" with 421.

Why this works: the mark, or the name of a sender that isn't the expected upstream, is what proves it. Any other 421 is an answer like the other unproven refusals: a failure of the upstream, unknown for an order, and for a lookup another attempt.

--- a/tests/platform/protocols.test.ts
+++ b/tests/platform/protocols.test.ts
@@ -118,6 +118,19 @@
     assert.is(check(421, { "fuchsiapath-instance-id": "i-2" }), AnswerCheckKind.Misdirected);
 });
 
+// Guards against TWICE: an upstream ran an order and answered 421, which was taken for the word of another upstream at its address.
+test("takes a 421 for that of another upstream only if it names one or states that the request was not run", () => {
+    const request = createRequest({ "fuchsiapath-attempt-id": "a1" }, "clogs");
+    const check = (headers: Record<string, string>): AnswerCheckKind =>
+        upstreams.checkAnswer(UPSTREAM, request, 421, headers).kind;
+    const own = { "fuchsiapath-attempt-id": "a1", "fuchsiapath-response-seal": "s" };
+    assert.is(check(own), AnswerCheckKind.Answered);
+    assert.is(check({}), AnswerCheckKind.Answered);
+    assert.is(check({ ...own, "fuchsiapath-instance-id": UPSTREAM.name }), AnswerCheckKind.Answered);
+    assert.is(check({ ...own, "fuchsiapath-instance-id": "i-2" }), AnswerCheckKind.Misdirected);
+    assert.is(check({ ...own, "fuchsiapath-not-executed": "1" }), AnswerCheckKind.Misdirected);
+});
+
 test("decodes the request rate that an upstream names, and tells no limit from one that can't be read", () => {
     const decode = (value: string): number | undefined =>
         upstreams.decodeNotice(200, { "server-limit": value }).requestRate;
--- a/tests/platform/unprovenRefusals.test.ts
+++ b/tests/platform/unprovenRefusals.test.ts
@@ -7,7 +7,7 @@
 const UPSTREAMS_AT_START = 2;
 const ORDERS = 12;
 /** Statuses by which callers are told that a request was not run. */
-const NOT_RUN_STATUSES = [408, 429, 503];
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
 const test = suite("unproven refusals through edge processes");
 const fleet = new EdgeFleet();
@@ -21,7 +21,7 @@
 
 test.after(() => fleet.stop());
 
-// Guards against REFUSED (review/10): an upstream ran an order and failed it with a status that was taken for "not run".
+// Guards against REFUSED (review/10) and TWICE: an upstream ran an order and failed it with a status that was taken for "not run".
 for (const [index, status] of NOT_RUN_STATUSES.entries()) {
     test(`an order that ran is not called not run because its upstream answers ${status}`, async () => {
         const failing = fleet.upstreams.get(`i-orders-${index + 1}`)!;
