Take a success that states that it has not run for no proof; postmortem of unproven refusals

An answer of 200 with the upstream's seal and the field "not run" was taken for a refusal, so the order would have been sent to a second upstream though the first claims to have answered it (TWICE).

Cause: the field was looked at before the status.

--- a/tests/platform/protocols.test.ts
+++ b/tests/platform/protocols.test.ts
@@ -131,6 +131,17 @@
     assert.is(check({ ...own, "fuchsiapath-not-executed": "1" }), AnswerCheckKind.Misdirected);
 });
 
+// Guards against TWICE: a success that also stated that it had not run was taken for a refusal, and the order sent again.
+test("a success that states that the request was not run proves neither", () => {
+    const request = createRequest({ "fuchsiapath-attempt-id": "a1" }, "clogs");
+    const headers = {
+        "fuchsiapath-attempt-id": "a1",
+        "fuchsiapath-response-seal": "s",
+        "fuchsiapath-not-executed": "1",
+    };
+    assert.is(upstreams.checkAnswer(UPSTREAM, request, 200, headers).kind, AnswerCheckKind.Mismatched);
+});
+
 test("decodes the request rate that an upstream names, and tells no limit from one that can't be read", () => {
     const decode = (value: string): number | undefined =>
         upstreams.decodeNotice(200, { "server-limit": value }).requestRate;
