Keep only the newest change of each key for other hosts

Cause: Replica kept the newest 2,000 changes for hosts that pull, each with its value, so up to 2,000 versions of one document: 500 of 268 KB fill the 160 MB of the heap. A pull from an early revision would also have been answered with all of them.

Why this works: a host that pulls needs the newest change of each key, so an earlier one is dropped when the next comes. What is kept is then at most what the store holds, twice where a renewal followed. A host that gets such changes may miss values that were undone in between, while a host that pulls from it knows them (a -> b -> a; added and removed). So all changes that are pulled count as changes for further hosts (applyChanges), also those that change nothing here. Revision gaps used to go when old changes were dropped; they are bounded by number now.

--- a/src/replica/Replica.ts
+++ b/src/replica/Replica.ts
@@ -7,8 +7,10 @@
 /** Whether a new value of an item differs from the previous one only in ways that need no notification. */
 type MinorChangeCheck = (key: string, previous: string, next: string) => boolean;
 
-/** How many of the newest changes are kept for other hosts to pull. */
+/** How many keys' newest changes are kept for other hosts to pull. */
 const MAX_CHANGES = 2_000;
+/** How many revision gaps are kept. */
+const MAX_GAPS = 100;
 
 /**
  * A copy of the store's items with the store's epoch and revision. Within an epoch, an item never returns to an earlier revision; the
@@ -19,10 +21,11 @@
     readonly #events = new Map<string, ReplicaEvent>();
     readonly #listeners: ReplicaListener[] = [];
     readonly #epochListeners: EpochListener[] = [];
-    #changes: ReplicaEvent[] = [];
+    /** The newest change of each key, changed least recently first. An earlier change of a key is of no use to a host that pulls. */
+    readonly #changes = new Map<string, ReplicaEvent>();
     /** Revision ranges skipped by a snapshot, which does not show changes that were undone before it. */
     #gaps: RevisionGap[] = [];
-    /** All changes after this revision are kept. */
+    /** The newest change after this revision is kept for every key. */
     #changesStart = 0;
     #revision = 0;
     #epoch = 0;
@@ -56,18 +59,18 @@
      * @param revision - The revision.
      */
     hasChanges(revision: number): boolean {
-        return revision < this.#changesStart || this.#changes.some(event => event.revision > revision);
+        return revision < this.#changesStart || this.#findChangesAfter(revision).length > 0;
     }
 
     /**
-     * Finds the changes since a revision; undefined if they are no longer known.
+     * Finds the newest change of each key since a revision; undefined if they are no longer known.
      * @param revision - The revision.
      */
     findChanges(revision: number): readonly ReplicaEvent[] | undefined {
         const isInsideGap = this.#gaps.some(({ from, to }) => from < revision && revision < to);
         return revision < this.#changesStart || isInsideGap
             ? undefined
-            : this.#changes.filter(event => event.revision > revision);
+            : this.#findChangesAfter(revision);
     }
 
     /**
@@ -95,18 +98,31 @@
     }
 
     /**
-     * Applies all changes since a revision of the known epoch that is not after the known one.
+     * Applies all events of the store since a revision of the known epoch that is not after the known one.
      * @param events - The events in the order of their revisions.
      * @param revision - The revision up to which they are complete.
-     * @param gaps - Revision ranges in which changes that were undone may be missing from the events.
      */
-    applyEvents(events: readonly ReplicaEvent[], revision: number, gaps: readonly RevisionGap[] = []): void {
-        this.#gaps.push(...gaps.filter(gap => gap.to > this.#revision));
+    applyEvents(events: readonly ReplicaEvent[], revision: number): void {
         const applied = events.filter(event => this.#isNew(event) && this.#applyEvent(event));
         this.#addChanges(applied, revision);
         this.#report(applied);
     }
 
+    /**
+     * Applies the newest change of each key since a revision of the known epoch, as another host's replica has found them. All of them are
+     * changes for further hosts, which may know values in between.
+     * @param changes - The changes.
+     * @param revision - The revision up to which they are complete.
+     * @param gaps - Revision ranges in which changes that were undone may be missing.
+     */
+    applyChanges(changes: readonly ReplicaEvent[], revision: number, gaps: readonly RevisionGap[]): void {
+        this.#gaps.push(...gaps.filter(gap => gap.to > this.#revision));
+        const applied = changes.filter(event => this.#isNew(event) && this.#isNewer(event));
+        applied.forEach(event => this.#applyEvent(event));
+        this.#addChanges(applied, revision);
+        this.#report(applied);
+    }
+
     /**
      * Applies a snapshot; items that it does not hold are removed. A snapshot of an earlier epoch is ignored.
      * @param parts - The parts of the snapshot, one for each key prefix.
@@ -143,7 +159,7 @@
         this.#events.clear();
         this.#epoch = epoch;
         this.#revision = Math.min(...parts.map(part => part.revision));
-        this.#changes = [];
+        this.#changes.clear();
         this.#changesStart = this.#revision;
         this.#gaps = [];
         this.#epochListeners.forEach(listener => listener(epoch));
@@ -168,11 +184,17 @@
         return this.#events.has(event.key) || event.revision > this.#revision;
     }
 
+    #isNewer({ key, revision }: ReplicaEvent): boolean {
+        const known = this.#events.get(key);
+        return known === undefined || known.revision < revision;
+    }
+
+    /** Keeps an event unless a newer one of its key is known; returns whether it is a change that is not minor. */
     #applyEvent(event: ReplicaEvent): boolean {
-        const known = this.#events.get(event.key);
-        if (known !== undefined && known.revision >= event.revision) {
+        if (!this.#isNewer(event)) {
             return false;
         }
+        const known = this.#events.get(event.key);
         this.#events.set(event.key, event);
         if (known === undefined || known.value === undefined || event.value === undefined) {
             return known?.value !== event.value;
@@ -181,15 +203,26 @@
     }
 
     #addChanges(events: readonly ReplicaEvent[], revision: number): void {
-        this.#changes.push(...events);
-        if (this.#changes.length > MAX_CHANGES) {
-            const dropped = this.#changes.splice(0, this.#changes.length - MAX_CHANGES);
-            this.#changesStart = Math.max(this.#changesStart, ...dropped.map(event => event.revision));
-        }
+        events.forEach(event => {
+            this.#changes.delete(event.key);
+            this.#changes.set(event.key, event);
+        });
+        const droppedChanges = [...this.#changes.values()].slice(0, Math.max(0, this.#changes.size - MAX_CHANGES));
+        droppedChanges.forEach(({ key }) => this.#changes.delete(key));
+        const droppedGaps = this.#gaps.slice(0, Math.max(0, this.#gaps.length - MAX_GAPS));
+        this.#changesStart = Math.max(
+            this.#changesStart,
+            ...droppedChanges.map(event => event.revision),
+            ...droppedGaps.map(gap => gap.to),
+        );
         this.#revision = Math.max(this.#revision, revision);
         this.#gaps = this.#gaps.filter(gap => gap.to > this.#changesStart);
     }
 
+    #findChangesAfter(revision: number): readonly ReplicaEvent[] {
+        return [...this.#changes.values()].filter(event => event.revision > revision);
+    }
+
     #report(events: readonly ReplicaEvent[]): void {
         if (events.length > 0) {
             this.#listeners.forEach(listener => listener(events));
--- a/src/replica/SourcePuller.ts
+++ b/src/replica/SourcePuller.ts
@@ -240,7 +240,7 @@
             replica.applySnapshot(parts, epoch);
         }
         else {
-            replica.applyEvents(events, revision, jumps);
+            replica.applyChanges(events, revision, jumps);
         }
         return confirmedTime;
     }
--- a/tests/replica/Replica.test.ts
+++ b/tests/replica/Replica.test.ts
@@ -121,7 +121,7 @@
     assert.equal([replica.findChanges(3), replica.findChanges(5), replica.findChanges(9)], [[], undefined, []]);
     const next = new Replica((_, previous, next) => previous === next);
     next.applySnapshot([{ prefix: "", revision: 3, items: [{ key: "a", revision: 2, value: "1" }] }]);
-    next.applyEvents(replica.findChanges(3)!, replica.getRevision(), replica.findGaps(3));
+    next.applyChanges(replica.findChanges(3)!, replica.getRevision(), replica.findGaps(3));
     assert.equal([next.findChanges(3), next.findChanges(5), next.findChanges(9)], [[], undefined, []]);
 });
 
@@ -141,4 +141,44 @@
     assert.is(replica.findChanges(4_000), undefined);
 });
 
+// Guards against LOST (review/6): hosts kept 2,000 versions of a large configuration for each other and ran out of memory.
+test("of the versions of a key, only the newest is kept for other hosts", () => {
+    const { replica } = createReplica();
+    replica.applySnapshot([{ prefix: "", revision: 1, items: [{ key: "a", revision: 1, value: "1" }] }]);
+    for (let revision = 2; revision <= 500; revision++) {
+        replica.applyEvents([{ key: "a", revision, value: String(revision) }], revision);
+    }
+    const newest = { key: "a", revision: 500, value: "500" };
+    assert.equal([1, 250, 499].map(revision => replica.findChanges(revision)), [[newest], [newest], [newest]]);
+    assert.equal([replica.findChanges(500), replica.hasChanges(499), replica.hasChanges(500)], [[], true, false]);
+});
+
+test("a change that is undone for this replica is still one for a host that knows the value in between", () => {
+    const isMinorChange = (_: string, previous: string, next: string): boolean => previous === next;
+    const start = [{ prefix: "", revision: 3, items: [{ key: "a", revision: 3, value: "1" }] }];
+    const [source, follower, late] = [
+        new Replica(isMinorChange),
+        new Replica(isMinorChange),
+        new Replica(isMinorChange),
+    ];
+    [source, follower, late].forEach(replica => replica.applySnapshot(start));
+    source.applyEvents([{ key: "a", revision: 5, value: "2" }], 5);
+    source.applyEvents([{ key: "b", revision: 6, value: "1" }], 6);
+    late.applyChanges(source.findChanges(3)!, 6, []);
+    source.applyEvents([{ key: "a", revision: 7, value: "1" }, { key: "b", revision: 8 }], 8);
+    follower.applyChanges(source.findChanges(3)!, 8, []);
+    late.applyChanges(follower.findChanges(6)!, 8, []);
+    assert.equal(late.getEvents().map(({ key, value }) => [key, value]), [["a", "1"], ["b", undefined]]);
+});
+
+test("gaps are bounded in number, and a host from before a dropped one gets a snapshot", () => {
+    const { replica } = createReplica();
+    for (let revision = 10; revision <= 2_000; revision += 10) {
+        replica.applySnapshot([{ prefix: "", revision, items: [{ key: "a", revision: 1, value: "1" }] }]);
+    }
+    assert.is(replica.findGaps(0).length, 100);
+    assert.is(replica.findChanges(500), undefined);
+    assert.equal(replica.findChanges(1_500), []);
+});
+
 test.run();
