Read at most a share of the machine's memory as changes from the store at once

Cause: the answer of a watch holds every change since the revision that it names, and its length is bounded by nothing but the store's history of 20 s: 250 versions of 268 KB, written every 80 ms, are 89 MB of text, which was read, parsed and decoded whole.

A longer answer counts as history that is lost: all items are read instead, page by page, which are shorter than many versions of them. The replica knows that way already (410).

--- a/src/replica/index.ts
+++ b/src/replica/index.ts
@@ -1,3 +1,4 @@
+export { getMaxChangesBytes } from "./getMaxChangesBytes.js";
 export type { PullReplicaParams } from "./PullReplicaParams.js";
 export type { PullReplicaResult } from "./PullReplicaResult.js";
 export { Replica } from "./Replica.js";
--- a/tests/platform/PlatformStore.test.ts
+++ b/tests/platform/PlatformStore.test.ts
@@ -13,6 +13,8 @@
 import { MockPlatformStore } from "./support/MockPlatformStore.js";
 import { StoreFaultMode } from "./support/StoreFaultMode.js";
 
+const MAX_WATCH_BYTES = 10_000;
+
 const test = suite("PlatformStore");
 let mockStore: MockPlatformStore;
 let store: PlatformStore;
@@ -23,6 +25,7 @@
     store = new PlatformStore({
         address,
         prefixes: [STORE_KEYS.configuration, STORE_KEYS.upstreams, STORE_KEYS.hosts],
+        maxWatchBytes: MAX_WATCH_BYTES,
     });
 });
 
@@ -53,6 +56,20 @@
     assert.equal(await store.watch(part!.revision, 1_000), { kind: WatchResultKind.HistoryLost });
 });
 
+// Guards against hosts that run out of memory while they read many versions of a large item at once (beside review/6).
+test("changes that are longer than the limit count as lost, and the store answers on", async () => {
+    const [part] = (await store.readAll()).parts;
+    const value = "x".repeat(1_000);
+    for (let version = 0; version < 20; version++) {
+        mockStore.write("servers/a", `${value}${version}`);
+    }
+    assert.equal(await store.watch(part!.revision, 1_000), { kind: WatchResultKind.HistoryLost });
+    const { parts } = await store.readAll();
+    assert.equal(parts.flatMap(({ items }) => items.map(item => item.value)), [`${value}19`]);
+    const next = await store.watch(Math.min(...parts.map(({ revision }) => revision)), 20);
+    assert.is(next.kind, WatchResultKind.Events);
+});
+
 test("a watch without changes ends after its maximum wait", async () => {
     const [part] = (await store.readAll()).parts;
     assert.equal(await store.watch(part!.revision, 20), {
