--- a/src/supply/Supply.ts
+++ b/src/supply/Supply.ts
@@ -23,12 +23,6 @@
 
 type RegisteredUpstream = Extract<StoreItem, { kind: StoreItemKind.Upstream; }>;
 
-/** The newest of several versions of a document. */
-interface NewestDocument {
-    readonly event: ReplicaEvent;
-    readonly item: StoreItem;
-}
-
 /** Builds the configuration in force and the list of hosts from the items of the platform's store. */
 export class Supply {
     readonly #options: SupplyOptions;
@@ -116,48 +110,18 @@
             this.#record("own-entry-lapsed", { hosts: this.#hosts.size, upstreams: this.#upstreams.size });
             this.#options.onOwnEntryLost();
         }
-        const documents = this.#decodeNewestDocuments(events);
-        events.forEach(event => this.#applyEvent(event, documents));
+        events.forEach(event => this.#applyEvent(event));
         this.#publish();
     }
 
-    /**
-     * Decodes the newest version of each document that changed more than once. The earlier ones need not be decoded, which takes tens of
-     * milliseconds for a large document.
-     */
-    #decodeNewestDocuments(events: readonly ReplicaEvent[]): ReadonlyMap<string, NewestDocument> {
-        const newest = new Map<string, ReplicaEvent>();
-        const repeated = new Set<string>();
-        for (const event of events) {
-            if (newest.has(event.key)) {
-                repeated.add(event.key);
-            }
-            newest.set(event.key, event);
-        }
-        const documents = new Map<string, NewestDocument>();
-        for (const key of repeated) {
-            const event = newest.get(key)!;
-            const item = event.value === undefined ? undefined : this.#options.decoder.decode(key, event.value);
-            if (item?.kind === StoreItemKind.Configuration) {
-                documents.set(key, { event, item });
-            }
-        }
-        return documents;
-    }
-
-    #applyEvent(event: ReplicaEvent, documents: ReadonlyMap<string, NewestDocument>): void {
+    #applyEvent(event: ReplicaEvent): void {
         if (event.value === undefined) {
             this.#removeOrDelay(event.key);
             return;
         }
         this.#delayedRemovals.delete(event.key);
-        const document = documents.get(event.key);
-        if (document === undefined) {
-            this.#applyItem(event, this.#options.decoder.decode(event.key, event.value));
-        }
-        else if (document.event === event) {
-            this.#applyItem(event, document.item);
-        }
+        const item = this.#options.decoder.decode(event.key, event.value);
+        this.#applyItem(event, item);
     }
 
     #isOwnRemoval({ key, value }: ReplicaEvent): boolean {
