Join the small pieces of an upstream's answer before they are kept

What callers saw: an upstream answered orders with one byte a chunk without end.

Cause: the HTTP client passes on each chunk as an object, and what is captured of an order's answer, up to 64 KiB, kept each of them: 65,536 objects for an answer. The streams behind it count bytes, not objects.

Evidence: 40,000 pieces of one byte took 8.7 MB for each captured answer, and an order's answer of 40,000 chunks went on in 40,000 pieces.

Why this works: the exchange joins what arrives in one turn of the event loop (PieceJoiner); what is captured, and what is read ahead of a lookup, goes into one block (ByteCollector), so memory follows the bytes.

--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -11,6 +11,7 @@
 import type { AnswerCheckResult } from "./AnswerCheckResult.js";
 import { findInvalidAnswer } from "./findInvalidAnswer.js";
 import { isInterimHead } from "./isInterimHead.js";
+import { PieceJoiner } from "./PieceJoiner.js";
 import type { UpstreamAnswer } from "./UpstreamAnswer.js";
 import { UpstreamAnswerKind } from "./UpstreamAnswerKind.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
@@ -34,6 +35,7 @@
     readonly #options: UpstreamExchangeOptions;
     #controller: Dispatcher.DispatchController | undefined;
     #body: Readable | undefined;
+    readonly #pieces = new PieceJoiner(bytes => this.#passPiece(bytes));
     #startTime = 0;
     #isEnded = false;
     #isIdentified = false;
@@ -104,17 +106,21 @@
                     this.#stop({ kind: UpstreamAnswerKind.Invalid, detail });
                 }
             },
-            onResponseData: (controller, chunk) => {
-                if (chunk.length > 0 && this.#body !== undefined && !this.#body.push(chunk)) {
-                    this.#pauseTime ??= this.#options.clock.getTime();
-                    controller.pause();
-                }
+            onResponseData: (_, chunk) => {
+                this.#pieces.add(chunk);
             },
             onResponseEnd: () => this.#receiveEnd(),
             onResponseError: (_, error) => this.#receiveError(error),
         };
     }
 
+    #passPiece(bytes: Buffer): void {
+        if (this.#body !== undefined && !this.#body.destroyed && !this.#body.push(bytes)) {
+            this.#pauseTime ??= this.#options.clock.getTime();
+            this.#controller?.pause();
+        }
+    }
+
     #receiveHead(controller: Dispatcher.DispatchController, status: FinalStatus, headers: IncomingHttpHeaders): void {
         this.#timer?.cancel();
         const { protocol } = this.#options;
@@ -214,6 +220,7 @@
             );
             return;
         }
+        this.#pieces.flush();
         this.#close(true);
         this.#body?.push(null);
     }
--- a/src/services/exchange/createCapturedBody.ts
+++ b/src/services/exchange/createCapturedBody.ts
@@ -1,4 +1,5 @@
 import { Readable } from "node:stream";
+import { ByteCollector } from "../../utils/index.js";
 import type { CapturedBodyOptions } from "./CapturedBodyOptions.js";
 
 /**
@@ -8,7 +9,7 @@
  * @param options - The size limit, and the callback for the end of the body.
  */
 export function createCapturedBody(source: Readable, options: CapturedBodyOptions): Readable {
-    const chunks: Buffer[] = [];
+    const captured = new ByteCollector();
     let bytes = 0;
     let hasReader = true;
     const body = new Readable({
@@ -33,13 +34,13 @@
     };
     const reportEnd = (error: Error | undefined): void => {
         options.signal.removeEventListener("abort", drain);
-        options.onEnd(bytes > options.maxBytes ? undefined : Buffer.concat(chunks), error);
+        options.onEnd(bytes > options.maxBytes ? undefined : captured.getBytes(), error);
     };
     body.on("error", () => {});
     source.on("data", (chunk: Buffer) => {
         bytes += chunk.length;
         if (bytes <= options.maxBytes) {
-            chunks.push(chunk);
+            captured.add(chunk);
         }
         if (!body.destroyed && !body.push(chunk) && hasReader) {
             source.pause();
--- a/src/services/exchange/readBodyAhead.ts
+++ b/src/services/exchange/readBodyAhead.ts
@@ -1,6 +1,7 @@
 import { Readable } from "node:stream";
 import type { DoneOutcome, Outcome } from "../../outcomes/index.js";
 import { createUnknown, OutcomeKind, UnknownReason } from "../../outcomes/index.js";
+import { ByteCollector } from "../../utils/index.js";
 
 /**
  * Buffers the start of a response body, so that a body truncated within the limit is detected before any of it is passed on.
@@ -17,17 +18,15 @@
     if (signal?.aborted === true) {
         close();
     }
-    const parts: Buffer[] = [];
-    let length = 0;
+    const start = new ByteCollector();
     const iterator = outcome.body[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
     try {
-        while (length <= maxBytes) {
+        while (start.getLength() <= maxBytes) {
             const next = await iterator.next();
             if (next.done === true) {
-                return createBufferedOutcome(outcome, Buffer.concat(parts, length));
+                return createBufferedOutcome(outcome, start.getBytes());
             }
-            parts.push(next.value);
-            length += next.value.length;
+            start.add(next.value);
         }
     }
     catch {
@@ -36,21 +35,21 @@
     finally {
         signal?.removeEventListener("abort", close);
     }
-    return { ...outcome, body: createRemainder(parts, iterator, outcome.body) };
+    return { ...outcome, body: createRemainder(start.getBytes(), iterator, outcome.body) };
 }
 
 function createBufferedOutcome(outcome: DoneOutcome, content: Buffer): Outcome {
     return { ...outcome, body: Readable.from(content.length === 0 ? [] : [content], { objectMode: false }) };
 }
 
-/** Streams the buffered parts, then the rest of the source; destroying it closes the source at once, even during a read. */
-function createRemainder(parts: readonly Buffer[], iterator: AsyncIterator<Buffer>, source: Readable): Readable {
-    const buffered = [...parts];
+/** Streams the buffered start, then the rest of the source; destroying it closes the source at once, even during a read. */
+function createRemainder(start: Buffer, iterator: AsyncIterator<Buffer>, source: Readable): Readable {
+    let isStartPassed = false;
     const rest = new Readable({
         read: () => {
-            const part = buffered.shift();
-            if (part !== undefined) {
-                rest.push(part);
+            if (!isStartPassed) {
+                isStartPassed = true;
+                rest.push(start);
                 return;
             }
             iterator.next().then(
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,4 +1,5 @@
 export { AttemptRace } from "./AttemptRace.js";
+export { ByteCollector } from "./ByteCollector.js";
 export { closeServer } from "./closeServer.js";
 export { closeUnusedBody } from "./closeUnusedBody.js";
 export { createIncarnation } from "./createIncarnation.js";
