Bound what an upstream may send beside the content of an answer

What callers saw: upstreams answered orders with interim heads without end.

Cause: interim heads were dropped one by one and nothing counted them. One turn of the event loop parses what the kernel has for every such connection, 2 MB each, and the timers of all deadlines wait for it. Chunk sizes with leading zeros, chunk extensions and trailers went the same way: the parser takes them and tells nobody.

Why this works: the connection counts all bytes that it receives, the exchange the content. What is neither may be 256 KiB and as much as the content, and 16 interim heads; more ends the exchange as a failure of the upstream (before the head "invalid-answer", later a cut answer), aborts the parser in the middle of its input and closes the connection. An answer in chunks of one byte is still passed on whole up to 64 KB of content, one in chunks of five bytes without a limit.

--- a/src/services/exchange/UpstreamConnection.ts
+++ b/src/services/exchange/UpstreamConnection.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 import type { Clock } from "../../time/index.js";
 
@@ -15,6 +16,8 @@
     readonly #clock: Clock;
     #lastAnswerTime = Number.NEGATIVE_INFINITY;
     #resume: () => void = () => {};
+    #socket: Socket | undefined;
+    #onReceived: () => void = () => {};
     #isIdle = false;
     #isUsed = false;
     readonly #refusedIds = new Set<string>();
@@ -42,6 +45,19 @@
         this.#resume = resume;
     }
 
+    /**
+     * Sets the callback that runs when bytes have been received, before they are parsed.
+     * @param onReceived - The callback.
+     */
+    applyReceiveListener(onReceived: () => void): void {
+        this.#onReceived = onReceived;
+    }
+
+    /** Gets the number of bytes received so far; some of them may not be parsed yet. */
+    getReceivedBytes(): number {
+        return this.#socket?.bytesRead ?? 0;
+    }
+
     /** Records that a request uses this connection again. */
     recordUse(): void {
         this.#isIdle = false;
@@ -98,6 +114,7 @@
         return (options, callback) =>
             connect(options, (...result) => {
                 const [, socket] = result;
+                this.#socket = socket ?? undefined;
                 socket?.once("error", (error: NodeJS.ErrnoException) => {
                     error.code = RESET_CODE;
                 });
@@ -105,7 +122,9 @@
                 socket?.on("readable", () => {
                     if (this.#isIdle && socket.readableLength > 0) {
                         socket.destroy();
+                        return;
                     }
+                    this.#onReceived();
                 });
                 callback(...result);
             });
--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -9,6 +9,7 @@
 import type { ServiceRequest } from "../ServiceRequest.js";
 import { AnswerCheckKind } from "./AnswerCheckKind.js";
 import type { AnswerCheckResult } from "./AnswerCheckResult.js";
+import { AnswerOverhead } from "./AnswerOverhead.js";
 import { findInvalidAnswer } from "./findInvalidAnswer.js";
 import { isInterimHead } from "./isInterimHead.js";
 import { PieceJoiner } from "./PieceJoiner.js";
@@ -35,6 +36,8 @@
     readonly #options: UpstreamExchangeOptions;
     #controller: Dispatcher.DispatchController | undefined;
     #body: Readable | undefined;
+    readonly #overhead = new AnswerOverhead();
+    #receivedBefore = 0;
     readonly #pieces = new PieceJoiner(bytes => this.#passPiece(bytes));
     #startTime = 0;
     #isEnded = false;
@@ -90,6 +93,8 @@
             onRequestStart: controller => {
                 this.#controller = controller;
                 this.#connection.applyResume(() => controller.resume());
+                this.#receivedBefore = this.#connection.getReceivedBytes();
+                this.#connection.applyReceiveListener(() => this.#checkOverhead());
                 if (this.#isEnded) {
                     controller.abort(new TruncatedAnswerError("The exchange has ended."));
                 }
@@ -105,8 +110,13 @@
                     const detail = `status ${String(status).padStart(STATUS_LENGTH, "0")}`;
                     this.#stop({ kind: UpstreamAnswerKind.Invalid, detail });
                 }
+                else {
+                    this.#overhead.recordInterimHead();
+                    this.#checkOverhead();
+                }
             },
             onResponseData: (_, chunk) => {
+                this.#overhead.recordContent(chunk.length);
                 this.#pieces.add(chunk);
             },
             onResponseEnd: () => this.#receiveEnd(),
@@ -114,6 +124,25 @@
         };
     }
 
+    /** Ends the exchange if too much comes beside the content of the answer. */
+    #checkOverhead(): void {
+        if (this.#isEnded) {
+            return;
+        }
+        const detail = this.#overhead.findExcess(this.#connection.getReceivedBytes() - this.#receivedBefore);
+        if (detail === undefined) {
+            return;
+        }
+        if (this.#body === undefined) {
+            this.#stop({ kind: UpstreamAnswerKind.Invalid, detail });
+        }
+        else {
+            this.#body.destroy(new TruncatedAnswerError(`The upstream sent ${detail}.`));
+        }
+        // The parser would read on until its input ends.
+        this.#controller?.abort(new TruncatedAnswerError(detail));
+    }
+
     #passPiece(bytes: Buffer): void {
         if (this.#body !== undefined && !this.#body.destroyed && !this.#body.push(bytes)) {
             this.#pauseTime ??= this.#options.clock.getTime();
