Drop the removals of keys once they are known to be complete

What callers saw: nothing yet.

Cause: the removal was kept so that an older write doesn't restore its key. Up to the replica's known revision nothing can: an event of an unknown key that isn't newer than this revision is not new.

--- a/src/replica/Replica.ts
+++ b/src/replica/Replica.ts
@@ -17,8 +17,10 @@
  * revisions of two epochs can't be compared. The replica never returns to an earlier epoch.
  */
 export class Replica {
-    /** The newest event of each key; the events of removed keys stay, so that an older write does not restore them. */
+    /** The newest event of each key that is not removed, or was removed after the known revision. */
     readonly #events = new Map<string, ReplicaEvent>();
+    /** Keys of removals in the events. */
+    readonly #removedKeys = new Set<string>();
     readonly #listeners: ReplicaListener[] = [];
     readonly #epochListeners: EpochListener[] = [];
     /** The newest change of each key, changed least recently first. An earlier change of a key is of no use to a host that pulls. */
@@ -49,7 +51,7 @@
         return this.#epoch;
     }
 
-    /** Gets the newest event of each item, including removed ones. */
+    /** Gets the newest event of each item; some removed ones are among them. */
     getEvents(): readonly ReplicaEvent[] {
         return [...this.#events.values()];
     }
@@ -157,6 +159,7 @@
     #applyEpoch(epoch: number, parts: readonly SnapshotPart[]): void {
         const before = new Map(this.#events);
         this.#events.clear();
+        this.#removedKeys.clear();
         this.#epoch = epoch;
         this.#revision = Math.min(...parts.map(part => part.revision));
         this.#changes.clear();
@@ -196,6 +199,9 @@
         }
         const known = this.#events.get(event.key);
         this.#events.set(event.key, event);
+        if (event.value === undefined) {
+            this.#removedKeys.add(event.key);
+        }
         if (known === undefined || known.value === undefined || event.value === undefined) {
             return known?.value !== event.value;
         }
@@ -216,9 +222,24 @@
             ...droppedGaps.map(gap => gap.to),
         );
         this.#revision = Math.max(this.#revision, revision);
+        this.#dropRemovals();
         this.#gaps = this.#gaps.filter(gap => gap.to > this.#changesStart);
     }
 
+    /** Drops removals up to the known revision: an older event of an unknown key is not new, so nothing can restore the key. */
+    #dropRemovals(): void {
+        for (const key of this.#removedKeys) {
+            const event = this.#events.get(key);
+            if (event?.value !== undefined) {
+                this.#removedKeys.delete(key);
+            }
+            else if (event === undefined || event.revision <= this.#revision) {
+                this.#removedKeys.delete(key);
+                this.#events.delete(key);
+            }
+        }
+    }
+
     #findChangesAfter(revision: number): readonly ReplicaEvent[] {
         return [...this.#changes.values()].filter(event => event.revision > revision);
     }
