--- a/tests/replica/Replica.test.ts
+++ b/tests/replica/Replica.test.ts
@@ -178,12 +178,12 @@
     replica.applySnapshot([{ prefix: "", revision: 1, items: [] }]);
     for (let life = 0; life < 5_000; life++) {
         const revision = 2 + 2 * life;
-        replica.applyEvents([{ key: `servers/${life}`, revision, value: "x" }], revision);
-        replica.applyEvents([{ key: `servers/${life}`, revision: revision + 1 }], revision + 1);
+        replica.applyEvents([{ key: `upstreams/${life}`, revision, value: "x" }], revision);
+        replica.applyEvents([{ key: `upstreams/${life}`, revision: revision + 1 }], revision + 1);
     }
     assert.equal(replica.getEvents(), []);
     seen.length = 0;
-    replica.applyChanges([{ key: "servers/7", revision: 16, value: "late" }], 16, []);
+    replica.applyChanges([{ key: "upstreams/7", revision: 16, value: "late" }], 16, []);
     assert.equal([seen, replica.getEvents()], [[], []]);
 });
 
