--- a/src/replica/Replica.ts
+++ b/src/replica/Replica.ts
@@ -222,12 +222,12 @@
             ...droppedGaps.map(gap => gap.to),
         );
         this.#revision = Math.max(this.#revision, revision);
-        this.#dropRemovals();
+        this.#removeOldRemovals();
         this.#gaps = this.#gaps.filter(gap => gap.to > this.#changesStart);
     }
 
     /** Drops removals up to the known revision: an older event of an unknown key is not new, so nothing can restore the key. */
-    #dropRemovals(): void {
+    #removeOldRemovals(): void {
         for (const key of this.#removedKeys) {
             const event = this.#events.get(key);
             if (event?.value !== undefined) {
--- a/src/services/exchange/PieceJoiner.ts
+++ b/src/services/exchange/PieceJoiner.ts
@@ -9,13 +9,13 @@
  * a single byte.
  */
 export class PieceJoiner {
-    readonly #pass: (bytes: Buffer) => void;
+    readonly #write: (bytes: Buffer) => void;
     readonly #collector = new ByteCollector();
     #isScheduled = false;
 
-    /** @param pass - Receives the joined pieces, in their order. */
-    constructor(pass: (bytes: Buffer) => void) {
-        this.#pass = pass;
+    /** @param write - Receives the joined pieces, in their order. */
+    constructor(write: (bytes: Buffer) => void) {
+        this.#write = write;
     }
 
     /**
@@ -24,29 +24,29 @@
      */
     add(piece: Buffer): void {
         if (piece.length >= LARGE_PIECE_BYTES) {
-            this.flush();
-            this.#pass(piece);
+            this.writePending();
+            this.#write(piece);
             return;
         }
         this.#collector.add(piece);
         if (this.#collector.getLength() >= MAX_JOINED_BYTES) {
-            this.flush();
+            this.writePending();
         }
         else if (!this.#isScheduled) {
             this.#isScheduled = true;
             process.nextTick(() => {
                 this.#isScheduled = false;
-                this.flush();
+                this.writePending();
             });
         }
     }
 
-    /** Passes on what has been added. */
-    flush(): void {
+    /** Writes what has been added. */
+    writePending(): void {
         if (this.#collector.getLength() > 0) {
             const bytes = Buffer.from(this.#collector.getBytes());
-            this.#collector.clear();
-            this.#pass(bytes);
+            this.#collector.removeAll();
+            this.#write(bytes);
         }
     }
 }
--- a/src/services/exchange/UpstreamExchange.ts
+++ b/src/services/exchange/UpstreamExchange.ts
@@ -38,7 +38,7 @@
     #body: Readable | undefined;
     readonly #overhead = new AnswerOverhead();
     #receivedBefore = 0;
-    readonly #pieces = new PieceJoiner(bytes => this.#passPiece(bytes));
+    readonly #pieces = new PieceJoiner(bytes => this.#writeBody(bytes));
     #startTime = 0;
     #isEnded = false;
     #isIdentified = false;
@@ -143,7 +143,7 @@
         this.#controller?.abort(new TruncatedAnswerError(detail));
     }
 
-    #passPiece(bytes: Buffer): void {
+    #writeBody(bytes: Buffer): void {
         if (this.#body !== undefined && !this.#body.destroyed && !this.#body.push(bytes)) {
             this.#pauseTime ??= this.#options.clock.getTime();
             this.#controller?.pause();
@@ -249,7 +249,7 @@
             );
             return;
         }
-        this.#pieces.flush();
+        this.#pieces.writePending();
         this.#close(true);
         this.#body?.push(null);
     }
--- a/src/utils/ByteCollector.ts
+++ b/src/utils/ByteCollector.ts
@@ -32,7 +32,7 @@
     }
 
     /** Removes the collected bytes; the block is used again. */
-    clear(): void {
+    removeAll(): void {
         this.#length = 0;
     }
 }
--- a/tests/replica/replicaFuzz.test.ts
+++ b/tests/replica/replicaFuzz.test.ts
@@ -43,7 +43,7 @@
         fc.property(fc.array(stepArbitrary, { maxLength: 40 }), steps => {
             const run = new ReplicaRun();
             steps.forEach(step => run.runStep(step));
-            run.synchronize();
+            run.runToEnd();
             run.check();
         }),
         { seed: SEED, numRuns: RUNS },
@@ -91,7 +91,7 @@
     }
 
     /** Lets the watchers read the rest of the history, and each other replica pull from the one before it. */
-    synchronize(): void {
+    runToEnd(): void {
         this.#latePull();
         this.#replicas.slice(0, WATCHERS).forEach(replica => this.#watch(replica));
         for (let index = WATCHERS; index < REPLICAS; index++) {
--- a/tests/services/unprovenRefusals.test.ts
+++ b/tests/services/unprovenRefusals.test.ts
@@ -14,13 +14,13 @@
 // Guards against upstreams that go on to get orders which they run and fail with a refusal that proves nothing (beside review/10).
 for (const status of [408, 421, 429, 503] as const) {
     test(`an upstream that runs orders and answers ${status} gets no more of them than one that answers 500`, async () => {
-        assert.is(await countOrdersOfFailing(status), await countOrdersOfFailing(500));
+        assert.is(await measureOrdersOfFailing(status), await measureOrdersOfFailing(500));
     });
 }
 
 test.run();
 
-async function countOrdersOfFailing(errorStatus: FinalStatus): Promise<number> {
+async function measureOrdersOfFailing(errorStatus: FinalStatus): Promise<number> {
     const bench = new ServiceBench({
         upstreams: UPSTREAMS,
         policy: EjectionPolicy.Prompt,
