--- a/review/lib-3/Rig.mjs
+++ b/review/lib-3/Rig.mjs
@@ -218,12 +218,15 @@
                 const colon = field.indexOf(":");
                 return [field.slice(0, colon).toLowerCase(), field.slice(colon + 1).trim()];
             }));
+            const rest = bytes.subarray(end + 4);
             const length = Number(headers["content-length"] ?? 0);
-            if (bytes.length < end + 4 + length) {
+            const taken = headers["transfer-encoding"] === "chunked" ? readChunks(rest)
+                : rest.length < length ? undefined : { body: rest.subarray(0, length), rest: rest.subarray(length) };
+            if (taken === undefined) {
                 return undefined;
             }
-            const body = bytes.subarray(end + 4, end + 4 + length);
-            bytes = bytes.subarray(end + 4 + length);
+            const { body } = taken;
+            bytes = taken.rest;
             const [method, path] = first.split(" ");
             return { method, path, headers, body, id: headers["fuchsiapath-attempt-id"] };
         };
@@ -262,8 +265,11 @@
         this.socket = socket;
     }
 
-    /** Sends a request; resolves with the status, the fields and the body, or with `closed` if the connection ended before a whole answer. */
-    async send({ id, method = "GET", path, body: given = "", deadlineMs = 4_000, key = "key-1", fields = [] }) {
+    /**
+     * Sends a request; resolves with the status, the fields and the body, or with `closed` if the connection ended before a whole answer.
+     * With `isChunked` the body goes in chunks; with `leaveMs` the client leaves after that time if there is no whole answer.
+     */
+    async send({ id, method = "GET", path, body: given = "", deadlineMs = 4_000, key = "key-1", fields = [], isChunked = false, leaveMs }) {
         const body = method === "GET" ? "" : given;
         const isKept = this.socket !== undefined && !this.socket.destroyed && !this.socket.readableEnded;
         if (!isKept) {
@@ -273,8 +279,9 @@
         this.rig.note(`client sends ${id} ${method} ${path} to ${this.host.id} on a ${isKept ? "kept" : "new"} connection`);
         socket.write([`${method} ${path} HTTP/1.1`, "Host: shop.example", `Fuchsiapath-Attempt-Id: ${id}`,
             `Fuchsiapath-Deadline-Ms: ${deadlineMs}`, `Authorization: Bearer ${key}`, ...fields,
-            ...(method === "GET" ? [] : [`Content-Length: ${Buffer.byteLength(body)}`]), "", ""].join("\r\n") + body);
-        const answer = await readAnswer(socket, deadlineMs + 500);
+            ...(method === "GET" ? [] : [isChunked ? "Transfer-Encoding: chunked" : `Content-Length: ${Buffer.byteLength(body)}`]),
+            "", ""].join("\r\n") + (isChunked ? toChunks(body) : body));
+        const answer = await readAnswer(socket, leaveMs ?? deadlineMs + 500);
         if (answer.closed !== undefined || /^close$/i.test(answer.headers?.connection ?? "")) {
             socket.destroy();
             this.socket = undefined;
@@ -289,6 +296,10 @@
     }
 }
 
+function toChunks(body) {
+    return `${body === "" ? "" : `${Buffer.byteLength(body).toString(16)}\r\n${body}\r\n`}0\r\n\r\n`;
+}
+
 function readAnswer(socket, limitMs) {
     return new Promise(resolve => {
         let bytes = Buffer.alloc(0);
@@ -318,22 +329,29 @@
     const [first, ...fields] = bytes.subarray(0, end).toString("latin1").split("\r\n");
     const headers = Object.fromEntries(fields.map(field => [field.split(":")[0].toLowerCase(), field.slice(field.indexOf(":") + 1).trim()]));
     const status = Number(first.split(" ")[1]);
-    let rest = bytes.subarray(end + 4);
+    const rest = bytes.subarray(end + 4);
     if (headers["transfer-encoding"] === "chunked") {
-        const parts = [];
-        for (;;) {
-            const line = rest.indexOf("\r\n");
-            const size = line < 0 ? NaN : parseInt(rest.subarray(0, line).toString(), 16);
-            if (Number.isNaN(size) || rest.length < line + 4 + size) {
-                return undefined;
-            }
-            parts.push(rest.subarray(line + 2, line + 2 + size));
-            rest = rest.subarray(line + 4 + size);
-            if (size === 0) {
-                return { status, headers, body: Buffer.concat(parts) };
-            }
-        }
+        const taken = readChunks(rest);
+        return taken && { status, headers, body: taken.body };
     }
     const length = Number(headers["content-length"] ?? 0);
     return rest.length < length ? undefined : { status, headers, body: rest.subarray(0, length) };
 }
+
+/** Reads a whole body in chunks; returns undefined while bytes are missing. */
+function readChunks(bytes) {
+    const parts = [];
+    let rest = bytes;
+    for (;;) {
+        const line = rest.indexOf("\r\n");
+        const size = line < 0 ? NaN : parseInt(rest.subarray(0, line).toString(), 16);
+        if (Number.isNaN(size) || rest.length < line + 4 + size) {
+            return undefined;
+        }
+        parts.push(rest.subarray(line + 2, line + 2 + size));
+        rest = rest.subarray(line + 4 + size);
+        if (size === 0) {
+            return { body: Buffer.concat(parts), rest };
+        }
+    }
+}
